--- /dev/null
+++ b/bench/src/main/java/org/sequoiahill/bench/package-info.java
@@ -0,0 +1,5 @@
+/** Load and experiments on running daemons. */
+@NullMarked
+package org.sequoiahill.bench;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/package-info.java
@@ -0,0 +1,5 @@
+/** The daemon's program. */
+@NullMarked
+package org.sequoiahill.daemon;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/AgentRole.java
@@ -0,0 +1,135 @@
+package org.sequoiahill.daemon.process;
+
+import jakarta.inject.Inject;
+import jakarta.inject.Singleton;
+import java.util.List;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.server.Handler;
+import org.sequoiahill.daemon.process.config.ConfigurationSync;
+import org.sequoiahill.daemon.process.config.ConfigurationView;
+import org.sequoiahill.daemon.process.control.ControlClient;
+import org.sequoiahill.daemon.process.control.ControlServer;
+import org.sequoiahill.daemon.process.control.Identity;
+import org.sequoiahill.daemon.process.directory.Announcer;
+import org.sequoiahill.daemon.process.settings.DaemonSettings;
+import org.sequoiahill.daemon.process.settings.DaemonSettings.AgentSettings;
+import org.sequoiahill.daemon.process.settings.DaemonSettings.PeerVm;
+import org.sequoiahill.daemon.request.AgentHandler;
+import org.sequoiahill.daemon.request.EndpointGate;
+import org.sequoiahill.daemon.request.HttpForwarder;
+import org.sequoiahill.daemon.version.ChunkFetcher;
+import org.sequoiahill.daemon.version.ChunkHandler;
+import org.sequoiahill.daemon.version.ChunkStore;
+import org.sequoiahill.daemon.version.EngineClient;
+import org.sequoiahill.daemon.version.VersionLoop;
+import org.sequoiahill.protocol.gen.Announcement;
+
+/** The role that stands before one endpoint. */
+@Singleton
+final class AgentRole implements DaemonRole {
+    private final DaemonSettings mSettings;
+    private final AgentSettings mAgent;
+    private final Identity mIdentity;
+    private final ScheduledExecutorService mScheduler;
+    private final EndpointGate mGate;
+    private final Announcer mAnnouncer;
+    private final VersionLoop mVersions;
+    private final List<Handler> mHandlers;
+    private volatile boolean mIsLeaving;
+
+    @Inject
+    AgentRole(
+            DaemonSettings settings,
+            Identity identity,
+            ConfigurationView view,
+            ConfigurationSync sync,
+            ControlClient control,
+            HttpClient http,
+            HttpForwarder forwarder,
+            ScheduledExecutorService scheduler) {
+        mSettings = settings;
+        mAgent = settings.agent().orElseThrow();
+        mIdentity = identity;
+        mScheduler = scheduler;
+        mGate = EndpointGate.closed(mAgent.capacity());
+        mAnnouncer = Announcer.of(entriesHere(), control, sync, this::announcement);
+        ChunkStore chunks = ChunkStore.in(settings.dataFolder().resolve("weights"));
+        ChunkFetcher fetcher =
+                ChunkFetcher.into(
+                        chunks,
+                        settings.vm(),
+                        mAgent.origin(),
+                        mAgent.service(),
+                        http,
+                        mAnnouncer::peers);
+        mVersions =
+                VersionLoop.of(
+                        mAgent.service(),
+                        identity,
+                        view,
+                        control,
+                        settings.stores(),
+                        chunks,
+                        fetcher,
+                        EngineClient.of(mAgent.engine(), http),
+                        mGate);
+        mHandlers =
+                List.of(
+                        AgentHandler.of(identity, mAgent, view, mGate, forwarder),
+                        ChunkHandler.over(chunks));
+    }
+
+    @Override
+    public void register(ControlServer server) {
+        // An agent calls others and offers no control service but the configuration.
+    }
+
+    @Override
+    public List<Handler> dataHandlers() {
+        return mHandlers;
+    }
+
+    @Override
+    public void start() {
+        mAnnouncer.start(mScheduler);
+        mVersions.start(
+                Executors.newSingleThreadScheduledExecutor(ProcessModule.daemonThreads("version")));
+    }
+
+    @Override
+    public boolean isReady() {
+        return mGate.isOpen();
+    }
+
+    @Override
+    public void leave() {
+        mIsLeaving = true;
+        mAnnouncer.announce().join();
+    }
+
+    private List<PeerVm> entriesHere() {
+        return mSettings.entries().stream()
+                .filter(entry -> entry.dataCentre().equals(mSettings.dataCentre()))
+                .toList();
+    }
+
+    private Announcement announcement() {
+        VersionLoop.Progress progress = mVersions.progress();
+        return new Announcement(
+                mIdentity.sender(),
+                mAgent.service(),
+                mSettings.data().toString(),
+                mAgent.capacity(),
+                mGate.running(),
+                0,
+                mGate.isOpen(),
+                mIsLeaving,
+                progress.servedName(),
+                progress.servedDigest(),
+                mAgent.checksFencing(),
+                progress.chunksHeld(),
+                progress.chunksStated());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/EntryRole.java
@@ -0,0 +1,74 @@
+package org.sequoiahill.daemon.process;
+
+import jakarta.inject.Inject;
+import jakarta.inject.Singleton;
+import java.util.List;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.random.RandomGenerator;
+import org.eclipse.jetty.server.Handler;
+import org.sequoiahill.daemon.process.config.ConfigurationSync;
+import org.sequoiahill.daemon.process.config.ConfigurationView;
+import org.sequoiahill.daemon.process.control.ControlClient;
+import org.sequoiahill.daemon.process.control.ControlServer;
+import org.sequoiahill.daemon.process.control.Identity;
+import org.sequoiahill.daemon.process.control.ServiceStub;
+import org.sequoiahill.daemon.process.directory.DataCentreTable;
+import org.sequoiahill.daemon.process.directory.DirectoryHandler;
+import org.sequoiahill.daemon.process.directory.EndpointDirectory;
+import org.sequoiahill.daemon.process.settings.DaemonSettings;
+import org.sequoiahill.daemon.request.EntryHandler;
+import org.sequoiahill.daemon.request.HttpForwarder;
+import org.sequoiahill.protocol.gen.Directory;
+
+/** The role that answers callers. */
+@Singleton
+final class EntryRole implements DaemonRole {
+    private final DirectoryHandler mDirectoryHandler;
+    private final EntryHandler mEntryHandler;
+    private final ConfigurationView mView;
+    private final ScheduledExecutorService mScheduler;
+
+    @Inject
+    EntryRole(
+            DaemonSettings settings,
+            Identity identity,
+            ConfigurationView view,
+            ConfigurationSync sync,
+            EndpointDirectory directory,
+            DataCentreTable table,
+            ControlClient client,
+            HttpForwarder forwarder,
+            RandomGenerator random,
+            ScheduledExecutorService scheduler) {
+        mDirectoryHandler =
+                DirectoryHandler.of(settings, identity, view, sync, directory, table, client);
+        mEntryHandler = EntryHandler.of(identity, view, directory, table, forwarder, random);
+        mView = view;
+        mScheduler = scheduler;
+    }
+
+    @Override
+    public void register(ControlServer server) {
+        server.register(ServiceStub.DIRECTORY, new Directory.Processor<>(mDirectoryHandler));
+    }
+
+    @Override
+    public List<Handler> dataHandlers() {
+        return List.of(mEntryHandler);
+    }
+
+    @Override
+    public void start() {
+        mDirectoryHandler.start(mScheduler);
+    }
+
+    @Override
+    public boolean isReady() {
+        return mView.current().revision() > 0;
+    }
+
+    @Override
+    public void leave() {
+        mDirectoryHandler.drain();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/ProcessModule.java
@@ -0,0 +1,167 @@
+package org.sequoiahill.daemon.process;
+
+import dagger.Module;
+import dagger.Provides;
+import io.micrometer.core.instrument.binder.jvm.JvmMemoryMetrics;
+import io.micrometer.core.instrument.binder.system.ProcessorMetrics;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import jakarta.inject.Singleton;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadFactory;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.random.RandomGenerator;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.sequoiahill.daemon.process.config.ConfigurationSync;
+import org.sequoiahill.daemon.process.config.ConfigurationView;
+import org.sequoiahill.daemon.process.control.ControlClient;
+import org.sequoiahill.daemon.process.control.Identity;
+import org.sequoiahill.daemon.process.directory.DataCentreTable;
+import org.sequoiahill.daemon.process.directory.EndpointDirectory;
+import org.sequoiahill.daemon.process.settings.DaemonSettings;
+import org.sequoiahill.daemon.process.settings.DaemonSettings.PeerVm;
+import org.sequoiahill.daemon.process.settings.HostPort;
+import org.sequoiahill.daemon.process.time.MonotonicClock;
+import org.sequoiahill.daemon.request.HttpForwarder;
+
+/** Provides what lives as long as the process, whatever its roles. */
+@Module
+final class ProcessModule {
+    private static final int CONTROL_THREADS = 16;
+    private static final int SCHEDULER_THREADS = 2;
+    private static final int CLIENT_THREADS = 32;
+    private static final int MAX_CONNECTIONS_PER_PEER = 4_096;
+    private static final int MAX_QUEUED_PER_PEER = 16_384;
+
+    private ProcessModule() {}
+
+    @Provides
+    @Singleton
+    static MonotonicClock clock() {
+        return MonotonicClock.system();
+    }
+
+    @Provides
+    @Singleton
+    static RandomGenerator random() {
+        return RandomGenerator.getDefault();
+    }
+
+    @Provides
+    @Singleton
+    static Identity identity(DaemonSettings settings) {
+        long incarnation = InstantSource.system().millis();
+        return Identity.of(settings.vm(), settings.dataCentre(), incarnation);
+    }
+
+    @Provides
+    @Singleton
+    static PrometheusMeterRegistry metrics() {
+        PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+        new JvmMemoryMetrics().bindTo(registry);
+        new ProcessorMetrics().bindTo(registry);
+        return registry;
+    }
+
+    @Provides
+    @Singleton
+    static ExecutorService controlExecutor() {
+        return Executors.newFixedThreadPool(CONTROL_THREADS, daemonThreads("control"));
+    }
+
+    @Provides
+    @Singleton
+    static ScheduledExecutorService scheduler() {
+        return Executors.newScheduledThreadPool(SCHEDULER_THREADS, daemonThreads("scheduler"));
+    }
+
+    @Provides
+    @Singleton
+    static ControlClient controlClient(ExecutorService executor) {
+        return ControlClient.on(executor);
+    }
+
+    @Provides
+    @Singleton
+    static ConfigurationView view(Identity identity) {
+        return ConfigurationView.of(identity);
+    }
+
+    @Provides
+    @Singleton
+    static ConfigurationSync sync(
+            DaemonSettings settings,
+            Identity identity,
+            ConfigurationView view,
+            ControlClient client,
+            ScheduledExecutorService scheduler) {
+        return ConfigurationSync.of(identity, view, client, sourcesOf(settings), scheduler);
+    }
+
+    @Provides
+    @Singleton
+    static EndpointDirectory directory(MonotonicClock clock) {
+        return EndpointDirectory.of(clock);
+    }
+
+    @Provides
+    @Singleton
+    static DataCentreTable dataCentres(MonotonicClock clock) {
+        return DataCentreTable.of(clock);
+    }
+
+    @Provides
+    @Singleton
+    static HttpClient httpClient() {
+        HttpClient client = new HttpClient();
+        QueuedThreadPool threads = new QueuedThreadPool(CLIENT_THREADS, 2);
+        threads.setName("http-client");
+        client.setExecutor(threads);
+        client.setFollowRedirects(false);
+        client.setMaxConnectionsPerDestination(MAX_CONNECTIONS_PER_PEER);
+        client.setMaxRequestsQueuedPerDestination(MAX_QUEUED_PER_PEER);
+        client.getContentDecoderFactories().clear();
+        return client;
+    }
+
+    @Provides
+    @Singleton
+    static HttpForwarder forwarder(HttpClient client) {
+        return HttpForwarder.over(client);
+    }
+
+    static ThreadFactory daemonThreads(String name) {
+        AtomicInteger count = new AtomicInteger();
+        return task -> {
+            Thread thread = new Thread(task, name + "-" + count.incrementAndGet());
+            thread.setDaemon(true);
+            return thread;
+        };
+    }
+
+    private static List<HostPort> sourcesOf(DaemonSettings settings) {
+        List<HostPort> sources = new ArrayList<>();
+        for (PeerVm store : settings.stores()) {
+            addUnlessSelf(settings, store, sources);
+        }
+        for (PeerVm entry : settings.entries()) {
+            if (entry.dataCentre().equals(settings.dataCentre())) {
+                addUnlessSelf(settings, entry, sources);
+            }
+        }
+        return sources;
+    }
+
+    private static void addUnlessSelf(
+            DaemonSettings settings, PeerVm peer, List<HostPort> sources) {
+        if (!peer.vm().equals(settings.vm()) && !sources.contains(peer.control())) {
+            sources.add(peer.control());
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/StoreRole.java
@@ -0,0 +1,87 @@
+package org.sequoiahill.daemon.process;
+
+import jakarta.inject.Inject;
+import jakarta.inject.Singleton;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.List;
+import java.util.concurrent.ScheduledExecutorService;
+import org.eclipse.jetty.server.Handler;
+import org.sequoiahill.daemon.process.config.ConfigurationMachine;
+import org.sequoiahill.daemon.process.config.ConfigurationView;
+import org.sequoiahill.daemon.process.config.ConfigurationWriter;
+import org.sequoiahill.daemon.process.config.LeaderWriter;
+import org.sequoiahill.daemon.process.control.ControlClient;
+import org.sequoiahill.daemon.process.control.ControlServer;
+import org.sequoiahill.daemon.process.control.Identity;
+import org.sequoiahill.daemon.process.control.ServiceStub;
+import org.sequoiahill.daemon.process.controller.TurnHandler;
+import org.sequoiahill.daemon.process.log.FixedLeaderLog;
+import org.sequoiahill.daemon.process.settings.DaemonSettings;
+import org.sequoiahill.daemon.process.time.MonotonicClock;
+import org.sequoiahill.protocol.gen.Log;
+import org.sequoiahill.protocol.gen.Turns;
+
+/** The role of a voter of the replicated log. */
+@Singleton
+final class StoreRole implements DaemonRole {
+    private final ScheduledExecutorService mScheduler;
+    private final FixedLeaderLog mLog;
+    private final ConfigurationWriter mWriter;
+    private final TurnHandler mTurns;
+
+    @Inject
+    StoreRole(
+            DaemonSettings settings,
+            Identity identity,
+            ConfigurationView view,
+            ControlClient client,
+            MonotonicClock clock,
+            ScheduledExecutorService scheduler) {
+        mScheduler = scheduler;
+        ConfigurationMachine machine = ConfigurationMachine.of(identity, view);
+        try {
+            mLog =
+                    FixedLeaderLog.open(
+                            identity,
+                            settings.stores(),
+                            client,
+                            (index, payload) -> machine.apply(payload),
+                            settings.dataFolder().resolve("log"));
+        } catch (IOException e) {
+            throw new UncheckedIOException("the log can't be opened", e);
+        }
+        mWriter = LeaderWriter.of(mLog, machine, client, settings.stores());
+        mTurns = TurnHandler.of(identity, view, mLog, client, settings.stores(), clock);
+    }
+
+    ConfigurationWriter writer() {
+        return mWriter;
+    }
+
+    @Override
+    public void register(ControlServer server) {
+        server.register(ServiceStub.LOG, new Log.Processor<>(mLog));
+        server.register(ServiceStub.TURNS, new Turns.Processor<>(mTurns));
+    }
+
+    @Override
+    public List<Handler> dataHandlers() {
+        return List.of();
+    }
+
+    @Override
+    public void start() {
+        mLog.start(mScheduler);
+    }
+
+    @Override
+    public boolean isReady() {
+        return true;
+    }
+
+    @Override
+    public void leave() {
+        // A voter stops without notice; the others keep the majority.
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/config/ConfigurationHandler.java
@@ -0,0 +1,65 @@
+package org.sequoiahill.daemon.process.config;
+
+import java.util.concurrent.CompletionException;
+import org.sequoiahill.daemon.process.control.Identity;
+import org.sequoiahill.protocol.gen.Configuration;
+import org.sequoiahill.protocol.gen.ConfigurationDelta;
+import org.sequoiahill.protocol.gen.ConfigurationFetch;
+import org.sequoiahill.protocol.gen.ConfigurationWrite;
+import org.sequoiahill.protocol.gen.Sender;
+import org.sequoiahill.protocol.gen.WriteResult;
+import org.sequoiahill.protocol.gen.WriteStatus;
+
+/** Serves the configuration to other processes. */
+public final class ConfigurationHandler implements Configuration.Iface {
+    private final Identity mIdentity;
+    private final ConfigurationView mView;
+    private final ConfigurationSync mSync;
+    private final ConfigurationWriter mWriter;
+
+    private ConfigurationHandler(
+            Identity identity,
+            ConfigurationView view,
+            ConfigurationSync sync,
+            ConfigurationWriter writer) {
+        mIdentity = identity;
+        mView = view;
+        mSync = sync;
+        mWriter = writer;
+    }
+
+    /** Returns a handler that gives writes to {@code writer}. */
+    public static ConfigurationHandler of(
+            Identity identity,
+            ConfigurationView view,
+            ConfigurationSync sync,
+            ConfigurationWriter writer) {
+        return new ConfigurationHandler(identity, view, sync, writer);
+    }
+
+    @Override
+    public ConfigurationDelta fetch(ConfigurationFetch request) {
+        mSync.heardOf(request.getSender());
+        return mView.deltaAfter(request.getAfterRevision());
+    }
+
+    @Override
+    public Sender notify(Sender sender) {
+        mSync.heardOf(sender);
+        return mIdentity.sender();
+    }
+
+    @Override
+    public WriteResult write(ConfigurationWrite request) {
+        try {
+            return mWriter.write(request).join();
+        } catch (CompletionException e) {
+            WriteResult result =
+                    new WriteResult(
+                            mIdentity.sender(),
+                            WriteStatus.UNAVAILABLE,
+                            mView.current().revision());
+            return result.setMessage(String.valueOf(e.getCause()));
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/control/ControlClient.java
@@ -0,0 +1,116 @@
+package org.sequoiahill.daemon.process.control;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executor;
+import org.apache.thrift.TException;
+import org.apache.thrift.TServiceClient;
+import org.apache.thrift.protocol.TCompactProtocol;
+import org.apache.thrift.protocol.TMultiplexedProtocol;
+import org.apache.thrift.protocol.TProtocol;
+import org.apache.thrift.transport.TSocket;
+import org.apache.thrift.transport.TTransport;
+import org.apache.thrift.transport.TTransportException;
+import org.apache.thrift.transport.layered.TFramedTransport;
+import org.jspecify.annotations.Nullable;
+import org.sequoiahill.daemon.process.settings.HostPort;
+
+/** Calls Thrift services of other processes, over one connection a peer and service. */
+public final class ControlClient implements AutoCloseable {
+    /** Largest frame that is sent or taken, in bytes. */
+    public static final int MAX_FRAME_BYTES = 16 << 20;
+
+    private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+    private static final Duration READ_TIMEOUT = Duration.ofSeconds(2);
+
+    private final Executor mExecutor;
+    private final Map<ConnectionKey, Connection> mConnections = new ConcurrentHashMap<>();
+
+    private ControlClient(Executor executor) {
+        mExecutor = executor;
+    }
+
+    /** Returns a client whose calls run on the executor. */
+    public static ControlClient on(Executor executor) {
+        return new ControlClient(executor);
+    }
+
+    /**
+     * Calls a peer; the result fails with {@link TException} where the peer can't be reached.
+     *
+     * @param peer control address of the peer
+     * @param stub service to call
+     * @param call the call itself
+     */
+    public <C extends TServiceClient, R> CompletableFuture<R> call(
+            HostPort peer, ServiceStub<C> stub, ThriftCall<C, R> call) {
+        ConnectionKey key = new ConnectionKey(peer, stub.name());
+        Connection connection = mConnections.computeIfAbsent(key, Connection::new);
+        return CompletableFuture.supplyAsync(() -> connection.call(stub, call), mExecutor);
+    }
+
+    @Override
+    public void close() {
+        mConnections.values().forEach(Connection::close);
+    }
+
+    /**
+     * One call on a Thrift client.
+     *
+     * @param <C> type of the client
+     * @param <R> type of the result
+     */
+    @FunctionalInterface
+    public interface ThriftCall<C, R> {
+        /** Calls the peer. */
+        R apply(C client) throws TException;
+    }
+
+    private record ConnectionKey(HostPort peer, String service) {}
+
+    /** One connection; calls on it follow one another. */
+    private static final class Connection {
+        private final ConnectionKey mKey;
+        private @Nullable TTransport mTransport;
+
+        Connection(ConnectionKey key) {
+            mKey = key;
+        }
+
+        synchronized <C extends TServiceClient, R> R call(
+                ServiceStub<C> stub, ThriftCall<C, R> call) {
+            try {
+                TProtocol protocol = new TCompactProtocol(openTransport());
+                return call.apply(
+                        stub.create().apply(new TMultiplexedProtocol(protocol, stub.name())));
+            } catch (TException e) {
+                close();
+                throw new CompletionException(e);
+            }
+        }
+
+        synchronized void close() {
+            if (mTransport != null) {
+                mTransport.close();
+                mTransport = null;
+            }
+        }
+
+        private TTransport openTransport() throws TTransportException {
+            if (mTransport != null && mTransport.isOpen()) {
+                return mTransport;
+            }
+            TSocket socket =
+                    new TSocket(
+                            mKey.peer().host(), mKey.peer().port(), (int) READ_TIMEOUT.toMillis());
+            socket.setConnectTimeout((int) CONNECT_TIMEOUT.toMillis());
+            TTransport transport = new TFramedTransport(socket, MAX_FRAME_BYTES);
+            transport.open();
+            mTransport = transport;
+            return transport;
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/control/ControlServer.java
@@ -0,0 +1,70 @@
+package org.sequoiahill.daemon.process.control;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.ExecutorService;
+import org.apache.thrift.TMultiplexedProcessor;
+import org.apache.thrift.TProcessor;
+import org.apache.thrift.protocol.TCompactProtocol;
+import org.apache.thrift.server.TThreadedSelectorServer;
+import org.apache.thrift.transport.TNonblockingServerSocket;
+import org.apache.thrift.transport.TTransportException;
+import org.apache.thrift.transport.layered.TFramedTransport;
+import org.sequoiahill.daemon.process.settings.HostPort;
+
+/** Offers Thrift services to other processes of the system. */
+public final class ControlServer implements AutoCloseable {
+    private static final int SELECTOR_THREADS = 2;
+    private static final int CLIENT_TIMEOUT_MILLIS = 60_000;
+
+    private final TMultiplexedProcessor mProcessor = new TMultiplexedProcessor();
+    private final TThreadedSelectorServer mServer;
+
+    private ControlServer(HostPort address, ExecutorService executor) throws TTransportException {
+        InetSocketAddress socketAddress = new InetSocketAddress(address.host(), address.port());
+        mServer =
+                new TThreadedSelectorServer(
+                        new TThreadedSelectorServer.Args(
+                                        new TNonblockingServerSocket(
+                                                socketAddress,
+                                                CLIENT_TIMEOUT_MILLIS,
+                                                ControlClient.MAX_FRAME_BYTES))
+                                .processor(mProcessor)
+                                .protocolFactory(new TCompactProtocol.Factory())
+                                .transportFactory(
+                                        new TFramedTransport.Factory(ControlClient.MAX_FRAME_BYTES))
+                                .selectorThreads(SELECTOR_THREADS)
+                                .executorService(executor));
+    }
+
+    /**
+     * Returns a server that listens at the address and serves once it is started.
+     *
+     * @throws UncheckedIOException where the address can't be listened at
+     */
+    public static ControlServer bind(HostPort address, ExecutorService executor) {
+        try {
+            return new ControlServer(address, executor);
+        } catch (TTransportException e) {
+            throw new UncheckedIOException(new IOException("can't listen at " + address, e));
+        }
+    }
+
+    /** Adds a service; to be called before the start. */
+    public void register(ServiceStub<?> stub, TProcessor processor) {
+        mProcessor.registerProcessor(stub.name(), processor);
+    }
+
+    /** Starts to serve on a thread of its own. */
+    public void start() {
+        Thread thread = new Thread(mServer::serve, "control-server");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    @Override
+    public void close() {
+        mServer.stop();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/control/ServiceStub.java
@@ -0,0 +1,38 @@
+package org.sequoiahill.daemon.process.control;
+
+import java.util.function.Function;
+import org.apache.thrift.TServiceClient;
+import org.apache.thrift.protocol.TProtocol;
+import org.sequoiahill.protocol.gen.Claims;
+import org.sequoiahill.protocol.gen.Configuration;
+import org.sequoiahill.protocol.gen.Directory;
+import org.sequoiahill.protocol.gen.Log;
+import org.sequoiahill.protocol.gen.Turns;
+
+/**
+ * A Thrift service and how its client is made.
+ *
+ * @param name name under which servers offer the service
+ * @param create makes a client on a protocol
+ * @param <C> type of the client
+ */
+public record ServiceStub<C extends TServiceClient>(String name, Function<TProtocol, C> create) {
+    /** Configuration: documents and changes. */
+    public static final ServiceStub<Configuration.Client> CONFIGURATION =
+            new ServiceStub<>("configuration", Configuration.Client::new);
+
+    /** Directory: announcements and summaries. */
+    public static final ServiceStub<Directory.Client> DIRECTORY =
+            new ServiceStub<>("directory", Directory.Client::new);
+
+    /** Turns of version swaps. */
+    public static final ServiceStub<Turns.Client> TURNS =
+            new ServiceStub<>("turns", Turns.Client::new);
+
+    /** Replicated log. */
+    public static final ServiceStub<Log.Client> LOG = new ServiceStub<>("log", Log.Client::new);
+
+    /** Claims of calls that may run once. */
+    public static final ServiceStub<Claims.Client> CLAIMS =
+            new ServiceStub<>("claims", Claims.Client::new);
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/controller/package-info.java
@@ -0,0 +1,5 @@
+/** Turns of version swaps, granted by the leader of the configuration log. */
+@NullMarked
+package org.sequoiahill.daemon.process.controller;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/logging/Logging.java
@@ -0,0 +1,18 @@
+package org.sequoiahill.daemon.process.logging;
+
+import org.sequoiahill.daemon.process.settings.DaemonSettings.LogSettings;
+import org.tinylog.configuration.Configuration;
+
+/** Sets the logging library up from the settings. */
+public final class Logging {
+    private Logging() {}
+
+    /** Applies the settings; to be called before the first log line. */
+    public static void configure(LogSettings settings) {
+        Configuration.set("writer", JsonLineWriter.class.getName());
+        Configuration.set("writer.level", settings.level());
+        Configuration.set("level@org.eclipse.jetty", "warn");
+        Configuration.set("level@org.apache.thrift", "error");
+        settings.file().ifPresent(file -> Configuration.set("writer.file", file));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/package-info.java
@@ -0,0 +1,5 @@
+/** The daemon process: its roles, their wiring, start and shutdown. */
+@NullMarked
+package org.sequoiahill.daemon.process;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/settings/SettingsReader.java
@@ -0,0 +1,123 @@
+package org.sequoiahill.daemon.process.settings;
+
+import java.net.URI;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+import java.util.regex.Pattern;
+import org.sequoiahill.daemon.process.settings.DaemonSettings.AgentSettings;
+import org.sequoiahill.daemon.process.settings.DaemonSettings.LogSettings;
+import org.sequoiahill.daemon.process.settings.DaemonSettings.Operator;
+import org.sequoiahill.daemon.process.settings.DaemonSettings.PeerVm;
+import org.sequoiahill.protocol.document.ServiceDocument;
+import org.sequoiahill.protocol.json.Checked;
+import org.sequoiahill.protocol.json.Fault;
+import org.sequoiahill.protocol.json.JsonText;
+import org.sequoiahill.protocol.json.ObjectReader;
+
+/** Reads the daemon's settings from JSON with comments and reports every fault at once. */
+public final class SettingsReader {
+    private static final Pattern ROLE = Pattern.compile("entry|store|agent");
+    private static final Pattern PATH = Pattern.compile(".{1,4096}");
+    private static final Pattern HTTP = Pattern.compile("http://[^\\s?#]{1,200}");
+    private static final Pattern LEVEL = Pattern.compile("trace|debug|info|warn|error");
+    private static final Pattern TEAM = Pattern.compile("\\*|" + ServiceDocument.NAME.pattern());
+    private static final HostPort NOWHERE = new HostPort("0.0.0.0", 0);
+    private static final int MAX_CAPACITY = 100_000;
+    private static final int MAX_PORT = 65_535;
+
+    private SettingsReader() {}
+
+    /** Parses and checks settings. */
+    public static Checked<DaemonSettings> parse(String text) {
+        Checked<JsonText> json = JsonText.parse(text);
+        if (!json.isValid()) {
+            return Checked.faulty(json.faults());
+        }
+        List<Fault> faults = new ArrayList<>();
+        ObjectReader reader = json.orElseThrow().reader(faults);
+        DaemonSettings settings = read(reader);
+        reader.rejectUnknownKeys();
+        return faults.isEmpty() ? Checked.of(settings) : Checked.faulty(faults);
+    }
+
+    private static DaemonSettings read(ObjectReader reader) {
+        Set<Role> roles = readRoles(reader);
+        Optional<AgentSettings> agent = Optional.empty();
+        if (roles.contains(Role.AGENT)) {
+            agent = Optional.of(reader.object("agent", SettingsReader::readAgent));
+        }
+        return new DaemonSettings(
+                reader.string("vm", ServiceDocument.NAME),
+                reader.string("dataCentre", ServiceDocument.NAME),
+                reader.string("region", ServiceDocument.NAME),
+                roles,
+                Path.of(reader.string("dataFolder", PATH)),
+                readAddress(reader, "admin"),
+                readAddress(reader, "control"),
+                readAddress(reader, "data"),
+                reader.objects("entries", SettingsReader::readPeer),
+                reader.objects("stores", SettingsReader::readPeer),
+                agent,
+                reader.objects("operators", SettingsReader::readOperator),
+                reader.object("log", SettingsReader::readLog));
+    }
+
+    private static Set<Role> readRoles(ObjectReader reader) {
+        Set<Role> roles = EnumSet.noneOf(Role.class);
+        for (String name : reader.strings("roles", ROLE)) {
+            roles.add(Role.valueOf(name.toUpperCase(Locale.ROOT)));
+        }
+        if (roles.isEmpty()) {
+            reader.fault("roles", "must hold at least one of entry, store, agent");
+        }
+        return roles;
+    }
+
+    private static HostPort readAddress(ObjectReader reader, String key) {
+        String text = reader.string(key, HostPort.PATTERN);
+        if (text.isEmpty()) {
+            return NOWHERE;
+        }
+        HostPort address = HostPort.parse(text);
+        if (address.port() < 1 || address.port() > MAX_PORT) {
+            reader.fault(key, "is " + text + "; the port must be 1 to " + MAX_PORT);
+        }
+        return address;
+    }
+
+    private static PeerVm readPeer(ObjectReader reader) {
+        return new PeerVm(
+                reader.string("vm", ServiceDocument.NAME),
+                reader.string("dataCentre", ServiceDocument.NAME),
+                readAddress(reader, "control"),
+                readAddress(reader, "data"));
+    }
+
+    private static AgentSettings readAgent(ObjectReader reader) {
+        return new AgentSettings(
+                reader.string("service", ServiceDocument.NAME),
+                URI.create(reader.string("engine", HTTP)),
+                URI.create(reader.string("origin", HTTP, "")),
+                (int) reader.integer("capacity", 1, MAX_CAPACITY),
+                reader.bool("checksFencing", false));
+    }
+
+    private static Operator readOperator(ObjectReader reader) {
+        return new Operator(
+                reader.string("name", ServiceDocument.NAME),
+                reader.string("team", TEAM),
+                reader.string("tokenDigest", ServiceDocument.DIGEST));
+    }
+
+    private static LogSettings readLog(ObjectReader reader) {
+        String file = reader.string("file", PATH, "");
+        return new LogSettings(
+                reader.string("level", LEVEL, "info"),
+                file.isEmpty() ? Optional.empty() : Optional.of(file));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/HttpForwarder.java
@@ -0,0 +1,105 @@
+package org.sequoiahill.daemon.request;
+
+import java.net.ConnectException;
+import java.net.URI;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
+import org.eclipse.jetty.client.ByteBufferRequestContent;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.Response;
+import org.eclipse.jetty.client.Result;
+import org.eclipse.jetty.http.HttpField;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.util.Callback;
+
+/** Sends one buffered request on and streams its answer back with backpressure. */
+public final class HttpForwarder {
+    private static final String DEFAULT_CONTENT_TYPE = "application/octet-stream";
+
+    private final HttpClient mClient;
+
+    private HttpForwarder(HttpClient client) {
+        mClient = client;
+    }
+
+    /** Returns a forwarder over a started client. */
+    public static HttpForwarder over(HttpClient client) {
+        return new HttpForwarder(client);
+    }
+
+    /**
+     * A request to send on.
+     *
+     * @param method HTTP method
+     * @param target where to
+     * @param headers headers, of which those of the connection are left out
+     * @param body whole body
+     * @param timeout time until the whole answer must have come
+     */
+    public record Call(
+            String method, URI target, HttpFields headers, ByteBuffer body, Duration timeout) {}
+
+    /** Receives what becomes of a call; exactly one of the methods is called, once. */
+    public interface Listener {
+        /** Decides on an answer whose headers have come; {@code content} must be read. */
+        void onAnswer(Response answer, Content.Source content);
+
+        /** Takes a call that failed before any byte of an answer. */
+        void onFailure(Throwable failure, boolean isNotRun);
+    }
+
+    /** Sends a call; the listener is called from the client's threads. */
+    public void send(Call call, Listener listener) {
+        AtomicBoolean answered = new AtomicBoolean();
+        Request request =
+                mClient.newRequest(call.target())
+                        .method(call.method())
+                        .headers(fields -> copyEndToEnd(call.headers(), fields::add))
+                        .timeout(call.timeout().toMillis(), TimeUnit.MILLISECONDS);
+        String contentType = call.headers().get("Content-Type");
+        if (call.body().hasRemaining()) {
+            request.body(
+                    new ByteBufferRequestContent(
+                            contentType == null ? DEFAULT_CONTENT_TYPE : contentType,
+                            call.body().slice()));
+        }
+        request.onResponseContentSource(
+                (answer, content) -> {
+                    answered.set(true);
+                    listener.onAnswer(answer, content);
+                });
+        request.send(result -> reportFailure(result, answered.get(), listener));
+    }
+
+    /** Copies an answer to the caller's response and completes the callback at its end. */
+    public static void relay(
+            Response answer,
+            Content.Source content,
+            org.eclipse.jetty.server.Response response,
+            Callback callback) {
+        response.setStatus(answer.getStatus());
+        copyEndToEnd(answer.getHeaders(), response.getHeaders()::add);
+        Content.copy(content, response, callback);
+    }
+
+    private static void reportFailure(Result result, boolean isAnswered, Listener listener) {
+        if (result.isFailed() && !isAnswered) {
+            Throwable failure = result.getFailure();
+            listener.onFailure(failure, failure instanceof ConnectException);
+        }
+    }
+
+    private static void copyEndToEnd(HttpFields fields, Consumer<HttpField> to) {
+        for (HttpField field : fields) {
+            if (!RequestHeaders.HOP_BY_HOP.contains(field.getName().toLowerCase(Locale.ROOT))) {
+                to.accept(field);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/Refusal.java
@@ -0,0 +1,57 @@
+package org.sequoiahill.daemon.request;
+
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+
+/**
+ * A final answer that the system gives by itself.
+ *
+ * @param status HTTP status
+ * @param code short name of the cause
+ * @param message what a person should know
+ * @param isNotRun whether the request has certainly not run
+ * @param retryAfter when to come back; zero where coming back does not help
+ */
+public record Refusal(
+        int status, String code, String message, boolean isNotRun, Duration retryAfter) {
+    private static final JsonMapper MAPPER = JsonMapper.builder().build();
+    private static final Duration DEFAULT_RETRY_AFTER = Duration.ofSeconds(1);
+
+    /** Returns a refusal of a faulty request, which has not run. */
+    public static Refusal invalid(int status, String code, String message) {
+        return new Refusal(status, code, message, true, Duration.ZERO);
+    }
+
+    /** Returns a refusal for want of endpoints or room, which has not run. */
+    public static Refusal unavailable(String code, String message) {
+        return new Refusal(503, code, message, true, DEFAULT_RETRY_AFTER);
+    }
+
+    /** Returns the answer to a request that may have run. */
+    public static Refusal outcomeUnknown(String message) {
+        return new Refusal(502, "outcome_unknown", message, false, Duration.ZERO);
+    }
+
+    /** Writes the refusal as the whole response. */
+    public void write(Response response, Callback callback) {
+        response.setStatus(status);
+        response.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
+        if (isNotRun) {
+            response.getHeaders().put(RequestHeaders.NOT_RUN, "true");
+        }
+        if (!retryAfter.isZero()) {
+            long seconds = Math.max(1, retryAfter.plusMillis(999).toSeconds());
+            response.getHeaders().put(HttpHeader.RETRY_AFTER, seconds);
+        }
+        ObjectNode error = MAPPER.createObjectNode();
+        error.putObject("error").put("code", code).put("message", message).put("not_run", isNotRun);
+        byte[] body = error.toString().getBytes(StandardCharsets.UTF_8);
+        response.write(true, ByteBuffer.wrap(body), callback);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/RequestHeaders.java
@@ -0,0 +1,42 @@
+package org.sequoiahill.daemon.request;
+
+import java.util.Set;
+
+/** Names of the headers that the system adds to requests and answers. */
+public final class RequestHeaders {
+    /** Identity of a request: incarnation of the entry and a counter, echoed by the agent. */
+    public static final String REQUEST_ID = "Sequoia-Request-Id";
+
+    /** Present on a refusal whose request has not run. */
+    public static final String NOT_RUN = "Sequoia-Not-Run";
+
+    /** Manifest digest of the weights that an answer comes from. */
+    public static final String WEIGHTS = "Sequoia-Weights";
+
+    /** Present on a request that another data centre's entry has passed on. */
+    public static final String HOP = "Sequoia-Hop";
+
+    /** Organisation of the caller, as the first entry has checked it. */
+    public static final String ORGANISATION = "Sequoia-Organisation";
+
+    /** Time that the caller gives the request, in milliseconds. */
+    public static final String DEADLINE = "Sequoia-Deadline-Millis";
+
+    /** Headers that belong to one connection and are never passed on. */
+    static final Set<String> HOP_BY_HOP =
+            Set.of(
+                    "connection",
+                    "keep-alive",
+                    "proxy-authenticate",
+                    "proxy-authorization",
+                    "te",
+                    "trailer",
+                    "transfer-encoding",
+                    "upgrade",
+                    "content-length",
+                    "host",
+                    "date",
+                    "server");
+
+    private RequestHeaders() {}
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/package-info.java
@@ -0,0 +1,5 @@
+/** What lives for one request: admission, choice of endpoint, forwarding, refusals. */
+@NullMarked
+package org.sequoiahill.daemon.request;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/EngineClient.java
@@ -0,0 +1,71 @@
+package org.sequoiahill.daemon.version;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.io.IOException;
+import java.net.URI;
+import java.nio.file.Path;
+import java.util.Optional;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.eclipse.jetty.client.ContentResponse;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.StringRequestContent;
+import org.eclipse.jetty.http.HttpStatus;
+import org.tinylog.Logger;
+
+/** Orders to the model engine beside this agent, and what the engine reports. */
+public final class EngineClient {
+    private static final int TIMEOUT_SECONDS = 60;
+    private static final JsonMapper MAPPER = JsonMapper.builder().build();
+
+    private final URI mEngine;
+    private final HttpClient mClient;
+
+    private EngineClient(URI engine, HttpClient client) {
+        mEngine = engine;
+        mClient = client;
+    }
+
+    /** Returns a client of the engine at an address. */
+    public static EngineClient of(URI engine, HttpClient client) {
+        return new EngineClient(engine, client);
+    }
+
+    /** Returns the manifest digest that the engine says it serves; empty where it is silent. */
+    public Optional<String> loadedDigest() throws InterruptedException {
+        try {
+            ContentResponse response =
+                    mClient.newRequest(mEngine + "/admin/state")
+                            .timeout(TIMEOUT_SECONDS, TimeUnit.SECONDS)
+                            .send();
+            JsonNode state = MAPPER.readTree(response.getContent());
+            return Optional.ofNullable(state.path("versionDigest").textValue());
+        } catch (IOException | ExecutionException | TimeoutException e) {
+            Logger.debug("engine is silent: {}", e);
+            return Optional.empty();
+        }
+    }
+
+    /** Orders the engine to load a version; returns whether it took the order. */
+    public boolean load(String version, Path folder, long fence) throws InterruptedException {
+        String order =
+                MAPPER.createObjectNode()
+                        .put("version", version)
+                        .put("folder", folder.toAbsolutePath().toString())
+                        .put("fence", fence)
+                        .toString();
+        try {
+            ContentResponse response =
+                    mClient.POST(mEngine + "/admin/load")
+                            .body(new StringRequestContent("application/json", order))
+                            .timeout(TIMEOUT_SECONDS, TimeUnit.SECONDS)
+                            .send();
+            return response.getStatus() == HttpStatus.OK_200;
+        } catch (ExecutionException | TimeoutException e) {
+            Logger.warn("engine did not take the order: {}", e);
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/examples/src/main/java/org/sequoiahill/examples/EngineHandler.java
@@ -0,0 +1,111 @@
+package org.sequoiahill.examples;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.sequoiahill.protocol.json.Checked;
+import org.sequoiahill.protocol.weights.Digests;
+import org.sequoiahill.protocol.weights.Manifest;
+import org.sequoiahill.protocol.weights.Manifest.WeightFile;
+
+/** Serves completions and orders of one stand-in engine. */
+final class EngineHandler extends Handler.Abstract {
+    private static final JsonMapper MAPPER = JsonMapper.builder().build();
+    private static final int DEFAULT_TOKENS = 16;
+
+    private final StandInEngine.Arguments mArguments;
+    private final ScheduledExecutorService mScheduler;
+    private final AtomicInteger mRunning = new AtomicInteger();
+    private final List<String> mLoaded = new ArrayList<>();
+    private volatile String mVersionDigest = "";
+    private long mHighestFence;
+
+    EngineHandler(StandInEngine.Arguments arguments, ScheduledExecutorService scheduler) {
+        mArguments = arguments;
+        mScheduler = scheduler;
+    }
+
+    @Override
+    public boolean handle(Request request, Response response, Callback callback)
+            throws IOException {
+        switch (Request.getPathInContext(request)) {
+            case "/admin/state" -> StandInServer.json(response, callback, 200, state());
+            case "/admin/load" -> {
+                JsonNode order = MAPPER.readTree(Content.Source.asInputStream(request));
+                mScheduler.schedule(
+                        () -> load(order, response, callback),
+                        mArguments.loadMillis(),
+                        TimeUnit.MILLISECONDS);
+            }
+            case "/v1/completions" -> {
+                JsonNode prompt = MAPPER.readTree(Content.Source.asInputStream(request));
+                new Completion(mScheduler, mArguments.tokenMillis(), mVersionDigest, response)
+                        .start(
+                                prompt.path("prompt").asText(),
+                                prompt.path("max_tokens").asInt(DEFAULT_TOKENS),
+                                counted(callback));
+            }
+            default -> {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private Callback counted(Callback callback) {
+        mRunning.incrementAndGet();
+        return Callback.from(callback, mRunning::decrementAndGet);
+    }
+
+    private synchronized ObjectNode state() {
+        ObjectNode state = MAPPER.createObjectNode();
+        state.put("versionDigest", mVersionDigest);
+        state.put("running", mRunning.get());
+        ArrayNode loaded = state.putArray("loaded");
+        mLoaded.forEach(loaded::add);
+        return state;
+    }
+
+    private synchronized void load(JsonNode order, Response response, Callback callback) {
+        long fence = order.path("fence").asLong();
+        if (mArguments.checksFencing() && fence < mHighestFence) {
+            StandInServer.json(response, callback, 409, "{\"error\":\"old fencing number\"}");
+            return;
+        }
+        mHighestFence = Math.max(fence, mHighestFence);
+        mVersionDigest = digestOf(Path.of(order.path("folder").asText()));
+        mLoaded.add(mVersionDigest);
+        StandInServer.json(response, callback, 200, state());
+    }
+
+    /** Returns the manifest's digest, or "corrupt" where a file is not what the manifest says. */
+    private static String digestOf(Path folder) {
+        try {
+            Checked<Manifest> manifest =
+                    Manifest.parse(Files.readString(folder.resolve("manifest.json")));
+            for (WeightFile file : manifest.orElseThrow().files()) {
+                byte[] bytes = Files.readAllBytes(folder.resolve(file.name()));
+                if (!Digests.of(bytes).equals(file.sha256())) {
+                    return "corrupt";
+                }
+            }
+            return manifest.orElseThrow().digest();
+        } catch (IOException | IllegalArgumentException e) {
+            return "corrupt";
+        }
+    }
+}
--- /dev/null
+++ b/examples/src/main/java/org/sequoiahill/examples/StandInLedger.java
@@ -0,0 +1,62 @@
+package org.sequoiahill.examples;
+
+import com.beust.jcommander.Parameter;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+
+/** A stand-in plain service whose calls must not be repeated; it counts every run by key. */
+public final class StandInLedger {
+    private StandInLedger() {}
+
+    private static final class Arguments {
+        @Parameter(names = "--listen", required = true)
+        private String mListen = "";
+    }
+
+    /** Runs the stand-in until it is ended. */
+    public static void main(String[] args) throws Exception {
+        Arguments arguments = new Arguments();
+        StandInServer.parse("stand-in-ledger", arguments, args);
+        StandInServer.start(arguments.mListen, new EntriesHandler()).join();
+    }
+
+    private static final class EntriesHandler extends Handler.Abstract {
+        private static final JsonMapper MAPPER = JsonMapper.builder().build();
+
+        private final Map<String, AtomicInteger> mRuns = new ConcurrentHashMap<>();
+
+        @Override
+        public boolean handle(Request request, Response response, Callback callback)
+                throws IOException {
+            switch (Request.getPathInContext(request)) {
+                case "/entries" -> {
+                    Content.Source.asString(request);
+                    String key = request.getHeaders().get("Idempotency-Key");
+                    int runs =
+                            mRuns.computeIfAbsent(String.valueOf(key), k -> new AtomicInteger())
+                                    .incrementAndGet();
+                    ObjectNode answer = MAPPER.createObjectNode().put("key", key);
+                    StandInServer.json(response, callback, 201, answer.put("run", runs));
+                }
+                case "/admin/runs" -> {
+                    ObjectNode runs = MAPPER.createObjectNode();
+                    mRuns.forEach((key, count) -> runs.put(key, count.get()));
+                    StandInServer.json(response, callback, 200, runs);
+                }
+                default -> {
+                    return false;
+                }
+            }
+            return true;
+        }
+    }
+}
--- /dev/null
+++ b/protocol/src/main/java/org/sequoiahill/protocol/document/ServiceDocument.java
@@ -0,0 +1,193 @@
+package org.sequoiahill.protocol.document;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.regex.Pattern;
+import org.sequoiahill.protocol.json.Checked;
+import org.sequoiahill.protocol.json.Fault;
+import org.sequoiahill.protocol.json.JsonText;
+import org.sequoiahill.protocol.json.ObjectReader;
+
+/**
+ * What a team states of its service.
+ *
+ * @param service name of the service, unique in the system
+ * @param owner team that may change this document
+ * @param kind whether endpoints are model engines or plain services
+ * @param version weights that every endpoint serves; empty for a plain service
+ * @param replicas endpoints wanted in each data centre
+ * @param routes paths that callers may ask for
+ * @param organisations callers and their limits
+ * @param rollout bounds on a swap of versions
+ * @param limits bounds on a request
+ */
+public record ServiceDocument(
+        String service,
+        String owner,
+        Kind kind,
+        Optional<Version> version,
+        Map<String, Long> replicas,
+        List<Route> routes,
+        List<Organisation> organisations,
+        Rollout rollout,
+        Limits limits) {
+    /** Pattern of names of services, teams, organisations and data centres. */
+    public static final Pattern NAME = Pattern.compile("[a-z0-9][a-z0-9-]{0,62}");
+
+    /** Pattern of a SHA-256 digest in hexadecimal. */
+    public static final Pattern DIGEST = Pattern.compile("[0-9a-f]{64}");
+
+    private static final Pattern PATH = Pattern.compile("/[A-Za-z0-9/_.-]{0,200}");
+    private static final Pattern KIND = Pattern.compile("model|plain");
+    private static final Pattern PRIORITY = Pattern.compile("high|normal|low");
+    private static final long MAX_REPLICAS = 10_000;
+    private static final long MAX_SHARE = 1_000;
+    private static final long MAX_QUEUE = 100_000;
+    private static final long MAX_DEADLINE_MILLIS = 3_600_000;
+    private static final long DEFAULT_DEADLINE_MILLIS = 30_000;
+    private static final long MAX_REQUEST_BYTES = 64L << 20;
+    private static final long DEFAULT_REQUEST_BYTES = 1L << 20;
+
+    /** What stands behind a service. */
+    public enum Kind {
+        /** Model engines that load weights. */
+        MODEL,
+        /** Services that load nothing. */
+        PLAIN
+    }
+
+    /** Order in which requests are served under load. */
+    public enum Priority {
+        /** Served first. */
+        HIGH,
+        /** Served after high. */
+        NORMAL,
+        /** Served last and refused first. */
+        LOW
+    }
+
+    /**
+     * One version of weights.
+     *
+     * @param name name of the version at the origin
+     * @param manifestDigest SHA-256 of the manifest
+     */
+    public record Version(String name, String manifestDigest) {}
+
+    /**
+     * A path that callers may ask for.
+     *
+     * @param path path behind the service's prefix
+     * @param idempotent whether a call may run more than once
+     * @param priority class of its requests
+     */
+    public record Route(String path, boolean idempotent, Priority priority) {}
+
+    /**
+     * A caller and its limits.
+     *
+     * @param name name of the organisation
+     * @param keyDigest SHA-256 of the organisation's bearer token
+     * @param share weight in fair queueing
+     * @param queueLimit requests that may wait at one entry
+     */
+    public record Organisation(String name, String keyDigest, long share, long queueLimit) {}
+
+    /**
+     * Bounds on a swap of versions.
+     *
+     * @param maxUnavailable endpoints that may swap at once in one data centre
+     */
+    public record Rollout(long maxUnavailable) {}
+
+    /**
+     * Bounds on a request.
+     *
+     * @param deadline time until a request is given up, unless the caller names a shorter one
+     * @param requestBytes largest body
+     */
+    public record Limits(Duration deadline, long requestBytes) {}
+
+    /** Parses and checks a document; every fault is reported. */
+    public static Checked<ServiceDocument> parse(String text) {
+        Checked<JsonText> json = JsonText.parse(text);
+        if (!json.isValid()) {
+            return Checked.faulty(json.faults());
+        }
+        List<Fault> faults = new ArrayList<>();
+        ObjectReader reader = json.orElseThrow().reader(faults);
+        ServiceDocument document = read(reader);
+        reader.rejectUnknownKeys();
+        return faults.isEmpty() ? Checked.of(document) : Checked.faulty(faults);
+    }
+
+    /** Returns the organisation whose bearer token has this digest. */
+    public Optional<Organisation> organisationByKeyDigest(String keyDigest) {
+        return organisations.stream().filter(o -> o.keyDigest().equals(keyDigest)).findFirst();
+    }
+
+    /** Returns the route with this path. */
+    public Optional<Route> routeByPath(String path) {
+        return routes.stream().filter(r -> r.path().equals(path)).findFirst();
+    }
+
+    private static ServiceDocument read(ObjectReader reader) {
+        Kind kind = reader.string("kind", KIND, "model").equals("plain") ? Kind.PLAIN : Kind.MODEL;
+        Optional<Version> version = Optional.empty();
+        if (reader.has("version")) {
+            version = Optional.of(reader.object("version", ServiceDocument::readVersion));
+        } else if (kind == Kind.MODEL) {
+            reader.fault("version", "is missing; a model service must state its version");
+        }
+        List<Route> routes = reader.objects("routes", ServiceDocument::readRoute);
+        if (routes.isEmpty()) {
+            reader.fault("routes", "must hold at least one route");
+        }
+        return new ServiceDocument(
+                reader.string("service", NAME),
+                reader.string("owner", NAME),
+                kind,
+                version,
+                reader.integers("replicas", 0, MAX_REPLICAS),
+                routes,
+                reader.objects("organisations", ServiceDocument::readOrganisation),
+                reader.object("rollout", ServiceDocument::readRollout),
+                reader.object("limits", ServiceDocument::readLimits));
+    }
+
+    private static Version readVersion(ObjectReader reader) {
+        return new Version(reader.string("name", NAME), reader.string("manifestDigest", DIGEST));
+    }
+
+    private static Route readRoute(ObjectReader reader) {
+        return new Route(
+                reader.string("path", PATH),
+                reader.bool("idempotent", false),
+                Priority.valueOf(upper(reader.string("priority", PRIORITY, "normal"))));
+    }
+
+    private static Organisation readOrganisation(ObjectReader reader) {
+        return new Organisation(
+                reader.string("name", NAME),
+                reader.string("keyDigest", DIGEST),
+                reader.integer("share", 1, MAX_SHARE, 1),
+                reader.integer("queueLimit", 1, MAX_QUEUE, 1_000));
+    }
+
+    private static Rollout readRollout(ObjectReader reader) {
+        return new Rollout(reader.integer("maxUnavailable", 1, MAX_REPLICAS, 1));
+    }
+
+    private static Limits readLimits(ObjectReader reader) {
+        return new Limits(
+                reader.millis("deadlineMillis", 1, MAX_DEADLINE_MILLIS, DEFAULT_DEADLINE_MILLIS),
+                reader.integer("requestBytes", 1, MAX_REQUEST_BYTES, DEFAULT_REQUEST_BYTES));
+    }
+
+    private static String upper(String value) {
+        return value.isEmpty() ? "NORMAL" : value.toUpperCase(java.util.Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/protocol/src/main/thrift/directory.thrift
@@ -0,0 +1,56 @@
+include "common.thrift"
+namespace java org.sequoiahill.protocol.gen
+
+/** What an agent says of its endpoint; a lease that lapses unless it is renewed. */
+struct Announcement {
+  1: common.Sender sender
+  2: string serviceName
+  /** HTTP address for requests and chunks, as host:port. */
+  3: string dataAddress
+  /** Requests that the endpoint bears at once. */
+  4: i32 capacity
+  5: i32 running
+  6: i32 waiting
+  7: bool serving
+  8: bool leaving
+  9: string versionName
+  10: string versionDigest
+  11: bool checksFencing
+  /** Chunks held of the version stated by the configuration, and the number it has. */
+  12: i32 chunksHeld
+  13: i32 chunksStated
+}
+
+struct Peer {
+  1: string vm
+  2: string dataCentre
+  3: string dataAddress
+}
+
+struct AnnounceReply {
+  1: common.Sender sender
+  2: i64 leaseMillis
+  /** Agents of the same service in the same data centre. */
+  3: list<Peer> peers
+}
+
+/** Summary per service and version that travels between data centres. */
+struct ServiceSummary {
+  1: string serviceName
+  2: string versionDigest
+  3: i32 endpoints
+  4: i32 capacity
+  5: i32 running
+}
+
+struct DataCentreSummary {
+  1: common.Sender sender
+  2: string dataAddress
+  3: list<ServiceSummary> services
+  4: bool draining
+}
+
+service Directory {
+  AnnounceReply announce(1: Announcement announcement)
+  DataCentreSummary exchange(1: DataCentreSummary summary)
+}
--- /dev/null
+++ b/protocol/src/test/java/org/sequoiahill/protocol/document/ServiceDocumentTest.java
@@ -0,0 +1,55 @@
+package org.sequoiahill.protocol.document;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.sequoiahill.protocol.json.Checked;
+
+class ServiceDocumentTest {
+    private static final String VALID =
+            """
+            {
+              // the ledger needs no weights
+              "service": "ledger",
+              "owner": "mules",
+              "kind": "plain",
+              "routes": [{"path": "/entries", "idempotent": false}]
+            }
+            """;
+
+    @Test
+    void parse_validDocument_isRead() {
+        ServiceDocument document = ServiceDocument.parse(VALID).orElseThrow();
+
+        assertThat(document.kind(), is(ServiceDocument.Kind.PLAIN));
+        assertThat(document.routeByPath("/entries").isPresent(), is(true));
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "\"owner\"|\"ovner\"|/ovner: is not a known key",
+                "\"owner\"|\"ovner\"|/owner: is missing",
+                "\"plain\"|\"model\"|/version: is missing",
+                "\"ledger\"|\"Ledger!\"|line 3: /service",
+                "false|7|/routes/0/idempotent",
+            })
+    void parse_faultyDocument_namesPlaceAndRule(String from, String to, String expected) {
+        Checked<ServiceDocument> checked = ServiceDocument.parse(VALID.replace(from, to));
+
+        assertThat(checked.isValid(), is(false));
+        assertThat(checked.describeFaults(), containsString(expected));
+    }
+
+    @Test
+    void parse_severalFaults_reportsAll() {
+        Checked<ServiceDocument> checked = ServiceDocument.parse("{}");
+
+        assertThat(checked.faults().size(), is(4));
+    }
+}
