--- /dev/null
+++ b/bench/src/main/java/org/sequoiahill/bench/Bench.java
@@ -0,0 +1,47 @@
+package org.sequoiahill.bench;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** The program {@code bench}: measures running daemons. */
+public final class Bench {
+    private static final int EXIT_OK = 0;
+    private static final int EXIT_BOUND_MISSED = 1;
+    private static final int EXIT_USAGE = 2;
+
+    @Parameter(names = "--help", help = true, description = "print this text and exit")
+    private boolean mHelp;
+
+    private Bench() {}
+
+    /** Runs one experiment. */
+    public static void main(String[] args) throws Exception {
+        System.exit(new Bench().run(args));
+    }
+
+    /** Returns all experiments by name; a new one is added here. */
+    private static Map<String, Experiment> experiments() {
+        return new TreeMap<>();
+    }
+
+    private int run(String[] args) throws Exception {
+        Map<String, Experiment> experiments = experiments();
+        JCommander commander = JCommander.newBuilder().programName("bench").addObject(this).build();
+        experiments.forEach(commander::addCommand);
+        try {
+            commander.parse(args);
+        } catch (ParameterException e) {
+            System.err.println("bench: " + e.getMessage() + "; see --help");
+            return EXIT_USAGE;
+        }
+        Experiment experiment = experiments.get(String.valueOf(commander.getParsedCommand()));
+        if (mHelp || experiment == null) {
+            commander.usage();
+            return mHelp ? EXIT_OK : EXIT_USAGE;
+        }
+        return experiment.run() ? EXIT_OK : EXIT_BOUND_MISSED;
+    }
+}
