--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/claims/package-info.java
@@ -0,0 +1,5 @@
+/** Claims of calls that may run once. */
+@NullMarked
+package org.sequoiahill.daemon.process.claims;
+
+import org.jspecify.annotations.NullMarked;
