Start and disturb real daemons from experiments and tests

Cause: failures of processes, links and data centres must be caused by tests with real daemons, without a harness a part. Ruled out: a simulator of the system; a harness in each part.

--- a/bench/src/main/java/org/sequoiahill/bench/load/LoadCounts.java
+++ b/bench/src/main/java/org/sequoiahill/bench/load/LoadCounts.java
@@ -87,6 +87,11 @@
         return node;
     }
 
+    /** Returns how many requests had a verdict. */
+    public long of(Verdict verdict) {
+        return count(verdict).get();
+    }
+
     private AtomicLong count(Verdict verdict) {
         AtomicLong count = mCounts.get(verdict);
         if (count == null) {
--- a/bench/src/main/java/org/sequoiahill/bench/load/LoadGenerator.java
+++ b/bench/src/main/java/org/sequoiahill/bench/load/LoadGenerator.java
@@ -15,6 +15,8 @@
 import java.util.List;
 import java.util.Set;
 import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
@@ -61,15 +63,40 @@
     @Parameter(names = "--tokens", description = "tokens of a completion")
     private int mTokens = 16;
 
-    @Parameter(names = "--stop-file", description = "ends once this file exists", required = true)
+    @Parameter(names = "--stop-file", description = "ends once this file exists")
     private String mStopFile = "";
 
+    private volatile boolean mIsStopped;
+
     private final LoadCounts mCounts = LoadCounts.zero();
     private final Set<String> mAcknowledged = ConcurrentHashMap.newKeySet();
     private final HttpClient mClient = new HttpClient();
 
+    private CompletableFuture<Void> mEnd = CompletableFuture.completedFuture(null);
+
     private LoadGenerator() {}
 
+    /** Starts a load in this process; the arguments are those of the command line. */
+    public static LoadGenerator start(String... args) {
+        LoadGenerator generator = new LoadGenerator();
+        JCommander.newBuilder().addObject(generator).build().parse(args);
+        generator.mEnd =
+                CompletableFuture.runAsync(generator::runSafely, task -> new Thread(task).start());
+        return generator;
+    }
+
+    /** Ends the load, waits for running requests, and returns what became of all requests. */
+    public LoadCounts stop() {
+        mIsStopped = true;
+        mEnd.join();
+        return mCounts;
+    }
+
+    /** Returns the counts so far. */
+    public LoadCounts counts() {
+        return mCounts;
+    }
+
     /** Runs the load and prints the counts as one line of JSON. */
     public static void main(String[] args) throws Exception {
         LoadGenerator generator = new LoadGenerator();
@@ -79,6 +106,14 @@
         System.exit(generator.mCounts.isClean() ? 0 : 1);
     }
 
+    private void runSafely() {
+        try {
+            run();
+        } catch (Exception e) {
+            throw new CompletionException(e);
+        }
+    }
+
     private void run() throws Exception {
         mClient.setMaxConnectionsPerDestination(mWorkers);
         mClient.start();
@@ -95,9 +130,13 @@
         mClient.stop();
     }
 
+    private boolean isStopped() {
+        return mIsStopped || (!mStopFile.isEmpty() && Files.exists(Path.of(mStopFile)));
+    }
+
     private void work(boolean asksLedger) {
         try {
-            while (!Files.exists(Path.of(mStopFile))) {
+            while (!isStopped()) {
                 Verdict verdict = asksLedger ? book() : complete();
                 mCounts.add(verdict);
                 if (verdict != Verdict.ANSWERED) {
--- /dev/null
+++ b/bench/src/main/java/org/sequoiahill/bench/processes/Deployment.java
@@ -0,0 +1,281 @@
+package org.sequoiahill.bench.processes;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.UUID;
+import java.util.function.Consumer;
+import org.sequoiahill.bench.processes.Topology.Endpoints;
+import org.sequoiahill.bench.processes.Topology.Kind;
+import org.sequoiahill.bench.processes.Topology.Vm;
+import org.sequoiahill.cli.ManifestWriter;
+import org.sequoiahill.cli.OperatorsClient;
+import org.sequoiahill.daemon.SequoiahillDaemon;
+import org.sequoiahill.examples.StandInEngine;
+import org.sequoiahill.examples.StandInLedger;
+import org.sequoiahill.examples.StandInOrigin;
+import org.sequoiahill.protocol.weights.Digests;
+import org.sequoiahill.protocol.weights.Manifest;
+
+/** Real daemons and stand-ins as processes on loopback addresses, for experiments and tests. */
+public final class Deployment implements AutoCloseable {
+    /** Bearer token of the operator that every daemon knows. */
+    public static final String OPERATOR_TOKEN = "operator-token";
+
+    /** Bearer token of the organisation in {@link #modelDocument} and {@link #ledgerDocument}. */
+    public static final String CALLER_TOKEN = "caller-token";
+
+    private static final Duration START_BOUND = Duration.ofSeconds(60);
+    private static final int DAEMON_HEAP_MEGABYTES = 128;
+    private static final int STAND_IN_HEAP_MEGABYTES = 64;
+
+    private final Path mFolder;
+    private final Topology mTopology;
+    private final SettingsWriter mSettings;
+    private final Map<String, ManagedProcess> mProcesses = new LinkedHashMap<>();
+
+    private Deployment(Path folder, Topology topology, Consumer<ObjectNode> changeSettings) {
+        mFolder = folder;
+        mTopology = topology;
+        mSettings = new SettingsWriter(folder, topology, changeSettings);
+    }
+
+    /**
+     * Starts every process of a topology; {@link #close} must follow.
+     *
+     * @param folder empty folder for settings, logs, data and weights
+     * @param changeSettings changes the settings of each daemon before they are written
+     */
+    public static Deployment start(
+            Path folder, Topology topology, Consumer<ObjectNode> changeSettings)
+            throws IOException {
+        Deployment deployment = new Deployment(folder.toAbsolutePath(), topology, changeSettings);
+        try {
+            deployment.startAll();
+        } catch (IOException | RuntimeException e) {
+            deployment.close();
+            throw e;
+        }
+        return deployment;
+    }
+
+    /** Returns the address of the stand-in origin. */
+    public static String originAddress(Topology topology) {
+        return topology.prefix() + ".9.1:8080";
+    }
+
+    /** Returns the topology. */
+    public Topology topology() {
+        return mTopology;
+    }
+
+    /** Returns the folder of settings, logs, data and weights. */
+    public Path folder() {
+        return mFolder;
+    }
+
+    /** Returns a daemon by the name of its VM; its stand-in is named {@code VM-stand-in}. */
+    public ManagedProcess process(String name) {
+        ManagedProcess process = mProcesses.get(name);
+        if (process == null) {
+            throw new IllegalArgumentException("no process " + name + " in " + mProcesses.keySet());
+        }
+        return process;
+    }
+
+    /** Returns a client of a VM's operators' address. */
+    public OperatorsClient operators(Vm vm) throws Exception {
+        return OperatorsClient.connect(vm.admin(), OPERATOR_TOKEN);
+    }
+
+    /** Makes a version of random weights at the origin and returns its manifest. */
+    public Manifest publish(String service, String version, int bytes, int chunkBytes, long seed)
+            throws IOException {
+        Path folder = mFolder.resolve("origin").resolve(service).resolve(version);
+        Files.createDirectories(folder);
+        byte[] weights = new byte[bytes];
+        new Random(seed).nextBytes(weights);
+        Files.write(folder.resolve("model.bin"), weights);
+        return ManifestWriter.write(folder, version, chunkBytes);
+    }
+
+    /** Returns the document of a model service at a version, with one completions route. */
+    public String modelDocument(String service, Manifest manifest) {
+        return """
+        {"service": "%s", "owner": "bench", "kind": "model",
+         "version": {"name": "%s", "manifestDigest": "%s"},
+         "routes": [{"path": "/v1/completions", "idempotent": false, "priority": "high"}],
+         "organisations": [{"name": "callers", "keyDigest": "%s"}]}
+        """
+                .formatted(
+                        service, manifest.version(), manifest.digest(), Digests.of(CALLER_TOKEN));
+    }
+
+    /** Returns the document of a plain service whose calls may run once. */
+    public String ledgerDocument(String service) {
+        return """
+        {"service": "%s", "owner": "bench", "kind": "plain",
+         "routes": [{"path": "/entries", "idempotent": false}],
+         "organisations": [{"name": "callers", "keyDigest": "%s"}]}
+        """
+                .formatted(service, Digests.of(CALLER_TOKEN));
+    }
+
+    /** Applies a service's document through the first entry that takes it. */
+    public void apply(String service, String document) {
+        String changeId = UUID.randomUUID().toString();
+        Await.until(
+                "the document of " + service,
+                START_BOUND,
+                () -> {
+                    for (Vm entry : mTopology.entryVms()) {
+                        if (applyAt(entry, "services/" + service, changeId, document)) {
+                            return true;
+                        }
+                    }
+                    return false;
+                });
+    }
+
+    /** Takes a data centre out, or back in, through an entry. */
+    public void setDataCentre(Vm through, String dataCentre, String state) {
+        String changeId = UUID.randomUUID().toString();
+        String document = "{\"dataCentre\": \"" + dataCentre + "\", \"state\": \"" + state + "\"}";
+        String path = "data-centres/" + dataCentre;
+        Await.until(
+                dataCentre + " " + state,
+                START_BOUND,
+                () -> applyAt(through, path, changeId, document));
+    }
+
+    /** Waits until the endpoints of a service serve a digest; a plain service has none. */
+    public void awaitServing(String service, String digest, int endpoints, Duration bound) {
+        Await.until(
+                endpoints + " endpoints of " + service,
+                bound,
+                () -> countServing(service, digest) >= endpoints);
+    }
+
+    /** Returns how many endpoints of a service serve a digest, as the entries know. */
+    public int countServing(String service, String digest) throws Exception {
+        int total = 0;
+        for (Topology.DataCentre dataCentre : mTopology.dataCentres()) {
+            for (Vm entry : mTopology.entryVms()) {
+                if (entry.dataCentre().equals(dataCentre.name())
+                        && process(entry.name()).isAlive()) {
+                    total += countServingAt(entry, service, digest);
+                    break;
+                }
+            }
+        }
+        return total;
+    }
+
+    @Override
+    public void close() {
+        List<ManagedProcess> processes = new ArrayList<>(mProcesses.values());
+        for (ManagedProcess process : processes) {
+            try {
+                process.kill();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+    }
+
+    private boolean applyAt(Vm entry, String path, String changeId, String document)
+            throws Exception {
+        try (OperatorsClient client = operators(entry)) {
+            OperatorsClient.Answer held = client.read(path);
+            long replaces = held.isOk() ? held.body().path("revision").asLong() : 0;
+            return client.change(path, replaces, changeId, document).isOk();
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    private int countServingAt(Vm entry, String service, String digest) throws Exception {
+        int serving = 0;
+        try (OperatorsClient client = operators(entry)) {
+            for (JsonNode endpoint : client.read("endpoints").body()) {
+                if (endpoint.path("service").asText().equals(service)
+                        && endpoint.path("serving").asBoolean()
+                        && endpoint.path("versionDigest").asText().equals(digest)) {
+                    serving++;
+                }
+            }
+        }
+        return serving;
+    }
+
+    private void startAll() throws IOException {
+        Files.createDirectories(mFolder.resolve("origin"));
+        startStandIn(
+                "origin",
+                StandInOrigin.class,
+                "--listen",
+                originAddress(mTopology),
+                "--folder",
+                mFolder.resolve("origin").toString());
+        for (Vm vm : mTopology.entryVms()) {
+            startDaemon(vm, mSettings.writeEntry(vm));
+        }
+        for (Topology.DataCentre dataCentre : mTopology.dataCentres()) {
+            for (Endpoints endpoints : dataCentre.endpoints()) {
+                startEndpoints(dataCentre, endpoints);
+            }
+        }
+    }
+
+    private void startEndpoints(Topology.DataCentre dataCentre, Endpoints endpoints)
+            throws IOException {
+        for (Vm vm : mTopology.endpointVms(endpoints.service())) {
+            if (!vm.dataCentre().equals(dataCentre.name())) {
+                continue;
+            }
+            boolean checksFencing = endpoints.kind() == Kind.ENGINE_CHECKING_FENCING;
+            List<String> arguments = new ArrayList<>(List.of("--listen", vm.standIn()));
+            if (checksFencing) {
+                arguments.add("--checks-fencing");
+            }
+            Class<?> standIn =
+                    endpoints.kind() == Kind.LEDGER ? StandInLedger.class : StandInEngine.class;
+            startStandIn(vm.name() + "-stand-in", standIn, arguments.toArray(String[]::new));
+            startDaemon(
+                    vm,
+                    mSettings.writeAgent(
+                            vm, endpoints.service(), endpoints.capacity(), checksFencing));
+        }
+    }
+
+    private void startStandIn(String name, Class<?> program, String... arguments)
+            throws IOException {
+        mProcesses.put(
+                name,
+                ManagedProcess.startJava(
+                        name,
+                        mFolder,
+                        STAND_IN_HEAP_MEGABYTES,
+                        program.getName(),
+                        List.of(arguments)));
+    }
+
+    private void startDaemon(Vm vm, Path settings) throws IOException {
+        mProcesses.put(
+                vm.name(),
+                ManagedProcess.startJava(
+                        vm.name(),
+                        mFolder,
+                        DAEMON_HEAP_MEGABYTES,
+                        SequoiahillDaemon.class.getName(),
+                        List.of("--config", settings.toString())));
+    }
+}
--- a/cli/src/main/java/org/sequoiahill/cli/ManifestWriter.java
+++ b/cli/src/main/java/org/sequoiahill/cli/ManifestWriter.java
@@ -13,12 +13,13 @@
 import org.sequoiahill.protocol.weights.Manifest.WeightFile;
 
 /** Makes the manifest of a folder of weights. */
-final class ManifestWriter {
-    static final String FILE_NAME = "manifest.json";
+public final class ManifestWriter {
+    private static final String FILE_NAME = "manifest.json";
 
     private ManifestWriter() {}
 
-    static Manifest write(Path folder, String version, int chunkBytes) throws IOException {
+    /** Writes {@code manifest.json} beside the files of a folder and returns the manifest. */
+    public static Manifest write(Path folder, String version, int chunkBytes) throws IOException {
         List<WeightFile> files = new ArrayList<>();
         try (Stream<Path> paths = Files.list(folder)) {
             for (Path path : paths.filter(Files::isRegularFile).sorted().toList()) {
--- a/cli/src/main/java/org/sequoiahill/cli/OperatorsClient.java
+++ b/cli/src/main/java/org/sequoiahill/cli/OperatorsClient.java
@@ -14,7 +14,7 @@
 import org.eclipse.jetty.http.HttpMethod;
 
 /** Calls the operators' address of a daemon. */
-final class OperatorsClient implements AutoCloseable {
+public final class OperatorsClient implements AutoCloseable {
     private static final int TIMEOUT_SECONDS = 10;
     private static final JsonMapper MAPPER = JsonMapper.builder().build();
 
@@ -27,7 +27,8 @@
         mToken = token;
     }
 
-    static OperatorsClient connect(String server, String token) throws Exception {
+    /** Returns a client of the daemon at an address. */
+    public static OperatorsClient connect(String server, String token) throws Exception {
         OperatorsClient client = new OperatorsClient(server, token);
         client.mClient.start();
         return client;
@@ -39,17 +40,20 @@
      * @param status HTTP status
      * @param body JSON body
      */
-    record Answer(int status, JsonNode body) {
-        boolean isOk() {
+    public record Answer(int status, JsonNode body) {
+        /** Returns whether the daemon did what was asked. */
+        public boolean isOk() {
             return status == 200;
         }
     }
 
-    Answer read(String path) throws IOException, InterruptedException {
+    /** Reads below the operators' path. */
+    public Answer read(String path) throws IOException, InterruptedException {
         return send(mClient.newRequest("http://" + mServer + "/operators/" + path));
     }
 
-    Answer change(String path, long replaces, String changeId, String document)
+    /** Replaces a document; the change id makes a resend idempotent. */
+    public Answer change(String path, long replaces, String changeId, String document)
             throws IOException, InterruptedException {
         return send(
                 mClient.newRequest("http://" + mServer + "/operators/" + path)
