Split the request path into handler, exchange, router and hooks

EntryHandler held path, caller, body, choice, sending and relaying in one class, so that nothing could be put between the steps.

EntryHandler now finds service, route, organisation and body; Exchange drives one request from admission over Attempt and Outcome to its answer; Router finds where the next attempt goes. What plugs in, each with a default that lets everything pass: - Quarantine.check before admission, ended and broke after attempts, mustRunAlone adds the header Sequoia-Alone (EntryHooks, handed over in EntryRole); - RunOnce.claim between the choice of the endpoint and the first byte, settle between the outcome of an attempt and the answer or the next attempt (EntryHooks); - StreamRelay.relay passes an answer on and may resume it by Resumer at another endpoint with the same weights (EntryHooks); - AgentHooks.begin after the agent's gate, relay for the endpoint's answer, failed (AgentRole). No change of behaviour is meant.

--- a/daemon/src/main/java/org/sequoiahill/daemon/process/AgentRole.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/AgentRole.java
@@ -17,6 +17,7 @@
 import org.sequoiahill.daemon.process.settings.DaemonSettings.AgentSettings;
 import org.sequoiahill.daemon.process.settings.DaemonSettings.PeerVm;
 import org.sequoiahill.daemon.request.AgentHandler;
+import org.sequoiahill.daemon.request.AgentHooks;
 import org.sequoiahill.daemon.request.EndpointGate;
 import org.sequoiahill.daemon.request.HttpForwarder;
 import org.sequoiahill.daemon.version.ChunkFetcher;
@@ -77,7 +78,8 @@
                         mGate);
         mHandlers =
                 List.of(
-                        AgentHandler.of(identity, mAgent, view, mGate, forwarder),
+                        AgentHandler.of(
+                                identity, mAgent, view, mGate, forwarder, AgentHooks.none()),
                         ChunkHandler.over(chunks));
     }
 
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/EntryRole.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/EntryRole.java
@@ -17,7 +17,9 @@
 import org.sequoiahill.daemon.process.directory.EndpointDirectory;
 import org.sequoiahill.daemon.process.settings.DaemonSettings;
 import org.sequoiahill.daemon.request.EntryHandler;
+import org.sequoiahill.daemon.request.EntryHooks;
 import org.sequoiahill.daemon.request.HttpForwarder;
+import org.sequoiahill.daemon.request.Router;
 import org.sequoiahill.protocol.gen.Directory;
 
 /** The role that answers callers. */
@@ -42,7 +44,12 @@
             ScheduledExecutorService scheduler) {
         mDirectoryHandler =
                 DirectoryHandler.of(settings, identity, view, sync, directory, table, client);
-        mEntryHandler = EntryHandler.of(identity, view, directory, table, forwarder, random);
+        mEntryHandler =
+                EntryHandler.of(
+                        view,
+                        Router.of(identity, view, directory, table, random),
+                        forwarder,
+                        EntryHooks.none());
         mView = view;
         mScheduler = scheduler;
     }
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/AgentHandler.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/AgentHandler.java
@@ -25,18 +25,21 @@
     private final ConfigurationView mView;
     private final EndpointGate mGate;
     private final HttpForwarder mForwarder;
+    private final AgentHooks mHooks;
 
     private AgentHandler(
             Identity identity,
             AgentSettings settings,
             ConfigurationView view,
             EndpointGate gate,
-            HttpForwarder forwarder) {
+            HttpForwarder forwarder,
+            AgentHooks hooks) {
         mIdentity = identity;
         mSettings = settings;
         mView = view;
         mGate = gate;
         mForwarder = forwarder;
+        mHooks = hooks;
     }
 
     /** Returns the handler of an agent's data address. */
@@ -45,8 +48,9 @@
             AgentSettings settings,
             ConfigurationView view,
             EndpointGate gate,
-            HttpForwarder forwarder) {
-        return new AgentHandler(identity, settings, view, gate, forwarder);
+            HttpForwarder forwarder,
+            AgentHooks hooks) {
+        return new AgentHandler(identity, settings, view, gate, forwarder, hooks);
     }
 
     @Override
@@ -68,56 +72,79 @@
                     .write(response, callback);
             return true;
         }
-        Callback leaving = Callback.from(callback, mGate::leave);
         String route = path.substring(prefix.length());
-        BodyReader.read(request, MAX_BODY_BYTES)
-                .whenComplete(
-                        (body, failure) -> {
-                            if (failure != null) {
-                                Refusal.invalid(400, "body_unreadable", "the body was cut")
-                                        .write(response, leaving);
-                                return;
-                            }
-                            forward(route, permit.get(), request, response, leaving, body);
-                        });
+        Callback leaving = Callback.from(callback, mGate::leave);
+        new EndpointCall(request, response, leaving, permit.get()).start(route);
         return true;
     }
 
-    private void forward(
-            String route,
-            EndpointGate.Permit permit,
-            Request request,
-            org.eclipse.jetty.server.Response response,
-            Callback callback,
-            byte[] body) {
-        HttpForwarder.Call call =
-                new HttpForwarder.Call(
-                        request.getMethod(),
-                        URI.create(mSettings.engine() + route),
-                        HttpFields.build(request.getHeaders()),
-                        ByteBuffer.wrap(body),
-                        TIMEOUT);
-        mForwarder.send(
-                call,
-                new HttpForwarder.Listener() {
-                    @Override
-                    public void onAnswer(Response answer, Content.Source content) {
-                        response.getHeaders().put(RequestHeaders.WEIGHTS, permit.digest());
-                        String id = request.getHeaders().get(RequestHeaders.REQUEST_ID);
-                        if (id != null) {
-                            response.getHeaders().put(RequestHeaders.REQUEST_ID, id);
-                        }
-                        HttpForwarder.relay(answer, content, response, callback);
-                    }
+    /** One call to the endpoint, from its body to the end of its answer. */
+    private final class EndpointCall implements HttpForwarder.Listener {
+        private final Request mRequest;
+        private final org.eclipse.jetty.server.Response mResponse;
+        private final Callback mCallback;
+        private final EndpointGate.Permit mPermit;
+
+        EndpointCall(
+                Request request,
+                org.eclipse.jetty.server.Response response,
+                Callback callback,
+                EndpointGate.Permit permit) {
+            mRequest = request;
+            mResponse = response;
+            mCallback = callback;
+            mPermit = permit;
+        }
 
-                    @Override
-                    public void onFailure(Throwable failure, boolean isNotRun) {
-                        Refusal refusal =
-                                isNotRun
-                                        ? Refusal.unavailable("engine_down", "no engine listens")
-                                        : Refusal.outcomeUnknown("the engine was lost");
-                        refusal.write(response, callback);
-                    }
-                });
+        void start(String route) {
+            BodyReader.read(mRequest, MAX_BODY_BYTES)
+                    .whenComplete(
+                            (body, failure) -> {
+                                if (failure != null) {
+                                    refuse(Refusal.invalid(400, "body_unreadable", "cut short"));
+                                    return;
+                                }
+                                forward(route, body);
+                            });
+        }
+
+        private void forward(String route, byte[] body) {
+            Optional<Refusal> barred = mHooks.begin(mRequest);
+            if (barred.isPresent()) {
+                refuse(barred.get());
+                return;
+            }
+            HttpForwarder.Call call =
+                    new HttpForwarder.Call(
+                            mRequest.getMethod(),
+                            URI.create(mSettings.engine() + route),
+                            HttpFields.build(mRequest.getHeaders()),
+                            ByteBuffer.wrap(body),
+                            TIMEOUT);
+            mForwarder.send(call, this);
+        }
+
+        @Override
+        public void onAnswer(Response answer, Content.Source content) {
+            mResponse.getHeaders().put(RequestHeaders.WEIGHTS, mPermit.digest());
+            String id = mRequest.getHeaders().get(RequestHeaders.REQUEST_ID);
+            if (id != null) {
+                mResponse.getHeaders().put(RequestHeaders.REQUEST_ID, id);
+            }
+            mHooks.relay(mRequest, answer, content, mResponse, mCallback);
+        }
+
+        @Override
+        public void onFailure(Throwable failure, boolean isNotRun) {
+            mHooks.failed(mRequest, failure, isNotRun);
+            refuse(
+                    isNotRun
+                            ? Refusal.unavailable("engine_down", "no engine listens")
+                            : Refusal.outcomeUnknown("the engine was lost"));
+        }
+
+        private void refuse(Refusal refusal) {
+            refusal.write(mResponse, mCallback);
+        }
     }
 }
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/RequestHeaders.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/RequestHeaders.java
@@ -22,6 +22,9 @@
     /** Time that the caller gives the request, in milliseconds. */
     public static final String DEADLINE = "Sequoia-Deadline-Millis";
 
+    /** Present on a request that must run beside no other at its endpoint. */
+    public static final String ALONE = "Sequoia-Alone";
+
     /** Headers that belong to one connection and are never passed on. */
     static final Set<String> HOP_BY_HOP =
             Set.of(
