Measure slopes of processor time, memory and bytes over sizes

Ruled out: one process a daemon at 300 endpoints (it would take over half of the memory). Change: bin/bench capacity runs deployments of several sizes with the daemon's own code, many agents or entries in one process, and fits lines with their errors.

--- a/bench/src/main/java/org/sequoiahill/bench/Bench.java
+++ b/bench/src/main/java/org/sequoiahill/bench/Bench.java
@@ -5,6 +5,7 @@
 import com.beust.jcommander.ParameterException;
 import java.util.Map;
 import java.util.TreeMap;
+import org.sequoiahill.bench.capacity.CapacityExperiment;
 
 /** The program {@code bench}: measures running daemons. */
 public final class Bench {
@@ -24,7 +25,9 @@
 
     /** Returns all experiments by name; a new one is added here. */
     private static Map<String, Experiment> experiments() {
-        return new TreeMap<>();
+        Map<String, Experiment> experiments = new TreeMap<>();
+        experiments.put("capacity", new CapacityExperiment());
+        return experiments;
     }
 
     private int run(String[] args) throws Exception {
--- a/bench/src/main/java/org/sequoiahill/bench/processes/Deployment.java
+++ b/bench/src/main/java/org/sequoiahill/bench/processes/Deployment.java
@@ -33,18 +33,28 @@
     /** Bearer token of the organisation in {@link #modelDocument} and {@link #ledgerDocument}. */
     public static final String CALLER_TOKEN = "caller-token";
 
+    /** Name of the process that hosts agents which share one. */
+    public static final String HOSTED_AGENTS = "hosted-agents";
+
+    /** Name of the process that hosts entries which share one. */
+    public static final String HOSTED_ENTRIES = "hosted-entries";
+
+    private static final int HOST_HEAP_MEGABYTES = 3_072;
     private static final Duration START_BOUND = Duration.ofSeconds(60);
     private static final int DAEMON_HEAP_MEGABYTES = 128;
     private static final int STAND_IN_HEAP_MEGABYTES = 64;
 
     private final Path mFolder;
     private final Topology mTopology;
+    private final Hosting mHosting;
     private final SettingsWriter mSettings;
     private final Map<String, ManagedProcess> mProcesses = new LinkedHashMap<>();
 
-    private Deployment(Path folder, Topology topology, Consumer<ObjectNode> changeSettings) {
+    private Deployment(
+            Path folder, Topology topology, Hosting hosting, Consumer<ObjectNode> changeSettings) {
         mFolder = folder;
         mTopology = topology;
+        mHosting = hosting;
         mSettings = new SettingsWriter(folder, topology, changeSettings);
     }
 
@@ -57,7 +67,15 @@
     public static Deployment start(
             Path folder, Topology topology, Consumer<ObjectNode> changeSettings)
             throws IOException {
-        Deployment deployment = new Deployment(folder.toAbsolutePath(), topology, changeSettings);
+        return start(folder, topology, Hosting.SEPARATE, changeSettings);
+    }
+
+    /** Starts every process of a topology, with daemons that share processes. */
+    public static Deployment start(
+            Path folder, Topology topology, Hosting hosting, Consumer<ObjectNode> changeSettings)
+            throws IOException {
+        Deployment deployment =
+                new Deployment(folder.toAbsolutePath(), topology, hosting, changeSettings);
         try {
             deployment.startAll();
         } catch (IOException | RuntimeException e) {
@@ -169,8 +187,7 @@
         int total = 0;
         for (Topology.DataCentre dataCentre : mTopology.dataCentres()) {
             for (Vm entry : mTopology.entryVms()) {
-                if (entry.dataCentre().equals(dataCentre.name())
-                        && process(entry.name()).isAlive()) {
+                if (entry.dataCentre().equals(dataCentre.name()) && isAlive(entry)) {
                     total += countServingAt(entry, service, digest);
                     break;
                 }
@@ -191,6 +208,11 @@
         }
     }
 
+    private boolean isAlive(Vm vm) {
+        ManagedProcess process = mProcesses.get(vm.name());
+        return process == null || process.isAlive();
+    }
+
     private boolean applyAt(Vm entry, String path, String changeId, String document)
             throws Exception {
         try (OperatorsClient client = operators(entry)) {
@@ -226,13 +248,39 @@
                 "--folder",
                 mFolder.resolve("origin").toString());
         for (Vm vm : mTopology.entryVms()) {
-            startDaemon(vm, mSettings.writeEntry(vm));
+            boolean isStore = mTopology.storeVms().contains(vm);
+            if (mHosting == Hosting.TOGETHER && !isStore) {
+                moveInto(HOSTED_ENTRIES, mSettings.writeEntry(vm));
+            } else {
+                startDaemon(vm, mSettings.writeEntry(vm));
+            }
         }
         for (Topology.DataCentre dataCentre : mTopology.dataCentres()) {
             for (Endpoints endpoints : dataCentre.endpoints()) {
                 startEndpoints(dataCentre, endpoints);
             }
         }
+        for (String host : List.of(HOSTED_ENTRIES, HOSTED_AGENTS)) {
+            if (Files.isDirectory(mFolder.resolve(host))) {
+                startHost(host);
+            }
+        }
+    }
+
+    private void startHost(String name) throws IOException {
+        mProcesses.put(
+                name,
+                ManagedProcess.startJava(
+                        name,
+                        mFolder,
+                        HOST_HEAP_MEGABYTES,
+                        DaemonHost.class.getName(),
+                        List.of(mFolder.resolve(name).toString())));
+    }
+
+    private void moveInto(String host, Path settings) throws IOException {
+        Path folder = Files.createDirectories(mFolder.resolve(host));
+        Files.move(settings, folder.resolve(settings.getFileName()));
     }
 
     private void startEndpoints(Topology.DataCentre dataCentre, Endpoints endpoints)
@@ -246,13 +294,19 @@
             if (checksFencing) {
                 arguments.add("--checks-fencing");
             }
-            Class<?> standIn =
-                    endpoints.kind() == Kind.LEDGER ? StandInLedger.class : StandInEngine.class;
-            startStandIn(vm.name() + "-stand-in", standIn, arguments.toArray(String[]::new));
-            startDaemon(
-                    vm,
+            if (endpoints.kind() != Kind.NONE) {
+                Class<?> standIn =
+                        endpoints.kind() == Kind.LEDGER ? StandInLedger.class : StandInEngine.class;
+                startStandIn(vm.name() + "-stand-in", standIn, arguments.toArray(String[]::new));
+            }
+            Path settings =
                     mSettings.writeAgent(
-                            vm, endpoints.service(), endpoints.capacity(), checksFencing));
+                            vm, endpoints.service(), endpoints.capacity(), checksFencing);
+            if (mHosting == Hosting.SEPARATE) {
+                startDaemon(vm, settings);
+            } else {
+                moveInto(HOSTED_AGENTS, settings);
+            }
         }
     }
 
--- a/bench/src/main/java/org/sequoiahill/bench/processes/Topology.java
+++ b/bench/src/main/java/org/sequoiahill/bench/processes/Topology.java
@@ -39,7 +39,9 @@
         /** A model engine that takes every order. */
         ENGINE,
         /** A plain service whose calls may run once. */
-        LEDGER
+        LEDGER,
+        /** Nothing; the agent announces an endpoint that no request is sent to. */
+        NONE
     }
 
     /**
