--- a/daemon/src/main/java/org/sequoiahill/daemon/process/ProcessModule.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/ProcessModule.java
@@ -18,6 +18,8 @@
 import java.util.random.RandomGenerator;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.sequoiahill.daemon.process.claims.ClaimClient;
+import org.sequoiahill.daemon.process.claims.ClaimRegistry;
 import org.sequoiahill.daemon.process.config.ConfigurationSync;
 import org.sequoiahill.daemon.process.config.ConfigurationView;
 import org.sequoiahill.daemon.process.control.ControlClient;
@@ -47,6 +49,12 @@
         return MonotonicClock.system();
     }
 
+    @Provides
+    @Singleton
+    static InstantSource time() {
+        return InstantSource.system();
+    }
+
     @Provides
     @Singleton
     static RandomGenerator random() {
@@ -55,8 +63,8 @@
 
     @Provides
     @Singleton
-    static Identity identity(DaemonSettings settings) {
-        long incarnation = InstantSource.system().millis();
+    static Identity identity(DaemonSettings settings, InstantSource time) {
+        long incarnation = time.millis();
         return Identity.of(settings.vm(), settings.dataCentre(), incarnation);
     }
 
@@ -87,6 +95,12 @@
         return ControlClient.on(executor);
     }
 
+    @Provides
+    @Singleton
+    static ClaimRegistry claims(DaemonSettings settings, Identity identity, ControlClient client) {
+        return ClaimClient.of(identity, client, settings.stores());
+    }
+
     @Provides
     @Singleton
     static ConfigurationView view(Identity identity) {
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/StoreRole.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/StoreRole.java
@@ -4,9 +4,13 @@
 import jakarta.inject.Singleton;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.time.InstantSource;
 import java.util.List;
 import java.util.concurrent.ScheduledExecutorService;
 import org.eclipse.jetty.server.Handler;
+import org.sequoiahill.daemon.process.claims.ClaimBounds;
+import org.sequoiahill.daemon.process.claims.ClaimsHandler;
+import org.sequoiahill.daemon.process.claims.ClaimsMachine;
 import org.sequoiahill.daemon.process.config.ConfigurationMachine;
 import org.sequoiahill.daemon.process.config.ConfigurationView;
 import org.sequoiahill.daemon.process.config.ConfigurationWriter;
@@ -17,8 +21,10 @@
 import org.sequoiahill.daemon.process.control.ServiceStub;
 import org.sequoiahill.daemon.process.controller.TurnHandler;
 import org.sequoiahill.daemon.process.log.FixedLeaderLog;
+import org.sequoiahill.daemon.process.log.ReplicatedLog;
 import org.sequoiahill.daemon.process.settings.DaemonSettings;
 import org.sequoiahill.daemon.process.time.MonotonicClock;
+import org.sequoiahill.protocol.gen.Claims;
 import org.sequoiahill.protocol.gen.Log;
 import org.sequoiahill.protocol.gen.Turns;
 
@@ -29,6 +35,7 @@
     private final FixedLeaderLog mLog;
     private final ConfigurationWriter mWriter;
     private final TurnHandler mTurns;
+    private final ClaimsHandler mClaims;
 
     @Inject
     StoreRole(
@@ -37,21 +44,28 @@
             ConfigurationView view,
             ControlClient client,
             MonotonicClock clock,
+            InstantSource time,
             ScheduledExecutorService scheduler) {
         mScheduler = scheduler;
         ConfigurationMachine machine = ConfigurationMachine.of(identity, view);
+        ClaimsMachine claims = ClaimsMachine.of(ClaimBounds.standard());
         try {
             mLog =
                     FixedLeaderLog.open(
                             identity,
                             settings.stores(),
                             client,
-                            (index, payload) -> machine.apply(payload),
+                            SharedLog.applier(
+                                    List.of(
+                                            (index, payload) -> machine.apply(payload),
+                                            claims::apply)),
                             settings.dataFolder().resolve("log"));
         } catch (IOException e) {
             throw new UncheckedIOException("the log can't be opened", e);
         }
-        mWriter = LeaderWriter.of(mLog, machine, client, settings.stores());
+        ReplicatedLog config = SharedLog.part(mLog, 0);
+        mClaims = ClaimsHandler.of(identity, SharedLog.part(mLog, 1), claims, time);
+        mWriter = LeaderWriter.of(config, machine, client, settings.stores());
         mTurns = TurnHandler.of(identity, view, mLog, client, settings.stores(), clock);
     }
 
@@ -63,6 +77,7 @@
     public void register(ControlServer server) {
         server.register(ServiceStub.LOG, new Log.Processor<>(mLog));
         server.register(ServiceStub.TURNS, new Turns.Processor<>(mTurns));
+        server.register(ServiceStub.CLAIMS, new Claims.Processor<>(mClaims));
     }
 
     @Override
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/admin/OperatorsHandler.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/admin/OperatorsHandler.java
@@ -148,7 +148,8 @@
                                             key.kind(),
                                             key.name(),
                                             Long.parseLong(replaces),
-                                            new String(body, StandardCharsets.UTF_8));
+                                            new String(body, StandardCharsets.UTF_8),
+                                            operator.team());
                             checkAndCommit(operator, write, response, callback);
                         });
     }
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/claims/ClaimChecks.java
@@ -0,0 +1,56 @@
+package org.sequoiahill.daemon.process.claims;
+
+import org.jspecify.annotations.Nullable;
+import org.sequoiahill.protocol.gen.ClaimCommand;
+import org.sequoiahill.protocol.gen.ClaimKey;
+import org.sequoiahill.protocol.gen.ClaimRequest;
+import org.sequoiahill.protocol.gen.CompleteRequest;
+import org.sequoiahill.protocol.gen.Outcome;
+
+/** Tells whether a command that came over the wire is whole and within its bounds. */
+final class ClaimChecks {
+    private static final int MAX_NAME_CHARS = 256;
+    private static final int MAX_DIGEST_BYTES = 64;
+
+    private ClaimChecks() {}
+
+    static boolean isWhole(ClaimCommand command) {
+        if (command.isSetClaim()) {
+            return isWhole(command.getClaim()) && command.getClaim().isSetContentDigest();
+        }
+        if (command.isSetLookUp()) {
+            return isWhole(command.getLookUp().getKey());
+        }
+        if (command.isSetRelease()) {
+            return isWhole(command.getRelease().getKey());
+        }
+        return command.isSetComplete() && isWhole(command.getComplete());
+    }
+
+    private static boolean isWhole(ClaimRequest request) {
+        byte[] digest = request.getContentDigest();
+        return isWhole(request.getKey())
+                && isName(request.getAgentVm())
+                && digest != null
+                && digest.length <= MAX_DIGEST_BYTES;
+    }
+
+    private static boolean isWhole(CompleteRequest request) {
+        Outcome outcome = request.getOutcome();
+        return isWhole(request.getKey())
+                && (outcome == null
+                        || (isName(outcome.getContentType()) && outcome.getBody() != null));
+    }
+
+    private static boolean isWhole(@Nullable ClaimKey key) {
+        return key != null
+                && isName(key.getOrganisation())
+                && isName(key.getServiceName())
+                && isName(key.getRoute())
+                && isName(key.getIdempotencyKey());
+    }
+
+    private static boolean isName(@Nullable String text) {
+        return text != null && text.length() <= MAX_NAME_CHARS;
+    }
+}
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/claims/ClaimRegistry.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/claims/ClaimRegistry.java
@@ -14,15 +14,33 @@
  * attempt.
  */
 public interface ClaimRegistry {
-    /** Claims a key for an attempt; the same attempt may ask again. */
+    /**
+     * Claims a key for an attempt; the same attempt may ask again.
+     *
+     * <p>CLAIMED: the attempt holds the key. HELD: another attempt does, which the reply names.
+     * COMPLETED: the reply carries the outcome. OUTCOME_UNKNOWN: the call may have run and never
+     * runs again. MISMATCH: the key was claimed with other content. EXPIRED: the outcome is no
+     * longer kept, or this very attempt was released; the call must not run.
+     */
     CompletableFuture<ClaimReply> claim(ClaimRequest request);
 
-    /** Returns what is recorded for a key, as of the last commit. */
+    /** Returns what is recorded for a key, as of the last commit; FREE where nobody holds it. */
     CompletableFuture<ClaimReply> lookUp(ClaimRequest request);
 
-    /** Gives a claim back whose attempt has certainly not run and never will. */
+    /**
+     * Gives a claim back whose attempt has certainly not run and never will.
+     *
+     * <p>FREE where the attempt holds the key no longer, or never did; a late claim of the same
+     * attempt is refused as EXPIRED. Otherwise what is recorded, unchanged.
+     */
     CompletableFuture<ClaimReply> release(ReleaseRequest request);
 
-    /** Records the outcome of an attempt, or that it can't be known. */
+    /**
+     * Records the outcome of an attempt, or that it can't be known; the first record wins.
+     *
+     * <p>The reply holds what is recorded: COMPLETED with the first outcome, or OUTCOME_UNKNOWN,
+     * also where the body is larger than {@link ClaimBounds#outcomeBytes}. HELD, FREE or EXPIRED
+     * where the attempt doesn't hold the key; nothing is recorded then.
+     */
     CompletableFuture<ClaimReply> complete(CompleteRequest request);
 }
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/claims/ClaimTable.java
@@ -0,0 +1,284 @@
+package org.sequoiahill.daemon.process.claims;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+import org.sequoiahill.protocol.gen.ClaimKey;
+import org.sequoiahill.protocol.gen.ClaimRecord;
+import org.sequoiahill.protocol.gen.ClaimRequest;
+import org.sequoiahill.protocol.gen.ClaimState;
+import org.sequoiahill.protocol.gen.ClaimStatus;
+import org.sequoiahill.protocol.gen.ClaimsSnapshot;
+import org.sequoiahill.protocol.gen.CompleteRequest;
+import org.sequoiahill.protocol.gen.Outcome;
+import org.sequoiahill.protocol.gen.ReleaseRequest;
+
+/** Decides on claims; its state depends on nothing but the commands and their times. */
+final class ClaimTable {
+    private static final int RECORD_OVERHEAD_BYTES = 64;
+
+    private final ClaimBounds mBounds;
+    private final Map<ClaimKey, ClaimRecord> mHeld = new LinkedHashMap<>();
+    private final Map<ClaimKey, ClaimRecord> mFinished = new LinkedHashMap<>();
+    private final ExpiredClaims mExpired = new ExpiredClaims();
+    private long mNowMillis;
+    private long mBytes;
+
+    ClaimTable(ClaimBounds bounds) {
+        mBounds = bounds;
+    }
+
+    /**
+     * What a command found or did.
+     *
+     * @param status what is recorded for the key now
+     * @param record the record, where there is one
+     */
+    record Decision(ClaimStatus status, @Nullable ClaimRecord record) {}
+
+    /** Moves the time on; one that is older than the newest is taken as the newest. */
+    void advanceTo(long nowMillis) {
+        mNowMillis = Math.max(mNowMillis, nowMillis);
+        expire(mFinished);
+        expire(mHeld);
+        mExpired.forget(mNowMillis, mBounds.expiredRetention());
+    }
+
+    Decision claim(ClaimRequest request) {
+        ClaimKey key = request.getKey();
+        ClaimRecord held = recordOf(key);
+        if (held != null && held.getState() != ClaimState.RELEASED) {
+            return decideOnHeld(request, held);
+        }
+        boolean isReleasedAttempt = held != null && held.getAttempt() == request.getAttempt();
+        if (isReleasedAttempt || mExpired.contains(key)) {
+            return new Decision(ClaimStatus.EXPIRED, null);
+        }
+        ClaimRecord record =
+                new ClaimRecord(
+                        key,
+                        request.bufferForContentDigest(),
+                        request.getAttempt(),
+                        request.getAgentVm(),
+                        request.getAgentIncarnation(),
+                        ClaimState.HELD,
+                        mNowMillis);
+        return put(record)
+                ? new Decision(ClaimStatus.CLAIMED, record)
+                : new Decision(ClaimStatus.UNAVAILABLE, null);
+    }
+
+    Decision lookUp(ClaimRequest request) {
+        ClaimRecord held = recordOf(request.getKey());
+        if (held == null) {
+            return absent(request.getKey());
+        }
+        return new Decision(statusOf(held), held);
+    }
+
+    Decision release(ReleaseRequest request) {
+        ClaimRecord held = recordOf(request.getKey());
+        if (held == null) {
+            return releaseUnseen(request);
+        }
+        boolean isOwn = held.getAttempt() == request.getAttempt();
+        if (held.getState() != ClaimState.HELD || !isOwn) {
+            return new Decision(statusOf(held), held);
+        }
+        replace(held, ClaimState.RELEASED, null);
+        return new Decision(ClaimStatus.FREE, null);
+    }
+
+    Decision complete(CompleteRequest request) {
+        ClaimRecord held = recordOf(request.getKey());
+        if (held == null) {
+            return absent(request.getKey());
+        }
+        boolean isOwn = held.getAttempt() == request.getAttempt();
+        if (held.getState() != ClaimState.HELD || !isOwn) {
+            return new Decision(statusOf(held), held);
+        }
+        Outcome outcome = request.getOutcome();
+        boolean isKept =
+                request.isOutcomeKnown()
+                        && outcome != null
+                        && outcome.getBody().length <= mBounds.outcomeBytes();
+        ClaimRecord record =
+                replace(
+                        held,
+                        isKept ? ClaimState.DONE : ClaimState.UNKNOWN,
+                        isKept ? outcome : null);
+        return new Decision(statusOf(record), record);
+    }
+
+    /** Returns the number of keys recorded with their holder or outcome. */
+    int size() {
+        return mHeld.size() + mFinished.size();
+    }
+
+    /** Returns the bytes of these keys and outcomes. */
+    long bytes() {
+        return mBytes;
+    }
+
+    void writeTo(ClaimsSnapshot snapshot) {
+        snapshot.setNowMillis(mNowMillis);
+        snapshot.setHeld(new ArrayList<>(mHeld.values()));
+        snapshot.setFinished(new ArrayList<>(mFinished.values()));
+        snapshot.setExpired(mExpired.records());
+    }
+
+    void restore(ClaimsSnapshot snapshot) {
+        mHeld.clear();
+        mFinished.clear();
+        mBytes = 0;
+        mNowMillis = snapshot.getNowMillis();
+        restore(mHeld, snapshot.getHeld());
+        restore(mFinished, snapshot.getFinished());
+        mExpired.restore(snapshot.getExpired());
+    }
+
+    private void restore(Map<ClaimKey, ClaimRecord> records, List<ClaimRecord> from) {
+        for (ClaimRecord record : from) {
+            records.put(record.getKey(), record);
+            mBytes += bytesOf(record);
+        }
+    }
+
+    private Decision decideOnHeld(ClaimRequest request, ClaimRecord held) {
+        if (!Arrays.equals(held.getContentDigest(), request.getContentDigest())) {
+            return new Decision(ClaimStatus.MISMATCH, null);
+        }
+        boolean isSameAttempt =
+                held.getState() == ClaimState.HELD
+                        && held.getAttempt() == request.getAttempt()
+                        && held.getAgentVm().equals(request.getAgentVm())
+                        && held.getAgentIncarnation() == request.getAgentIncarnation();
+        return new Decision(isSameAttempt ? ClaimStatus.CLAIMED : statusOf(held), held);
+    }
+
+    /** Records the attempt, so that a claim of it that comes late is refused. */
+    private Decision releaseUnseen(ReleaseRequest request) {
+        if (mExpired.contains(request.getKey())) {
+            return new Decision(ClaimStatus.EXPIRED, null);
+        }
+        ClaimRecord record =
+                new ClaimRecord(
+                        request.getKey(),
+                        ByteBuffer.allocate(0),
+                        request.getAttempt(),
+                        "",
+                        0,
+                        ClaimState.RELEASED,
+                        mNowMillis);
+        return put(record)
+                ? new Decision(ClaimStatus.FREE, null)
+                : new Decision(ClaimStatus.UNAVAILABLE, null);
+    }
+
+    private Decision absent(ClaimKey key) {
+        boolean isExpired = mExpired.contains(key);
+        return new Decision(isExpired ? ClaimStatus.EXPIRED : ClaimStatus.FREE, null);
+    }
+
+    private static ClaimStatus statusOf(ClaimRecord record) {
+        return switch (record.getState()) {
+            case HELD -> ClaimStatus.HELD;
+            case DONE -> ClaimStatus.COMPLETED;
+            case UNKNOWN -> ClaimStatus.OUTCOME_UNKNOWN;
+            case RELEASED -> ClaimStatus.FREE;
+        };
+    }
+
+    private @Nullable ClaimRecord recordOf(ClaimKey key) {
+        ClaimRecord held = mHeld.get(key);
+        return held != null ? held : mFinished.get(key);
+    }
+
+    private ClaimRecord replace(ClaimRecord held, ClaimState state, @Nullable Outcome outcome) {
+        ClaimRecord record = held.deepCopy();
+        record.setState(state);
+        record.setOutcome(outcome);
+        record.setSinceMillis(mNowMillis);
+        remove(held);
+        add(record);
+        makeRoom();
+        return record;
+    }
+
+    /** Adds a record, in the place of another of its key; false where there is no room. */
+    private boolean put(ClaimRecord record) {
+        ClaimRecord before = recordOf(record.getKey());
+        if (before != null) {
+            remove(before);
+        }
+        add(record);
+        if (makeRoom()) {
+            return true;
+        }
+        remove(record);
+        if (before != null) {
+            add(before);
+        }
+        return false;
+    }
+
+    private void add(ClaimRecord record) {
+        Map<ClaimKey, ClaimRecord> records =
+                record.getState() == ClaimState.HELD ? mHeld : mFinished;
+        records.put(record.getKey(), record);
+        mBytes += bytesOf(record);
+    }
+
+    private void remove(ClaimRecord record) {
+        mHeld.remove(record.getKey());
+        mFinished.remove(record.getKey());
+        mBytes -= bytesOf(record);
+    }
+
+    private boolean makeRoom() {
+        while (size() > mBounds.entries() || mBytes > mBounds.bytes()) {
+            Iterator<ClaimRecord> oldest = mFinished.values().iterator();
+            if (!oldest.hasNext() || !expire(oldest.next())) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private void expire(Map<ClaimKey, ClaimRecord> records) {
+        long limit = mNowMillis - mBounds.retention().toMillis();
+        while (!records.isEmpty()) {
+            ClaimRecord oldest = records.values().iterator().next();
+            if (oldest.getSinceMillis() > limit || !expire(oldest)) {
+                return;
+            }
+        }
+    }
+
+    /** Drops a record and remembers its key; false where no more keys can be remembered. */
+    private boolean expire(ClaimRecord record) {
+        if (record.getState() != ClaimState.RELEASED) {
+            if (mExpired.size() >= mBounds.expiredKeys()) {
+                return false;
+            }
+            mExpired.add(record.getKey(), mNowMillis);
+        }
+        remove(record);
+        return true;
+    }
+
+    private static long bytesOf(ClaimRecord record) {
+        ClaimKey key = record.getKey();
+        long bytes = (long) RECORD_OVERHEAD_BYTES + record.getContentDigest().length;
+        bytes += key.getOrganisation().length() + key.getServiceName().length();
+        bytes += key.getRoute().length() + key.getIdempotencyKey().length();
+        Outcome outcome = record.getOutcome();
+        return outcome == null ? bytes : bytes + outcome.getBody().length;
+    }
+}
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/config/ConfigurationHandler.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/config/ConfigurationHandler.java
@@ -1,7 +1,10 @@
 package org.sequoiahill.daemon.process.config;
 
+import java.util.List;
 import java.util.concurrent.CompletionException;
 import org.sequoiahill.daemon.process.control.Identity;
+import org.sequoiahill.protocol.gen.AuditPage;
+import org.sequoiahill.protocol.gen.AuditQuery;
 import org.sequoiahill.protocol.gen.Configuration;
 import org.sequoiahill.protocol.gen.ConfigurationDelta;
 import org.sequoiahill.protocol.gen.ConfigurationFetch;
@@ -49,6 +52,11 @@
         return mIdentity.sender();
     }
 
+    @Override
+    public AuditPage audit(AuditQuery query) {
+        return new AuditPage(mIdentity.sender(), List.of(), 0, "", 0, false);
+    }
+
     @Override
     public WriteResult write(ConfigurationWrite request) {
         try {
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/control/ControlClient.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/control/ControlClient.java
@@ -18,7 +18,7 @@
 import org.jspecify.annotations.Nullable;
 import org.sequoiahill.daemon.process.settings.HostPort;
 
-/** Calls Thrift services of other processes, over one connection a peer and service. */
+/** Calls Thrift services of other processes, over one connection a peer, service and lane. */
 public final class ControlClient implements AutoCloseable {
     /** Largest frame that is sent or taken, in bytes. */
     public static final int MAX_FRAME_BYTES = 16 << 20;
@@ -47,7 +47,18 @@
      */
     public <C extends TServiceClient, R> CompletableFuture<R> call(
             HostPort peer, ServiceStub<C> stub, ThriftCall<C, R> call) {
-        ConnectionKey key = new ConnectionKey(peer, stub.name());
+        return call(peer, stub, 0, call);
+    }
+
+    /**
+     * Calls a peer as {@link #call(HostPort, ServiceStub, ThriftCall)} does, on one of several
+     * connections.
+     *
+     * @param lane number of the connection; calls on one follow one another
+     */
+    public <C extends TServiceClient, R> CompletableFuture<R> call(
+            HostPort peer, ServiceStub<C> stub, int lane, ThriftCall<C, R> call) {
+        ConnectionKey key = new ConnectionKey(peer, stub.name(), lane);
         Connection connection = mConnections.computeIfAbsent(key, Connection::new);
         return CompletableFuture.supplyAsync(() -> connection.call(stub, call), mExecutor);
     }
@@ -69,7 +80,7 @@
         R apply(C client) throws TException;
     }
 
-    private record ConnectionKey(HostPort peer, String service) {}
+    private record ConnectionKey(HostPort peer, String service, int lane) {}
 
     /** One connection; calls on it follow one another. */
     private static final class Connection {
--- a/protocol/src/main/java/org/sequoiahill/protocol/gen/ClaimReply.java
+++ b/protocol/src/main/java/org/sequoiahill/protocol/gen/ClaimReply.java
@@ -16,6 +16,7 @@
   private static final org.apache.thrift.protocol.TField OUTCOME_FIELD_DESC = new org.apache.thrift.protocol.TField("outcome", org.apache.thrift.protocol.TType.STRUCT, (short)4);
   private static final org.apache.thrift.protocol.TField AGENT_VM_FIELD_DESC = new org.apache.thrift.protocol.TField("agentVm", org.apache.thrift.protocol.TType.STRING, (short)5);
   private static final org.apache.thrift.protocol.TField AGENT_INCARNATION_FIELD_DESC = new org.apache.thrift.protocol.TField("agentIncarnation", org.apache.thrift.protocol.TType.I64, (short)6);
+  private static final org.apache.thrift.protocol.TField LEADER_VM_FIELD_DESC = new org.apache.thrift.protocol.TField("leaderVm", org.apache.thrift.protocol.TType.STRING, (short)7);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new ClaimReplyStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new ClaimReplyTupleSchemeFactory();
@@ -26,6 +27,7 @@
   private @org.apache.thrift.annotation.Nullable Outcome outcome; // optional
   private @org.apache.thrift.annotation.Nullable java.lang.String agentVm; // optional
   private long agentIncarnation; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String leaderVm; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -38,7 +40,11 @@
     ATTEMPT((short)3, "attempt"),
     OUTCOME((short)4, "outcome"),
     AGENT_VM((short)5, "agentVm"),
-    AGENT_INCARNATION((short)6, "agentIncarnation");
+    AGENT_INCARNATION((short)6, "agentIncarnation"),
+    /**
+     * VM that leads the log, where the status is UNAVAILABLE and the receiver knows it.
+     */
+    LEADER_VM((short)7, "leaderVm");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -66,6 +72,8 @@
           return AGENT_VM;
         case 6: // AGENT_INCARNATION
           return AGENT_INCARNATION;
+        case 7: // LEADER_VM
+          return LEADER_VM;
         default:
           return null;
       }
@@ -112,7 +120,7 @@
   private static final int __ATTEMPT_ISSET_ID = 0;
   private static final int __AGENTINCARNATION_ISSET_ID = 1;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.OUTCOME,_Fields.AGENT_VM};
+  private static final _Fields optionals[] = {_Fields.OUTCOME,_Fields.AGENT_VM,_Fields.LEADER_VM};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -128,6 +136,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     tmpMap.put(_Fields.AGENT_INCARNATION, new org.apache.thrift.meta_data.FieldMetaData("agentIncarnation", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.LEADER_VM, new org.apache.thrift.meta_data.FieldMetaData("leaderVm", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ClaimReply.class, metaDataMap);
   }
@@ -169,6 +179,9 @@
       this.agentVm = other.agentVm;
     }
     this.agentIncarnation = other.agentIncarnation;
+    if (other.isSetLeaderVm()) {
+      this.leaderVm = other.leaderVm;
+    }
   }
 
   @Override
@@ -186,6 +199,7 @@
     this.agentVm = null;
     setAgentIncarnationIsSet(false);
     this.agentIncarnation = 0;
+    this.leaderVm = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -342,6 +356,37 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __AGENTINCARNATION_ISSET_ID, value);
   }
 
+  /**
+   * VM that leads the log, where the status is UNAVAILABLE and the receiver knows it.
+   */
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getLeaderVm() {
+    return this.leaderVm;
+  }
+
+  /**
+   * VM that leads the log, where the status is UNAVAILABLE and the receiver knows it.
+   */
+  public ClaimReply setLeaderVm(@org.apache.thrift.annotation.Nullable java.lang.String leaderVm) {
+    this.leaderVm = leaderVm;
+    return this;
+  }
+
+  public void unsetLeaderVm() {
+    this.leaderVm = null;
+  }
+
+  /** Returns true if field leaderVm is set (has been assigned a value) and false otherwise */
+  public boolean isSetLeaderVm() {
+    return this.leaderVm != null;
+  }
+
+  public void setLeaderVmIsSet(boolean value) {
+    if (!value) {
+      this.leaderVm = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -393,6 +438,14 @@
       }
       break;
 
+    case LEADER_VM:
+      if (value == null) {
+        unsetLeaderVm();
+      } else {
+        setLeaderVm((java.lang.String)value);
+      }
+      break;
+
     }
   }
 
@@ -418,6 +471,9 @@
     case AGENT_INCARNATION:
       return getAgentIncarnation();
 
+    case LEADER_VM:
+      return getLeaderVm();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -442,6 +498,8 @@
       return isSetAgentVm();
     case AGENT_INCARNATION:
       return isSetAgentIncarnation();
+    case LEADER_VM:
+      return isSetLeaderVm();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -513,6 +571,15 @@
         return false;
     }
 
+    boolean this_present_leaderVm = true && this.isSetLeaderVm();
+    boolean that_present_leaderVm = true && that.isSetLeaderVm();
+    if (this_present_leaderVm || that_present_leaderVm) {
+      if (!(this_present_leaderVm && that_present_leaderVm))
+        return false;
+      if (!this.leaderVm.equals(that.leaderVm))
+        return false;
+    }
+
     return true;
   }
 
@@ -540,6 +607,10 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(agentIncarnation);
 
+    hashCode = hashCode * 8191 + ((isSetLeaderVm()) ? 131071 : 524287);
+    if (isSetLeaderVm())
+      hashCode = hashCode * 8191 + leaderVm.hashCode();
+
     return hashCode;
   }
 
@@ -611,6 +682,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetLeaderVm(), other.isSetLeaderVm());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetLeaderVm()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.leaderVm, other.leaderVm);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -678,6 +759,16 @@
     sb.append("agentIncarnation:");
     sb.append(this.agentIncarnation);
     first = false;
+    if (isSetLeaderVm()) {
+      if (!first) sb.append(", ");
+      sb.append("leaderVm:");
+      if (this.leaderVm == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.leaderVm);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -781,6 +872,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 7: // LEADER_VM
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.leaderVm = iprot.readString();
+              struct.setLeaderVmIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -827,6 +926,13 @@
       oprot.writeFieldBegin(AGENT_INCARNATION_FIELD_DESC);
       oprot.writeI64(struct.agentIncarnation);
       oprot.writeFieldEnd();
+      if (struct.leaderVm != null) {
+        if (struct.isSetLeaderVm()) {
+          oprot.writeFieldBegin(LEADER_VM_FIELD_DESC);
+          oprot.writeString(struct.leaderVm);
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -864,7 +970,10 @@
       if (struct.isSetAgentIncarnation()) {
         optionals.set(5);
       }
-      oprot.writeBitSet(optionals, 6);
+      if (struct.isSetLeaderVm()) {
+        optionals.set(6);
+      }
+      oprot.writeBitSet(optionals, 7);
       if (struct.isSetSender()) {
         struct.sender.write(oprot);
       }
@@ -883,12 +992,15 @@
       if (struct.isSetAgentIncarnation()) {
         oprot.writeI64(struct.agentIncarnation);
       }
+      if (struct.isSetLeaderVm()) {
+        oprot.writeString(struct.leaderVm);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, ClaimReply struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(6);
+      java.util.BitSet incoming = iprot.readBitSet(7);
       if (incoming.get(0)) {
         struct.sender = new org.sequoiahill.protocol.gen.Sender();
         struct.sender.read(iprot);
@@ -915,6 +1027,10 @@
         struct.agentIncarnation = iprot.readI64();
         struct.setAgentIncarnationIsSet(true);
       }
+      if (incoming.get(6)) {
+        struct.leaderVm = iprot.readString();
+        struct.setLeaderVmIsSet(true);
+      }
     }
   }
 
--- a/protocol/src/main/java/org/sequoiahill/protocol/gen/Configuration.java
+++ b/protocol/src/main/java/org/sequoiahill/protocol/gen/Configuration.java
@@ -21,12 +21,19 @@
     public org.sequoiahill.protocol.gen.Sender notify(org.sequoiahill.protocol.gen.Sender sender) throws org.apache.thrift.TException;
 
     /**
-     * Served by stores: any store passes the write on to the leader.
+     * Served by stores: another store than the leader answers UNAVAILABLE and names the leader.
      * 
      * @param request
      */
     public WriteResult write(ConfigurationWrite request) throws org.apache.thrift.TException;
 
+    /**
+     * Served by stores: the audit trail as this store has applied it.
+     * 
+     * @param query
+     */
+    public AuditPage audit(AuditQuery query) throws org.apache.thrift.TException;
+
   }
 
   public interface AsyncIface {
@@ -37,6 +44,8 @@
 
     public void write(ConfigurationWrite request, org.apache.thrift.async.AsyncMethodCallback<WriteResult> resultHandler) throws org.apache.thrift.TException;
 
+    public void audit(AuditQuery query, org.apache.thrift.async.AsyncMethodCallback<AuditPage> resultHandler) throws org.apache.thrift.TException;
+
   }
 
   public static class Client extends org.apache.thrift.TServiceClient implements Iface {
@@ -133,6 +142,30 @@
       throw new org.apache.thrift.TApplicationException(org.apache.thrift.TApplicationException.MISSING_RESULT, "write failed: unknown result");
     }
 
+    @Override
+    public AuditPage audit(AuditQuery query) throws org.apache.thrift.TException
+    {
+      send_audit(query);
+      return recv_audit();
+    }
+
+    public void send_audit(AuditQuery query) throws org.apache.thrift.TException
+    {
+      audit_args args = new audit_args();
+      args.setQuery(query);
+      sendBase("audit", args);
+    }
+
+    public AuditPage recv_audit() throws org.apache.thrift.TException
+    {
+      audit_result result = new audit_result();
+      receiveBase(result, "audit");
+      if (result.isSetSuccess()) {
+        return result.success;
+      }
+      throw new org.apache.thrift.TApplicationException(org.apache.thrift.TApplicationException.MISSING_RESULT, "audit failed: unknown result");
+    }
+
   }
   public static class AsyncClient extends org.apache.thrift.async.TAsyncClient implements AsyncIface {
     public static class Factory implements org.apache.thrift.async.TAsyncClientFactory<AsyncClient> {
@@ -257,6 +290,41 @@
       }
     }
 
+    @Override
+    public void audit(AuditQuery query, org.apache.thrift.async.AsyncMethodCallback<AuditPage> resultHandler) throws org.apache.thrift.TException {
+      checkReady();
+      audit_call method_call = new audit_call(query, resultHandler, this, ___protocolFactory, ___transport);
+      this.___currentMethod = method_call;
+      ___manager.call(method_call);
+    }
+
+    public static class audit_call extends org.apache.thrift.async.TAsyncMethodCall<AuditPage> {
+      private AuditQuery query;
+      public audit_call(AuditQuery query, org.apache.thrift.async.AsyncMethodCallback<AuditPage> resultHandler, org.apache.thrift.async.TAsyncClient client, org.apache.thrift.protocol.TProtocolFactory protocolFactory, org.apache.thrift.transport.TNonblockingTransport transport) throws org.apache.thrift.TException {
+        super(client, protocolFactory, transport, resultHandler, false);
+        this.query = query;
+      }
+
+      @Override
+      public void write_args(org.apache.thrift.protocol.TProtocol prot) throws org.apache.thrift.TException {
+        prot.writeMessageBegin(new org.apache.thrift.protocol.TMessage("audit", org.apache.thrift.protocol.TMessageType.CALL, 0));
+        audit_args args = new audit_args();
+        args.setQuery(query);
+        args.write(prot);
+        prot.writeMessageEnd();
+      }
+
+      @Override
+      public AuditPage getResult() throws org.apache.thrift.TException {
+        if (getState() != org.apache.thrift.async.TAsyncMethodCall.State.RESPONSE_READ) {
+          throw new java.lang.IllegalStateException("Method call not finished!");
+        }
+        org.apache.thrift.transport.TMemoryInputTransport memoryTransport = new org.apache.thrift.transport.TMemoryInputTransport(getFrameBuffer().array());
+        org.apache.thrift.protocol.TProtocol prot = client.getProtocolFactory().getProtocol(memoryTransport);
+        return (new Client(prot)).recv_audit();
+      }
+    }
+
   }
 
   public static class Processor<I extends Iface> extends org.apache.thrift.TBaseProcessor<I> implements org.apache.thrift.TProcessor {
@@ -273,6 +341,7 @@
       processMap.put("fetch", new fetch());
       processMap.put("notify", new notify());
       processMap.put("write", new write());
+      processMap.put("audit", new audit());
       return processMap;
     }
 
@@ -360,6 +429,34 @@
       }
     }
 
+    public static class audit<I extends Iface> extends org.apache.thrift.ProcessFunction<I, audit_args> {
+      public audit() {
+        super("audit");
+      }
+
+      @Override
+      public audit_args getEmptyArgsInstance() {
+        return new audit_args();
+      }
+
+      @Override
+      protected boolean isOneway() {
+        return false;
+      }
+
+      @Override
+      protected boolean rethrowUnhandledExceptions() {
+        return false;
+      }
+
+      @Override
+      public audit_result getResult(I iface, audit_args args) throws org.apache.thrift.TException {
+        audit_result result = new audit_result();
+        result.success = iface.audit(args.query);
+        return result;
+      }
+    }
+
   }
 
   public static class AsyncProcessor<I extends AsyncIface> extends org.apache.thrift.TBaseAsyncProcessor<I> {
@@ -376,6 +473,7 @@
       processMap.put("fetch", new fetch());
       processMap.put("notify", new notify());
       processMap.put("write", new write());
+      processMap.put("audit", new audit());
       return processMap;
     }
 
@@ -580,6 +678,73 @@
       }
     }
 
+    public static class audit<I extends AsyncIface> extends org.apache.thrift.AsyncProcessFunction<I, audit_args, AuditPage> {
+      public audit() {
+        super("audit");
+      }
+
+      @Override
+      public audit_args getEmptyArgsInstance() {
+        return new audit_args();
+      }
+
+      @Override
+      public org.apache.thrift.async.AsyncMethodCallback<AuditPage> getResultHandler(final org.apache.thrift.server.AbstractNonblockingServer.AsyncFrameBuffer fb, final int seqid) {
+        final org.apache.thrift.AsyncProcessFunction fcall = this;
+        return new org.apache.thrift.async.AsyncMethodCallback<AuditPage>() { 
+          @Override
+          public void onComplete(AuditPage o) {
+            audit_result result = new audit_result();
+            result.success = o;
+            try {
+              fcall.sendResponse(fb, result, org.apache.thrift.protocol.TMessageType.REPLY,seqid);
+            } catch (org.apache.thrift.transport.TTransportException e) {
+              _LOGGER.error("TTransportException writing to internal frame buffer", e);
+              fb.close();
+            } catch (java.lang.Exception e) {
+              _LOGGER.error("Exception writing to internal frame buffer", e);
+              onError(e);
+            }
+          }
+          @Override
+          public void onError(java.lang.Exception e) {
+            byte msgType = org.apache.thrift.protocol.TMessageType.REPLY;
+            org.apache.thrift.TSerializable msg;
+            audit_result result = new audit_result();
+            if (e instanceof org.apache.thrift.transport.TTransportException) {
+              _LOGGER.error("TTransportException inside handler", e);
+              fb.close();
+              return;
+            } else if (e instanceof org.apache.thrift.TApplicationException) {
+              _LOGGER.error("TApplicationException inside handler", e);
+              msgType = org.apache.thrift.protocol.TMessageType.EXCEPTION;
+              msg = (org.apache.thrift.TApplicationException)e;
+            } else {
+              _LOGGER.error("Exception inside handler", e);
+              msgType = org.apache.thrift.protocol.TMessageType.EXCEPTION;
+              msg = new org.apache.thrift.TApplicationException(org.apache.thrift.TApplicationException.INTERNAL_ERROR, e.getMessage());
+            }
+            try {
+              fcall.sendResponse(fb,msg,msgType,seqid);
+            } catch (java.lang.Exception ex) {
+              _LOGGER.error("Exception writing to internal frame buffer", ex);
+              fb.close();
+            }
+          }
+        };
+      }
+
+      @Override
+      protected boolean isOneway() {
+        return false;
+      }
+
+      @Override
+      public void start(I iface, audit_args args, org.apache.thrift.async.AsyncMethodCallback<AuditPage> resultHandler) throws org.apache.thrift.TException {
+        iface.audit(args.query,resultHandler);
+      }
+    }
+
   }
 
   @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
@@ -2883,4 +3048,771 @@
     }
   }
 
+  @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
+  public static class audit_args implements org.apache.thrift.TBase<audit_args, audit_args._Fields>, java.io.Serializable, Cloneable, Comparable<audit_args>   {
+    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("audit_args");
+
+    private static final org.apache.thrift.protocol.TField QUERY_FIELD_DESC = new org.apache.thrift.protocol.TField("query", org.apache.thrift.protocol.TType.STRUCT, (short)1);
+
+    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new audit_argsStandardSchemeFactory();
+    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new audit_argsTupleSchemeFactory();
+
+    private @org.apache.thrift.annotation.Nullable AuditQuery query; // required
+
+    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+      QUERY((short)1, "query");
+
+      private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
+
+      static {
+        for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+          byName.put(field.getFieldName(), field);
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByThriftId(int fieldId) {
+        switch(fieldId) {
+          case 1: // QUERY
+            return QUERY;
+          default:
+            return null;
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, throwing an exception
+       * if it is not found.
+       */
+      public static _Fields findByThriftIdOrThrow(int fieldId) {
+        _Fields fields = findByThriftId(fieldId);
+        if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+        return fields;
+      }
+
+      /**
+       * Find the _Fields constant that matches name, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByName(java.lang.String name) {
+        return byName.get(name);
+      }
+
+      private final short _thriftId;
+      private final java.lang.String _fieldName;
+
+      _Fields(short thriftId, java.lang.String fieldName) {
+        _thriftId = thriftId;
+        _fieldName = fieldName;
+      }
+
+      @Override
+      public short getThriftFieldId() {
+        return _thriftId;
+      }
+
+      @Override
+      public java.lang.String getFieldName() {
+        return _fieldName;
+      }
+    }
+
+    // isset id assignments
+    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    static {
+      java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+      tmpMap.put(_Fields.QUERY, new org.apache.thrift.meta_data.FieldMetaData("query", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+          new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, AuditQuery.class)));
+      metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+      org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(audit_args.class, metaDataMap);
+    }
+
+    public audit_args() {
+    }
+
+    public audit_args(
+      AuditQuery query)
+    {
+      this();
+      this.query = query;
+    }
+
+    /**
+     * Performs a deep copy on <i>other</i>.
+     */
+    public audit_args(audit_args other) {
+      if (other.isSetQuery()) {
+        this.query = new AuditQuery(other.query);
+      }
+    }
+
+    @Override
+    public audit_args deepCopy() {
+      return new audit_args(this);
+    }
+
+    @Override
+    public void clear() {
+      this.query = null;
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    public AuditQuery getQuery() {
+      return this.query;
+    }
+
+    public audit_args setQuery(@org.apache.thrift.annotation.Nullable AuditQuery query) {
+      this.query = query;
+      return this;
+    }
+
+    public void unsetQuery() {
+      this.query = null;
+    }
+
+    /** Returns true if field query is set (has been assigned a value) and false otherwise */
+    public boolean isSetQuery() {
+      return this.query != null;
+    }
+
+    public void setQueryIsSet(boolean value) {
+      if (!value) {
+        this.query = null;
+      }
+    }
+
+    @Override
+    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+      switch (field) {
+      case QUERY:
+        if (value == null) {
+          unsetQuery();
+        } else {
+          setQuery((AuditQuery)value);
+        }
+        break;
+
+      }
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public java.lang.Object getFieldValue(_Fields field) {
+      switch (field) {
+      case QUERY:
+        return getQuery();
+
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+    @Override
+    public boolean isSet(_Fields field) {
+      if (field == null) {
+        throw new java.lang.IllegalArgumentException();
+      }
+
+      switch (field) {
+      case QUERY:
+        return isSetQuery();
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    @Override
+    public boolean equals(java.lang.Object that) {
+      if (that instanceof audit_args)
+        return this.equals((audit_args)that);
+      return false;
+    }
+
+    public boolean equals(audit_args that) {
+      if (that == null)
+        return false;
+      if (this == that)
+        return true;
+
+      boolean this_present_query = true && this.isSetQuery();
+      boolean that_present_query = true && that.isSetQuery();
+      if (this_present_query || that_present_query) {
+        if (!(this_present_query && that_present_query))
+          return false;
+        if (!this.query.equals(that.query))
+          return false;
+      }
+
+      return true;
+    }
+
+    @Override
+    public int hashCode() {
+      int hashCode = 1;
+
+      hashCode = hashCode * 8191 + ((isSetQuery()) ? 131071 : 524287);
+      if (isSetQuery())
+        hashCode = hashCode * 8191 + query.hashCode();
+
+      return hashCode;
+    }
+
+    @Override
+    public int compareTo(audit_args other) {
+      if (!getClass().equals(other.getClass())) {
+        return getClass().getName().compareTo(other.getClass().getName());
+      }
+
+      int lastComparison = 0;
+
+      lastComparison = java.lang.Boolean.compare(isSetQuery(), other.isSetQuery());
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+      if (isSetQuery()) {
+        lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.query, other.query);
+        if (lastComparison != 0) {
+          return lastComparison;
+        }
+      }
+      return 0;
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public _Fields fieldForId(int fieldId) {
+      return _Fields.findByThriftId(fieldId);
+    }
+
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+      scheme(iprot).read(iprot, this);
+    }
+
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+      scheme(oprot).write(oprot, this);
+    }
+
+    @Override
+    public java.lang.String toString() {
+      java.lang.StringBuilder sb = new java.lang.StringBuilder("audit_args(");
+      boolean first = true;
+
+      sb.append("query:");
+      if (this.query == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.query);
+      }
+      first = false;
+      sb.append(")");
+      return sb.toString();
+    }
+
+    public void validate() throws org.apache.thrift.TException {
+      // check for required fields
+      // check for sub-struct validity
+      if (query != null) {
+        query.validate();
+      }
+    }
+
+    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+      try {
+        write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+      try {
+        read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private static class audit_argsStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public audit_argsStandardScheme getScheme() {
+        return new audit_argsStandardScheme();
+      }
+    }
+
+    private static class audit_argsStandardScheme extends org.apache.thrift.scheme.StandardScheme<audit_args> {
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol iprot, audit_args struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TField schemeField;
+        iprot.readStructBegin();
+        while (true)
+        {
+          schemeField = iprot.readFieldBegin();
+          if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+            break;
+          }
+          switch (schemeField.id) {
+            case 1: // QUERY
+              if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+                struct.query = new AuditQuery();
+                struct.query.read(iprot);
+                struct.setQueryIsSet(true);
+              } else { 
+                org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+              }
+              break;
+            default:
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+          }
+          iprot.readFieldEnd();
+        }
+        iprot.readStructEnd();
+
+        // check for required fields of primitive type, which can't be checked in the validate method
+        struct.validate();
+      }
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol oprot, audit_args struct) throws org.apache.thrift.TException {
+        struct.validate();
+
+        oprot.writeStructBegin(STRUCT_DESC);
+        if (struct.query != null) {
+          oprot.writeFieldBegin(QUERY_FIELD_DESC);
+          struct.query.write(oprot);
+          oprot.writeFieldEnd();
+        }
+        oprot.writeFieldStop();
+        oprot.writeStructEnd();
+      }
+
+    }
+
+    private static class audit_argsTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public audit_argsTupleScheme getScheme() {
+        return new audit_argsTupleScheme();
+      }
+    }
+
+    private static class audit_argsTupleScheme extends org.apache.thrift.scheme.TupleScheme<audit_args> {
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol prot, audit_args struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+        java.util.BitSet optionals = new java.util.BitSet();
+        if (struct.isSetQuery()) {
+          optionals.set(0);
+        }
+        oprot.writeBitSet(optionals, 1);
+        if (struct.isSetQuery()) {
+          struct.query.write(oprot);
+        }
+      }
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol prot, audit_args struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+        java.util.BitSet incoming = iprot.readBitSet(1);
+        if (incoming.get(0)) {
+          struct.query = new AuditQuery();
+          struct.query.read(iprot);
+          struct.setQueryIsSet(true);
+        }
+      }
+    }
+
+    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+      return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+    }
+  }
+
+  @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
+  public static class audit_result implements org.apache.thrift.TBase<audit_result, audit_result._Fields>, java.io.Serializable, Cloneable, Comparable<audit_result>   {
+    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("audit_result");
+
+    private static final org.apache.thrift.protocol.TField SUCCESS_FIELD_DESC = new org.apache.thrift.protocol.TField("success", org.apache.thrift.protocol.TType.STRUCT, (short)0);
+
+    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new audit_resultStandardSchemeFactory();
+    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new audit_resultTupleSchemeFactory();
+
+    private @org.apache.thrift.annotation.Nullable AuditPage success; // required
+
+    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+      SUCCESS((short)0, "success");
+
+      private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
+
+      static {
+        for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+          byName.put(field.getFieldName(), field);
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByThriftId(int fieldId) {
+        switch(fieldId) {
+          case 0: // SUCCESS
+            return SUCCESS;
+          default:
+            return null;
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, throwing an exception
+       * if it is not found.
+       */
+      public static _Fields findByThriftIdOrThrow(int fieldId) {
+        _Fields fields = findByThriftId(fieldId);
+        if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+        return fields;
+      }
+
+      /**
+       * Find the _Fields constant that matches name, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByName(java.lang.String name) {
+        return byName.get(name);
+      }
+
+      private final short _thriftId;
+      private final java.lang.String _fieldName;
+
+      _Fields(short thriftId, java.lang.String fieldName) {
+        _thriftId = thriftId;
+        _fieldName = fieldName;
+      }
+
+      @Override
+      public short getThriftFieldId() {
+        return _thriftId;
+      }
+
+      @Override
+      public java.lang.String getFieldName() {
+        return _fieldName;
+      }
+    }
+
+    // isset id assignments
+    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    static {
+      java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+      tmpMap.put(_Fields.SUCCESS, new org.apache.thrift.meta_data.FieldMetaData("success", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+          new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, AuditPage.class)));
+      metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+      org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(audit_result.class, metaDataMap);
+    }
+
+    public audit_result() {
+    }
+
+    public audit_result(
+      AuditPage success)
+    {
+      this();
+      this.success = success;
+    }
+
+    /**
+     * Performs a deep copy on <i>other</i>.
+     */
+    public audit_result(audit_result other) {
+      if (other.isSetSuccess()) {
+        this.success = new AuditPage(other.success);
+      }
+    }
+
+    @Override
+    public audit_result deepCopy() {
+      return new audit_result(this);
+    }
+
+    @Override
+    public void clear() {
+      this.success = null;
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    public AuditPage getSuccess() {
+      return this.success;
+    }
+
+    public audit_result setSuccess(@org.apache.thrift.annotation.Nullable AuditPage success) {
+      this.success = success;
+      return this;
+    }
+
+    public void unsetSuccess() {
+      this.success = null;
+    }
+
+    /** Returns true if field success is set (has been assigned a value) and false otherwise */
+    public boolean isSetSuccess() {
+      return this.success != null;
+    }
+
+    public void setSuccessIsSet(boolean value) {
+      if (!value) {
+        this.success = null;
+      }
+    }
+
+    @Override
+    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+      switch (field) {
+      case SUCCESS:
+        if (value == null) {
+          unsetSuccess();
+        } else {
+          setSuccess((AuditPage)value);
+        }
+        break;
+
+      }
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public java.lang.Object getFieldValue(_Fields field) {
+      switch (field) {
+      case SUCCESS:
+        return getSuccess();
+
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+    @Override
+    public boolean isSet(_Fields field) {
+      if (field == null) {
+        throw new java.lang.IllegalArgumentException();
+      }
+
+      switch (field) {
+      case SUCCESS:
+        return isSetSuccess();
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    @Override
+    public boolean equals(java.lang.Object that) {
+      if (that instanceof audit_result)
+        return this.equals((audit_result)that);
+      return false;
+    }
+
+    public boolean equals(audit_result that) {
+      if (that == null)
+        return false;
+      if (this == that)
+        return true;
+
+      boolean this_present_success = true && this.isSetSuccess();
+      boolean that_present_success = true && that.isSetSuccess();
+      if (this_present_success || that_present_success) {
+        if (!(this_present_success && that_present_success))
+          return false;
+        if (!this.success.equals(that.success))
+          return false;
+      }
+
+      return true;
+    }
+
+    @Override
+    public int hashCode() {
+      int hashCode = 1;
+
+      hashCode = hashCode * 8191 + ((isSetSuccess()) ? 131071 : 524287);
+      if (isSetSuccess())
+        hashCode = hashCode * 8191 + success.hashCode();
+
+      return hashCode;
+    }
+
+    @Override
+    public int compareTo(audit_result other) {
+      if (!getClass().equals(other.getClass())) {
+        return getClass().getName().compareTo(other.getClass().getName());
+      }
+
+      int lastComparison = 0;
+
+      lastComparison = java.lang.Boolean.compare(isSetSuccess(), other.isSetSuccess());
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+      if (isSetSuccess()) {
+        lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.success, other.success);
+        if (lastComparison != 0) {
+          return lastComparison;
+        }
+      }
+      return 0;
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public _Fields fieldForId(int fieldId) {
+      return _Fields.findByThriftId(fieldId);
+    }
+
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+      scheme(iprot).read(iprot, this);
+    }
+
+    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+      scheme(oprot).write(oprot, this);
+      }
+
+    @Override
+    public java.lang.String toString() {
+      java.lang.StringBuilder sb = new java.lang.StringBuilder("audit_result(");
+      boolean first = true;
+
+      sb.append("success:");
+      if (this.success == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.success);
+      }
+      first = false;
+      sb.append(")");
+      return sb.toString();
+    }
+
+    public void validate() throws org.apache.thrift.TException {
+      // check for required fields
+      // check for sub-struct validity
+      if (success != null) {
+        success.validate();
+      }
+    }
+
+    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+      try {
+        write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+      try {
+        read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private static class audit_resultStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public audit_resultStandardScheme getScheme() {
+        return new audit_resultStandardScheme();
+      }
+    }
+
+    private static class audit_resultStandardScheme extends org.apache.thrift.scheme.StandardScheme<audit_result> {
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol iprot, audit_result struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TField schemeField;
+        iprot.readStructBegin();
+        while (true)
+        {
+          schemeField = iprot.readFieldBegin();
+          if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+            break;
+          }
+          switch (schemeField.id) {
+            case 0: // SUCCESS
+              if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+                struct.success = new AuditPage();
+                struct.success.read(iprot);
+                struct.setSuccessIsSet(true);
+              } else { 
+                org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+              }
+              break;
+            default:
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+          }
+          iprot.readFieldEnd();
+        }
+        iprot.readStructEnd();
+
+        // check for required fields of primitive type, which can't be checked in the validate method
+        struct.validate();
+      }
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol oprot, audit_result struct) throws org.apache.thrift.TException {
+        struct.validate();
+
+        oprot.writeStructBegin(STRUCT_DESC);
+        if (struct.success != null) {
+          oprot.writeFieldBegin(SUCCESS_FIELD_DESC);
+          struct.success.write(oprot);
+          oprot.writeFieldEnd();
+        }
+        oprot.writeFieldStop();
+        oprot.writeStructEnd();
+      }
+
+    }
+
+    private static class audit_resultTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public audit_resultTupleScheme getScheme() {
+        return new audit_resultTupleScheme();
+      }
+    }
+
+    private static class audit_resultTupleScheme extends org.apache.thrift.scheme.TupleScheme<audit_result> {
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol prot, audit_result struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+        java.util.BitSet optionals = new java.util.BitSet();
+        if (struct.isSetSuccess()) {
+          optionals.set(0);
+        }
+        oprot.writeBitSet(optionals, 1);
+        if (struct.isSetSuccess()) {
+          struct.success.write(oprot);
+        }
+      }
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol prot, audit_result struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+        java.util.BitSet incoming = iprot.readBitSet(1);
+        if (incoming.get(0)) {
+          struct.success = new AuditPage();
+          struct.success.read(iprot);
+          struct.setSuccessIsSet(true);
+        }
+      }
+    }
+
+    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+      return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+    }
+  }
+
 }
--- a/protocol/src/main/java/org/sequoiahill/protocol/gen/ConfigurationWrite.java
+++ b/protocol/src/main/java/org/sequoiahill/protocol/gen/ConfigurationWrite.java
@@ -17,6 +17,7 @@
   private static final org.apache.thrift.protocol.TField NAME_FIELD_DESC = new org.apache.thrift.protocol.TField("name", org.apache.thrift.protocol.TType.STRING, (short)5);
   private static final org.apache.thrift.protocol.TField REPLACES_REVISION_FIELD_DESC = new org.apache.thrift.protocol.TField("replacesRevision", org.apache.thrift.protocol.TType.I64, (short)6);
   private static final org.apache.thrift.protocol.TField BODY_FIELD_DESC = new org.apache.thrift.protocol.TField("body", org.apache.thrift.protocol.TType.STRING, (short)7);
+  private static final org.apache.thrift.protocol.TField ACTOR_TEAM_FIELD_DESC = new org.apache.thrift.protocol.TField("actorTeam", org.apache.thrift.protocol.TType.STRING, (short)8);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new ConfigurationWriteStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new ConfigurationWriteTupleSchemeFactory();
@@ -28,6 +29,7 @@
   private @org.apache.thrift.annotation.Nullable java.lang.String name; // required
   private long replacesRevision; // required
   private @org.apache.thrift.annotation.Nullable java.lang.String body; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String actorTeam; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -41,7 +43,11 @@
     KIND((short)4, "kind"),
     NAME((short)5, "name"),
     REPLACES_REVISION((short)6, "replacesRevision"),
-    BODY((short)7, "body");
+    BODY((short)7, "body"),
+    /**
+     * Team whose documents the actor may change; * for all.
+     */
+    ACTOR_TEAM((short)8, "actorTeam");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -71,6 +77,8 @@
           return REPLACES_REVISION;
         case 7: // BODY
           return BODY;
+        case 8: // ACTOR_TEAM
+          return ACTOR_TEAM;
         default:
           return null;
       }
@@ -133,6 +141,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.BODY, new org.apache.thrift.meta_data.FieldMetaData("body", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.ACTOR_TEAM, new org.apache.thrift.meta_data.FieldMetaData("actorTeam", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ConfigurationWrite.class, metaDataMap);
   }
@@ -147,7 +157,8 @@
     DocumentKind kind,
     java.lang.String name,
     long replacesRevision,
-    java.lang.String body)
+    java.lang.String body,
+    java.lang.String actorTeam)
   {
     this();
     this.sender = sender;
@@ -158,6 +169,7 @@
     this.replacesRevision = replacesRevision;
     setReplacesRevisionIsSet(true);
     this.body = body;
+    this.actorTeam = actorTeam;
   }
 
   /**
@@ -184,6 +196,9 @@
     if (other.isSetBody()) {
       this.body = other.body;
     }
+    if (other.isSetActorTeam()) {
+      this.actorTeam = other.actorTeam;
+    }
   }
 
   @Override
@@ -201,6 +216,7 @@
     setReplacesRevisionIsSet(false);
     this.replacesRevision = 0;
     this.body = null;
+    this.actorTeam = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -384,6 +400,37 @@
     }
   }
 
+  /**
+   * Team whose documents the actor may change; * for all.
+   */
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getActorTeam() {
+    return this.actorTeam;
+  }
+
+  /**
+   * Team whose documents the actor may change; * for all.
+   */
+  public ConfigurationWrite setActorTeam(@org.apache.thrift.annotation.Nullable java.lang.String actorTeam) {
+    this.actorTeam = actorTeam;
+    return this;
+  }
+
+  public void unsetActorTeam() {
+    this.actorTeam = null;
+  }
+
+  /** Returns true if field actorTeam is set (has been assigned a value) and false otherwise */
+  public boolean isSetActorTeam() {
+    return this.actorTeam != null;
+  }
+
+  public void setActorTeamIsSet(boolean value) {
+    if (!value) {
+      this.actorTeam = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -443,6 +490,14 @@
       }
       break;
 
+    case ACTOR_TEAM:
+      if (value == null) {
+        unsetActorTeam();
+      } else {
+        setActorTeam((java.lang.String)value);
+      }
+      break;
+
     }
   }
 
@@ -471,6 +526,9 @@
     case BODY:
       return getBody();
 
+    case ACTOR_TEAM:
+      return getActorTeam();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -497,6 +555,8 @@
       return isSetReplacesRevision();
     case BODY:
       return isSetBody();
+    case ACTOR_TEAM:
+      return isSetActorTeam();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -577,6 +637,15 @@
         return false;
     }
 
+    boolean this_present_actorTeam = true && this.isSetActorTeam();
+    boolean that_present_actorTeam = true && that.isSetActorTeam();
+    if (this_present_actorTeam || that_present_actorTeam) {
+      if (!(this_present_actorTeam && that_present_actorTeam))
+        return false;
+      if (!this.actorTeam.equals(that.actorTeam))
+        return false;
+    }
+
     return true;
   }
 
@@ -610,6 +679,10 @@
     if (isSetBody())
       hashCode = hashCode * 8191 + body.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetActorTeam()) ? 131071 : 524287);
+    if (isSetActorTeam())
+      hashCode = hashCode * 8191 + actorTeam.hashCode();
+
     return hashCode;
   }
 
@@ -691,6 +764,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetActorTeam(), other.isSetActorTeam());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetActorTeam()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.actorTeam, other.actorTeam);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -766,6 +849,14 @@
       sb.append(this.body);
     }
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("actorTeam:");
+    if (this.actorTeam == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.actorTeam);
+    }
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -873,6 +964,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 8: // ACTOR_TEAM
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.actorTeam = iprot.readString();
+              struct.setActorTeamIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -922,6 +1021,11 @@
         oprot.writeString(struct.body);
         oprot.writeFieldEnd();
       }
+      if (struct.actorTeam != null) {
+        oprot.writeFieldBegin(ACTOR_TEAM_FIELD_DESC);
+        oprot.writeString(struct.actorTeam);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -962,7 +1066,10 @@
       if (struct.isSetBody()) {
         optionals.set(6);
       }
-      oprot.writeBitSet(optionals, 7);
+      if (struct.isSetActorTeam()) {
+        optionals.set(7);
+      }
+      oprot.writeBitSet(optionals, 8);
       if (struct.isSetSender()) {
         struct.sender.write(oprot);
       }
@@ -984,12 +1091,15 @@
       if (struct.isSetBody()) {
         oprot.writeString(struct.body);
       }
+      if (struct.isSetActorTeam()) {
+        oprot.writeString(struct.actorTeam);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, ConfigurationWrite struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(7);
+      java.util.BitSet incoming = iprot.readBitSet(8);
       if (incoming.get(0)) {
         struct.sender = new org.sequoiahill.protocol.gen.Sender();
         struct.sender.read(iprot);
@@ -1019,6 +1129,10 @@
         struct.body = iprot.readString();
         struct.setBodyIsSet(true);
       }
+      if (incoming.get(7)) {
+        struct.actorTeam = iprot.readString();
+        struct.setActorTeamIsSet(true);
+      }
     }
   }
 
--- a/protocol/src/main/java/org/sequoiahill/protocol/gen/ServiceSummary.java
+++ b/protocol/src/main/java/org/sequoiahill/protocol/gen/ServiceSummary.java
@@ -18,6 +18,10 @@
   private static final org.apache.thrift.protocol.TField ENDPOINTS_FIELD_DESC = new org.apache.thrift.protocol.TField("endpoints", org.apache.thrift.protocol.TType.I32, (short)3);
   private static final org.apache.thrift.protocol.TField CAPACITY_FIELD_DESC = new org.apache.thrift.protocol.TField("capacity", org.apache.thrift.protocol.TType.I32, (short)4);
   private static final org.apache.thrift.protocol.TField RUNNING_FIELD_DESC = new org.apache.thrift.protocol.TField("running", org.apache.thrift.protocol.TType.I32, (short)5);
+  private static final org.apache.thrift.protocol.TField VERSION_NAME_FIELD_DESC = new org.apache.thrift.protocol.TField("versionName", org.apache.thrift.protocol.TType.STRING, (short)6);
+  private static final org.apache.thrift.protocol.TField CHUNKS_HELD_FIELD_DESC = new org.apache.thrift.protocol.TField("chunksHeld", org.apache.thrift.protocol.TType.I64, (short)7);
+  private static final org.apache.thrift.protocol.TField CHUNKS_STATED_FIELD_DESC = new org.apache.thrift.protocol.TField("chunksStated", org.apache.thrift.protocol.TType.I64, (short)8);
+  private static final org.apache.thrift.protocol.TField LOWEST_REVISION_FIELD_DESC = new org.apache.thrift.protocol.TField("lowestRevision", org.apache.thrift.protocol.TType.I64, (short)9);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new ServiceSummaryStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new ServiceSummaryTupleSchemeFactory();
@@ -27,6 +31,10 @@
   private int endpoints; // required
   private int capacity; // required
   private int running; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String versionName; // required
+  private long chunksHeld; // required
+  private long chunksStated; // required
+  private long lowestRevision; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -34,7 +42,17 @@
     VERSION_DIGEST((short)2, "versionDigest"),
     ENDPOINTS((short)3, "endpoints"),
     CAPACITY((short)4, "capacity"),
-    RUNNING((short)5, "running");
+    RUNNING((short)5, "running"),
+    VERSION_NAME((short)6, "versionName"),
+    /**
+     * Chunks of the stated version that the endpoints hold together, and that they need together.
+     */
+    CHUNKS_HELD((short)7, "chunksHeld"),
+    CHUNKS_STATED((short)8, "chunksStated"),
+    /**
+     * Lowest configuration revision in force at one of the endpoints.
+     */
+    LOWEST_REVISION((short)9, "lowestRevision");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -60,6 +78,14 @@
           return CAPACITY;
         case 5: // RUNNING
           return RUNNING;
+        case 6: // VERSION_NAME
+          return VERSION_NAME;
+        case 7: // CHUNKS_HELD
+          return CHUNKS_HELD;
+        case 8: // CHUNKS_STATED
+          return CHUNKS_STATED;
+        case 9: // LOWEST_REVISION
+          return LOWEST_REVISION;
         default:
           return null;
       }
@@ -106,6 +132,9 @@
   private static final int __ENDPOINTS_ISSET_ID = 0;
   private static final int __CAPACITY_ISSET_ID = 1;
   private static final int __RUNNING_ISSET_ID = 2;
+  private static final int __CHUNKSHELD_ISSET_ID = 3;
+  private static final int __CHUNKSSTATED_ISSET_ID = 4;
+  private static final int __LOWESTREVISION_ISSET_ID = 5;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
@@ -120,6 +149,14 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
     tmpMap.put(_Fields.RUNNING, new org.apache.thrift.meta_data.FieldMetaData("running", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
+    tmpMap.put(_Fields.VERSION_NAME, new org.apache.thrift.meta_data.FieldMetaData("versionName", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.CHUNKS_HELD, new org.apache.thrift.meta_data.FieldMetaData("chunksHeld", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.CHUNKS_STATED, new org.apache.thrift.meta_data.FieldMetaData("chunksStated", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.LOWEST_REVISION, new org.apache.thrift.meta_data.FieldMetaData("lowestRevision", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ServiceSummary.class, metaDataMap);
   }
@@ -132,7 +169,11 @@
     java.lang.String versionDigest,
     int endpoints,
     int capacity,
-    int running)
+    int running,
+    java.lang.String versionName,
+    long chunksHeld,
+    long chunksStated,
+    long lowestRevision)
   {
     this();
     this.serviceName = serviceName;
@@ -143,6 +184,13 @@
     setCapacityIsSet(true);
     this.running = running;
     setRunningIsSet(true);
+    this.versionName = versionName;
+    this.chunksHeld = chunksHeld;
+    setChunksHeldIsSet(true);
+    this.chunksStated = chunksStated;
+    setChunksStatedIsSet(true);
+    this.lowestRevision = lowestRevision;
+    setLowestRevisionIsSet(true);
   }
 
   /**
@@ -159,6 +207,12 @@
     this.endpoints = other.endpoints;
     this.capacity = other.capacity;
     this.running = other.running;
+    if (other.isSetVersionName()) {
+      this.versionName = other.versionName;
+    }
+    this.chunksHeld = other.chunksHeld;
+    this.chunksStated = other.chunksStated;
+    this.lowestRevision = other.lowestRevision;
   }
 
   @Override
@@ -176,6 +230,13 @@
     this.capacity = 0;
     setRunningIsSet(false);
     this.running = 0;
+    this.versionName = null;
+    setChunksHeldIsSet(false);
+    this.chunksHeld = 0;
+    setChunksStatedIsSet(false);
+    this.chunksStated = 0;
+    setLowestRevisionIsSet(false);
+    this.lowestRevision = 0;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -297,6 +358,112 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __RUNNING_ISSET_ID, value);
   }
 
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getVersionName() {
+    return this.versionName;
+  }
+
+  public ServiceSummary setVersionName(@org.apache.thrift.annotation.Nullable java.lang.String versionName) {
+    this.versionName = versionName;
+    return this;
+  }
+
+  public void unsetVersionName() {
+    this.versionName = null;
+  }
+
+  /** Returns true if field versionName is set (has been assigned a value) and false otherwise */
+  public boolean isSetVersionName() {
+    return this.versionName != null;
+  }
+
+  public void setVersionNameIsSet(boolean value) {
+    if (!value) {
+      this.versionName = null;
+    }
+  }
+
+  /**
+   * Chunks of the stated version that the endpoints hold together, and that they need together.
+   */
+  public long getChunksHeld() {
+    return this.chunksHeld;
+  }
+
+  /**
+   * Chunks of the stated version that the endpoints hold together, and that they need together.
+   */
+  public ServiceSummary setChunksHeld(long chunksHeld) {
+    this.chunksHeld = chunksHeld;
+    setChunksHeldIsSet(true);
+    return this;
+  }
+
+  public void unsetChunksHeld() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __CHUNKSHELD_ISSET_ID);
+  }
+
+  /** Returns true if field chunksHeld is set (has been assigned a value) and false otherwise */
+  public boolean isSetChunksHeld() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __CHUNKSHELD_ISSET_ID);
+  }
+
+  public void setChunksHeldIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __CHUNKSHELD_ISSET_ID, value);
+  }
+
+  public long getChunksStated() {
+    return this.chunksStated;
+  }
+
+  public ServiceSummary setChunksStated(long chunksStated) {
+    this.chunksStated = chunksStated;
+    setChunksStatedIsSet(true);
+    return this;
+  }
+
+  public void unsetChunksStated() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __CHUNKSSTATED_ISSET_ID);
+  }
+
+  /** Returns true if field chunksStated is set (has been assigned a value) and false otherwise */
+  public boolean isSetChunksStated() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __CHUNKSSTATED_ISSET_ID);
+  }
+
+  public void setChunksStatedIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __CHUNKSSTATED_ISSET_ID, value);
+  }
+
+  /**
+   * Lowest configuration revision in force at one of the endpoints.
+   */
+  public long getLowestRevision() {
+    return this.lowestRevision;
+  }
+
+  /**
+   * Lowest configuration revision in force at one of the endpoints.
+   */
+  public ServiceSummary setLowestRevision(long lowestRevision) {
+    this.lowestRevision = lowestRevision;
+    setLowestRevisionIsSet(true);
+    return this;
+  }
+
+  public void unsetLowestRevision() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __LOWESTREVISION_ISSET_ID);
+  }
+
+  /** Returns true if field lowestRevision is set (has been assigned a value) and false otherwise */
+  public boolean isSetLowestRevision() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __LOWESTREVISION_ISSET_ID);
+  }
+
+  public void setLowestRevisionIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __LOWESTREVISION_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -340,6 +507,38 @@
       }
       break;
 
+    case VERSION_NAME:
+      if (value == null) {
+        unsetVersionName();
+      } else {
+        setVersionName((java.lang.String)value);
+      }
+      break;
+
+    case CHUNKS_HELD:
+      if (value == null) {
+        unsetChunksHeld();
+      } else {
+        setChunksHeld((java.lang.Long)value);
+      }
+      break;
+
+    case CHUNKS_STATED:
+      if (value == null) {
+        unsetChunksStated();
+      } else {
+        setChunksStated((java.lang.Long)value);
+      }
+      break;
+
+    case LOWEST_REVISION:
+      if (value == null) {
+        unsetLowestRevision();
+      } else {
+        setLowestRevision((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -362,6 +561,18 @@
     case RUNNING:
       return getRunning();
 
+    case VERSION_NAME:
+      return getVersionName();
+
+    case CHUNKS_HELD:
+      return getChunksHeld();
+
+    case CHUNKS_STATED:
+      return getChunksStated();
+
+    case LOWEST_REVISION:
+      return getLowestRevision();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -384,6 +595,14 @@
       return isSetCapacity();
     case RUNNING:
       return isSetRunning();
+    case VERSION_NAME:
+      return isSetVersionName();
+    case CHUNKS_HELD:
+      return isSetChunksHeld();
+    case CHUNKS_STATED:
+      return isSetChunksStated();
+    case LOWEST_REVISION:
+      return isSetLowestRevision();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -446,6 +665,42 @@
         return false;
     }
 
+    boolean this_present_versionName = true && this.isSetVersionName();
+    boolean that_present_versionName = true && that.isSetVersionName();
+    if (this_present_versionName || that_present_versionName) {
+      if (!(this_present_versionName && that_present_versionName))
+        return false;
+      if (!this.versionName.equals(that.versionName))
+        return false;
+    }
+
+    boolean this_present_chunksHeld = true;
+    boolean that_present_chunksHeld = true;
+    if (this_present_chunksHeld || that_present_chunksHeld) {
+      if (!(this_present_chunksHeld && that_present_chunksHeld))
+        return false;
+      if (this.chunksHeld != that.chunksHeld)
+        return false;
+    }
+
+    boolean this_present_chunksStated = true;
+    boolean that_present_chunksStated = true;
+    if (this_present_chunksStated || that_present_chunksStated) {
+      if (!(this_present_chunksStated && that_present_chunksStated))
+        return false;
+      if (this.chunksStated != that.chunksStated)
+        return false;
+    }
+
+    boolean this_present_lowestRevision = true;
+    boolean that_present_lowestRevision = true;
+    if (this_present_lowestRevision || that_present_lowestRevision) {
+      if (!(this_present_lowestRevision && that_present_lowestRevision))
+        return false;
+      if (this.lowestRevision != that.lowestRevision)
+        return false;
+    }
+
     return true;
   }
 
@@ -467,6 +722,16 @@
 
     hashCode = hashCode * 8191 + running;
 
+    hashCode = hashCode * 8191 + ((isSetVersionName()) ? 131071 : 524287);
+    if (isSetVersionName())
+      hashCode = hashCode * 8191 + versionName.hashCode();
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(chunksHeld);
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(chunksStated);
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(lowestRevision);
+
     return hashCode;
   }
 
@@ -528,6 +793,46 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetVersionName(), other.isSetVersionName());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetVersionName()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.versionName, other.versionName);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetChunksHeld(), other.isSetChunksHeld());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetChunksHeld()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.chunksHeld, other.chunksHeld);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetChunksStated(), other.isSetChunksStated());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetChunksStated()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.chunksStated, other.chunksStated);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetLowestRevision(), other.isSetLowestRevision());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetLowestRevision()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.lowestRevision, other.lowestRevision);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -579,6 +884,26 @@
     sb.append("running:");
     sb.append(this.running);
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("versionName:");
+    if (this.versionName == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.versionName);
+    }
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("chunksHeld:");
+    sb.append(this.chunksHeld);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("chunksStated:");
+    sb.append(this.chunksStated);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("lowestRevision:");
+    sb.append(this.lowestRevision);
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -666,6 +991,38 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 6: // VERSION_NAME
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.versionName = iprot.readString();
+              struct.setVersionNameIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 7: // CHUNKS_HELD
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.chunksHeld = iprot.readI64();
+              struct.setChunksHeldIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 8: // CHUNKS_STATED
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.chunksStated = iprot.readI64();
+              struct.setChunksStatedIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 9: // LOWEST_REVISION
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.lowestRevision = iprot.readI64();
+              struct.setLowestRevisionIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -701,6 +1058,20 @@
       oprot.writeFieldBegin(RUNNING_FIELD_DESC);
       oprot.writeI32(struct.running);
       oprot.writeFieldEnd();
+      if (struct.versionName != null) {
+        oprot.writeFieldBegin(VERSION_NAME_FIELD_DESC);
+        oprot.writeString(struct.versionName);
+        oprot.writeFieldEnd();
+      }
+      oprot.writeFieldBegin(CHUNKS_HELD_FIELD_DESC);
+      oprot.writeI64(struct.chunksHeld);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(CHUNKS_STATED_FIELD_DESC);
+      oprot.writeI64(struct.chunksStated);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(LOWEST_REVISION_FIELD_DESC);
+      oprot.writeI64(struct.lowestRevision);
+      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -735,7 +1106,19 @@
       if (struct.isSetRunning()) {
         optionals.set(4);
       }
-      oprot.writeBitSet(optionals, 5);
+      if (struct.isSetVersionName()) {
+        optionals.set(5);
+      }
+      if (struct.isSetChunksHeld()) {
+        optionals.set(6);
+      }
+      if (struct.isSetChunksStated()) {
+        optionals.set(7);
+      }
+      if (struct.isSetLowestRevision()) {
+        optionals.set(8);
+      }
+      oprot.writeBitSet(optionals, 9);
       if (struct.isSetServiceName()) {
         oprot.writeString(struct.serviceName);
       }
@@ -751,12 +1134,24 @@
       if (struct.isSetRunning()) {
         oprot.writeI32(struct.running);
       }
+      if (struct.isSetVersionName()) {
+        oprot.writeString(struct.versionName);
+      }
+      if (struct.isSetChunksHeld()) {
+        oprot.writeI64(struct.chunksHeld);
+      }
+      if (struct.isSetChunksStated()) {
+        oprot.writeI64(struct.chunksStated);
+      }
+      if (struct.isSetLowestRevision()) {
+        oprot.writeI64(struct.lowestRevision);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, ServiceSummary struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(5);
+      java.util.BitSet incoming = iprot.readBitSet(9);
       if (incoming.get(0)) {
         struct.serviceName = iprot.readString();
         struct.setServiceNameIsSet(true);
@@ -777,6 +1172,22 @@
         struct.running = iprot.readI32();
         struct.setRunningIsSet(true);
       }
+      if (incoming.get(5)) {
+        struct.versionName = iprot.readString();
+        struct.setVersionNameIsSet(true);
+      }
+      if (incoming.get(6)) {
+        struct.chunksHeld = iprot.readI64();
+        struct.setChunksHeldIsSet(true);
+      }
+      if (incoming.get(7)) {
+        struct.chunksStated = iprot.readI64();
+        struct.setChunksStatedIsSet(true);
+      }
+      if (incoming.get(8)) {
+        struct.lowestRevision = iprot.readI64();
+        struct.setLowestRevisionIsSet(true);
+      }
     }
   }
 
--- a/protocol/src/main/java/org/sequoiahill/protocol/gen/WriteResult.java
+++ b/protocol/src/main/java/org/sequoiahill/protocol/gen/WriteResult.java
@@ -15,6 +15,7 @@
   private static final org.apache.thrift.protocol.TField REVISION_FIELD_DESC = new org.apache.thrift.protocol.TField("revision", org.apache.thrift.protocol.TType.I64, (short)3);
   private static final org.apache.thrift.protocol.TField WINNER_FIELD_DESC = new org.apache.thrift.protocol.TField("winner", org.apache.thrift.protocol.TType.STRUCT, (short)4);
   private static final org.apache.thrift.protocol.TField MESSAGE_FIELD_DESC = new org.apache.thrift.protocol.TField("message", org.apache.thrift.protocol.TType.STRING, (short)5);
+  private static final org.apache.thrift.protocol.TField LEADER_VM_FIELD_DESC = new org.apache.thrift.protocol.TField("leaderVm", org.apache.thrift.protocol.TType.STRING, (short)6);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new WriteResultStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new WriteResultTupleSchemeFactory();
@@ -24,6 +25,7 @@
   private long revision; // required
   private @org.apache.thrift.annotation.Nullable Document winner; // optional
   private @org.apache.thrift.annotation.Nullable java.lang.String message; // optional
+  private @org.apache.thrift.annotation.Nullable java.lang.String leaderVm; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -38,7 +40,11 @@
      * The document that won, where the status is CONFLICT.
      */
     WINNER((short)4, "winner"),
-    MESSAGE((short)5, "message");
+    MESSAGE((short)5, "message"),
+    /**
+     * VM that leads the log, where the status is UNAVAILABLE and the receiver knows it.
+     */
+    LEADER_VM((short)6, "leaderVm");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -64,6 +70,8 @@
           return WINNER;
         case 5: // MESSAGE
           return MESSAGE;
+        case 6: // LEADER_VM
+          return LEADER_VM;
         default:
           return null;
       }
@@ -109,7 +117,7 @@
   // isset id assignments
   private static final int __REVISION_ISSET_ID = 0;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.WINNER,_Fields.MESSAGE};
+  private static final _Fields optionals[] = {_Fields.WINNER,_Fields.MESSAGE,_Fields.LEADER_VM};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -123,6 +131,8 @@
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, Document.class)));
     tmpMap.put(_Fields.MESSAGE, new org.apache.thrift.meta_data.FieldMetaData("message", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.LEADER_VM, new org.apache.thrift.meta_data.FieldMetaData("leaderVm", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(WriteResult.class, metaDataMap);
   }
@@ -160,6 +170,9 @@
     if (other.isSetMessage()) {
       this.message = other.message;
     }
+    if (other.isSetLeaderVm()) {
+      this.leaderVm = other.leaderVm;
+    }
   }
 
   @Override
@@ -175,6 +188,7 @@
     this.revision = 0;
     this.winner = null;
     this.message = null;
+    this.leaderVm = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -314,6 +328,37 @@
     }
   }
 
+  /**
+   * VM that leads the log, where the status is UNAVAILABLE and the receiver knows it.
+   */
+  @org.apache.thrift.annotation.Nullable
+  public java.lang.String getLeaderVm() {
+    return this.leaderVm;
+  }
+
+  /**
+   * VM that leads the log, where the status is UNAVAILABLE and the receiver knows it.
+   */
+  public WriteResult setLeaderVm(@org.apache.thrift.annotation.Nullable java.lang.String leaderVm) {
+    this.leaderVm = leaderVm;
+    return this;
+  }
+
+  public void unsetLeaderVm() {
+    this.leaderVm = null;
+  }
+
+  /** Returns true if field leaderVm is set (has been assigned a value) and false otherwise */
+  public boolean isSetLeaderVm() {
+    return this.leaderVm != null;
+  }
+
+  public void setLeaderVmIsSet(boolean value) {
+    if (!value) {
+      this.leaderVm = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -357,6 +402,14 @@
       }
       break;
 
+    case LEADER_VM:
+      if (value == null) {
+        unsetLeaderVm();
+      } else {
+        setLeaderVm((java.lang.String)value);
+      }
+      break;
+
     }
   }
 
@@ -379,6 +432,9 @@
     case MESSAGE:
       return getMessage();
 
+    case LEADER_VM:
+      return getLeaderVm();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -401,6 +457,8 @@
       return isSetWinner();
     case MESSAGE:
       return isSetMessage();
+    case LEADER_VM:
+      return isSetLeaderVm();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -463,6 +521,15 @@
         return false;
     }
 
+    boolean this_present_leaderVm = true && this.isSetLeaderVm();
+    boolean that_present_leaderVm = true && that.isSetLeaderVm();
+    if (this_present_leaderVm || that_present_leaderVm) {
+      if (!(this_present_leaderVm && that_present_leaderVm))
+        return false;
+      if (!this.leaderVm.equals(that.leaderVm))
+        return false;
+    }
+
     return true;
   }
 
@@ -488,6 +555,10 @@
     if (isSetMessage())
       hashCode = hashCode * 8191 + message.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetLeaderVm()) ? 131071 : 524287);
+    if (isSetLeaderVm())
+      hashCode = hashCode * 8191 + leaderVm.hashCode();
+
     return hashCode;
   }
 
@@ -549,6 +620,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetLeaderVm(), other.isSetLeaderVm());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetLeaderVm()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.leaderVm, other.leaderVm);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -612,6 +693,16 @@
       }
       first = false;
     }
+    if (isSetLeaderVm()) {
+      if (!first) sb.append(", ");
+      sb.append("leaderVm:");
+      if (this.leaderVm == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.leaderVm);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -707,6 +798,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 6: // LEADER_VM
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.leaderVm = iprot.readString();
+              struct.setLeaderVmIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -750,6 +849,13 @@
           oprot.writeFieldEnd();
         }
       }
+      if (struct.leaderVm != null) {
+        if (struct.isSetLeaderVm()) {
+          oprot.writeFieldBegin(LEADER_VM_FIELD_DESC);
+          oprot.writeString(struct.leaderVm);
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -784,7 +890,10 @@
       if (struct.isSetMessage()) {
         optionals.set(4);
       }
-      oprot.writeBitSet(optionals, 5);
+      if (struct.isSetLeaderVm()) {
+        optionals.set(5);
+      }
+      oprot.writeBitSet(optionals, 6);
       if (struct.isSetSender()) {
         struct.sender.write(oprot);
       }
@@ -800,12 +909,15 @@
       if (struct.isSetMessage()) {
         oprot.writeString(struct.message);
       }
+      if (struct.isSetLeaderVm()) {
+        oprot.writeString(struct.leaderVm);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, WriteResult struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(5);
+      java.util.BitSet incoming = iprot.readBitSet(6);
       if (incoming.get(0)) {
         struct.sender = new org.sequoiahill.protocol.gen.Sender();
         struct.sender.read(iprot);
@@ -828,6 +940,10 @@
         struct.message = iprot.readString();
         struct.setMessageIsSet(true);
       }
+      if (incoming.get(5)) {
+        struct.leaderVm = iprot.readString();
+        struct.setLeaderVmIsSet(true);
+      }
     }
   }
 
