Let an endpoint's gate grow from one request and halve when it turns cold

The gate let capacity requests in from the first moment and never took notice of the engine: an engine that had just started, or had turned cold, got full load.

SlowStart is the limit as a plain class: one request at the start, one more a success while the room is used, halved at most once a round on errors or when most first bytes take over four times the usual time; requests that still wait count too, so no report is waited for. EndpointGate bounds bytes as well, keeps a request that must run alone apart, and names why it refuses; every refusal and answer carries Sequoia-Load. RequestPolicy turns slow start off for measurements by a system property.

Weighed: halving on each slow answer (rejected, one long prompt would halve a warm endpoint); growth without use of the room (rejected, an idle endpoint would grow to its capacity untested).

--- a/daemon/src/main/java/org/sequoiahill/daemon/process/AgentRole.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/AgentRole.java
@@ -16,10 +16,13 @@
 import org.sequoiahill.daemon.process.settings.DaemonSettings;
 import org.sequoiahill.daemon.process.settings.DaemonSettings.AgentSettings;
 import org.sequoiahill.daemon.process.settings.DaemonSettings.PeerVm;
+import org.sequoiahill.daemon.process.time.MonotonicClock;
 import org.sequoiahill.daemon.request.AgentHandler;
 import org.sequoiahill.daemon.request.AgentHooks;
 import org.sequoiahill.daemon.request.EndpointGate;
 import org.sequoiahill.daemon.request.HttpForwarder;
+import org.sequoiahill.daemon.request.RequestPolicy;
+import org.sequoiahill.daemon.request.gate.LoadReporter;
 import org.sequoiahill.daemon.version.ChunkFetcher;
 import org.sequoiahill.daemon.version.ChunkHandler;
 import org.sequoiahill.daemon.version.ChunkStore;
@@ -35,6 +38,7 @@
     private final Identity mIdentity;
     private final ScheduledExecutorService mScheduler;
     private final EndpointGate mGate;
+    private final LoadReporter mReporter;
     private final Announcer mAnnouncer;
     private final VersionLoop mVersions;
     private final List<Handler> mHandlers;
@@ -49,12 +53,17 @@
             ControlClient control,
             HttpClient http,
             HttpForwarder forwarder,
+            MonotonicClock clock,
+            RequestPolicy policy,
             ScheduledExecutorService scheduler) {
         mSettings = settings;
         mAgent = settings.agent().orElseThrow();
         mIdentity = identity;
         mScheduler = scheduler;
-        mGate = EndpointGate.closed(mAgent.capacity());
+        mGate =
+                EndpointGate.closed(
+                        clock, mAgent.capacityBytes(), policy.limitOf(mAgent.capacity()));
+        mReporter = LoadReporter.of(mAgent.engine(), http, clock, mGate::report);
         mAnnouncer = Announcer.of(entriesHere(), control, sync, this::announcement);
         ChunkStore chunks = ChunkStore.in(settings.dataFolder().resolve("weights"));
         ChunkFetcher fetcher =
@@ -96,6 +105,7 @@
     @Override
     public void start() {
         mAnnouncer.start(mScheduler);
+        mReporter.start(mScheduler);
         mVersions.start(
                 Executors.newSingleThreadScheduledExecutor(ProcessModule.daemonThreads("version")));
     }
@@ -108,6 +118,7 @@
     @Override
     public void leave() {
         mIsLeaving = true;
+        mGate.leaveForGood();
         mAnnouncer.announce().join();
     }
 
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/ProcessModule.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/ProcessModule.java
@@ -29,6 +29,7 @@
 import org.sequoiahill.daemon.process.settings.HostPort;
 import org.sequoiahill.daemon.process.time.MonotonicClock;
 import org.sequoiahill.daemon.request.HttpForwarder;
+import org.sequoiahill.daemon.request.RequestPolicy;
 
 /** Provides what lives as long as the process, whatever its roles. */
 @Module
@@ -136,6 +137,12 @@
         return HttpForwarder.over(client);
     }
 
+    @Provides
+    @Singleton
+    static RequestPolicy policy() {
+        return RequestPolicy.fromSystemProperties();
+    }
+
     static ThreadFactory daemonThreads(String name) {
         AtomicInteger count = new AtomicInteger();
         return task -> {
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/settings/DaemonSettings.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/settings/DaemonSettings.java
@@ -54,10 +54,16 @@
      * @param engine address of the endpoint
      * @param origin address of the origin of weights
      * @param capacity requests that the endpoint bears at once
+     * @param capacityBytes bytes of request bodies that the endpoint bears at once
      * @param checksFencing whether the endpoint refuses an order with an old fencing number
      */
     public record AgentSettings(
-            String service, URI engine, URI origin, int capacity, boolean checksFencing) {}
+            String service,
+            URI engine,
+            URI origin,
+            int capacity,
+            long capacityBytes,
+            boolean checksFencing) {}
 
     /**
      * An operator.
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/settings/SettingsReader.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/settings/SettingsReader.java
@@ -28,6 +28,8 @@
     private static final Pattern TEAM = Pattern.compile("\\*|" + ServiceDocument.NAME.pattern());
     private static final HostPort NOWHERE = new HostPort("0.0.0.0", 0);
     private static final int MAX_CAPACITY = 100_000;
+    private static final long MAX_CAPACITY_BYTES = 1L << 30;
+    private static final long DEFAULT_CAPACITY_BYTES = 64L << 20;
     private static final int MAX_PORT = 65_535;
 
     private SettingsReader() {}
@@ -104,6 +106,7 @@
                 URI.create(reader.string("engine", HTTP)),
                 URI.create(reader.string("origin", HTTP, "")),
                 (int) reader.integer("capacity", 1, MAX_CAPACITY),
+                reader.integer("capacityBytes", 1, MAX_CAPACITY_BYTES, DEFAULT_CAPACITY_BYTES),
                 reader.bool("checksFencing", false));
     }
 
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/AgentHandler.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/AgentHandler.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
@@ -18,6 +19,10 @@
 /** Passes requests of entries through the gate to the endpoint beside this agent. */
 public final class AgentHandler extends Handler.Abstract.NonBlocking {
     private static final int MAX_BODY_BYTES = 64 << 20;
+
+    /** Bytes that a body of unknown length is given. */
+    private static final int UNKNOWN_BODY_BYTES = 1 << 20;
+
     private static final Duration TIMEOUT = Duration.ofMinutes(10);
 
     private final Identity mIdentity;
@@ -62,22 +67,50 @@
             return false;
         }
         if (mView.current().isOut(mIdentity.dataCentre())) {
-            Refusal.unavailable("data_centre_out", "the data centre takes no new work")
-                    .write(response, callback);
+            refuse(
+                    Refusal.unavailable("data_centre_out", "the data centre takes no new work"),
+                    response,
+                    callback);
             return true;
         }
-        Optional<EndpointGate.Permit> permit = mGate.enter();
-        if (permit.isEmpty()) {
-            Refusal.unavailable("endpoint_full", "the endpoint takes no request now")
-                    .write(response, callback);
+        long bytes = request.getLength();
+        if (bytes > MAX_BODY_BYTES) {
+            refuse(Refusal.invalid(413, "body_too_large", "too large"), response, callback);
             return true;
         }
-        String route = path.substring(prefix.length());
-        Callback leaving = Callback.from(callback, mGate::leave);
-        new EndpointCall(request, response, leaving, permit.get()).start(route);
+        boolean isAlone = request.getHeaders().contains(RequestHeaders.ALONE);
+        EndpointGate.Entrance entrance =
+                mGate.enter(bytes < 0 ? UNKNOWN_BODY_BYTES : bytes, isAlone);
+        if (entrance instanceof EndpointGate.Permit permit) {
+            Callback leaving = Callback.from(callback, () -> mGate.leave(permit));
+            String route = path.substring(prefix.length());
+            new EndpointCall(request, response, leaving, permit).start(route);
+        } else if (entrance instanceof EndpointGate.Refused refused) {
+            refuse(refusalOf(refused.cause()), response, callback);
+        }
         return true;
     }
 
+    private void refuse(
+            Refusal refusal, org.eclipse.jetty.server.Response response, Callback callback) {
+        tellLoad(response);
+        refusal.write(response, callback);
+    }
+
+    private void tellLoad(org.eclipse.jetty.server.Response response) {
+        EndpointGate.Load load = mGate.load();
+        response.getHeaders().put(RequestHeaders.LOAD, load.running() + "/" + load.limit());
+    }
+
+    private static Refusal refusalOf(EndpointGate.Closed cause) {
+        return switch (cause) {
+            case FULL -> Refusal.unavailable("endpoint_full", "the endpoint bears no more now");
+            case NOT_SERVING ->
+                    Refusal.unavailable("endpoint_not_serving", "no weights are served");
+            case LEAVING -> Refusal.unavailable("endpoint_leaving", "the endpoint is stopping");
+        };
+    }
+
     /** One call to the endpoint, from its body to the end of its answer. */
     private final class EndpointCall implements HttpForwarder.Listener {
         private final Request mRequest;
@@ -97,7 +130,8 @@
         }
 
         void start(String route) {
-            BodyReader.read(mRequest, MAX_BODY_BYTES)
+            long length = mRequest.getLength();
+            BodyReader.read(mRequest, length < 0 ? UNKNOWN_BODY_BYTES : (int) length)
                     .whenComplete(
                             (body, failure) -> {
                                 if (failure != null) {
@@ -126,6 +160,12 @@
 
         @Override
         public void onAnswer(Response answer, Content.Source content) {
+            if (HttpStatus.isServerError(answer.getStatus())) {
+                mGate.failed(mPermit);
+            } else {
+                mGate.answered(mPermit);
+            }
+            tellLoad(mResponse);
             mResponse.getHeaders().put(RequestHeaders.WEIGHTS, mPermit.digest());
             String id = mRequest.getHeaders().get(RequestHeaders.REQUEST_ID);
             if (id != null) {
@@ -136,6 +176,8 @@
 
         @Override
         public void onFailure(Throwable failure, boolean isNotRun) {
+            mGate.lost(mPermit);
+            tellLoad(mResponse);
             mHooks.failed(mRequest, failure, isNotRun);
             refuse(
                     isNotRun
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/RequestHeaders.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/RequestHeaders.java
@@ -25,6 +25,15 @@
     /** Present on a request that must run beside no other at its endpoint. */
     public static final String ALONE = "Sequoia-Alone";
 
+    /** Load of the endpoint that has answered: requests running, a slash, requests it bears now. */
+    public static final String LOAD = "Sequoia-Load";
+
+    /** Priority class of a request, for engines that honour it: high, normal or low. */
+    public static final String PRIORITY = "Sequoia-Priority";
+
+    /** Hash of a prompt's beginning, for engines that cache prefixes. */
+    public static final String PREFIX = "Sequoia-Prefix";
+
     /** Headers that belong to one connection and are never passed on. */
     static final Set<String> HOP_BY_HOP =
             Set.of(
@@ -38,6 +47,7 @@
                     "upgrade",
                     "content-length",
                     "host",
+                    "sequoia-load",
                     "date",
                     "server");
 
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/gate/SlowStart.java
@@ -0,0 +1,151 @@
+package org.sequoiahill.daemon.request.gate;
+
+import java.time.Duration;
+
+/**
+ * Limit on the requests that an endpoint has at once: it starts at one, grows with successes, and
+ * halves when latency or errors show a cold or overloaded endpoint.
+ *
+ * <p>Not safe for several threads; the gate guards it.
+ */
+public final class SlowStart {
+    /** First-byte time over the usual one, as a factor, from which an answer counts as slow. */
+    private static final double SLOW_FACTOR = 4;
+
+    /** Least first-byte time of an answer that counts as slow. */
+    private static final Duration LEAST_SLOW = Duration.ofMillis(100);
+
+    private static final double FASTER_WEIGHT = 0.5;
+    private static final double SLOWER_WEIGHT = 1.0 / 64;
+
+    private final int mCapacity;
+    private final boolean mIsEnabled;
+    private double mLimit = 1;
+    private double mThreshold;
+    private double mUsualNanos;
+    private int mResults;
+    private int mSlowResults;
+    private int mRoundSize = 1;
+    private boolean mHasHalvedInRound;
+
+    private SlowStart(int capacity, boolean isEnabled) {
+        mCapacity = capacity;
+        mIsEnabled = isEnabled;
+        mThreshold = capacity;
+    }
+
+    /** Returns the limit of a cold endpoint that bears {@code capacity} requests once warm. */
+    public static SlowStart cold(int capacity) {
+        return new SlowStart(capacity, true);
+    }
+
+    /** Returns a limit that always is the capacity, to measure against. */
+    public static SlowStart disabled(int capacity) {
+        return new SlowStart(capacity, false);
+    }
+
+    /** Returns the requests that the endpoint may have at once, 1 to its capacity. */
+    public int limit() {
+        return mIsEnabled ? (int) mLimit : mCapacity;
+    }
+
+    /** Starts again from one request, with nothing known of the endpoint. */
+    public void restart() {
+        fallToOne();
+        mUsualNanos = 0;
+    }
+
+    /** Starts again from one request at an endpoint that was lost; its usual speed is kept. */
+    public void lost() {
+        fallToOne();
+    }
+
+    /** Notes an error of the endpoint itself; halves the limit at most once a round. */
+    public void failed() {
+        halve();
+        endResult();
+    }
+
+    /**
+     * Notes the first byte of an answer.
+     *
+     * @param firstByte time from sending to the first byte of the answer
+     * @param running requests that ran when this one was sent, itself included
+     */
+    public void answered(Duration firstByte, int running) {
+        if (isSlow(firstByte)) {
+            mSlowResults++;
+        } else {
+            grow(running);
+        }
+        learn(firstByte.toNanos());
+        if (mSlowResults * 2 > mRoundSize) {
+            halve();
+        }
+        endResult();
+    }
+
+    /**
+     * Notes how long the oldest request waits for its first byte; halves the limit at most once a
+     * round where that is slow already.
+     */
+    public void waiting(Duration oldest) {
+        if (isSlow(oldest)) {
+            halve();
+        }
+    }
+
+    private boolean isSlow(Duration firstByte) {
+        if (mUsualNanos == 0 || firstByte.compareTo(LEAST_SLOW) < 0) {
+            return false;
+        }
+        return firstByte.toNanos() > SLOW_FACTOR * mUsualNanos;
+    }
+
+    private void grow(int running) {
+        boolean isUsed = running * 2 >= (int) mLimit;
+        if (!isUsed || mHasHalvedInRound) {
+            return;
+        }
+        mLimit += mLimit < mThreshold ? 1 : 1 / mLimit;
+        mLimit = Math.min(mLimit, mCapacity);
+    }
+
+    private void learn(long nanos) {
+        if (mUsualNanos == 0) {
+            mUsualNanos = nanos;
+            return;
+        }
+        double weight = nanos < mUsualNanos ? FASTER_WEIGHT : SLOWER_WEIGHT;
+        mUsualNanos += (nanos - mUsualNanos) * weight;
+    }
+
+    private void halve() {
+        if (mHasHalvedInRound) {
+            return;
+        }
+        mHasHalvedInRound = true;
+        mLimit = Math.max(1, mLimit / 2);
+        mThreshold = Math.max(2, mLimit);
+    }
+
+    private void fallToOne() {
+        mLimit = 1;
+        mThreshold = mCapacity;
+        startRound();
+    }
+
+    private void endResult() {
+        mResults++;
+        if (mResults >= mRoundSize) {
+            startRound();
+        }
+    }
+
+    private void startRound() {
+        mResults = 0;
+        mSlowResults = 0;
+        mHasHalvedInRound = false;
+        mRoundSize = (int) mLimit;
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/sequoiahill/daemon/request/gate/SlowStartTest.java
@@ -0,0 +1,79 @@
+package org.sequoiahill.daemon.request.gate;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+final class SlowStartTest {
+    /** Steps: N*MS answers in MS milliseconds at a full limit; idle*MS one beside no other. */
+    @ParameterizedTest
+    @CsvSource({
+        "started, '', 1",
+        "one success, 1*20, 2",
+        "growth by each success, 3*20, 4",
+        "never over the capacity, 40*20, 8",
+        "unused room is not grown, 3*20 idle*20 idle*20, 4",
+        "one slow answer of a round is borne, 15*20 1*900, 8",
+        "most of a round slow halves, 15*20 8*900, 4",
+        "halved once a round, 15*20 7*900, 4",
+        "grows slowly behind a halving, 15*20 8*900 5*20, 5",
+        "an error halves, 15*20 error, 4",
+        "two errors of a round halve once, 15*20 error error, 4",
+        "a lost endpoint starts from one, 15*20 lost, 1",
+        "a lost endpoint grows again, 15*20 lost 3*20, 4",
+        "a version starts from one, 15*20 restart, 1",
+        "a long wait halves without an answer, 15*20 wait*900, 4",
+        "a short wait does not halve, 15*20 wait*60, 8",
+        "nothing is slow before the first answer, wait*9000, 1",
+        "fast answers under the least slow time are never slow, 15*2 16*90, 8",
+        "cold answers first are the usual ones, 15*900, 8",
+    })
+    void limit_afterSteps_isAsExpected(String what, String steps, int expected) {
+        SlowStart limit = SlowStart.cold(8);
+        apply(limit, steps);
+        assertThat(what, limit.limit(), is(expected));
+    }
+
+    @Test
+    void limit_endpointStaysSlow_growsAgain() {
+        SlowStart limit = SlowStart.cold(8);
+        apply(limit, "15*20 16*400");
+        int cold = limit.limit();
+        apply(limit, "400*400");
+        assertThat(limit.limit(), greaterThan(cold));
+    }
+
+    @Test
+    void limit_disabled_isAlwaysTheCapacity() {
+        SlowStart limit = SlowStart.disabled(8);
+        apply(limit, "lost error restart");
+        assertThat(limit.limit(), is(8));
+    }
+
+    private static void apply(SlowStart limit, String steps) {
+        for (String step : steps.isEmpty() ? new String[0] : steps.split(" ")) {
+            String[] parts = step.split("\\*");
+            switch (parts[0]) {
+                case "error" -> limit.failed();
+                case "lost" -> limit.lost();
+                case "restart" -> limit.restart();
+                case "wait" -> limit.waiting(millis(parts[1]));
+                case "idle" -> limit.answered(millis(parts[1]), 1);
+                default -> {
+                    for (int i = 0; i < Integer.parseInt(parts[0]); i++) {
+                        limit.answered(millis(parts[1]), limit.limit());
+                    }
+                }
+            }
+        }
+    }
+
+    private static Duration millis(String text) {
+        return Duration.ofMillis(Long.parseLong(text));
+    }
+}
