Decide per exchange whether its connection has gone silent

A connection that something in between has forgotten swallows requests and answers while new connections to the same host work, so liveness by host says nothing of it.

LivenessTracker decides for one exchange: no byte for a time while bytes are waited for means to ask the peer over another connection. A peer that still works keeps a slow exchange alive; one that has sent more than arrived, twice, or has never seen it, shows the loss.

Ruled out: an idle timeout alone, which cuts a slow answer and can't tell lost from never run.

--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/connection/LivenessTracker.java
@@ -0,0 +1,128 @@
+package org.sequoiahill.daemon.connection;
+
+import java.time.Duration;
+
+/**
+ * Decides for one exchange whether its connection has gone silent.
+ *
+ * <p>An exchange that waits for bytes and sees none for a time has its peer asked over another
+ * connection. A peer that works on it, however slowly, keeps it alive; one that has sent more than
+ * has arrived, or has never seen it, shows that the connection has lost it.
+ */
+public final class LivenessTracker {
+    private final Bounds mBounds;
+    private Duration mLastSign;
+    private long mReceived;
+    private boolean mIsWaiting = true;
+    private boolean mIsAsking;
+    private int mLostAsks;
+    private boolean mWasAhead;
+
+    private LivenessTracker(Bounds bounds, Duration now) {
+        mBounds = bounds;
+        mLastSign = now;
+    }
+
+    /**
+     * Bounds of a tracker.
+     *
+     * @param quiet time without a byte after which the peer is asked
+     * @param lostAsks asks in a row without an answer after which the peer counts as gone
+     */
+    public record Bounds(Duration quiet, int lostAsks) {}
+
+    /** Returns a tracker of an exchange that is sent now. */
+    public static LivenessTracker of(Bounds bounds, Duration now) {
+        return new LivenessTracker(bounds, now);
+    }
+
+    /** What is to be done about the exchange. */
+    public enum Verdict {
+        /** Nothing. */
+        ALIVE,
+        /** Ask the peer; {@link #answered} or {@link #askLost} must follow. */
+        ASK,
+        /** End the exchange: the peer has never seen it and has barred it, so it has not run. */
+        NEVER_ARRIVED,
+        /** End the exchange: the peer has sent what did not arrive. */
+        SILENT,
+        /** End the exchange: the peer answers nobody. */
+        PEER_GONE
+    }
+
+    /** What a peer says of an exchange. */
+    public enum PeerState {
+        /** It runs. */
+        RUNNING,
+        /** Its answer has been sent whole. */
+        ENDED,
+        /** It has never arrived, and it is refused if it ever does. */
+        BARRED,
+        /** It may have been there before the peer's memory begins. */
+        UNKNOWN
+    }
+
+    /** Notes that bytes have come; {@code total} counts those of the body. */
+    public synchronized void received(long total, Duration now) {
+        mReceived = total;
+        sign(now);
+    }
+
+    /**
+     * Notes whether this side waits for bytes; a reader that stands still makes it wait no more.
+     */
+    public synchronized void waits(boolean isWaiting, Duration now) {
+        mIsWaiting = isWaiting;
+        sign(now);
+    }
+
+    /** Returns what to do at this time. */
+    public synchronized Verdict check(Duration now) {
+        boolean isQuiet = now.minus(mLastSign).compareTo(mBounds.quiet()) >= 0;
+        if (!mIsWaiting || mIsAsking || !isQuiet) {
+            return Verdict.ALIVE;
+        }
+        mIsAsking = true;
+        return Verdict.ASK;
+    }
+
+    /** Takes the peer's answer: its state, and the bytes of the body that it has sent. */
+    public synchronized Verdict answered(PeerState state, long sent, Duration now) {
+        if (!mIsAsking) {
+            return Verdict.ALIVE;
+        }
+        mIsAsking = false;
+        mLostAsks = 0;
+        if (state == PeerState.BARRED) {
+            return Verdict.NEVER_ARRIVED;
+        }
+        if (state == PeerState.UNKNOWN) {
+            return Verdict.SILENT;
+        }
+        boolean isAhead = state == PeerState.ENDED || sent > mReceived;
+        if (isAhead && mWasAhead) {
+            return Verdict.SILENT;
+        }
+        mWasAhead = isAhead;
+        mLastSign = now;
+        return Verdict.ALIVE;
+    }
+
+    /** Notes that the peer has not answered an ask. */
+    public synchronized Verdict askLost(Duration now) {
+        if (!mIsAsking) {
+            return Verdict.ALIVE;
+        }
+        mIsAsking = false;
+        mLastSign = now;
+        mLostAsks++;
+        return mLostAsks >= mBounds.lostAsks() ? Verdict.PEER_GONE : Verdict.ALIVE;
+    }
+
+    private void sign(Duration now) {
+        mLastSign = now;
+        mIsAsking = false;
+        mLostAsks = 0;
+        mWasAhead = false;
+    }
+}
