Decide what became of a call that may run once

A claim held by another attempt is resolved at the agent that it names, which bars the attempt or tells its outcome. AttemptTable is the agent's side: each attempt starts at most once, never after it was barred, and never when its record may have been forgotten; numbers of attempts carry the wall clock for that, and a wrong clock only makes agents refuse.

Ruled out: forgetting the oldest record by count, since a delayed call could then start after it was barred; and asking the registry to expire holders by time, which can't tell slow from dead.

--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/once/AttemptHooks.java
@@ -0,0 +1,122 @@
+package org.sequoiahill.daemon.request.once;
+
+import java.util.Optional;
+import org.eclipse.jetty.client.Response;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.util.Callback;
+import org.jspecify.annotations.Nullable;
+import org.sequoiahill.daemon.connection.BodyReader;
+import org.sequoiahill.daemon.request.AgentHooks;
+import org.sequoiahill.daemon.request.HttpForwarder;
+import org.sequoiahill.daemon.request.Refusal;
+
+/** Starts each attempt that carries a ticket at most once and keeps its whole answer. */
+public final class AttemptHooks implements AgentHooks {
+    private final AttemptTable mTable;
+
+    private AttemptHooks(AttemptTable table) {
+        mTable = table;
+    }
+
+    /** Returns hooks over an agent's table. */
+    public static AttemptHooks over(AttemptTable table) {
+        return new AttemptHooks(table);
+    }
+
+    @Override
+    public Optional<Refusal> begin(Request request) {
+        String value = request.getHeaders().get(AttemptTicket.HEADER);
+        if (value == null) {
+            return Optional.empty();
+        }
+        Optional<AttemptTicket> ticket = AttemptTicket.parse(value);
+        if (ticket.isEmpty()) {
+            return Optional.of(Refusal.invalid(400, "bad_ticket", "the ticket is malformed"));
+        }
+        return switch (mTable.start(ticket.get())) {
+            case STARTED -> Optional.empty();
+            case REPEATED -> Optional.of(Refusal.outcomeUnknown("the attempt started before"));
+            case BARRED -> notRun("attempt_barred", "the attempt is barred");
+            case OTHER_INCARNATION -> notRun("other_incarnation", "the agent has restarted");
+            case OUT_OF_TIME -> notRun("attempt_out_of_time", "the attempt's clock is off");
+            case FULL -> notRun("attempts_full", "the agent can't record more attempts now");
+        };
+    }
+
+    @Override
+    public void relay(
+            Request request,
+            Response answer,
+            Content.Source content,
+            org.eclipse.jetty.server.Response response,
+            Callback callback) {
+        Optional<AttemptTicket> ticket = ticketOf(request);
+        if (ticket.isEmpty()) {
+            HttpForwarder.relay(answer, content, response, callback);
+            return;
+        }
+        BodyReader.read(content, RecordedAnswer.MAX_BODY_BYTES)
+                .whenComplete(
+                        (body, failure) -> {
+                            if (isCut(failure)) {
+                                mTable.lose(ticket.get());
+                                Refusal.outcomeUnknown("the endpoint's answer broke off")
+                                        .write(response, callback);
+                                return;
+                            }
+                            RecordedAnswer recorded = record(answer, body, failure);
+                            mTable.finish(ticket.get(), recorded);
+                            write(ticket.get(), recorded, response, callback);
+                        });
+    }
+
+    @Override
+    public void failed(Request request, Throwable cause, boolean isNotRun) {
+        Optional<AttemptTicket> ticket = ticketOf(request);
+        if (ticket.isEmpty()) {
+            return;
+        }
+        if (isNotRun) {
+            mTable.cancel(ticket.get());
+        } else {
+            mTable.lose(ticket.get());
+        }
+    }
+
+    private static Optional<AttemptTicket> ticketOf(Request request) {
+        String value = request.getHeaders().get(AttemptTicket.HEADER);
+        return value == null ? Optional.empty() : AttemptTicket.parse(value);
+    }
+
+    private static boolean isCut(@Nullable Throwable failure) {
+        return failure != null && !(failure instanceof BodyReader.BodyTooLargeException);
+    }
+
+    private static RecordedAnswer record(
+            Response answer, byte[] body, @Nullable Throwable failure) {
+        if (failure != null) {
+            return RecordedAnswer.tooLarge(answer.getStatus());
+        }
+        String contentType = answer.getHeaders().get(HttpHeader.CONTENT_TYPE);
+        return RecordedAnswer.of(answer.getStatus(), contentType == null ? "" : contentType, body);
+    }
+
+    private static void write(
+            AttemptTicket ticket,
+            RecordedAnswer answer,
+            org.eclipse.jetty.server.Response response,
+            Callback callback) {
+        response.setStatus(answer.status());
+        response.getHeaders().put(AttemptTicket.HEADER, ticket.toString());
+        if (!answer.contentType().isEmpty()) {
+            response.getHeaders().put(HttpHeader.CONTENT_TYPE, answer.contentType());
+        }
+        response.write(true, answer.body().slice(), callback);
+    }
+
+    private static Optional<Refusal> notRun(String code, String message) {
+        return Optional.of(Refusal.unavailable(code, message));
+    }
+}
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/once/AttemptTable.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/once/AttemptTable.java
@@ -97,12 +97,12 @@
     /** Records the answer of an attempt that has started. */
     public synchronized void finish(AttemptTicket ticket, RecordedAnswer answer) {
         forgetOld();
-        long bytes = mAnswerBytes + answer.body().length;
+        long bytes = mAnswerBytes + answer.body().remaining();
         if (bytes > mMaxAnswerBytes) {
             dropAnswers(bytes - mMaxAnswerBytes);
         }
         if (mPhases.replace(keyOf(ticket), new Phase.Done(answer)) != null) {
-            mAnswerBytes += answer.body().length;
+            mAnswerBytes += answer.body().remaining();
         }
     }
 
@@ -164,7 +164,7 @@
                 continue;
             }
             if (record.getValue() instanceof Phase.Done done) {
-                mAnswerBytes -= done.answer().body().length;
+                mAnswerBytes -= done.answer().body().remaining();
             }
             records.remove();
         }
@@ -178,8 +178,8 @@
                 return;
             }
             if (record.getValue() instanceof Phase.Done done) {
-                left -= done.answer().body().length;
-                mAnswerBytes -= done.answer().body().length;
+                left -= done.answer().body().remaining();
+                mAnswerBytes -= done.answer().body().remaining();
                 record.setValue(new Phase.Lost());
             }
         }
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/once/BarClient.java
@@ -0,0 +1,84 @@
+package org.sequoiahill.daemon.request.once;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.Iterator;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.client.BufferingResponseListener;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.Result;
+import org.sequoiahill.daemon.request.RequestHeaders;
+import org.sequoiahill.daemon.request.once.AgentAddresses.Address;
+
+/** Asks agents to bar attempts, over entries of other data centres where need be. */
+public final class BarClient {
+    /** Header that names the agent's VM to an entry that passes a bar on. */
+    static final String AGENT_VM = "Sequoia-Agent-Vm";
+
+    private static final Duration TIMEOUT = Duration.ofSeconds(2);
+    private static final int OK = 200;
+
+    private final HttpClient mClient;
+    private final AgentAddresses mAddresses;
+
+    private BarClient(HttpClient client, AgentAddresses addresses) {
+        mClient = client;
+        mAddresses = addresses;
+    }
+
+    /** Returns a client that finds agents by {@code addresses}. */
+    public static BarClient of(HttpClient client, AgentAddresses addresses) {
+        return new BarClient(client, addresses);
+    }
+
+    /** Bars an attempt; fails where no address answers for the agent. */
+    public CompletableFuture<BarVerdict> bar(String vm, AttemptTicket ticket) {
+        return askNext(vm, ticket, mAddresses.of(vm).iterator());
+    }
+
+    /** Bars an attempt at an agent of this data centre only, for an entry elsewhere. */
+    CompletableFuture<BarVerdict> barHere(String vm, AttemptTicket ticket) {
+        return askNext(
+                vm,
+                ticket,
+                mAddresses.of(vm).stream().filter(address -> !address.isEntry()).iterator());
+    }
+
+    private CompletableFuture<BarVerdict> askNext(
+            String vm, AttemptTicket ticket, Iterator<Address> addresses) {
+        if (!addresses.hasNext()) {
+            return CompletableFuture.failedFuture(new IOException("nobody answers for " + vm));
+        }
+        return ask(addresses.next(), vm, ticket)
+                .thenCompose(
+                        verdict ->
+                                verdict.map(CompletableFuture::completedFuture)
+                                        .orElseGet(() -> askNext(vm, ticket, addresses)));
+    }
+
+    private CompletableFuture<Optional<BarVerdict>> ask(
+            Address address, String vm, AttemptTicket ticket) {
+        Request request =
+                mClient.POST("http://" + address.hostPort() + BarMessage.PATH)
+                        .headers(headers -> headers.put(AttemptTicket.HEADER, ticket.toString()))
+                        .timeout(TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+        if (address.isEntry()) {
+            request.headers(headers -> headers.put(AGENT_VM, vm).put(RequestHeaders.HOP, "bar"));
+        }
+        CompletableFuture<Optional<BarVerdict>> verdict = new CompletableFuture<>();
+        request.send(
+                new BufferingResponseListener(BarMessage.MAX_BYTES) {
+                    @Override
+                    public void onComplete(Result result) {
+                        boolean isAnswered =
+                                result.isSucceeded() && result.getResponse().getStatus() == OK;
+                        verdict.complete(
+                                isAnswered ? BarMessage.parse(getContent()) : Optional.empty());
+                    }
+                });
+        return verdict;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/once/BarHandler.java
@@ -0,0 +1,46 @@
+package org.sequoiahill.daemon.request.once;
+
+import com.fasterxml.jackson.core.JacksonException;
+import java.nio.ByteBuffer;
+import java.util.Optional;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.sequoiahill.daemon.request.Refusal;
+
+/** Answers entries that ask an agent to bar an attempt. */
+public final class BarHandler extends Handler.Abstract.NonBlocking {
+    private final AttemptTable mTable;
+
+    private BarHandler(AttemptTable table) {
+        mTable = table;
+    }
+
+    /** Returns a handler over an agent's table. */
+    public static BarHandler over(AttemptTable table) {
+        return new BarHandler(table);
+    }
+
+    @Override
+    public boolean handle(Request request, Response response, Callback callback) throws Exception {
+        if (!Request.getPathInContext(request).equals(BarMessage.PATH)) {
+            return false;
+        }
+        String value = String.valueOf(request.getHeaders().get(AttemptTicket.HEADER));
+        Optional<AttemptTicket> ticket = AttemptTicket.parse(value);
+        if (ticket.isEmpty()) {
+            Refusal.invalid(400, "bad_ticket", "the ticket is malformed").write(response, callback);
+            return true;
+        }
+        write(mTable.bar(ticket.get()), response, callback);
+        return true;
+    }
+
+    private static void write(BarVerdict verdict, Response response, Callback callback)
+            throws JacksonException {
+        response.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
+        response.write(true, ByteBuffer.wrap(BarMessage.write(verdict)), callback);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/once/BarMessage.java
@@ -0,0 +1,60 @@
+package org.sequoiahill.daemon.request.once;
+
+import com.fasterxml.jackson.core.JacksonException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.util.Optional;
+
+/** The JSON form in which an agent answers a bar. */
+final class BarMessage {
+    /** Path at which an agent is asked to bar an attempt. */
+    static final String PATH = "/run-once/bar";
+
+    /** Largest message, in bytes: an answer in base 64 and its frame. */
+    static final int MAX_BYTES = 2 * RecordedAnswer.MAX_BODY_BYTES;
+
+    private static final JsonMapper MAPPER = JsonMapper.builder().build();
+
+    private BarMessage() {}
+
+    static byte[] write(BarVerdict verdict) throws JacksonException {
+        ObjectNode message = MAPPER.createObjectNode();
+        message.put("verdict", verdict.getClass().getSimpleName());
+        if (verdict instanceof BarVerdict.Done done) {
+            RecordedAnswer answer = done.answer();
+            byte[] body = new byte[answer.body().remaining()];
+            answer.body().slice().get(body);
+            message.put("status", answer.status());
+            message.put("contentType", answer.contentType());
+            message.put("body", body);
+        }
+        return MAPPER.writeValueAsBytes(message);
+    }
+
+    /** Parses a message; empty where it is malformed. */
+    static Optional<BarVerdict> parse(byte[] bytes) {
+        try {
+            JsonNode message = MAPPER.readTree(bytes);
+            return switch (message.path("verdict").asText()) {
+                case "Barred" -> Optional.of(new BarVerdict.Barred());
+                case "Running" -> Optional.of(new BarVerdict.Running());
+                case "Lost" -> Optional.of(new BarVerdict.Lost());
+                case "Forgotten" -> Optional.of(new BarVerdict.Forgotten());
+                case "OtherIncarnation" -> Optional.of(new BarVerdict.OtherIncarnation());
+                case "Done" -> Optional.of(new BarVerdict.Done(answerOf(message)));
+                default -> Optional.empty();
+            };
+        } catch (IOException e) {
+            return Optional.empty();
+        }
+    }
+
+    private static RecordedAnswer answerOf(JsonNode message) throws IOException {
+        return RecordedAnswer.of(
+                message.path("status").asInt(),
+                message.path("contentType").asText(),
+                message.path("body").binaryValue());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/once/BarRelayHandler.java
@@ -0,0 +1,55 @@
+package org.sequoiahill.daemon.request.once;
+
+import com.fasterxml.jackson.core.JacksonException;
+import java.nio.ByteBuffer;
+import java.util.Optional;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.sequoiahill.daemon.request.Refusal;
+
+/** Passes bars of other data centres' entries on to agents of this one. */
+public final class BarRelayHandler extends Handler.Abstract.NonBlocking {
+    private final BarClient mClient;
+
+    private BarRelayHandler(BarClient client) {
+        mClient = client;
+    }
+
+    /** Returns a handler that asks agents by a client. */
+    public static BarRelayHandler over(BarClient client) {
+        return new BarRelayHandler(client);
+    }
+
+    @Override
+    public boolean handle(Request request, Response response, Callback callback) {
+        if (!Request.getPathInContext(request).equals(BarMessage.PATH)) {
+            return false;
+        }
+        String vm = request.getHeaders().get(BarClient.AGENT_VM);
+        Optional<AttemptTicket> ticket =
+                AttemptTicket.parse(String.valueOf(request.getHeaders().get(AttemptTicket.HEADER)));
+        if (vm == null || ticket.isEmpty()) {
+            Refusal.invalid(400, "bad_ticket", "the ticket is malformed").write(response, callback);
+            return true;
+        }
+        mClient.barHere(vm, ticket.get())
+                .whenComplete((verdict, failure) -> answer(verdict, failure, response, callback));
+        return true;
+    }
+
+    private static void answer(
+            BarVerdict verdict, Throwable failure, Response response, Callback callback) {
+        if (failure != null) {
+            Refusal.unavailable("agent_unreachable", "the agent can't be asked from here")
+                    .write(response, callback);
+            return;
+        }
+        try {
+            response.write(true, ByteBuffer.wrap(BarMessage.write(verdict)), callback);
+        } catch (JacksonException e) {
+            callback.failed(e);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/once/KeyedPorts.java
@@ -0,0 +1,81 @@
+package org.sequoiahill.daemon.request.once;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.sequoiahill.daemon.process.claims.ClaimRegistry;
+import org.sequoiahill.daemon.process.control.Identity;
+import org.sequoiahill.protocol.gen.ClaimReply;
+import org.sequoiahill.protocol.gen.ClaimRequest;
+import org.sequoiahill.protocol.gen.CompleteRequest;
+import org.sequoiahill.protocol.gen.ReleaseRequest;
+
+/**
+ * The ports of one call, over the registry and the agents.
+ *
+ * @param identity who asks
+ * @param registry claims
+ * @param bars asks agents
+ * @param scheduler runs what waits
+ * @param key key of the call
+ */
+record KeyedPorts(
+        Identity identity,
+        ClaimRegistry registry,
+        BarClient bars,
+        ScheduledExecutorService scheduler,
+        CallKey key)
+        implements RunOncePorts {
+    @Override
+    public CompletableFuture<ClaimReply> claim(Holder holder) {
+        return registry.claim(requestOf(holder));
+    }
+
+    @Override
+    public CompletableFuture<ClaimReply> lookUp(Holder holder) {
+        return registry.lookUp(requestOf(holder));
+    }
+
+    @Override
+    public CompletableFuture<ClaimReply> release(Holder holder) {
+        return registry.release(
+                new ReleaseRequest(identity.sender(), key.claim(), holder.attempt()));
+    }
+
+    @Override
+    public CompletableFuture<ClaimReply> complete(Holder holder, Optional<RecordedAnswer> answer) {
+        CompleteRequest request =
+                new CompleteRequest(
+                        identity.sender(), key.claim(), holder.attempt(), answer.isPresent());
+        answer.ifPresent(known -> request.setOutcome(known.toOutcome()));
+        return registry.complete(request);
+    }
+
+    @Override
+    public CompletableFuture<BarVerdict> bar(Holder holder) {
+        return bars.bar(holder.agent().vm(), ticketOf(holder));
+    }
+
+    @Override
+    public CompletableFuture<Void> after(Duration time) {
+        CompletableFuture<Void> over = new CompletableFuture<>();
+        scheduler.schedule(() -> over.complete(null), time.toMillis(), TimeUnit.MILLISECONDS);
+        return over;
+    }
+
+    AttemptTicket ticketOf(Holder holder) {
+        return new AttemptTicket(holder.agent().incarnation(), holder.attempt(), key.digest());
+    }
+
+    private ClaimRequest requestOf(Holder holder) {
+        return new ClaimRequest(
+                identity.sender(),
+                key.claim(),
+                key.contentDigest().slice(),
+                holder.attempt(),
+                holder.agent().vm(),
+                holder.agent().incarnation());
+    }
+}
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/once/RecordedAnswer.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/once/RecordedAnswer.java
@@ -1,7 +1,7 @@
 package org.sequoiahill.daemon.request.once;
 
 import java.nio.ByteBuffer;
-import java.util.Arrays;
+import java.nio.charset.StandardCharsets;
 import org.sequoiahill.protocol.gen.Outcome;
 
 /**
@@ -9,33 +9,35 @@
  *
  * @param status HTTP status
  * @param contentType content type; empty where the answer had none
- * @param body whole body; not to be changed
+ * @param body whole body, read-only; use {@link ByteBuffer#slice()} to read it
  */
-public record RecordedAnswer(int status, String contentType, byte[] body) {
+public record RecordedAnswer(int status, String contentType, ByteBuffer body) {
     /** Largest body that is kept, in bytes. */
-    public static final int MAX_BODY_BYTES = 256 << 10;
+    public static final int MAX_BODY_BYTES = 64 << 10;
+
+    private static final int BAD_GATEWAY = 502;
 
     /** Returns the answer that a claim's record holds. */
     public static RecordedAnswer of(Outcome outcome) {
-        return new RecordedAnswer(
-                outcome.getStatus(), outcome.getContentType(), outcome.getBody());
+        return of(outcome.getStatus(), outcome.getContentType(), outcome.getBody());
     }
 
-    /** Returns the form that a claim's record holds. */
-    public Outcome toOutcome() {
-        return new Outcome(status, contentType, ByteBuffer.wrap(body));
+    /** Returns an answer with a body that nobody changes any more. */
+    public static RecordedAnswer of(int status, String contentType, byte[] body) {
+        return new RecordedAnswer(status, contentType, ByteBuffer.wrap(body).asReadOnlyBuffer());
     }
 
-    @Override
-    public boolean equals(Object other) {
-        return other instanceof RecordedAnswer answer
-                && status == answer.status
-                && contentType.equals(answer.contentType)
-                && Arrays.equals(body, answer.body);
+    /** Returns what is kept in place of an answer whose body is over the bound. */
+    public static RecordedAnswer tooLarge(int status) {
+        String body =
+                "{\"error\":{\"code\":\"answer_too_large\",\"not_run\":false,\"message\":"
+                        + "\"the call ran with status %d; its answer has over %d bytes\"}}"
+                                .formatted(status, MAX_BODY_BYTES);
+        return of(BAD_GATEWAY, "application/json", body.getBytes(StandardCharsets.UTF_8));
     }
 
-    @Override
-    public int hashCode() {
-        return 31 * status + Arrays.hashCode(body);
+    /** Returns the form that a claim's record holds. */
+    public Outcome toOutcome() {
+        return new Outcome(status, contentType, body.slice());
     }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/once/RecordedResponse.java
@@ -0,0 +1,51 @@
+package org.sequoiahill.daemon.request.once;
+
+import java.util.concurrent.CompletableFuture;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.Response;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpVersion;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * An answer from the record in the form of one that has just come.
+ *
+ * @param status HTTP status
+ * @param headers headers
+ */
+record RecordedResponse(int status, HttpFields headers) implements Response {
+    @Override
+    public @Nullable Request getRequest() {
+        return null;
+    }
+
+    @Override
+    public HttpVersion getVersion() {
+        return HttpVersion.HTTP_1_1;
+    }
+
+    @Override
+    public int getStatus() {
+        return status;
+    }
+
+    @Override
+    public @Nullable String getReason() {
+        return null;
+    }
+
+    @Override
+    public HttpFields getHeaders() {
+        return headers;
+    }
+
+    @Override
+    public @Nullable HttpFields getTrailers() {
+        return null;
+    }
+
+    @Override
+    public CompletableFuture<Boolean> abort(Throwable cause) {
+        return CompletableFuture.completedFuture(false);
+    }
+}
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/once/RunOnceDriver.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/once/RunOnceDriver.java
@@ -52,10 +52,8 @@
         return CompletableFuture.completedFuture(action);
     }
 
-    private CompletableFuture<RunOnceAction> registry(
-            CompletableFuture<ClaimReply> reply) {
-        return follow(
-                reply, RunOnceEvent.RegistryAnswered::new, new RunOnceEvent.RegistryLost());
+    private CompletableFuture<RunOnceAction> registry(CompletableFuture<ClaimReply> reply) {
+        return follow(reply, RunOnceEvent.RegistryAnswered::new, new RunOnceEvent.RegistryLost());
     }
 
     private <T> CompletableFuture<RunOnceAction> follow(
--- /dev/null
+++ b/daemon/src/test/java/org/sequoiahill/daemon/request/once/AttemptTableTest.java
@@ -0,0 +1,117 @@
+package org.sequoiahill.daemon.request.once;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.time.Duration;
+import java.time.Instant;
+import org.junit.jupiter.api.Test;
+import org.sequoiahill.daemon.request.once.AttemptTable.Start;
+
+final class AttemptTableTest {
+    private static final String KEY = "a".repeat(64);
+    private static final long START_MILLIS = 1_000_000_000L;
+    private static final int MAX_RECORDS = 3;
+    private static final long MAX_ANSWER_BYTES = 10;
+
+    private long mMillis = START_MILLIS;
+    private final AttemptTable mTable =
+            AttemptTable.of(7, () -> Instant.ofEpochMilli(mMillis), MAX_RECORDS, MAX_ANSWER_BYTES);
+
+    @Test
+    void start_barredBefore_isRefused() {
+        assertThat(mTable.bar(ticket(0)), equalTo(new BarVerdict.Barred()));
+        assertThat(mTable.start(ticket(0)), equalTo(Start.BARRED));
+    }
+
+    @Test
+    void start_twice_runsOnce() {
+        assertThat(mTable.start(ticket(0)), equalTo(Start.STARTED));
+        assertThat(mTable.start(ticket(0)), equalTo(Start.REPEATED));
+        assertThat(mTable.bar(ticket(0)), equalTo(new BarVerdict.Running()));
+    }
+
+    @Test
+    void start_otherIncarnation_isRefused() {
+        AttemptTicket old = new AttemptTicket(6, ticket(0).attempt(), KEY);
+
+        assertThat(mTable.start(old), equalTo(Start.OTHER_INCARNATION));
+        assertThat(mTable.bar(old), equalTo(new BarVerdict.OtherIncarnation()));
+    }
+
+    @Test
+    void bar_done_givesTheAnswer() {
+        mTable.start(ticket(0));
+        mTable.finish(ticket(0), answer("x"));
+
+        assertThat(mTable.bar(ticket(0)), equalTo(new BarVerdict.Done(answer("x"))));
+    }
+
+    @Test
+    void bar_engineLost_isLost() {
+        mTable.start(ticket(0));
+        mTable.lose(ticket(0));
+
+        assertThat(mTable.bar(ticket(0)), equalTo(new BarVerdict.Lost()));
+    }
+
+    @Test
+    void start_recordForgotten_isRefused() {
+        mTable.bar(ticket(0));
+        mMillis += AttemptTable.RETENTION.plusMillis(1).toMillis();
+
+        assertThat(mTable.start(ticket(0)), equalTo(Start.OUT_OF_TIME));
+        assertThat(mTable.bar(ticket(0)), equalTo(new BarVerdict.Forgotten()));
+        assertThat(mTable.size(), equalTo(0));
+    }
+
+    @Test
+    void start_clockFarAhead_isRefused() {
+        long ahead = AttemptTable.RETENTION.plusMillis(1).toMillis();
+
+        assertThat(mTable.start(ticket(ahead)), equalTo(Start.OUT_OF_TIME));
+    }
+
+    @Test
+    void start_clockSetBack_staysRefused() {
+        mTable.bar(ticket(0));
+        mMillis += AttemptTable.RETENTION.plus(Duration.ofMinutes(1)).toMillis();
+        mTable.start(ticket(Duration.ofMinutes(11).toMillis()));
+        mMillis = START_MILLIS;
+
+        assertThat(mTable.start(ticket(0)), equalTo(Start.OUT_OF_TIME));
+    }
+
+    @Test
+    void start_tableFull_isRefusedAndForgetsNothing() {
+        for (int i = 0; i < MAX_RECORDS; i++) {
+            mTable.bar(ticket(i));
+        }
+
+        assertThat(mTable.start(ticket(MAX_RECORDS)), equalTo(Start.FULL));
+        assertThat(mTable.start(ticket(0)), equalTo(Start.BARRED));
+        assertThat(mTable.bar(ticket(MAX_RECORDS)), instanceOf(BarVerdict.Running.class));
+        assertThat(mTable.size(), lessThanOrEqualTo(MAX_RECORDS));
+    }
+
+    @Test
+    void finish_answersOverTheBound_dropsTheOldest() {
+        mTable.start(ticket(0));
+        mTable.start(ticket(1));
+        mTable.finish(ticket(0), answer("123456"));
+        mTable.finish(ticket(1), answer("123456"));
+
+        assertThat(mTable.bar(ticket(0)), equalTo(new BarVerdict.Lost()));
+        assertThat(mTable.bar(ticket(1)), equalTo(new BarVerdict.Done(answer("123456"))));
+    }
+
+    private static AttemptTicket ticket(long afterMillis) {
+        return new AttemptTicket(7, (START_MILLIS + afterMillis) << 22, KEY);
+    }
+
+    private static RecordedAnswer answer(String body) {
+        return RecordedAnswer.of(201, "", body.getBytes(java.nio.charset.StandardCharsets.UTF_8));
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/sequoiahill/daemon/request/once/RunOnceWorld.java
@@ -0,0 +1,273 @@
+package org.sequoiahill.daemon.request.once;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
+import org.sequoiahill.daemon.process.time.MonotonicClock;
+import org.sequoiahill.protocol.gen.ClaimReply;
+import org.sequoiahill.protocol.gen.ClaimStatus;
+import org.sequoiahill.protocol.gen.Sender;
+
+/** One registry, one agent and one ledger in memory, with a fault at a chosen step. */
+final class RunOnceWorld {
+    /** What goes wrong at one step of an entry. */
+    enum Fault {
+        NONE,
+        /** The entry dies before the step has any effect. */
+        ENTRY_DIES_BEFORE,
+        /** The entry dies after the step had its effect. */
+        ENTRY_DIES_AFTER,
+        /** The step has no effect and fails. */
+        REQUEST_LOST,
+        /** The step has its effect, but the entry is told that it failed. */
+        REPLY_LOST,
+        /** The agent restarts before the step. */
+        AGENT_RESTARTS_BEFORE,
+        /** The agent restarts after the step, whose reply is lost. */
+        AGENT_RESTARTS_AFTER,
+        /** The agent restarts while the call runs at the ledger. */
+        AGENT_RESTARTS_WITHIN,
+        /** Another entry handles a resend while this one stands still before the step. */
+        ENTRY_STALLS_BEFORE,
+        /** Another entry handles a resend while this one stands still after the step. */
+        ENTRY_STALLS_AFTER,
+        /** The registry has no majority from this step on, until the exchange ends. */
+        NO_MAJORITY
+    }
+
+    private static final InstantSource WALL = () -> Instant.ofEpochMilli(1);
+    private static final String KEY_DIGEST = "0".repeat(64);
+    private static final Duration DEADLINE = Duration.ofSeconds(5);
+
+    private final Map<Long, Holder> mReleased = new HashMap<>();
+    private @Nullable Holder mHeldBy;
+    private @Nullable ClaimReply mFinal;
+    private Duration mNow = Duration.ZERO;
+    private long mIncarnation = 1;
+    private long mNextAttempt = 1;
+    private AttemptTable mAgent = newAgent();
+    private int mLedgerRuns;
+
+    /** Returns how often the ledger has run the call. */
+    int ledgerRuns() {
+        return mLedgerRuns;
+    }
+
+    private void restartAgent() {
+        mIncarnation++;
+        mAgent = newAgent();
+    }
+
+    /**
+     * What an entry has told its caller.
+     *
+     * @param action last action; empty where the entry died
+     * @param ownRuns how often the ledger has run the call for this entry's own attempt
+     */
+    record Told(Optional<RunOnceAction> action, int ownRuns) {}
+
+    /** Runs one exchange to its end. */
+    Told exchange(int faultStep, Fault fault) {
+        Entry entry = new Entry(faultStep, fault);
+        Optional<RunOnceAction> action = entry.run();
+        return new Told(action, entry.mOwnRuns);
+    }
+
+    private AttemptTable newAgent() {
+        return AttemptTable.of(mIncarnation, WALL, 100, 1 << 20);
+    }
+
+    private static long numberOf(long n) {
+        return (1L << 22) | n;
+    }
+
+    private ClaimReply reply(ClaimStatus status, @Nullable Holder holder) {
+        ClaimReply reply = new ClaimReply();
+        reply.setSender(new Sender("store", "a", 1, 0, 1));
+        reply.setStatus(status);
+        if (holder != null) {
+            reply.setAttempt(holder.attempt());
+            reply.setAgentVm(holder.agent().vm());
+            reply.setAgentIncarnation(holder.agent().incarnation());
+        }
+        return reply;
+    }
+
+    private ClaimReply record() {
+        if (mFinal != null) {
+            return mFinal;
+        }
+        return mHeldBy == null ? reply(ClaimStatus.FREE, null) : reply(ClaimStatus.HELD, mHeldBy);
+    }
+
+    /** One entry that handles one sending of the call. */
+    private final class Entry implements RunOncePorts {
+        private final int mFaultStep;
+        private final Fault mFault;
+        private final Holder mOwn;
+        private final MonotonicClock mClock = () -> mNow;
+        private int mStep;
+        private boolean mIsDead;
+        private int mOwnRuns;
+        private boolean mHasMajority = true;
+
+        Entry(int faultStep, Fault fault) {
+            mFaultStep = faultStep;
+            mFault = fault;
+            mOwn = new Holder(numberOf(mNextAttempt++), new AgentProcess("agent", mIncarnation));
+        }
+
+        Optional<RunOnceAction> run() {
+            RunOnceMachine machine = RunOnceMachine.of(mOwn, mClock, mNow.plus(DEADLINE));
+            RunOnceDriver driver = RunOnceDriver.of(machine, this, mOwn);
+            CompletableFuture<RunOnceAction> first = driver.begin();
+            if (!(first.getNow(null) instanceof RunOnceAction.Send)) {
+                return Optional.ofNullable(first.getNow(null));
+            }
+            CompletableFuture<RunOnceEvent> sent = send();
+            if (mIsDead) {
+                return Optional.empty();
+            }
+            RunOnceEvent event = sent.exceptionally(lost -> new RunOnceEvent.CallLost()).join();
+            return Optional.ofNullable(driver.settle(event).getNow(null));
+        }
+
+        @Override
+        public CompletableFuture<ClaimReply> claim(Holder holder) {
+            return registry(
+                    () -> {
+                        if (mFinal != null) {
+                            return mFinal;
+                        } else if (mReleased.containsKey(holder.attempt())) {
+                            return reply(ClaimStatus.EXPIRED, null);
+                        } else if (mHeldBy == null || mHeldBy.equals(holder)) {
+                            mHeldBy = holder;
+                            return reply(ClaimStatus.CLAIMED, holder);
+                        }
+                        return record();
+                    });
+        }
+
+        @Override
+        public CompletableFuture<ClaimReply> lookUp(Holder holder) {
+            return registry(RunOnceWorld.this::record);
+        }
+
+        @Override
+        public CompletableFuture<ClaimReply> release(Holder holder) {
+            return registry(
+                    () -> {
+                        mReleased.put(holder.attempt(), holder);
+                        if (holder.equals(mHeldBy)) {
+                            mHeldBy = null;
+                        }
+                        return record();
+                    });
+        }
+
+        @Override
+        public CompletableFuture<ClaimReply> complete(
+                Holder holder, Optional<RecordedAnswer> answer) {
+            return registry(
+                    () -> {
+                        if (mFinal == null && holder.equals(mHeldBy)) {
+                            mFinal =
+                                    reply(
+                                            answer.isPresent()
+                                                    ? ClaimStatus.COMPLETED
+                                                    : ClaimStatus.OUTCOME_UNKNOWN,
+                                            holder);
+                            answer.ifPresent(a -> mFinal.setOutcome(a.toOutcome()));
+                        }
+                        return record();
+                    });
+        }
+
+        @Override
+        public CompletableFuture<BarVerdict> bar(Holder holder) {
+            return step(() -> mAgent.bar(ticketOf(holder)));
+        }
+
+        @Override
+        public CompletableFuture<Void> after(Duration time) {
+            mNow = mNow.plus(time);
+            return CompletableFuture.completedFuture(null);
+        }
+
+        private CompletableFuture<RunOnceEvent> send() {
+            return step(
+                    () -> {
+                        AttemptTicket ticket = ticketOf(mOwn);
+                        AttemptTable.Start start = mAgent.start(ticket);
+                        if (start != AttemptTable.Start.STARTED) {
+                            return start == AttemptTable.Start.REPEATED
+                                    ? new RunOnceEvent.CallLost()
+                                    : new RunOnceEvent.RefusedNotRun();
+                        }
+                        mLedgerRuns++;
+                        mOwnRuns++;
+                        if (mFault == Fault.AGENT_RESTARTS_WITHIN && mStep == mFaultStep) {
+                            restartAgent();
+                            return new RunOnceEvent.CallLost();
+                        }
+                        RecordedAnswer answer = answer(mLedgerRuns);
+                        mAgent.finish(ticket, answer);
+                        return new RunOnceEvent.Answered(answer);
+                    });
+        }
+
+        private CompletableFuture<ClaimReply> registry(Supplier<ClaimReply> effect) {
+            return step(() -> mHasMajority ? effect.get() : reply(ClaimStatus.UNAVAILABLE, null));
+        }
+
+        private <T> CompletableFuture<T> step(Supplier<T> effect) {
+            mStep++;
+            Fault fault = mStep == mFaultStep ? mFault : Fault.NONE;
+            switch (fault) {
+                case ENTRY_DIES_BEFORE -> mIsDead = true;
+                case ENTRY_STALLS_BEFORE -> exchange(0, Fault.NONE);
+                case NO_MAJORITY -> mHasMajority = false;
+                case AGENT_RESTARTS_BEFORE -> restartAgent();
+                default -> {}
+            }
+            if (mIsDead) {
+                return new CompletableFuture<>();
+            }
+            if (fault == Fault.REQUEST_LOST) {
+                return CompletableFuture.failedFuture(new IllegalStateException("lost"));
+            }
+            T result = effect.get();
+            mIsDead = fault == Fault.ENTRY_DIES_AFTER;
+            if (fault == Fault.AGENT_RESTARTS_AFTER) {
+                restartAgent();
+            }
+            if (fault == Fault.ENTRY_STALLS_AFTER) {
+                exchange(0, Fault.NONE);
+            }
+            if (mIsDead) {
+                return new CompletableFuture<>();
+            }
+            boolean isLost = fault == Fault.REPLY_LOST || fault == Fault.AGENT_RESTARTS_AFTER;
+            return isLost
+                    ? CompletableFuture.failedFuture(new IllegalStateException("lost"))
+                    : CompletableFuture.completedFuture(result);
+        }
+
+        private AttemptTicket ticketOf(Holder holder) {
+            return new AttemptTicket(holder.agent().incarnation(), holder.attempt(), KEY_DIGEST);
+        }
+    }
+
+    static RecordedAnswer answer(int run) {
+        byte[] body = ("run " + run).getBytes(StandardCharsets.UTF_8);
+        return new RecordedAnswer(201, "text/plain", ByteBuffer.wrap(body));
+    }
+}
--- a/protocol/src/main/java/org/sequoiahill/protocol/gen/ClaimStatus.java
+++ b/protocol/src/main/java/org/sequoiahill/protocol/gen/ClaimStatus.java
@@ -7,6 +7,10 @@
 package org.sequoiahill.protocol.gen;
 
 
+/**
+ * What is recorded for a key. FREE answers a look-up of a key that nobody holds and a release that
+ * was carried out; EXPIRED means that the key, or the attempt, is over and must not run.
+ */
 public enum ClaimStatus implements org.apache.thrift.TEnum {
   CLAIMED(1),
   HELD(2),
@@ -14,7 +18,8 @@
   MISMATCH(4),
   UNAVAILABLE(5),
   EXPIRED(6),
-  OUTCOME_UNKNOWN(7);
+  OUTCOME_UNKNOWN(7),
+  FREE(8);
 
   private final int value;
 
@@ -51,6 +56,8 @@
         return EXPIRED;
       case 7:
         return OUTCOME_UNKNOWN;
+      case 8:
+        return FREE;
       default:
         return null;
     }
--- a/protocol/src/main/thrift/claims.thrift
+++ b/protocol/src/main/thrift/claims.thrift
@@ -1,7 +1,11 @@
 include "common.thrift"
 namespace java org.sequoiahill.protocol.gen
 
-enum ClaimStatus { CLAIMED = 1, HELD = 2, COMPLETED = 3, MISMATCH = 4, UNAVAILABLE = 5, EXPIRED = 6, OUTCOME_UNKNOWN = 7 }
+/**
+ * What is recorded for a key. FREE answers a look-up of a key that nobody holds and a release that
+ * was carried out; EXPIRED means that the key, or the attempt, is over and must not run.
+ */
+enum ClaimStatus { CLAIMED = 1, HELD = 2, COMPLETED = 3, MISMATCH = 4, UNAVAILABLE = 5, EXPIRED = 6, OUTCOME_UNKNOWN = 7, FREE = 8 }
 
 /** Key of a call that may run once. */
 struct ClaimKey {
