--- /dev/null
+++ b/daemon/src/test/java/org/sequoiahill/daemon/process/control/ControlServerTest.java
@@ -0,0 +1,124 @@
+package org.sequoiahill.daemon.process.control;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import org.apache.thrift.TException;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.sequoiahill.daemon.process.settings.HostPort;
+import org.sequoiahill.protocol.gen.TurnReply;
+import org.sequoiahill.protocol.gen.TurnRequest;
+import org.sequoiahill.protocol.gen.Turns;
+
+class ControlServerTest {
+    private static final String HOST = "127.0.0.1";
+
+    private final ExecutorService mExecutor = Executors.newCachedThreadPool();
+    private HostPort mAddress;
+    private ControlServer mServer;
+    private ControlClient mClient;
+
+    @BeforeEach
+    void start() throws IOException {
+        mAddress = new HostPort(HOST, freePort());
+        mServer = ControlServer.bind(mAddress, mExecutor);
+        mServer.register(ServiceStub.TURNS, new Turns.Processor<>(ControlServerTest::answer));
+        mServer.start();
+        mClient = ControlClient.on(mExecutor);
+    }
+
+    @AfterEach
+    void stop() {
+        mClient.close();
+        mServer.close();
+        mExecutor.shutdownNow();
+    }
+
+    @Test
+    void call_registeredService_isAnswered() {
+        assertThat(ask().isGranted(), is(true));
+    }
+
+    @Test
+    void call_unknownService_fails() {
+        CompletionException failure =
+                assertThrows(
+                        CompletionException.class,
+                        () ->
+                                mClient.call(
+                                                mAddress,
+                                                ServiceStub.LOG,
+                                                client -> client.append(null))
+                                        .join());
+
+        assertThat(failure.getCause(), instanceOf(TException.class));
+    }
+
+    /** A frame's length: negative, over the bound, and garbage that reads as a length. */
+    @ParameterizedTest
+    @ValueSource(ints = {-1, ControlClient.MAX_FRAME_BYTES + 1, 0x47455420})
+    void frame_faultyLength_closesThatConnectionOnly(int length) throws IOException {
+        try (Socket socket = new Socket(InetAddress.getByName(HOST), mAddress.port())) {
+            socket.getOutputStream().write(ByteBuffer.allocate(4).putInt(length).array());
+            socket.getOutputStream().flush();
+
+            assertThat(readsEnd(socket), is(true));
+        }
+        assertThat(ask().isGranted(), is(true));
+    }
+
+    @Test
+    void frame_garbageInside_closesThatConnectionOnly() throws IOException {
+        byte[] garbage = new byte[64];
+        try (Socket socket = new Socket(InetAddress.getByName(HOST), mAddress.port())) {
+            ByteBuffer frame = ByteBuffer.allocate(4 + garbage.length);
+            socket.getOutputStream().write(frame.putInt(garbage.length).put(garbage).array());
+            socket.getOutputStream().flush();
+
+            assertThat(readsEnd(socket), is(true));
+        }
+        assertThat(ask().isGranted(), is(true));
+    }
+
+    private static boolean readsEnd(Socket socket) {
+        try (InputStream input = socket.getInputStream()) {
+            while (input.read() >= 0) {
+                // Reads what the server may say before it closes.
+            }
+            return true;
+        } catch (IOException e) {
+            return true;
+        }
+    }
+
+    private TurnReply ask() {
+        return mClient.call(
+                        mAddress, ServiceStub.TURNS, client -> client.request(new TurnRequest()))
+                .join();
+    }
+
+    private static TurnReply answer(TurnRequest request) {
+        return new TurnReply().setGranted(true);
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(HOST))) {
+            return socket.getLocalPort();
+        }
+    }
+}
