--- a/daemon/src/main/java/org/sequoiahill/daemon/process/Daemon.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/Daemon.java
@@ -6,13 +6,18 @@
 import jakarta.inject.Singleton;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
+import java.util.function.Function;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Server;
 import org.sequoiahill.daemon.process.admin.AdminHandler;
+import org.sequoiahill.daemon.process.admin.AuditCalls;
+import org.sequoiahill.daemon.process.admin.DocumentCalls;
 import org.sequoiahill.daemon.process.admin.OperatorsHandler;
+import org.sequoiahill.daemon.process.admin.StatusCalls;
 import org.sequoiahill.daemon.process.config.ConfigurationHandler;
 import org.sequoiahill.daemon.process.config.ConfigurationSync;
 import org.sequoiahill.daemon.process.config.ConfigurationView;
@@ -22,9 +27,12 @@
 import org.sequoiahill.daemon.process.control.ControlServer;
 import org.sequoiahill.daemon.process.control.Identity;
 import org.sequoiahill.daemon.process.control.ServiceStub;
+import org.sequoiahill.daemon.process.directory.DataCentreTable;
 import org.sequoiahill.daemon.process.directory.EndpointDirectory;
 import org.sequoiahill.daemon.process.settings.DaemonSettings;
 import org.sequoiahill.daemon.process.settings.Role;
+import org.sequoiahill.protocol.gen.AuditPage;
+import org.sequoiahill.protocol.gen.AuditQuery;
 import org.sequoiahill.protocol.gen.Configuration;
 import org.tinylog.Logger;
 
@@ -49,6 +57,7 @@
             ConfigurationView view,
             ConfigurationSync sync,
             EndpointDirectory directory,
+            DataCentreTable table,
             ControlClient controlClient,
             ExecutorService controlExecutor,
             HttpClient httpClient,
@@ -61,10 +70,13 @@
         mControlClient = controlClient;
         mSync = sync;
         mControlServer = ControlServer.bind(settings.control(), controlExecutor);
-        ConfigurationWriter writer = StoreForwarder.of(controlClient, settings.stores());
+        StoreForwarder forwarder = StoreForwarder.of(controlClient, settings.stores());
+        ConfigurationWriter writer = forwarder;
+        Optional<Function<AuditQuery, AuditPage>> audit = Optional.empty();
         if (settings.hasRole(Role.STORE)) {
             mRoles.add(store.get());
             writer = store.get().writer();
+            audit = Optional.of(store.get().machine()::audit);
         }
         if (settings.hasRole(Role.ENTRY)) {
             mRoles.add(entry.get());
@@ -75,7 +87,7 @@
         mControlServer.register(
                 ServiceStub.CONFIGURATION,
                 new Configuration.Processor<>(
-                        ConfigurationHandler.of(identity, view, sync, writer)));
+                        ConfigurationHandler.of(identity, view, sync, writer, audit)));
         mRoles.forEach(role -> role.register(mControlServer));
         mDataServer = HttpServers.create("data", settings.data(), dataHandler());
         mAdminServer =
@@ -85,7 +97,11 @@
                         new Handler.Sequence(
                                 AdminHandler.of(metrics, this::isReady),
                                 OperatorsHandler.of(
-                                        settings.operators(), identity, view, writer, directory)));
+                                        settings.operators(),
+                                        List.of(
+                                                AuditCalls.of(forwarder, identity),
+                                                StatusCalls.of(settings, view, directory, table),
+                                                DocumentCalls.of(identity, view, forwarder)))));
     }
 
     /**
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/ProcessModule.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/ProcessModule.java
@@ -8,8 +8,6 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import jakarta.inject.Singleton;
 import java.time.InstantSource;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -20,15 +18,15 @@
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.sequoiahill.daemon.process.claims.ClaimClient;
 import org.sequoiahill.daemon.process.claims.ClaimRegistry;
+import org.sequoiahill.daemon.process.config.ConfigurationFile;
 import org.sequoiahill.daemon.process.config.ConfigurationSync;
 import org.sequoiahill.daemon.process.config.ConfigurationView;
+import org.sequoiahill.daemon.process.config.SpreadPlan;
 import org.sequoiahill.daemon.process.control.ControlClient;
 import org.sequoiahill.daemon.process.control.Identity;
 import org.sequoiahill.daemon.process.directory.DataCentreTable;
 import org.sequoiahill.daemon.process.directory.EndpointDirectory;
 import org.sequoiahill.daemon.process.settings.DaemonSettings;
-import org.sequoiahill.daemon.process.settings.DaemonSettings.PeerVm;
-import org.sequoiahill.daemon.process.settings.HostPort;
 import org.sequoiahill.daemon.process.time.MonotonicClock;
 import org.sequoiahill.daemon.request.HttpForwarder;
 import org.sequoiahill.daemon.request.RequestPolicy;
@@ -104,8 +102,9 @@
 
     @Provides
     @Singleton
-    static ConfigurationView view(Identity identity) {
-        return ConfigurationView.of(identity);
+    static ConfigurationView view(DaemonSettings settings, Identity identity) {
+        return ConfigurationView.restored(
+                identity, ConfigurationFile.in(settings.dataFolder().resolve("configuration")));
     }
 
     @Provides
@@ -115,8 +114,11 @@
             Identity identity,
             ConfigurationView view,
             ControlClient client,
-            ScheduledExecutorService scheduler) {
-        return ConfigurationSync.of(identity, view, client, sourcesOf(settings), scheduler);
+            ScheduledExecutorService scheduler,
+            MonotonicClock clock,
+            RandomGenerator random) {
+        SpreadPlan plan = SpreadPlan.of(settings);
+        return ConfigurationSync.of(identity, view, client, plan, scheduler, clock, random);
     }
 
     @Provides
@@ -165,24 +167,4 @@
             return thread;
         };
     }
-
-    private static List<HostPort> sourcesOf(DaemonSettings settings) {
-        List<HostPort> sources = new ArrayList<>();
-        for (PeerVm store : settings.stores()) {
-            addUnlessSelf(settings, store, sources);
-        }
-        for (PeerVm entry : settings.entries()) {
-            if (entry.dataCentre().equals(settings.dataCentre())) {
-                addUnlessSelf(settings, entry, sources);
-            }
-        }
-        return sources;
-    }
-
-    private static void addUnlessSelf(
-            DaemonSettings settings, PeerVm peer, List<HostPort> sources) {
-        if (!peer.vm().equals(settings.vm()) && !sources.contains(peer.control())) {
-            sources.add(peer.control());
-        }
-    }
 }
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/StoreRole.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/StoreRole.java
@@ -11,6 +11,7 @@
 import org.sequoiahill.daemon.process.claims.ClaimBounds;
 import org.sequoiahill.daemon.process.claims.ClaimsHandler;
 import org.sequoiahill.daemon.process.claims.ClaimsMachine;
+import org.sequoiahill.daemon.process.config.ConfigurationBounds;
 import org.sequoiahill.daemon.process.config.ConfigurationMachine;
 import org.sequoiahill.daemon.process.config.ConfigurationView;
 import org.sequoiahill.daemon.process.config.ConfigurationWriter;
@@ -33,6 +34,7 @@
 final class StoreRole implements DaemonRole {
     private final ScheduledExecutorService mScheduler;
     private final FixedLeaderLog mLog;
+    private final ConfigurationMachine mMachine;
     private final ConfigurationWriter mWriter;
     private final TurnHandler mTurns;
     private final ClaimsHandler mClaims;
@@ -47,7 +49,7 @@
             InstantSource time,
             ScheduledExecutorService scheduler) {
         mScheduler = scheduler;
-        ConfigurationMachine machine = ConfigurationMachine.of(identity, view);
+        mMachine = ConfigurationMachine.of(identity, view, ConfigurationBounds.standard());
         ClaimsMachine claims = ClaimsMachine.of(ClaimBounds.standard());
         try {
             mLog =
@@ -55,24 +57,27 @@
                             identity,
                             settings.stores(),
                             client,
-                            SharedLog.applier(
-                                    List.of(
-                                            (index, payload) -> machine.apply(payload),
-                                            claims::apply)),
+                            SharedLog.applier(List.of(mMachine::apply, claims::apply)),
                             settings.dataFolder().resolve("log"));
         } catch (IOException e) {
             throw new UncheckedIOException("the log can't be opened", e);
         }
         ReplicatedLog config = SharedLog.part(mLog, 0);
         mClaims = ClaimsHandler.of(identity, SharedLog.part(mLog, 1), claims, time);
-        mWriter = LeaderWriter.of(config, machine, client, settings.stores());
+        mWriter = LeaderWriter.of(identity, config, mMachine, time);
         mTurns = TurnHandler.of(identity, view, mLog, client, settings.stores(), clock);
     }
 
+    /** Returns what commits changes while this store leads. */
     ConfigurationWriter writer() {
         return mWriter;
     }
 
+    /** Returns the configuration as this store has applied it. */
+    ConfigurationMachine machine() {
+        return mMachine;
+    }
+
     @Override
     public void register(ControlServer server) {
         server.register(ServiceStub.LOG, new Log.Processor<>(mLog));
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/admin/AuditCalls.java
@@ -0,0 +1,117 @@
+package org.sequoiahill.daemon.process.admin;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Instant;
+import java.time.format.DateTimeParseException;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+import java.util.regex.Pattern;
+import org.eclipse.jetty.http.HttpStatus;
+import org.sequoiahill.daemon.process.config.StoreForwarder;
+import org.sequoiahill.daemon.process.control.Identity;
+import org.sequoiahill.protocol.gen.AuditEntry;
+import org.sequoiahill.protocol.gen.AuditPage;
+import org.sequoiahill.protocol.gen.AuditQuery;
+
+/** Reads of the audit trail, which a store answers. */
+public final class AuditCalls implements OperatorsCall {
+    private static final Pattern SEQUENCE = Pattern.compile("[0-9]{0,18}");
+    private static final int PAGE_ENTRIES = 500;
+
+    private final Function<AuditQuery, CompletableFuture<AuditPage>> mTrail;
+    private final Identity mIdentity;
+
+    private AuditCalls(
+            Function<AuditQuery, CompletableFuture<AuditPage>> trail, Identity identity) {
+        mTrail = trail;
+        mIdentity = identity;
+    }
+
+    /** Returns calls that read the trail from a store. */
+    public static AuditCalls of(StoreForwarder stores, Identity identity) {
+        return new AuditCalls(stores::audit, identity);
+    }
+
+    @Override
+    public boolean handle(Exchange exchange) {
+        if (exchange.isAt("audit") && exchange.isRead()) {
+            answer(exchange, exchange.query("service"));
+            return true;
+        }
+        if (exchange.isAt("services", "*", "history") && exchange.isRead()) {
+            answer(exchange, exchange.path().get(1));
+            return true;
+        }
+        return false;
+    }
+
+    private void answer(Exchange exchange, String documentName) {
+        String after = exchange.query("after");
+        String since = exchange.query("since");
+        long sinceMillis;
+        try {
+            sinceMillis = since.isEmpty() ? 0 : Instant.parse(since).toEpochMilli();
+        } catch (DateTimeParseException e) {
+            exchange.answer()
+                    .error(
+                            HttpStatus.BAD_REQUEST_400,
+                            "since is " + since + "; it must be like 2026-01-31T08:00:00Z");
+            return;
+        }
+        if (!SEQUENCE.matcher(after).matches()) {
+            exchange.answer().error(HttpStatus.BAD_REQUEST_400, "after must be a sequence number");
+            return;
+        }
+        AuditQuery query =
+                new AuditQuery(
+                        mIdentity.sender(),
+                        after.isEmpty() ? 0 : Long.parseLong(after),
+                        documentName,
+                        exchange.query("who"),
+                        sinceMillis,
+                        PAGE_ENTRIES);
+        mTrail.apply(query)
+                .whenComplete(
+                        (page, failure) -> {
+                            if (failure != null) {
+                                exchange.answer()
+                                        .error(
+                                                HttpStatus.SERVICE_UNAVAILABLE_503,
+                                                "no store has answered");
+                                return;
+                            }
+                            exchange.answer().ok(toJson(page));
+                        });
+    }
+
+    private static ObjectNode toJson(AuditPage page) {
+        ObjectNode node = JsonAnswer.object();
+        ArrayNode entries = node.putArray("entries");
+        page.getEntries().forEach(entry -> entries.add(toJson(entry)));
+        return node.put("firstSequence", page.getFirstSequence())
+                .put("lastSequence", page.getLastSequence())
+                .put("lastHash", page.getLastHash())
+                .put("hasMore", page.isHasMore());
+    }
+
+    private static ObjectNode toJson(AuditEntry entry) {
+        ObjectNode node =
+                JsonAnswer.object()
+                        .put("sequence", entry.getSequence())
+                        .put("when", Instant.ofEpochMilli(entry.getWhenMillis()).toString())
+                        .put("who", entry.getActor())
+                        .put("changeId", entry.getChangeId())
+                        .put("kind", entry.getKind().name())
+                        .put("name", entry.getName())
+                        .put("fromRevision", entry.getFromRevision())
+                        .put("toRevision", entry.getToRevision())
+                        .put("outcome", entry.getStatus().name())
+                        .put("message", entry.getMessage())
+                        .put("previousHash", entry.getPreviousHash())
+                        .put("hash", entry.getHash());
+        ArrayNode difference = node.putArray("difference");
+        entry.getDifference().forEach(difference::add);
+        return node;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/admin/DocumentCalls.java
@@ -0,0 +1,185 @@
+package org.sequoiahill.daemon.process.admin;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
+import java.util.Comparator;
+import java.util.Optional;
+import java.util.regex.Pattern;
+import org.eclipse.jetty.http.HttpStatus;
+import org.jspecify.annotations.Nullable;
+import org.sequoiahill.daemon.connection.BodyReader;
+import org.sequoiahill.daemon.process.config.ConfigurationView;
+import org.sequoiahill.daemon.process.config.ConfigurationWriter;
+import org.sequoiahill.daemon.process.config.DocumentKey;
+import org.sequoiahill.daemon.process.control.Identity;
+import org.sequoiahill.protocol.document.ServiceDocument;
+import org.sequoiahill.protocol.gen.ConfigurationWrite;
+import org.sequoiahill.protocol.gen.Document;
+import org.sequoiahill.protocol.gen.DocumentKind;
+import org.sequoiahill.protocol.gen.WriteResult;
+import org.sequoiahill.protocol.gen.WriteStatus;
+
+/** Reads and changes of documents. */
+public final class DocumentCalls implements OperatorsCall {
+    private static final int MAX_DOCUMENT_BYTES = 1 << 20;
+    private static final Pattern REVISION = Pattern.compile("[0-9]{1,18}");
+    private static final Pattern CHANGE_ID = Pattern.compile("[A-Za-z0-9._:-]{1,128}");
+
+    private final Identity mIdentity;
+    private final ConfigurationView mView;
+    private final ConfigurationWriter mWriter;
+
+    private DocumentCalls(Identity identity, ConfigurationView view, ConfigurationWriter writer) {
+        mIdentity = identity;
+        mView = view;
+        mWriter = writer;
+    }
+
+    /** Returns calls that give changes to {@code writer}. */
+    public static DocumentCalls of(
+            Identity identity, ConfigurationView view, ConfigurationWriter writer) {
+        return new DocumentCalls(identity, view, writer);
+    }
+
+    @Override
+    public boolean handle(Exchange exchange) {
+        Optional<DocumentKind> kind = kindOf(exchange.path().get(0));
+        if (kind.isEmpty()) {
+            return false;
+        }
+        if (exchange.isAt("*") && exchange.isRead()) {
+            answerList(kind.get(), exchange.answer());
+            return true;
+        }
+        if (!exchange.isAt("*", "*")) {
+            return false;
+        }
+        DocumentKey key = new DocumentKey(kind.get(), exchange.path().get(1));
+        if (exchange.isRead()) {
+            answerDocument(key, exchange.answer());
+        } else if (exchange.request().getMethod().equals("PUT")) {
+            readAndWrite(key, exchange);
+        } else {
+            exchange.answer()
+                    .error(HttpStatus.METHOD_NOT_ALLOWED_405, "a document takes GET and PUT");
+        }
+        return true;
+    }
+
+    private static Optional<DocumentKind> kindOf(String segment) {
+        return switch (segment) {
+            case "services" -> Optional.of(DocumentKind.SERVICE);
+            case "data-centres" -> Optional.of(DocumentKind.DATA_CENTRE);
+            default -> Optional.empty();
+        };
+    }
+
+    private void readAndWrite(DocumentKey key, Exchange exchange) {
+        String changeId = exchange.request().getHeaders().get("Sequoia-Change-Id");
+        String replaces = exchange.query("replaces");
+        if (changeId == null
+                || !CHANGE_ID.matcher(changeId).matches()
+                || !REVISION.matcher(replaces).matches()
+                || !ServiceDocument.NAME.matcher(key.name()).matches()) {
+            exchange.answer()
+                    .error(
+                            HttpStatus.BAD_REQUEST_400,
+                            "a change needs the header Sequoia-Change-Id ("
+                                    + CHANGE_ID.pattern()
+                                    + "), ?replaces=REVISION and a name like "
+                                    + ServiceDocument.NAME.pattern());
+            return;
+        }
+        BodyReader.read(exchange.request(), MAX_DOCUMENT_BYTES)
+                .whenComplete(
+                        (body, failure) -> {
+                            if (failure != null) {
+                                exchange.answer()
+                                        .error(
+                                                HttpStatus.PAYLOAD_TOO_LARGE_413,
+                                                "the document exceeds "
+                                                        + MAX_DOCUMENT_BYTES
+                                                        + " bytes");
+                                return;
+                            }
+                            commit(changeOf(key, changeId, replaces, body, exchange), exchange);
+                        });
+    }
+
+    private ConfigurationWrite changeOf(
+            DocumentKey key, String changeId, String replaces, byte[] body, Exchange exchange) {
+        return new ConfigurationWrite(
+                mIdentity.sender(),
+                changeId,
+                exchange.operator().name(),
+                key.kind(),
+                key.name(),
+                Long.parseLong(replaces),
+                new String(body, StandardCharsets.UTF_8),
+                exchange.operator().team());
+    }
+
+    /** Refusals are decided by the log too, so that each one is in the audit trail. */
+    private void commit(ConfigurationWrite write, Exchange exchange) {
+        mWriter.write(write)
+                .whenComplete(
+                        (result, failure) -> answerResult(result, failure, exchange.answer()));
+    }
+
+    private static void answerResult(
+            @Nullable WriteResult result, @Nullable Throwable failure, JsonAnswer answer) {
+        if (result == null) {
+            answer.error(
+                    HttpStatus.SERVICE_UNAVAILABLE_503,
+                    "no majority of the stores has answered; resend with the same change id: "
+                            + (failure == null ? "" : failure.getMessage()));
+            return;
+        }
+        ObjectNode node = JsonAnswer.object();
+        node.put("status", result.getStatus().name());
+        node.put("revision", result.getRevision());
+        if (result.isSetWinner()) {
+            node.set("winner", toJson(result.getWinner()));
+        }
+        if (result.isSetMessage()) {
+            node.put("message", result.getMessage());
+        }
+        answer.write(statusOf(result.getStatus()), node);
+    }
+
+    private static int statusOf(WriteStatus status) {
+        return switch (status) {
+            case ACCEPTED -> HttpStatus.OK_200;
+            case CONFLICT -> HttpStatus.CONFLICT_409;
+            case INVALID -> HttpStatus.UNPROCESSABLE_ENTITY_422;
+            case FORBIDDEN -> HttpStatus.FORBIDDEN_403;
+            case UNAVAILABLE -> HttpStatus.SERVICE_UNAVAILABLE_503;
+        };
+    }
+
+    private void answerDocument(DocumentKey key, JsonAnswer answer) {
+        Optional<Document> document = mView.current().document(key);
+        if (document.isEmpty()) {
+            answer.error(HttpStatus.NOT_FOUND_404, "no such document: " + key.name());
+            return;
+        }
+        answer.ok(toJson(document.get()));
+    }
+
+    private void answerList(DocumentKind kind, JsonAnswer answer) {
+        ArrayNode list = JsonAnswer.array();
+        mView.current().documentsAfter(0).stream()
+                .filter(document -> document.getKind() == kind)
+                .sorted(Comparator.comparing(Document::getName))
+                .forEach(document -> list.add(toJson(document)));
+        answer.ok(list);
+    }
+
+    private static ObjectNode toJson(Document document) {
+        return JsonAnswer.object()
+                .put("name", document.getName())
+                .put("revision", document.getRevision())
+                .put("document", document.getBody());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/admin/JsonAnswer.java
@@ -0,0 +1,61 @@
+package org.sequoiahill.daemon.process.admin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+
+/** Writes the one JSON answer of an operators' call. */
+public final class JsonAnswer {
+    private static final JsonMapper MAPPER = JsonMapper.builder().build();
+    private static final String RETRY_AFTER_SECONDS = "1";
+
+    private final Response mResponse;
+    private final Callback mCallback;
+
+    private JsonAnswer(Response response, Callback callback) {
+        mResponse = response;
+        mCallback = callback;
+    }
+
+    static JsonAnswer to(Response response, Callback callback) {
+        return new JsonAnswer(response, callback);
+    }
+
+    /** Returns an empty JSON object. */
+    public static ObjectNode object() {
+        return MAPPER.createObjectNode();
+    }
+
+    /** Returns an empty JSON array. */
+    public static ArrayNode array() {
+        return MAPPER.createArrayNode();
+    }
+
+    /** Answers with status 200. */
+    public void ok(JsonNode body) {
+        write(HttpStatus.OK_200, body);
+    }
+
+    /** Answers with an error that names the place and the rule. */
+    public void error(int status, String message) {
+        write(status, object().put("error", message));
+    }
+
+    /** Answers with any status; 503 carries Retry-After. */
+    public void write(int status, JsonNode body) {
+        mResponse.setStatus(status);
+        mResponse.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
+        if (status == HttpStatus.SERVICE_UNAVAILABLE_503) {
+            mResponse.getHeaders().put(HttpHeader.RETRY_AFTER, RETRY_AFTER_SECONDS);
+        }
+        byte[] bytes = body.toString().getBytes(StandardCharsets.UTF_8);
+        mResponse.write(true, ByteBuffer.wrap(bytes), mCallback);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/config/AuditTrail.java
@@ -0,0 +1,103 @@
+package org.sequoiahill.daemon.process.config;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import org.sequoiahill.protocol.audit.AuditChain;
+import org.sequoiahill.protocol.gen.AuditEntry;
+import org.sequoiahill.protocol.gen.AuditPage;
+import org.sequoiahill.protocol.gen.AuditQuery;
+import org.sequoiahill.protocol.gen.Sender;
+
+/** Entries of the audit trail in their order; the oldest are dropped over a bound. */
+final class AuditTrail {
+    /** Most entries in one page. */
+    static final int MAX_PAGE_ENTRIES = 500;
+
+    private static final int OVERHEAD_BYTES = 256;
+
+    private final int mMaxEntries;
+    private final long mMaxBytes;
+    private final Deque<AuditEntry> mEntries = new ArrayDeque<>();
+    private long mBytes;
+    private long mLastSequence;
+    private String mLastHash = AuditChain.FIRST_HASH;
+
+    AuditTrail(int maxEntries, long maxBytes) {
+        mMaxEntries = maxEntries;
+        mMaxBytes = maxBytes;
+    }
+
+    /** Adds an entry behind the newest; sequence and hashes are set here. */
+    void add(AuditEntry entry) {
+        entry.setSequence(mLastSequence + 1);
+        entry.setPreviousHash(mLastHash);
+        entry.setHash(AuditChain.hashOf(entry));
+        mLastSequence = entry.getSequence();
+        mLastHash = entry.getHash();
+        keep(entry);
+    }
+
+    AuditPage page(AuditQuery query, Sender sender) {
+        int limit = Math.min(Math.max(query.getLimit(), 1), MAX_PAGE_ENTRIES);
+        List<AuditEntry> found = new ArrayList<>();
+        for (AuditEntry entry : mEntries) {
+            if (isAsked(entry, query)) {
+                found.add(entry);
+            }
+            if (found.size() > limit) {
+                break;
+            }
+        }
+        boolean hasMore = found.size() > limit;
+        List<AuditEntry> entries = hasMore ? found.subList(0, limit) : found;
+        long first = mEntries.isEmpty() ? mLastSequence + 1 : mEntries.getFirst().getSequence();
+        return new AuditPage(sender, entries, mLastSequence, mLastHash, first, hasMore);
+    }
+
+    List<AuditEntry> entries() {
+        return new ArrayList<>(mEntries);
+    }
+
+    long lastSequence() {
+        return mLastSequence;
+    }
+
+    String lastHash() {
+        return mLastHash;
+    }
+
+    void restore(List<AuditEntry> entries, long lastSequence, String lastHash) {
+        mEntries.clear();
+        mBytes = 0;
+        entries.forEach(this::keep);
+        mLastSequence = lastSequence;
+        mLastHash = lastHash;
+    }
+
+    private void keep(AuditEntry entry) {
+        mEntries.addLast(entry);
+        mBytes += bytesOf(entry);
+        while (mEntries.size() > 1 && (mEntries.size() > mMaxEntries || mBytes > mMaxBytes)) {
+            mBytes -= bytesOf(mEntries.removeFirst());
+        }
+    }
+
+    private static boolean isAsked(AuditEntry entry, AuditQuery query) {
+        return entry.getSequence() > query.getAfterSequence()
+                && entry.getWhenMillis() >= query.getSinceMillis()
+                && isAny(query.getDocumentName(), entry.getName())
+                && isAny(query.getActor(), entry.getActor());
+    }
+
+    private static boolean isAny(String asked, String held) {
+        return asked == null || asked.isEmpty() || asked.equals(held);
+    }
+
+    private static long bytesOf(AuditEntry entry) {
+        long bytes = (long) OVERHEAD_BYTES + entry.getMessage().length();
+        bytes += entry.getChangeId().length() + entry.getActor().length();
+        return bytes + entry.getDifference().stream().mapToLong(String::length).sum();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/config/ConfigurationFile.java
@@ -0,0 +1,125 @@
+package org.sequoiahill.daemon.process.config;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.util.Optional;
+import java.util.zip.CRC32C;
+import org.sequoiahill.daemon.process.control.ThriftBytes;
+import org.sequoiahill.protocol.gen.ConfigurationDelta;
+import org.tinylog.Logger;
+
+/**
+ * A file with the newest configuration: a magic number, the format version, the length and CRC of
+ * the content, and the content; it is replaced as a whole.
+ */
+public final class ConfigurationFile implements ConfigurationStorage {
+    private static final String NAME = "configuration";
+    private static final int MAGIC = 0x53_51_43_46;
+    private static final int FORMAT_VERSION = 1;
+    private static final int HEADER_BYTES = 4 * Integer.BYTES;
+    private static final int MAX_BYTES = 64 << 20;
+
+    private final Path mFolder;
+    private final Path mFile;
+
+    private ConfigurationFile(Path folder) {
+        mFolder = folder;
+        mFile = folder.resolve(NAME);
+    }
+
+    /** Returns the file in a folder, which is created with the first save. */
+    public static ConfigurationFile in(Path folder) {
+        return new ConfigurationFile(folder);
+    }
+
+    @Override
+    public Optional<ConfigurationDelta> load() throws IOException {
+        if (!Files.exists(mFile)) {
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(read());
+        } catch (DamagedFileException e) {
+            Path aside = mFolder.resolve(NAME + ".damaged");
+            Files.move(mFile, aside, StandardCopyOption.REPLACE_EXISTING);
+            Logger.error("{}; it is kept as {}", e.getMessage(), aside);
+            throw e;
+        }
+    }
+
+    @Override
+    public void save(ConfigurationDelta whole) throws IOException {
+        byte[] content = ThriftBytes.write(whole);
+        ByteBuffer buffer = ByteBuffer.allocate(HEADER_BYTES + content.length);
+        buffer.putInt(MAGIC).putInt(FORMAT_VERSION).putInt(content.length).putInt(crcOf(content));
+        buffer.put(content).flip();
+        Files.createDirectories(mFolder);
+        Path next = mFolder.resolve(NAME + ".next");
+        try (FileChannel channel =
+                FileChannel.open(
+                        next,
+                        StandardOpenOption.CREATE,
+                        StandardOpenOption.TRUNCATE_EXISTING,
+                        StandardOpenOption.WRITE)) {
+            while (buffer.hasRemaining()) {
+                channel.write(buffer);
+            }
+            channel.force(true);
+        }
+        Files.move(next, mFile, StandardCopyOption.ATOMIC_MOVE);
+        syncFolder();
+    }
+
+    private ConfigurationDelta read() throws IOException {
+        if (Files.size(mFile) > MAX_BYTES) {
+            throw damaged("is larger than " + MAX_BYTES + " bytes");
+        }
+        ByteBuffer buffer = ByteBuffer.wrap(Files.readAllBytes(mFile));
+        if (buffer.remaining() < HEADER_BYTES || buffer.getInt() != MAGIC) {
+            throw damaged("is no configuration file");
+        }
+        int version = buffer.getInt();
+        if (version != FORMAT_VERSION) {
+            throw damaged("has format " + version + ", this program reads " + FORMAT_VERSION);
+        }
+        int length = buffer.getInt();
+        int crc = buffer.getInt();
+        if (length != buffer.remaining()) {
+            throw damaged("holds " + buffer.remaining() + " bytes instead of " + length);
+        }
+        byte[] content = new byte[length];
+        buffer.get(content);
+        if (crcOf(content) != crc) {
+            throw damaged("has another checksum than its content");
+        }
+        return ThriftBytes.read(new ConfigurationDelta(), content);
+    }
+
+    private void syncFolder() throws IOException {
+        try (FileChannel channel = FileChannel.open(mFolder, StandardOpenOption.READ)) {
+            channel.force(true);
+        }
+    }
+
+    private DamagedFileException damaged(String fault) {
+        return new DamagedFileException(mFile + " " + fault);
+    }
+
+    private static int crcOf(byte[] content) {
+        CRC32C crc = new CRC32C();
+        crc.update(content);
+        return (int) crc.getValue();
+    }
+
+    /** The content can't be trusted. */
+    private static final class DamagedFileException extends IOException {
+        DamagedFileException(String message) {
+            super(message);
+        }
+    }
+}
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/config/ConfigurationHandler.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/config/ConfigurationHandler.java
@@ -1,7 +1,9 @@
 package org.sequoiahill.daemon.process.config;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletionException;
+import java.util.function.Function;
 import org.sequoiahill.daemon.process.control.Identity;
 import org.sequoiahill.protocol.gen.AuditPage;
 import org.sequoiahill.protocol.gen.AuditQuery;
@@ -19,25 +21,34 @@
     private final ConfigurationView mView;
     private final ConfigurationSync mSync;
     private final ConfigurationWriter mWriter;
+    private final Optional<Function<AuditQuery, AuditPage>> mAudit;
 
     private ConfigurationHandler(
             Identity identity,
             ConfigurationView view,
             ConfigurationSync sync,
-            ConfigurationWriter writer) {
+            ConfigurationWriter writer,
+            Optional<Function<AuditQuery, AuditPage>> audit) {
         mIdentity = identity;
         mView = view;
         mSync = sync;
         mWriter = writer;
+        mAudit = audit;
     }
 
-    /** Returns a handler that gives writes to {@code writer}. */
+    /**
+     * Returns a handler that gives writes to {@code writer}.
+     *
+     * @param audit reads the audit trail, on a store; elsewhere a page with last sequence -1 is
+     *     given
+     */
     public static ConfigurationHandler of(
             Identity identity,
             ConfigurationView view,
             ConfigurationSync sync,
-            ConfigurationWriter writer) {
-        return new ConfigurationHandler(identity, view, sync, writer);
+            ConfigurationWriter writer,
+            Optional<Function<AuditQuery, AuditPage>> audit) {
+        return new ConfigurationHandler(identity, view, sync, writer, audit);
     }
 
     @Override
@@ -54,7 +65,8 @@
 
     @Override
     public AuditPage audit(AuditQuery query) {
-        return new AuditPage(mIdentity.sender(), List.of(), 0, "", 0, false);
+        return mAudit.map(trail -> trail.apply(query))
+                .orElseGet(() -> new AuditPage(mIdentity.sender(), List.of(), -1, "", 0, false));
     }
 
     @Override
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/config/ConfigurationMachine.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/config/ConfigurationMachine.java
@@ -1,97 +1,256 @@
 package org.sequoiahill.daemon.process.config;
 
+import java.nio.ByteBuffer;
+import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import org.apache.thrift.TDeserializer;
-import org.apache.thrift.TException;
-import org.apache.thrift.TSerializer;
-import org.apache.thrift.protocol.TCompactProtocol;
 import org.sequoiahill.daemon.process.control.Identity;
+import org.sequoiahill.daemon.process.control.ThriftBytes;
+import org.sequoiahill.daemon.process.log.StateMachine;
+import org.sequoiahill.protocol.document.ServiceDocument;
+import org.sequoiahill.protocol.gen.AuditEntry;
+import org.sequoiahill.protocol.gen.AuditPage;
+import org.sequoiahill.protocol.gen.AuditQuery;
+import org.sequoiahill.protocol.gen.ChangeAnswer;
 import org.sequoiahill.protocol.gen.ConfigurationDelta;
+import org.sequoiahill.protocol.gen.ConfigurationProposal;
+import org.sequoiahill.protocol.gen.ConfigurationState;
 import org.sequoiahill.protocol.gen.ConfigurationWrite;
 import org.sequoiahill.protocol.gen.Document;
+import org.sequoiahill.protocol.gen.DocumentKind;
+import org.sequoiahill.protocol.gen.VersionBinding;
 import org.sequoiahill.protocol.gen.WriteResult;
 import org.sequoiahill.protocol.gen.WriteStatus;
 
-/** Applies committed changes to the documents in the order of the log. */
-public final class ConfigurationMachine {
-    private static final int REMEMBERED_CHANGES = 10_000;
+/**
+ * Documents, first answers, bound versions and the audit trail, as the log of group {@code config}
+ * states them.
+ *
+ * <p>The state depends on the applied proposals only; it is published to a view, which may be ahead
+ * of it on a store that is catching up.
+ */
+public final class ConfigurationMachine implements StateMachine {
+    private static final int FORMAT_VERSION = 1;
+    private static final int REMEMBERED_RESULTS = 1_024;
 
     private final Identity mIdentity;
     private final ConfigurationView mView;
-    private final Map<String, WriteResult> mResults =
+    private final ConfigurationBounds mBounds;
+    private final ChangeAnswers mAnswers;
+    private final AuditTrail mAudit;
+    private final Map<VersionKey, String> mVersions = new LinkedHashMap<>();
+    private final Map<Long, WriteResult> mResults =
             new LinkedHashMap<>() {
                 @Override
-                protected boolean removeEldestEntry(Map.Entry<String, WriteResult> eldest) {
-                    return size() > REMEMBERED_CHANGES;
+                protected boolean removeEldestEntry(Map.Entry<Long, WriteResult> eldest) {
+                    return size() > REMEMBERED_RESULTS;
                 }
             };
+    private ConfigurationSnapshot mState = ConfigurationSnapshot.empty();
+    private long mNowMillis;
 
-    private ConfigurationMachine(Identity identity, ConfigurationView view) {
+    private ConfigurationMachine(
+            Identity identity, ConfigurationView view, ConfigurationBounds bounds) {
         mIdentity = identity;
         mView = view;
+        mBounds = bounds;
+        mAnswers = new ChangeAnswers(bounds.answers(), bounds.answerBytes());
+        mAudit = new AuditTrail(bounds.auditEntries(), bounds.auditBytes());
     }
 
-    /** Returns a machine that publishes to a view. */
-    public static ConfigurationMachine of(Identity identity, ConfigurationView view) {
-        return new ConfigurationMachine(identity, view);
+    /** Returns a machine that holds no document and publishes to a view. */
+    public static ConfigurationMachine of(
+            Identity identity, ConfigurationView view, ConfigurationBounds bounds) {
+        return new ConfigurationMachine(identity, view, bounds);
     }
 
-    /** Returns the bytes of a change, as the log holds them. */
-    public static byte[] encode(ConfigurationWrite write) {
-        try {
-            return new TSerializer(new TCompactProtocol.Factory()).serialize(write);
-        } catch (TException e) {
-            throw new IllegalStateException("a change held in memory can be written", e);
-        }
+    @Override
+    public synchronized void apply(long index, byte[] payload) {
+        ConfigurationProposal proposal = ThriftBytes.read(new ConfigurationProposal(), payload);
+        mNowMillis = Math.max(mNowMillis, proposal.getProposedAtMillis());
+        mResults.put(index, answer(proposal.getWrite()));
+    }
+
+    @Override
+    public synchronized byte[] snapshot() {
+        ConfigurationState state =
+                new ConfigurationState(
+                        FORMAT_VERSION,
+                        mState.revision(),
+                        mState.sortedDocuments(),
+                        mAnswers.all(),
+                        mVersions.entrySet().stream().map(ConfigurationMachine::toBinding).toList(),
+                        mAudit.entries(),
+                        mAudit.lastSequence(),
+                        mAudit.lastHash(),
+                        mNowMillis);
+        return ThriftBytes.write(state);
     }
 
-    /** Applies one committed change; the same change id gets the first answer again. */
-    public synchronized WriteResult apply(byte[] payload) {
-        ConfigurationWrite write = decode(payload);
-        WriteResult earlier = mResults.get(write.getChangeId());
-        if (earlier != null) {
-            return earlier;
+    @Override
+    public synchronized void restore(byte[] snapshot) {
+        ConfigurationState state = ThriftBytes.read(new ConfigurationState(), snapshot);
+        if (state.getFormatVersion() != FORMAT_VERSION) {
+            throw new IllegalStateException(
+                    "snapshot of the configuration has format "
+                            + state.getFormatVersion()
+                            + ", this program reads "
+                            + FORMAT_VERSION);
         }
-        WriteResult result = decide(write);
-        mResults.put(write.getChangeId(), result);
-        return result;
+        mState = ConfigurationSnapshot.empty().with(state.getRevision(), state.getDocuments());
+        mAnswers.restore(state.getAnswers());
+        mVersions.clear();
+        state.getVersions().forEach(v -> mVersions.put(VersionKey.of(v), v.getManifestDigest()));
+        mAudit.restore(state.getAudit(), state.getLastSequence(), state.getLastHash());
+        mNowMillis = state.getNowMillis();
+        mResults.clear();
+        publish(0, state.getDocuments());
+    }
+
+    /** Returns the answer to the proposal at an index; the newest thousand are kept. */
+    public synchronized Optional<WriteResult> resultAt(long index) {
+        return Optional.ofNullable(mResults.get(index))
+                .map(result -> new WriteResult(result).setSender(mIdentity.sender()));
     }
 
-    /** Returns the answer to a change that was applied. */
-    public synchronized Optional<WriteResult> resultOf(String changeId) {
-        return Optional.ofNullable(mResults.get(changeId));
+    /** Returns entries of the audit trail. */
+    public synchronized AuditPage audit(AuditQuery query) {
+        return mAudit.page(query, mIdentity.sender());
     }
 
-    private WriteResult decide(ConfigurationWrite write) {
-        ConfigurationSnapshot snapshot = mView.current();
-        DocumentKey key = new DocumentKey(write.getKind(), write.getName());
-        Optional<Document> held = snapshot.document(key);
+    private WriteResult answer(ConfigurationWrite write) {
+        if (!WriteChecks.isWhole(write)) {
+            return refusal(WriteStatus.INVALID, "the change lacks a field or a field is too long");
+        }
+        byte[] fingerprint = WriteChecks.fingerprintOf(write);
+        Optional<ChangeAnswer> earlier = mAnswers.find(write.getChangeId());
+        if (earlier.isPresent() && Arrays.equals(earlier.get().getFingerprint(), fingerprint)) {
+            return earlier.get().getResult();
+        }
+        Optional<Document> held = mState.document(keyOf(write));
+        if (earlier.isPresent()) {
+            String fault = "change id " + write.getChangeId() + " was used for another change";
+            WriteResult result = refusal(WriteStatus.INVALID, fault);
+            record(write, held, result);
+            return result;
+        }
+        WriteResult result = decide(write, held);
+        record(write, held, result);
+        mAnswers.add(new ChangeAnswer(write.getChangeId(), ByteBuffer.wrap(fingerprint), result));
+        return result;
+    }
+
+    private WriteResult decide(ConfigurationWrite write, Optional<Document> held) {
+        Optional<String> fault =
+                WriteChecks.faultOf(write, mBounds).or(() -> boundFault(write, held));
+        if (fault.isPresent()) {
+            return refusal(WriteStatus.INVALID, fault.get());
+        }
+        if (!WriteChecks.isAllowed(write, mState.service(write.getName()))) {
+            return refusal(WriteStatus.FORBIDDEN, "the document belongs to another team");
+        }
         long heldRevision = held.map(Document::getRevision).orElse(0L);
         if (heldRevision != write.getReplacesRevision()) {
-            WriteResult conflict =
-                    new WriteResult(mIdentity.sender(), WriteStatus.CONFLICT, heldRevision);
+            WriteResult conflict = new WriteResult(null, WriteStatus.CONFLICT, heldRevision);
+            conflict.setMessage("revision " + heldRevision + " is in force");
             held.ifPresent(conflict::setWinner);
             return conflict;
         }
-        long revision = snapshot.revision() + 1;
+        return accept(write);
+    }
+
+    private WriteResult accept(ConfigurationWrite write) {
+        long revision = mState.revision() + 1;
         Document document =
                 new Document(write.getKind(), write.getName(), revision, write.getBody());
+        mState = mState.with(revision, List.of(document));
+        versionOf(write).ifPresent(v -> mVersions.put(v.key(), v.digest()));
+        publish(revision - 1, List.of(document));
+        return new WriteResult(null, WriteStatus.ACCEPTED, revision);
+    }
+
+    private Optional<String> boundFault(ConfigurationWrite write, Optional<Document> held) {
+        int heldBytes = held.map(document -> document.getBody().length()).orElse(0);
+        if (held.isEmpty() && mState.documentCount() >= mBounds.documents()) {
+            return Optional.of("there are " + mBounds.documents() + " documents, the most allowed");
+        }
+        if (mState.bytes() - heldBytes + write.getBody().length() > mBounds.totalBytes()) {
+            return Optional.of(
+                    "all documents together would exceed " + mBounds.totalBytes() + " bytes");
+        }
+        return versionOf(write).flatMap(this::bindingFault);
+    }
+
+    private Optional<String> bindingFault(VersionOf version) {
+        String bound = mVersions.get(version.key());
+        if (bound == null && mVersions.size() >= mBounds.versions()) {
+            return Optional.of(mBounds.versions() + " versions are bound, the most allowed");
+        }
+        if (bound == null || bound.equals(version.digest())) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                "version " + version.key().version() + " is bound to the manifest " + bound);
+    }
+
+    private static Optional<VersionOf> versionOf(ConfigurationWrite write) {
+        if (write.getKind() != DocumentKind.SERVICE) {
+            return Optional.empty();
+        }
+        return ServiceDocument.parse(write.getBody())
+                .orElseThrow()
+                .version()
+                .map(
+                        v ->
+                                new VersionOf(
+                                        new VersionKey(write.getName(), v.name()),
+                                        v.manifestDigest()));
+    }
+
+    private void record(ConfigurationWrite write, Optional<Document> held, WriteResult result) {
+        String before = held.map(Document::getBody).orElse("");
+        boolean isAccepted = result.getStatus() == WriteStatus.ACCEPTED;
+        mAudit.add(
+                new AuditEntry()
+                        .setWhenMillis(mNowMillis)
+                        .setActor(write.getActor())
+                        .setChangeId(write.getChangeId())
+                        .setKind(write.getKind())
+                        .setName(write.getName())
+                        .setFromRevision(write.getReplacesRevision())
+                        .setToRevision(isAccepted ? result.getRevision() : 0)
+                        .setStatus(result.getStatus())
+                        .setDifference(DocumentDifference.between(before, write.getBody()))
+                        .setMessage(result.isSetMessage() ? result.getMessage() : ""));
+    }
+
+    private WriteResult refusal(WriteStatus status, String message) {
+        return new WriteResult(null, status, mState.revision())
+                .setMessage(WriteChecks.cut(message));
+    }
+
+    private void publish(long afterRevision, List<Document> documents) {
         mView.offer(
                 new ConfigurationDelta(
-                        mIdentity.sender(), revision, List.of(document), revision - 1));
-        return new WriteResult(mIdentity.sender(), WriteStatus.ACCEPTED, revision);
+                        mIdentity.sender(), mState.revision(), documents, afterRevision));
     }
 
-    private static ConfigurationWrite decode(byte[] payload) {
-        try {
-            ConfigurationWrite write = new ConfigurationWrite();
-            new TDeserializer(new TCompactProtocol.Factory()).deserialize(write, payload);
-            return write;
-        } catch (TException e) {
-            throw new IllegalStateException("the log holds a change that can't be read", e);
+    private static DocumentKey keyOf(ConfigurationWrite write) {
+        return new DocumentKey(write.getKind(), write.getName());
+    }
+
+    private static VersionBinding toBinding(Map.Entry<VersionKey, String> entry) {
+        VersionKey key = entry.getKey();
+        return new VersionBinding(key.service(), key.version(), entry.getValue());
+    }
+
+    private record VersionKey(String service, String version) {
+        static VersionKey of(VersionBinding binding) {
+            return new VersionKey(binding.getServiceName(), binding.getVersionName());
         }
     }
+
+    private record VersionOf(VersionKey key, String digest) {}
 }
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/config/ConfigurationSnapshot.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/config/ConfigurationSnapshot.java
@@ -1,6 +1,7 @@
 package org.sequoiahill.daemon.process.config;
 
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -14,17 +15,25 @@
 
 /** All documents at one revision; immutable. */
 public final class ConfigurationSnapshot {
-    private static final ConfigurationSnapshot EMPTY = new ConfigurationSnapshot(0, Map.of());
+    private static final ConfigurationSnapshot EMPTY =
+            new ConfigurationSnapshot(0, Map.of(), Map.of(), Set.of());
 
     private final long mRevision;
     private final Map<DocumentKey, Document> mDocuments;
-    private final Map<String, ServiceDocument> mServices = new HashMap<>();
-    private final Set<String> mOutDataCentres = new HashSet<>();
+    private final Map<String, ServiceDocument> mServices;
+    private final Set<String> mOutDataCentres;
+    private final long mBytes;
 
-    private ConfigurationSnapshot(long revision, Map<DocumentKey, Document> documents) {
+    private ConfigurationSnapshot(
+            long revision,
+            Map<DocumentKey, Document> documents,
+            Map<String, ServiceDocument> services,
+            Set<String> outDataCentres) {
         mRevision = revision;
         mDocuments = documents;
-        documents.values().forEach(this::index);
+        mServices = services;
+        mOutDataCentres = outDataCentres;
+        mBytes = documents.values().stream().mapToLong(d -> d.getBody().length()).sum();
     }
 
     /** Returns the snapshot before the first change. */
@@ -32,11 +41,21 @@
         return EMPTY;
     }
 
-    /** Returns a snapshot with documents added or replaced. */
+    /** Returns a snapshot with documents added or replaced; an older document replaces nothing. */
     public ConfigurationSnapshot with(long revision, Collection<Document> documents) {
         Map<DocumentKey, Document> all = new HashMap<>(mDocuments);
-        documents.forEach(document -> all.put(DocumentKey.of(document), document));
-        return new ConfigurationSnapshot(revision, Map.copyOf(all));
+        Map<String, ServiceDocument> services = new HashMap<>(mServices);
+        Set<String> outDataCentres = new HashSet<>(mOutDataCentres);
+        for (Document document : documents) {
+            DocumentKey key = DocumentKey.of(document);
+            Document held = all.get(key);
+            if (held == null || held.getRevision() < document.getRevision()) {
+                all.put(key, document);
+                index(document, services, outDataCentres);
+            }
+        }
+        return new ConfigurationSnapshot(
+                revision, Map.copyOf(all), Map.copyOf(services), Set.copyOf(outDataCentres));
     }
 
     /** Returns the revision of the newest change. */
@@ -61,7 +80,7 @@
 
     /** Returns all services by name. */
     public Map<String, ServiceDocument> services() {
-        return Map.copyOf(mServices);
+        return mServices;
     }
 
     /** Returns whether operators have taken a data centre out. */
@@ -69,17 +88,35 @@
         return mOutDataCentres.contains(dataCentre);
     }
 
-    private void index(Document document) {
+    /** Returns all documents in the order of their revisions. */
+    List<Document> sortedDocuments() {
+        return mDocuments.values().stream()
+                .sorted(Comparator.comparingLong(Document::getRevision))
+                .toList();
+    }
+
+    int documentCount() {
+        return mDocuments.size();
+    }
+
+    /** Returns the length of all documents. */
+    long bytes() {
+        return mBytes;
+    }
+
+    private static void index(
+            Document document, Map<String, ServiceDocument> services, Set<String> outDataCentres) {
         if (document.getKind() == DocumentKind.SERVICE) {
             ServiceDocument.parse(document.getBody())
-                    .ifValid(service -> mServices.put(document.getName(), service));
+                    .ifValid(service -> services.put(document.getName(), service));
             return;
         }
+        outDataCentres.remove(document.getName());
         DataCentreDocument.parse(document.getBody())
                 .ifValid(
                         dataCentre -> {
                             if (dataCentre.isOut()) {
-                                mOutDataCentres.add(dataCentre.dataCentre());
+                                outDataCentres.add(dataCentre.dataCentre());
                             }
                         });
     }
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/config/ConfigurationSync.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/config/ConfigurationSync.java
@@ -2,83 +2,170 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
+import org.jspecify.annotations.Nullable;
 import org.sequoiahill.daemon.process.control.ControlClient;
 import org.sequoiahill.daemon.process.control.Identity;
 import org.sequoiahill.daemon.process.control.ServiceStub;
+import org.sequoiahill.daemon.process.settings.DaemonSettings.PeerVm;
 import org.sequoiahill.daemon.process.settings.HostPort;
-import org.sequoiahill.daemon.process.time.Periodic;
+import org.sequoiahill.daemon.process.time.MonotonicClock;
+import org.sequoiahill.protocol.gen.ConfigurationDelta;
 import org.sequoiahill.protocol.gen.ConfigurationFetch;
 import org.sequoiahill.protocol.gen.Sender;
 import org.tinylog.Logger;
 
-/** Keeps the configuration of this process near the newest one by asking its sources. */
+/**
+ * Keeps the configuration of this process near the newest one.
+ *
+ * <p>A message from a process that is ahead makes it ask at once; a slow pull with jitter finds
+ * what no message has told.
+ */
 public final class ConfigurationSync {
-    private static final Duration PULL_INTERVAL = Duration.ofSeconds(1);
+    private static final int MAX_PUSH_PEERS = 64;
 
     private final Identity mIdentity;
     private final ConfigurationView mView;
     private final ControlClient mClient;
-    private final List<HostPort> mSources;
+    private final Map<String, HostPort> mSources;
+    private final List<PeerVm> mPushed;
     private final ScheduledExecutorService mScheduler;
-    private final AtomicInteger mNext = new AtomicInteger();
+    private final MonotonicClock mClock;
+    private final RandomGenerator mRandom;
+    private final SourcePicker mPicker;
+    private final Duration mPullInterval;
+    private boolean mIsBehind;
 
     private ConfigurationSync(
             Identity identity,
             ConfigurationView view,
             ControlClient client,
-            List<HostPort> sources,
-            ScheduledExecutorService scheduler) {
+            SpreadPlan plan,
+            ScheduledExecutorService scheduler,
+            MonotonicClock clock,
+            RandomGenerator random) {
         mIdentity = identity;
         mView = view;
         mClient = client;
-        mSources = sources;
+        mSources =
+                plan.sources().stream()
+                        .collect(Collectors.toMap(PeerVm::vm, PeerVm::control, (a, b) -> a));
+        mPushed = plan.pushed().stream().limit(MAX_PUSH_PEERS).toList();
         mScheduler = scheduler;
+        mClock = clock;
+        mRandom = random;
+        mPicker = SourcePicker.over(plan.sources().stream().map(PeerVm::vm).toList(), random);
+        mPullInterval = plan.pullInterval();
     }
 
-    /** Returns a synchroniser that asks the sources in turn once it is started. */
+    /** Returns a synchroniser that follows the plan once it is started. */
     public static ConfigurationSync of(
             Identity identity,
             ConfigurationView view,
             ControlClient client,
-            List<HostPort> sources,
-            ScheduledExecutorService scheduler) {
-        return new ConfigurationSync(identity, view, client, List.copyOf(sources), scheduler);
+            SpreadPlan plan,
+            ScheduledExecutorService scheduler,
+            MonotonicClock clock,
+            RandomGenerator random) {
+        return new ConfigurationSync(identity, view, client, plan, scheduler, clock, random);
     }
 
-    /** Starts to ask a source every interval. */
+    /** Starts the slow pull, and to tell the plan's peers of each newer revision. */
     public void start() {
-        Periodic.every(mScheduler, PULL_INTERVAL, "pull configuration", this::pull);
+        mView.onChange(snapshot -> mScheduler.execute(this::push));
+        pullAndSchedule();
     }
 
     /** Notes a message; where its sender is ahead, a source is asked at once. */
     public void heardOf(Sender sender) {
-        if (sender.getConfigRevision() > mView.current().revision()) {
+        long held = mView.current().revision();
+        boolean isNews = sender.getConfigRevision() > held;
+        synchronized (mPicker) {
+            mPicker.heard(sender.getVm(), sender.getConfigRevision(), held);
+            isNews &= !mIsBehind;
+            mIsBehind |= isNews;
+        }
+        if (isNews) {
             mScheduler.execute(this::pull);
         }
     }
 
+    private void pullAndSchedule() {
+        try {
+            pull();
+        } finally {
+            long millis = (long) (mPullInterval.toMillis() * mRandom.nextDouble(0.5, 1.0));
+            mScheduler.schedule(this::pullAndSchedule, millis, TimeUnit.MILLISECONDS);
+        }
+    }
+
     /** Asks the next source for what changed. */
-    void pull() {
-        if (mSources.isEmpty()) {
+    private void pull() {
+        long held = mView.current().revision();
+        Optional<String> picked;
+        synchronized (mPicker) {
+            mIsBehind = false;
+            picked = mPicker.pick(mClock.now(), held);
+        }
+        picked.ifPresent(source -> fetch(source, held));
+    }
+
+    private void fetch(String source, long held) {
+        ConfigurationFetch request = new ConfigurationFetch(mIdentity.sender(), held);
+        mClient.call(addressOf(source), ServiceStub.CONFIGURATION, client -> client.fetch(request))
+                .orTimeout(SourcePicker.TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
+                .whenComplete((delta, failure) -> take(source, delta, failure));
+    }
+
+    private void take(
+            String source, @Nullable ConfigurationDelta delta, @Nullable Throwable failure) {
+        if (failure != null || delta == null) {
+            Logger.debug("configuration source {} failed: {}", source, failure);
+            fail(source);
             return;
         }
-        HostPort source = mSources.get(Math.floorMod(mNext.getAndIncrement(), mSources.size()));
-        long held = mView.current().revision();
-        mClient.call(
-                        source,
-                        ServiceStub.CONFIGURATION,
-                        client -> client.fetch(new ConfigurationFetch(mIdentity.sender(), held)))
-                .whenComplete(
-                        (delta, failure) -> {
-                            if (failure != null) {
-                                Logger.debug("configuration source {} failed: {}", source, failure);
-                            } else if (mView.offer(delta)) {
-                                Logger.info(
-                                        "configuration revision {} in force",
-                                        delta.getToRevision());
-                            }
-                        });
+        DeltaRule.Verdict verdict = mView.take(delta, true);
+        if (verdict == DeltaRule.Verdict.FAULTY || verdict == DeltaRule.Verdict.GAP) {
+            Logger.warn("configuration source {} sent a delta that is {}", source, verdict);
+            fail(source);
+            return;
+        }
+        synchronized (mPicker) {
+            mPicker.answered(source, delta.getToRevision());
+        }
+        if (verdict == DeltaRule.Verdict.TAKEN) {
+            Logger.info("configuration revision {} in force", delta.getToRevision());
+        }
+    }
+
+    private void fail(String source) {
+        boolean isBehind;
+        synchronized (mPicker) {
+            mPicker.failed(source, mClock.now());
+            isBehind = mPicker.isBehind(mClock.now(), mView.current().revision());
+        }
+        if (isBehind) {
+            mScheduler.execute(this::pull);
+        }
+    }
+
+    /** Tells the peers of the revision held; one whose answer is ahead is asked in turn. */
+    private void push() {
+        for (PeerVm peer : mPushed) {
+            mClient.call(
+                            peer.control(),
+                            ServiceStub.CONFIGURATION,
+                            client -> client.notify(mIdentity.sender()))
+                    .thenAccept(this::heardOf);
+        }
+    }
+
+    private HostPort addressOf(String source) {
+        return Optional.ofNullable(mSources.get(source)).orElseThrow();
     }
 }
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/config/ConfigurationView.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/config/ConfigurationView.java
@@ -1,25 +1,45 @@
 package org.sequoiahill.daemon.process.config;
 
+import java.io.IOException;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
 import org.sequoiahill.daemon.process.control.Identity;
 import org.sequoiahill.protocol.gen.ConfigurationDelta;
+import org.tinylog.Logger;
 
 /** The newest configuration that this process knows; its revision never falls. */
 public final class ConfigurationView {
     private final Identity mIdentity;
+    private final ConfigurationStorage mStorage;
     private final List<Consumer<ConfigurationSnapshot>> mListeners = new CopyOnWriteArrayList<>();
     private final Object mLock = new Object();
     private volatile ConfigurationSnapshot mCurrent = ConfigurationSnapshot.empty();
 
-    private ConfigurationView(Identity identity) {
+    private ConfigurationView(Identity identity, ConfigurationStorage storage) {
         mIdentity = identity;
+        mStorage = storage;
     }
 
-    /** Returns an empty view whose revision is told by the identity. */
+    /** Returns a view that starts empty and keeps nothing over a restart. */
     public static ConfigurationView of(Identity identity) {
-        return new ConfigurationView(identity);
+        return new ConfigurationView(identity, ConfigurationStorage.none());
+    }
+
+    /**
+     * Returns a view that starts from what the storage holds, and saves each newer revision before
+     * it comes in force.
+     *
+     * <p>Where the storage is damaged, the view starts empty.
+     */
+    public static ConfigurationView restored(Identity identity, ConfigurationStorage storage) {
+        ConfigurationView view = new ConfigurationView(identity, storage);
+        try {
+            storage.load().ifPresent(whole -> view.take(whole, false));
+        } catch (IOException | IllegalStateException e) {
+            Logger.error(e, "the saved configuration can't be used");
+        }
+        return view;
     }
 
     /** Returns the newest configuration. */
@@ -33,24 +53,30 @@
     }
 
     /**
-     * Takes a delta in, unless it is old or starts behind what is held.
+     * Takes a delta in, unless it is old, faulty or starts behind what is held.
      *
      * @return whether the configuration changed
      */
     public boolean offer(ConfigurationDelta delta) {
+        return take(delta, true) == DeltaRule.Verdict.TAKEN;
+    }
+
+    DeltaRule.Verdict take(ConfigurationDelta delta, boolean isSaved) {
         synchronized (mLock) {
-            long held = mCurrent.revision();
-            if (delta.getToRevision() <= held || delta.getAfterRevision() > held) {
-                return false;
+            DeltaRule.Verdict verdict = DeltaRule.verdictOn(delta, mCurrent.revision());
+            if (verdict == DeltaRule.Verdict.TAKEN) {
+                publish(mCurrent.with(delta.getToRevision(), delta.getDocuments()), isSaved);
             }
-            publish(mCurrent.with(delta.getToRevision(), delta.getDocuments()));
-            return true;
+            return verdict;
         }
     }
 
     /** Returns what changed behind a revision. */
     public ConfigurationDelta deltaAfter(long revision) {
-        ConfigurationSnapshot snapshot = mCurrent;
+        return deltaOf(mCurrent, revision);
+    }
+
+    private ConfigurationDelta deltaOf(ConfigurationSnapshot snapshot, long revision) {
         return new ConfigurationDelta(
                 mIdentity.sender(),
                 snapshot.revision(),
@@ -58,9 +84,21 @@
                 revision);
     }
 
-    private void publish(ConfigurationSnapshot next) {
+    private void publish(ConfigurationSnapshot next, boolean isSaved) {
+        if (isSaved) {
+            save(next);
+        }
         mCurrent = next;
         mIdentity.raiseConfigRevision(next.revision());
         mListeners.forEach(listener -> listener.accept(next));
     }
+
+    /** A full disk must not keep a change from coming in force here. */
+    private void save(ConfigurationSnapshot next) {
+        try {
+            mStorage.save(deltaOf(next, 0));
+        } catch (IOException e) {
+            Logger.error(e, "revision {} can't be saved", next.revision());
+        }
+    }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/config/DocumentDifference.java
@@ -0,0 +1,82 @@
+package org.sequoiahill.daemon.process.config;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.MissingNode;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import org.sequoiahill.protocol.json.JsonText;
+
+/** Lists what differs between two JSON documents, by JSON pointer; comments are left out. */
+final class DocumentDifference {
+    /** Most lines; a further one tells that more differ. */
+    static final int MAX_LINES = 32;
+
+    /** Longest value in a line, in characters. */
+    static final int MAX_VALUE_CHARS = 80;
+
+    private static final int MAX_POINTER_CHARS = 200;
+
+    private final List<String> mLines = new ArrayList<>();
+
+    private DocumentDifference() {}
+
+    /** Returns the lines between two texts; a text that is no JSON counts as absent. */
+    static List<String> between(String before, String after) {
+        DocumentDifference difference = new DocumentDifference();
+        difference.compare("", parse(before), parse(after));
+        return difference.mLines;
+    }
+
+    private static JsonNode parse(String text) {
+        try {
+            return text.isEmpty() ? MissingNode.getInstance() : JsonText.mapper().readTree(text);
+        } catch (JsonProcessingException e) {
+            return MissingNode.getInstance();
+        }
+    }
+
+    private void compare(String pointer, JsonNode before, JsonNode after) {
+        if (mLines.size() > MAX_LINES || before.equals(after)) {
+            return;
+        }
+        if (before.isObject() && after.isObject()) {
+            TreeSet<String> names = new TreeSet<>();
+            addNames(names, before);
+            addNames(names, after);
+            names.forEach(n -> compare(pointer + "/" + n, before.path(n), after.path(n)));
+        } else if (before.isArray() && after.isArray()) {
+            for (int i = 0; i < Math.max(before.size(), after.size()); i++) {
+                compare(pointer + "/" + i, before.path(i), after.path(i));
+            }
+        } else {
+            add(pointer, before, after);
+        }
+    }
+
+    private static void addNames(Set<String> names, JsonNode node) {
+        for (Iterator<String> i = node.fieldNames(); i.hasNext(); ) {
+            names.add(i.next());
+        }
+    }
+
+    private void add(String pointer, JsonNode before, JsonNode after) {
+        if (mLines.size() == MAX_LINES) {
+            mLines.add("more differs");
+            return;
+        }
+        String place = cut(pointer.isEmpty() ? "/" : pointer, MAX_POINTER_CHARS);
+        mLines.add(place + ": " + textOf(before) + " -> " + textOf(after));
+    }
+
+    private static String textOf(JsonNode node) {
+        return node.isMissingNode() ? "absent" : cut(node.toString(), MAX_VALUE_CHARS);
+    }
+
+    private static String cut(String text, int chars) {
+        return text.length() <= chars ? text : text.substring(0, chars) + "...";
+    }
+}
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/config/LeaderWriter.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/config/LeaderWriter.java
@@ -1,59 +1,66 @@
 package org.sequoiahill.daemon.process.config;
 
-import java.util.List;
+import java.time.Duration;
+import java.time.InstantSource;
 import java.util.concurrent.CompletableFuture;
-import org.sequoiahill.daemon.process.control.ControlClient;
-import org.sequoiahill.daemon.process.control.ServiceStub;
+import java.util.concurrent.TimeUnit;
+import org.sequoiahill.daemon.process.control.Identity;
+import org.sequoiahill.daemon.process.control.ThriftBytes;
 import org.sequoiahill.daemon.process.log.ReplicatedLog;
-import org.sequoiahill.daemon.process.settings.DaemonSettings.PeerVm;
+import org.sequoiahill.protocol.gen.ConfigurationProposal;
 import org.sequoiahill.protocol.gen.ConfigurationWrite;
 import org.sequoiahill.protocol.gen.WriteResult;
+import org.sequoiahill.protocol.gen.WriteStatus;
+import org.tinylog.Logger;
 
-/** Commits changes on the leader of the log, and passes them on elsewhere. */
+/** Commits changes on the leader of the log; another store names the leader. */
 public final class LeaderWriter implements ConfigurationWriter {
+    private static final Duration COMMIT_TIMEOUT = Duration.ofMillis(1_500);
+
+    private final Identity mIdentity;
     private final ReplicatedLog mLog;
     private final ConfigurationMachine mMachine;
-    private final ControlClient mClient;
-    private final List<PeerVm> mStores;
+    private final InstantSource mTime;
 
     private LeaderWriter(
+            Identity identity,
             ReplicatedLog log,
             ConfigurationMachine machine,
-            ControlClient client,
-            List<PeerVm> stores) {
+            InstantSource time) {
+        mIdentity = identity;
         mLog = log;
         mMachine = machine;
-        mClient = client;
-        mStores = stores;
+        mTime = time;
     }
 
     /** Returns a writer on a store. */
     public static LeaderWriter of(
+            Identity identity,
             ReplicatedLog log,
             ConfigurationMachine machine,
-            ControlClient client,
-            List<PeerVm> stores) {
-        return new LeaderWriter(log, machine, client, stores);
+            InstantSource time) {
+        return new LeaderWriter(identity, log, machine, time);
     }
 
     @Override
     public CompletableFuture<WriteResult> write(ConfigurationWrite write) {
-        if (mLog.isLeader()) {
-            return mLog.propose(ConfigurationMachine.encode(write))
-                    .thenApply(index -> mMachine.resultOf(write.getChangeId()).orElseThrow());
+        if (!mLog.isLeader()) {
+            return CompletableFuture.completedFuture(unavailable("this store does not lead"));
         }
-        return mStores.stream()
-                .filter(store -> mLog.leaderVm().filter(store.vm()::equals).isPresent())
-                .findFirst()
-                .map(leader -> forward(leader, write))
-                .orElseGet(
-                        () ->
-                                CompletableFuture.failedFuture(
-                                        new IllegalStateException("no leader is known")));
+        ConfigurationProposal proposal = new ConfigurationProposal(mTime.millis(), write);
+        return mLog.propose(ThriftBytes.write(proposal))
+                .orTimeout(COMMIT_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
+                .thenApply(index -> mMachine.resultAt(index).orElseThrow())
+                .exceptionally(
+                        failure -> {
+                            Logger.debug("a change was not committed: {}", failure);
+                            return unavailable("no majority of the stores has answered");
+                        });
     }
 
-    private CompletableFuture<WriteResult> forward(PeerVm leader, ConfigurationWrite write) {
-        return mClient.call(
-                leader.control(), ServiceStub.CONFIGURATION, client -> client.write(write));
+    private WriteResult unavailable(String message) {
+        WriteResult result = new WriteResult(mIdentity.sender(), WriteStatus.UNAVAILABLE, 0);
+        mLog.leaderVm().ifPresent(result::setLeaderVm);
+        return result.setMessage(message);
     }
 }
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/config/StoreForwarder.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/config/StoreForwarder.java
@@ -1,47 +1,51 @@
 package org.sequoiahill.daemon.process.config;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.sequoiahill.daemon.process.control.ControlClient;
+import org.sequoiahill.daemon.process.control.LeaderClient;
+import org.sequoiahill.daemon.process.control.LeaderClient.Direction;
 import org.sequoiahill.daemon.process.control.ServiceStub;
 import org.sequoiahill.daemon.process.settings.DaemonSettings.PeerVm;
+import org.sequoiahill.protocol.gen.AuditPage;
+import org.sequoiahill.protocol.gen.AuditQuery;
 import org.sequoiahill.protocol.gen.ConfigurationWrite;
 import org.sequoiahill.protocol.gen.WriteResult;
+import org.sequoiahill.protocol.gen.WriteStatus;
 
-/** Gives a change to the first store that takes it; the change id makes the resend idempotent. */
+/** Gives a change to the leader of the stores; the change id makes a resend idempotent. */
 public final class StoreForwarder implements ConfigurationWriter {
-    private final ControlClient mClient;
-    private final List<PeerVm> mStores;
+    private final LeaderClient mLeader;
 
-    private StoreForwarder(ControlClient client, List<PeerVm> stores) {
-        mClient = client;
-        mStores = stores;
+    private StoreForwarder(LeaderClient leader) {
+        mLeader = leader;
     }
 
-    /** Returns a writer on a process that is no store itself. */
+    /** Returns a writer on any process. */
     public static StoreForwarder of(ControlClient client, List<PeerVm> stores) {
-        return new StoreForwarder(client, stores);
+        return new StoreForwarder(LeaderClient.of(client, stores));
     }
 
     @Override
     public CompletableFuture<WriteResult> write(ConfigurationWrite write) {
-        return writeTo(0, write);
+        return mLeader.call(
+                ServiceStub.CONFIGURATION,
+                client -> client.write(write),
+                StoreForwarder::directionOf);
     }
 
-    private CompletableFuture<WriteResult> writeTo(int store, ConfigurationWrite write) {
-        if (store >= mStores.size()) {
-            return CompletableFuture.failedFuture(
-                    new IllegalStateException("no store can be reached"));
-        }
-        return mClient.call(
-                        mStores.get(store).control(),
-                        ServiceStub.CONFIGURATION,
-                        client -> client.write(write))
-                .handle(
-                        (result, failure) ->
-                                failure == null
-                                        ? CompletableFuture.completedFuture(result)
-                                        : writeTo(store + 1, write))
-                .thenCompose(future -> future);
+    /** Reads the audit trail from a store, the leader first where it is known. */
+    public CompletableFuture<AuditPage> audit(AuditQuery query) {
+        return mLeader.call(
+                ServiceStub.CONFIGURATION,
+                client -> client.audit(query),
+                page -> new Direction(page.getLastSequence() >= 0, Optional.empty()));
+    }
+
+    private static Direction directionOf(WriteResult result) {
+        return new Direction(
+                result.getStatus() != WriteStatus.UNAVAILABLE,
+                Optional.ofNullable(result.getLeaderVm()));
     }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/config/WriteChecks.java
@@ -0,0 +1,103 @@
+package org.sequoiahill.daemon.process.config;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
+import org.sequoiahill.protocol.document.DataCentreDocument;
+import org.sequoiahill.protocol.document.ServiceDocument;
+import org.sequoiahill.protocol.gen.ConfigurationWrite;
+import org.sequoiahill.protocol.gen.DocumentKind;
+import org.sequoiahill.protocol.json.Checked;
+
+/** Rules of a change that depend on the change and the document's owner only. */
+final class WriteChecks {
+    private static final String ALL_TEAMS = "*";
+    private static final int MAX_NAME_CHARS = 128;
+    private static final int MAX_MESSAGE_CHARS = 1_000;
+
+    private WriteChecks() {}
+
+    /** Returns whether a change that came over the wire has all fields within their bounds. */
+    static boolean isWhole(@Nullable ConfigurationWrite write) {
+        return write != null
+                && isName(write.getChangeId())
+                && isName(write.getActor())
+                && isName(write.getName())
+                && write.getActorTeam() != null
+                && write.getKind() != null
+                && write.getBody() != null;
+    }
+
+    /** Returns the rule that the document breaks. */
+    static Optional<String> faultOf(ConfigurationWrite write, ConfigurationBounds bounds) {
+        if (write.getBody().length() > bounds.documentBytes()) {
+            return Optional.of("the document exceeds " + bounds.documentBytes() + " bytes");
+        }
+        if (write.getKind() == DocumentKind.SERVICE) {
+            Checked<ServiceDocument> checked = ServiceDocument.parse(write.getBody());
+            return faultOf(
+                    checked, checked.value() == null ? "" : checked.value().service(), write);
+        }
+        Checked<DataCentreDocument> checked = DataCentreDocument.parse(write.getBody());
+        return faultOf(checked, checked.value() == null ? "" : checked.value().dataCentre(), write);
+    }
+
+    /** Returns whether the actor's team may make a valid change. */
+    static boolean isAllowed(ConfigurationWrite write, Optional<ServiceDocument> held) {
+        String team = write.getActorTeam();
+        if (team.equals(ALL_TEAMS)) {
+            return true;
+        }
+        if (write.getKind() != DocumentKind.SERVICE) {
+            return false;
+        }
+        String newOwner = ServiceDocument.parse(write.getBody()).orElseThrow().owner();
+        return team.equals(newOwner)
+                && held.map(ServiceDocument::owner).filter(o -> !o.equals(newOwner)).isEmpty();
+    }
+
+    /** Returns the digest of what a resend repeats. */
+    static byte[] fingerprintOf(ConfigurationWrite write) {
+        try {
+            MessageDigest sha = MessageDigest.getInstance("SHA-256");
+            update(sha, write.getActor());
+            update(sha, write.getKind().name());
+            update(sha, write.getName());
+            update(sha, Long.toString(write.getReplacesRevision()));
+            update(sha, write.getBody());
+            return sha.digest();
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every Java platform has SHA-256", e);
+        }
+    }
+
+    static String cut(String message) {
+        return message.length() <= MAX_MESSAGE_CHARS
+                ? message
+                : message.substring(0, MAX_MESSAGE_CHARS) + "...";
+    }
+
+    private static Optional<String> faultOf(
+            Checked<?> checked, String name, ConfigurationWrite write) {
+        if (!checked.isValid()) {
+            return Optional.of(checked.describeFaults());
+        }
+        if (!name.equals(write.getName())) {
+            return Optional.of("the document names " + name + ", the path " + write.getName());
+        }
+        return Optional.empty();
+    }
+
+    private static boolean isName(@Nullable String text) {
+        return text != null && !text.isEmpty() && text.length() <= MAX_NAME_CHARS;
+    }
+
+    private static void update(MessageDigest sha, String text) {
+        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+        sha.update(ByteBuffer.allocate(Integer.BYTES).putInt(bytes.length).flip());
+        sha.update(bytes);
+    }
+}
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/directory/DirectoryHandler.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/directory/DirectoryHandler.java
@@ -117,11 +117,11 @@
             VersionKey key = new VersionKey(held.getServiceName(), held.getVersionDigest());
             ServiceSummary summary =
                     byVersion.computeIfAbsent(
-                            key,
-                            k -> new ServiceSummary(k.service(), k.digest(), 0, 0, 0, "", 0, 0, 0));
+                            key, k -> new ServiceSummary(k.service(), k.digest(), 0, 0, 0));
             summary.setEndpoints(summary.getEndpoints() + 1);
             summary.setCapacity(summary.getCapacity() + held.getCapacity());
             summary.setRunning(summary.getRunning() + held.getRunning());
+            ServiceProgress.add(summary, held);
         }
         return List.copyOf(byVersion.values());
     }
--- /dev/null
+++ b/daemon/src/test/java/org/sequoiahill/daemon/process/config/SourcePickerTest.java
@@ -0,0 +1,116 @@
+package org.sequoiahill.daemon.process.config;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class SourcePickerTest {
+    private static final long HELD = 10;
+
+    private final SourcePicker mPicker = SourcePicker.over(List.of("a", "b", "c"), new FirstOnly());
+
+    /**
+     * A step is: VM=REVISION (told by a message), VM+REVISION (answered), VM! (failed), a number of
+     * milliseconds to pass, or ? (pick; the picks are compared).
+     */
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "? a+10 ? b+10 ? c+10 ?| a b c a",
+                // one that is ahead goes first, and is asked once at a time
+                "c=11 ? ?| c a",
+                "c=11 ? c+11 ?| c c",
+                "x=11 ?| a",
+                "b=9 ?| a",
+                // a silent source holds up nobody, however long it stays silent
+                "? ? ? ?| a b c -",
+                "? b=11 ?| a b",
+                "? 1000 ? b+10 ? c+10 ? b+10 ?| a b c b c",
+                "a=11 ? 1000 ? b+10 ? c+10| a b c",
+                // a failed one backs off and comes back
+                "? a! ? b+10 ? c+10 ? b+10| a b c b",
+                "? a! 999 ? b+10 ? c+10 ?| a b c a",
+                // with all of them failing, one at a time is still asked
+                "? a! ? b! ? c! ? ?| a b c a -",
+            })
+    void pick_afterSteps_asksTheRightSource(String steps, String picks) {
+        Duration now = Duration.ofSeconds(100);
+        List<String> picked = new ArrayList<>();
+        for (String step : steps.split(" ", -1)) {
+            if (step.equals("?")) {
+                picked.add(mPicker.pick(now, HELD).orElse("-"));
+            } else if (step.contains("=")) {
+                mPicker.heard(step.substring(0, 1), Long.parseLong(step.substring(2)), HELD);
+            } else if (step.contains("+")) {
+                mPicker.answered(step.substring(0, 1), Long.parseLong(step.substring(2)));
+            } else if (step.endsWith("!")) {
+                mPicker.failed(step.substring(0, 1), now);
+            } else {
+                now = now.plusMillis(Long.parseLong(step));
+            }
+        }
+
+        assertThat(String.join(" ", picked), is(picks));
+    }
+
+    /** Over random schedules with one source silent for good, the others are asked all the time. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10})
+    void pick_oneSourceSilent_asksTheOthersWithinTwoPulls(long seed) {
+        SourcePicker picker = SourcePicker.over(List.of("silent", "b", "c"), new Random(seed));
+        int sinceOther = 0;
+        int silent = 0;
+        for (int second = 0; second < 1_000; second++) {
+            Optional<String> picked = picker.pick(Duration.ofSeconds(second), HELD);
+            boolean isOther = picked.filter(vm -> !vm.equals("silent")).isPresent();
+            sinceOther = isOther ? 0 : sinceOther + 1;
+            silent += picked.filter("silent"::equals).isPresent() ? 1 : 0;
+            picked.filter(vm -> !vm.equals("silent")).ifPresent(vm -> picker.answered(vm, HELD));
+            assertThat("second " + second, sinceOther, lessThanOrEqualTo(1));
+        }
+        assertThat(silent, is(greaterThan(20)));
+        assertThat(silent, is(lessThanOrEqualTo(90)));
+    }
+
+    @Test
+    void over_manyProcesses_startAtDifferentSources() {
+        Set<String> first = new HashSet<>();
+        for (long seed = 0; seed < 50; seed++) {
+            first.add(
+                    SourcePicker.over(List.of("a", "b", "c"), new Random(seed))
+                            .pick(Duration.ZERO, 0)
+                            .orElseThrow());
+        }
+
+        assertThat(first.size(), is(3));
+    }
+
+    /** Starts at the first source and gives the longest back-off. */
+    private static final class FirstOnly extends Random {
+        private static final long serialVersionUID = 1;
+
+        @Override
+        public int nextInt(int bound) {
+            return 0;
+        }
+
+        @Override
+        public double nextDouble(double origin, double bound) {
+            return 0.99;
+        }
+    }
+}
--- a/protocol/src/main/java/org/sequoiahill/protocol/gen/ServiceSummary.java
+++ b/protocol/src/main/java/org/sequoiahill/protocol/gen/ServiceSummary.java
@@ -18,10 +18,10 @@
   private static final org.apache.thrift.protocol.TField ENDPOINTS_FIELD_DESC = new org.apache.thrift.protocol.TField("endpoints", org.apache.thrift.protocol.TType.I32, (short)3);
   private static final org.apache.thrift.protocol.TField CAPACITY_FIELD_DESC = new org.apache.thrift.protocol.TField("capacity", org.apache.thrift.protocol.TType.I32, (short)4);
   private static final org.apache.thrift.protocol.TField RUNNING_FIELD_DESC = new org.apache.thrift.protocol.TField("running", org.apache.thrift.protocol.TType.I32, (short)5);
-  private static final org.apache.thrift.protocol.TField VERSION_NAME_FIELD_DESC = new org.apache.thrift.protocol.TField("versionName", org.apache.thrift.protocol.TType.STRING, (short)6);
-  private static final org.apache.thrift.protocol.TField CHUNKS_HELD_FIELD_DESC = new org.apache.thrift.protocol.TField("chunksHeld", org.apache.thrift.protocol.TType.I64, (short)7);
-  private static final org.apache.thrift.protocol.TField CHUNKS_STATED_FIELD_DESC = new org.apache.thrift.protocol.TField("chunksStated", org.apache.thrift.protocol.TType.I64, (short)8);
-  private static final org.apache.thrift.protocol.TField LOWEST_REVISION_FIELD_DESC = new org.apache.thrift.protocol.TField("lowestRevision", org.apache.thrift.protocol.TType.I64, (short)9);
+  private static final org.apache.thrift.protocol.TField VERSION_NAME_FIELD_DESC = new org.apache.thrift.protocol.TField("versionName", org.apache.thrift.protocol.TType.STRING, (short)7);
+  private static final org.apache.thrift.protocol.TField CHUNKS_HELD_FIELD_DESC = new org.apache.thrift.protocol.TField("chunksHeld", org.apache.thrift.protocol.TType.I64, (short)8);
+  private static final org.apache.thrift.protocol.TField CHUNKS_STATED_FIELD_DESC = new org.apache.thrift.protocol.TField("chunksStated", org.apache.thrift.protocol.TType.I64, (short)9);
+  private static final org.apache.thrift.protocol.TField LOWEST_REVISION_FIELD_DESC = new org.apache.thrift.protocol.TField("lowestRevision", org.apache.thrift.protocol.TType.I64, (short)10);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new ServiceSummaryStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new ServiceSummaryTupleSchemeFactory();
@@ -31,10 +31,10 @@
   private int endpoints; // required
   private int capacity; // required
   private int running; // required
-  private @org.apache.thrift.annotation.Nullable java.lang.String versionName; // required
-  private long chunksHeld; // required
-  private long chunksStated; // required
-  private long lowestRevision; // required
+  private @org.apache.thrift.annotation.Nullable java.lang.String versionName; // optional
+  private long chunksHeld; // optional
+  private long chunksStated; // optional
+  private long lowestRevision; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -43,16 +43,16 @@
     ENDPOINTS((short)3, "endpoints"),
     CAPACITY((short)4, "capacity"),
     RUNNING((short)5, "running"),
-    VERSION_NAME((short)6, "versionName"),
+    VERSION_NAME((short)7, "versionName"),
     /**
      * Chunks of the stated version that the endpoints hold together, and that they need together.
      */
-    CHUNKS_HELD((short)7, "chunksHeld"),
-    CHUNKS_STATED((short)8, "chunksStated"),
+    CHUNKS_HELD((short)8, "chunksHeld"),
+    CHUNKS_STATED((short)9, "chunksStated"),
     /**
      * Lowest configuration revision in force at one of the endpoints.
      */
-    LOWEST_REVISION((short)9, "lowestRevision");
+    LOWEST_REVISION((short)10, "lowestRevision");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -78,13 +78,13 @@
           return CAPACITY;
         case 5: // RUNNING
           return RUNNING;
-        case 6: // VERSION_NAME
+        case 7: // VERSION_NAME
           return VERSION_NAME;
-        case 7: // CHUNKS_HELD
+        case 8: // CHUNKS_HELD
           return CHUNKS_HELD;
-        case 8: // CHUNKS_STATED
+        case 9: // CHUNKS_STATED
           return CHUNKS_STATED;
-        case 9: // LOWEST_REVISION
+        case 10: // LOWEST_REVISION
           return LOWEST_REVISION;
         default:
           return null;
@@ -136,6 +136,7 @@
   private static final int __CHUNKSSTATED_ISSET_ID = 4;
   private static final int __LOWESTREVISION_ISSET_ID = 5;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.VERSION_NAME,_Fields.CHUNKS_HELD,_Fields.CHUNKS_STATED,_Fields.LOWEST_REVISION};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -149,13 +150,13 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
     tmpMap.put(_Fields.RUNNING, new org.apache.thrift.meta_data.FieldMetaData("running", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
-    tmpMap.put(_Fields.VERSION_NAME, new org.apache.thrift.meta_data.FieldMetaData("versionName", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+    tmpMap.put(_Fields.VERSION_NAME, new org.apache.thrift.meta_data.FieldMetaData("versionName", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-    tmpMap.put(_Fields.CHUNKS_HELD, new org.apache.thrift.meta_data.FieldMetaData("chunksHeld", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+    tmpMap.put(_Fields.CHUNKS_HELD, new org.apache.thrift.meta_data.FieldMetaData("chunksHeld", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-    tmpMap.put(_Fields.CHUNKS_STATED, new org.apache.thrift.meta_data.FieldMetaData("chunksStated", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+    tmpMap.put(_Fields.CHUNKS_STATED, new org.apache.thrift.meta_data.FieldMetaData("chunksStated", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-    tmpMap.put(_Fields.LOWEST_REVISION, new org.apache.thrift.meta_data.FieldMetaData("lowestRevision", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+    tmpMap.put(_Fields.LOWEST_REVISION, new org.apache.thrift.meta_data.FieldMetaData("lowestRevision", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ServiceSummary.class, metaDataMap);
@@ -169,11 +170,7 @@
     java.lang.String versionDigest,
     int endpoints,
     int capacity,
-    int running,
-    java.lang.String versionName,
-    long chunksHeld,
-    long chunksStated,
-    long lowestRevision)
+    int running)
   {
     this();
     this.serviceName = serviceName;
@@ -184,13 +181,6 @@
     setCapacityIsSet(true);
     this.running = running;
     setRunningIsSet(true);
-    this.versionName = versionName;
-    this.chunksHeld = chunksHeld;
-    setChunksHeldIsSet(true);
-    this.chunksStated = chunksStated;
-    setChunksStatedIsSet(true);
-    this.lowestRevision = lowestRevision;
-    setLowestRevisionIsSet(true);
   }
 
   /**
@@ -674,8 +664,8 @@
         return false;
     }
 
-    boolean this_present_chunksHeld = true;
-    boolean that_present_chunksHeld = true;
+    boolean this_present_chunksHeld = true && this.isSetChunksHeld();
+    boolean that_present_chunksHeld = true && that.isSetChunksHeld();
     if (this_present_chunksHeld || that_present_chunksHeld) {
       if (!(this_present_chunksHeld && that_present_chunksHeld))
         return false;
@@ -683,8 +673,8 @@
         return false;
     }
 
-    boolean this_present_chunksStated = true;
-    boolean that_present_chunksStated = true;
+    boolean this_present_chunksStated = true && this.isSetChunksStated();
+    boolean that_present_chunksStated = true && that.isSetChunksStated();
     if (this_present_chunksStated || that_present_chunksStated) {
       if (!(this_present_chunksStated && that_present_chunksStated))
         return false;
@@ -692,8 +682,8 @@
         return false;
     }
 
-    boolean this_present_lowestRevision = true;
-    boolean that_present_lowestRevision = true;
+    boolean this_present_lowestRevision = true && this.isSetLowestRevision();
+    boolean that_present_lowestRevision = true && that.isSetLowestRevision();
     if (this_present_lowestRevision || that_present_lowestRevision) {
       if (!(this_present_lowestRevision && that_present_lowestRevision))
         return false;
@@ -726,11 +716,17 @@
     if (isSetVersionName())
       hashCode = hashCode * 8191 + versionName.hashCode();
 
-    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(chunksHeld);
+    hashCode = hashCode * 8191 + ((isSetChunksHeld()) ? 131071 : 524287);
+    if (isSetChunksHeld())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(chunksHeld);
 
-    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(chunksStated);
+    hashCode = hashCode * 8191 + ((isSetChunksStated()) ? 131071 : 524287);
+    if (isSetChunksStated())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(chunksStated);
 
-    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(lowestRevision);
+    hashCode = hashCode * 8191 + ((isSetLowestRevision()) ? 131071 : 524287);
+    if (isSetLowestRevision())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(lowestRevision);
 
     return hashCode;
   }
@@ -884,26 +880,34 @@
     sb.append("running:");
     sb.append(this.running);
     first = false;
-    if (!first) sb.append(", ");
-    sb.append("versionName:");
-    if (this.versionName == null) {
-      sb.append("null");
-    } else {
-      sb.append(this.versionName);
+    if (isSetVersionName()) {
+      if (!first) sb.append(", ");
+      sb.append("versionName:");
+      if (this.versionName == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.versionName);
+      }
+      first = false;
+    }
+    if (isSetChunksHeld()) {
+      if (!first) sb.append(", ");
+      sb.append("chunksHeld:");
+      sb.append(this.chunksHeld);
+      first = false;
+    }
+    if (isSetChunksStated()) {
+      if (!first) sb.append(", ");
+      sb.append("chunksStated:");
+      sb.append(this.chunksStated);
+      first = false;
+    }
+    if (isSetLowestRevision()) {
+      if (!first) sb.append(", ");
+      sb.append("lowestRevision:");
+      sb.append(this.lowestRevision);
+      first = false;
     }
-    first = false;
-    if (!first) sb.append(", ");
-    sb.append("chunksHeld:");
-    sb.append(this.chunksHeld);
-    first = false;
-    if (!first) sb.append(", ");
-    sb.append("chunksStated:");
-    sb.append(this.chunksStated);
-    first = false;
-    if (!first) sb.append(", ");
-    sb.append("lowestRevision:");
-    sb.append(this.lowestRevision);
-    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -991,7 +995,7 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 6: // VERSION_NAME
+          case 7: // VERSION_NAME
             if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
               struct.versionName = iprot.readString();
               struct.setVersionNameIsSet(true);
@@ -999,7 +1003,7 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 7: // CHUNKS_HELD
+          case 8: // CHUNKS_HELD
             if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
               struct.chunksHeld = iprot.readI64();
               struct.setChunksHeldIsSet(true);
@@ -1007,7 +1011,7 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 8: // CHUNKS_STATED
+          case 9: // CHUNKS_STATED
             if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
               struct.chunksStated = iprot.readI64();
               struct.setChunksStatedIsSet(true);
@@ -1015,7 +1019,7 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 9: // LOWEST_REVISION
+          case 10: // LOWEST_REVISION
             if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
               struct.lowestRevision = iprot.readI64();
               struct.setLowestRevisionIsSet(true);
@@ -1059,19 +1063,27 @@
       oprot.writeI32(struct.running);
       oprot.writeFieldEnd();
       if (struct.versionName != null) {
-        oprot.writeFieldBegin(VERSION_NAME_FIELD_DESC);
-        oprot.writeString(struct.versionName);
+        if (struct.isSetVersionName()) {
+          oprot.writeFieldBegin(VERSION_NAME_FIELD_DESC);
+          oprot.writeString(struct.versionName);
+          oprot.writeFieldEnd();
+        }
+      }
+      if (struct.isSetChunksHeld()) {
+        oprot.writeFieldBegin(CHUNKS_HELD_FIELD_DESC);
+        oprot.writeI64(struct.chunksHeld);
+        oprot.writeFieldEnd();
+      }
+      if (struct.isSetChunksStated()) {
+        oprot.writeFieldBegin(CHUNKS_STATED_FIELD_DESC);
+        oprot.writeI64(struct.chunksStated);
+        oprot.writeFieldEnd();
+      }
+      if (struct.isSetLowestRevision()) {
+        oprot.writeFieldBegin(LOWEST_REVISION_FIELD_DESC);
+        oprot.writeI64(struct.lowestRevision);
         oprot.writeFieldEnd();
       }
-      oprot.writeFieldBegin(CHUNKS_HELD_FIELD_DESC);
-      oprot.writeI64(struct.chunksHeld);
-      oprot.writeFieldEnd();
-      oprot.writeFieldBegin(CHUNKS_STATED_FIELD_DESC);
-      oprot.writeI64(struct.chunksStated);
-      oprot.writeFieldEnd();
-      oprot.writeFieldBegin(LOWEST_REVISION_FIELD_DESC);
-      oprot.writeI64(struct.lowestRevision);
-      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
--- a/protocol/src/main/thrift/directory.thrift
+++ b/protocol/src/main/thrift/directory.thrift
@@ -41,12 +41,12 @@
   3: i32 endpoints
   4: i32 capacity
   5: i32 running
-  6: string versionName
+  7: optional string versionName
   /** Chunks of the stated version that the endpoints hold together, and that they need together. */
-  7: i64 chunksHeld
-  8: i64 chunksStated
+  8: optional i64 chunksHeld
+  9: optional i64 chunksStated
   /** Lowest configuration revision in force at one of the endpoints. */
-  9: i64 lowestRevision
+  10: optional i64 lowestRevision
 }
 
 struct DataCentreSummary {
