--- a/bench/src/main/java/org/sequoiahill/bench/load/LoadCounts.java
+++ b/bench/src/main/java/org/sequoiahill/bench/load/LoadCounts.java
@@ -19,6 +19,8 @@
         ANSWERED,
         /** Refused with word that it has not run. */
         REFUSED_NOT_RUN,
+        /** The answer ended early, and its last event said so. */
+        TOLD,
         /** Ended with an answer that leaves open whether it has run. */
         OUTCOME_UNKNOWN,
         /** No answer came. */
@@ -30,7 +32,9 @@
         /** The answer belongs to another request. */
         CROSSED,
         /** A call that may run once has run more often. */
-        DOUBLED
+        DOUBLED,
+        /** A call that was refused as not run has run. */
+        FALSE_NOT_RUN
     }
 
     private final Map<Verdict, AtomicLong> mCounts = new EnumMap<>(Verdict.class);
@@ -63,13 +67,14 @@
         mFirstByte.recordValue(Math.min(micros, MAX_LATENCY_MICROS));
     }
 
-    /** Returns whether no request was lost, cut, mixed, crossed or doubled. */
+    /** Returns whether no request was lost, cut, mixed, crossed, doubled or falsely refused. */
     public boolean isClean() {
         return count(Verdict.LOST).get()
                         + count(Verdict.CUT).get()
                         + count(Verdict.MIXED).get()
                         + count(Verdict.CROSSED).get()
                         + count(Verdict.DOUBLED).get()
+                        + count(Verdict.FALSE_NOT_RUN).get()
                 == 0;
     }
 
--- a/bench/src/main/java/org/sequoiahill/bench/load/LoadGenerator.java
+++ b/bench/src/main/java/org/sequoiahill/bench/load/LoadGenerator.java
@@ -70,6 +70,7 @@
 
     private final LoadCounts mCounts = LoadCounts.zero();
     private final Set<String> mAcknowledged = ConcurrentHashMap.newKeySet();
+    private final Set<String> mRefused = ConcurrentHashMap.newKeySet();
     private final HttpClient mClient = new HttpClient();
 
     private CompletableFuture<Void> mEnd = CompletableFuture.completedFuture(null);
@@ -167,7 +168,11 @@
                 mAcknowledged.add(key);
                 return Verdict.ANSWERED;
             }
-            return refusal(response);
+            Verdict verdict = refusal(response);
+            if (verdict == Verdict.REFUSED_NOT_RUN) {
+                mRefused.add(key);
+            }
+            return verdict;
         } catch (ExecutionException | TimeoutException e) {
             return Verdict.LOST;
         }
@@ -209,6 +214,9 @@
                 new BufferedReader(
                         new InputStreamReader(listener.getInputStream(), StandardCharsets.UTF_8))) {
             for (String line = reader.readLine(); line != null; line = reader.readLine()) {
+                if (line.equals("event: error")) {
+                    return Verdict.TOLD;
+                }
                 if (line.equals("data: [DONE]")) {
                     isDone = true;
                 } else if (line.startsWith("data: ")) {
@@ -243,6 +251,11 @@
                 mCounts.add(Verdict.DOUBLED);
             }
         }
+        for (String key : mRefused) {
+            if (runs.has(key)) {
+                mCounts.add(Verdict.FALSE_NOT_RUN);
+            }
+        }
         for (String key : mAcknowledged) {
             if (!runs.has(key)) {
                 mCounts.add(Verdict.LOST);
