Count a refused connection apart from a lost request

Cause: the case terminate-entry counted 76 requests as lost that no entry had taken: the entry had ended and the generator went on asking its address, which the platform's balancer would not. Ruled out: an entry that cuts answers (no answer was cut, every accepted request was answered). Change: a connection that is refused has its own verdict; a connection that is made and fails is still lost.

--- a/bench/src/main/java/org/sequoiahill/bench/load/LoadCounts.java
+++ b/bench/src/main/java/org/sequoiahill/bench/load/LoadCounts.java
@@ -21,6 +21,8 @@
         REFUSED_NOT_RUN,
         /** The answer ended early, and its last event said so. */
         TOLD,
+        /** The entry refused the connection, as the platform's balancer would notice. */
+        NOT_CONNECTED,
         /** Ended with an answer that leaves open whether it has run. */
         OUTCOME_UNKNOWN,
         /** No answer came. */
--- a/bench/src/main/java/org/sequoiahill/bench/load/LoadGenerator.java
+++ b/bench/src/main/java/org/sequoiahill/bench/load/LoadGenerator.java
@@ -7,6 +7,7 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.net.ConnectException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -173,7 +174,9 @@
                 mRefused.add(key);
             }
             return verdict;
-        } catch (ExecutionException | TimeoutException e) {
+        } catch (ExecutionException e) {
+            return lost(e);
+        } catch (TimeoutException e) {
             return Verdict.LOST;
         }
     }
@@ -197,7 +200,9 @@
                 return refusal(response);
             }
             return judge(prompt, response.getHeaders().get("Sequoia-Weights"), listener);
-        } catch (ExecutionException | TimeoutException e) {
+        } catch (ExecutionException e) {
+            return lost(e);
+        } catch (TimeoutException e) {
             return Verdict.LOST;
         } catch (IOException e) {
             return Verdict.CUT;
@@ -237,6 +242,11 @@
         return isOne ? Verdict.ANSWERED : Verdict.MIXED;
     }
 
+    private static Verdict lost(ExecutionException failure) {
+        boolean isRefused = failure.getCause() instanceof ConnectException;
+        return isRefused ? Verdict.NOT_CONNECTED : Verdict.LOST;
+    }
+
     private static Verdict refusal(Response response) {
         return response.getHeaders().contains("Sequoia-Not-Run")
                 ? Verdict.REFUSED_NOT_RUN
