--- a/bench/src/main/java/org/sequoiahill/bench/Bench.java
+++ b/bench/src/main/java/org/sequoiahill/bench/Bench.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import org.sequoiahill.bench.capacity.CapacityExperiment;
+import org.sequoiahill.bench.weights.FetchExperiment;
 
 /** The program {@code bench}: measures running daemons. */
 public final class Bench {
@@ -27,6 +28,7 @@
     private static Map<String, Experiment> experiments() {
         Map<String, Experiment> experiments = new TreeMap<>();
         experiments.put("capacity", new CapacityExperiment());
+        experiments.put("fetch", FetchExperiment.create());
         return experiments;
     }
 
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/AgentRole.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/AgentRole.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.random.RandomGenerator;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.server.Handler;
 import org.sequoiahill.daemon.process.config.ConfigurationSync;
@@ -23,11 +24,7 @@
 import org.sequoiahill.daemon.request.HttpForwarder;
 import org.sequoiahill.daemon.request.RequestPolicy;
 import org.sequoiahill.daemon.request.gate.LoadReporter;
-import org.sequoiahill.daemon.version.ChunkFetcher;
-import org.sequoiahill.daemon.version.ChunkHandler;
-import org.sequoiahill.daemon.version.ChunkStore;
-import org.sequoiahill.daemon.version.EngineClient;
-import org.sequoiahill.daemon.version.VersionLoop;
+import org.sequoiahill.daemon.version.swap.VersionLoop;
 import org.sequoiahill.protocol.gen.Announcement;
 
 /** The role that stands before one endpoint. */
@@ -55,6 +52,7 @@
             HttpForwarder forwarder,
             MonotonicClock clock,
             RequestPolicy policy,
+            RandomGenerator random,
             ScheduledExecutorService scheduler) {
         mSettings = settings;
         mAgent = settings.agent().orElseThrow();
@@ -65,31 +63,19 @@
                         clock, mAgent.capacityBytes(), policy.limitOf(mAgent.capacity()));
         mReporter = LoadReporter.of(mAgent.engine(), http, clock, mGate::report);
         mAnnouncer = Announcer.of(entriesHere(), control, sync, this::announcement);
-        ChunkStore chunks = ChunkStore.in(settings.dataFolder().resolve("weights"));
-        ChunkFetcher fetcher =
-                ChunkFetcher.into(
-                        chunks,
-                        settings.vm(),
-                        mAgent.origin(),
-                        mAgent.service(),
-                        http,
-                        mAnnouncer::peers);
-        mVersions =
-                VersionLoop.of(
-                        mAgent.service(),
-                        identity,
-                        view,
-                        control,
-                        settings.stores(),
-                        chunks,
-                        fetcher,
-                        EngineClient.of(mAgent.engine(), http),
+        AgentWeights weights =
+                AgentWeights.of(
+                        settings,
+                        new AgentWeights.Shared(identity, view, control, http, clock, random),
+                        mAnnouncer,
                         mGate);
+        mVersions = weights.versions();
         mHandlers =
                 List.of(
                         AgentHandler.of(
                                 identity, mAgent, view, mGate, forwarder, AgentHooks.none()),
-                        ChunkHandler.over(chunks));
+                        weights.chunks(),
+                        weights.manifests());
     }
 
     @Override
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/StoreRole.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/StoreRole.java
@@ -19,6 +19,7 @@
 import org.sequoiahill.daemon.process.control.ControlServer;
 import org.sequoiahill.daemon.process.control.Identity;
 import org.sequoiahill.daemon.process.control.ServiceStub;
+import org.sequoiahill.daemon.process.controller.OriginBudget;
 import org.sequoiahill.daemon.process.controller.TurnHandler;
 import org.sequoiahill.daemon.process.log.FixedLeaderLog;
 import org.sequoiahill.daemon.process.log.ReplicatedLog;
@@ -66,7 +67,15 @@
         ReplicatedLog config = SharedLog.part(mLog, 0);
         mClaims = ClaimsHandler.of(identity, SharedLog.part(mLog, 1), claims, time);
         mWriter = LeaderWriter.of(config, machine, client, settings.stores());
-        mTurns = TurnHandler.of(identity, view, mLog, client, settings.stores(), clock);
+        mTurns =
+                TurnHandler.of(
+                        identity,
+                        view,
+                        mLog,
+                        client,
+                        settings.stores(),
+                        OriginBudget.standard(settings.dataCentres()),
+                        clock);
     }
 
     ConfigurationWriter writer() {
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/controller/TurnHandler.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/controller/TurnHandler.java
@@ -1,9 +1,7 @@
 package org.sequoiahill.daemon.process.controller;
 
 import java.time.Duration;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletionException;
 import org.sequoiahill.daemon.process.config.ConfigurationView;
@@ -13,14 +11,18 @@
 import org.sequoiahill.daemon.process.log.ReplicatedLog;
 import org.sequoiahill.daemon.process.settings.DaemonSettings.PeerVm;
 import org.sequoiahill.daemon.process.time.MonotonicClock;
-import org.sequoiahill.protocol.document.ServiceDocument;
+import org.sequoiahill.protocol.gen.OriginLeaseReply;
+import org.sequoiahill.protocol.gen.OriginLeaseRequest;
+import org.sequoiahill.protocol.gen.Sender;
 import org.sequoiahill.protocol.gen.TurnReply;
 import org.sequoiahill.protocol.gen.TurnRequest;
 import org.sequoiahill.protocol.gen.Turns;
 
-/** Grants turns to swap versions, so that enough endpoints go on serving. */
+/** Grants turns to swap versions and draws from the origin while its process leads the log. */
 public final class TurnHandler implements Turns.Iface {
-    private static final Duration LEASE = Duration.ofSeconds(30);
+    /** Time that a turn is held unless it is renewed. */
+    public static final Duration LEASE = Duration.ofSeconds(10);
+
     private static final int TERM_SHIFT_BITS = 32;
 
     private final Identity mIdentity;
@@ -29,7 +31,8 @@
     private final ControlClient mClient;
     private final List<PeerVm> mStores;
     private final MonotonicClock mClock;
-    private final Map<TurnKey, Map<String, Duration>> mHolders = new HashMap<>();
+    private final TurnTable mTurns = TurnTable.of(LEASE);
+    private final OriginBudget mBudget;
 
     private TurnHandler(
             Identity identity,
@@ -37,39 +40,35 @@
             ReplicatedLog log,
             ControlClient client,
             List<PeerVm> stores,
+            OriginBudget budget,
             MonotonicClock clock) {
         mIdentity = identity;
         mView = view;
         mLog = log;
         mClient = client;
         mStores = stores;
+        mBudget = budget;
         mClock = clock;
     }
 
-    /** Returns a handler that grants turns while its process leads the log. */
+    /** Returns a handler that decides while its process leads the log and else asks the leader. */
     public static TurnHandler of(
             Identity identity,
             ConfigurationView view,
             ReplicatedLog log,
             ControlClient client,
             List<PeerVm> stores,
+            OriginBudget budget,
             MonotonicClock clock) {
-        return new TurnHandler(identity, view, log, client, stores, clock);
+        return new TurnHandler(identity, view, log, client, stores, budget, clock);
     }
 
     @Override
     public TurnReply request(TurnRequest request) {
-        if (!mLog.isLeader()) {
-            return forward(request);
+        if (mLog.isLeader()) {
+            return decide(request);
         }
-        return decide(request);
-    }
-
-    private TurnReply forward(TurnRequest request) {
-        Optional<PeerVm> leader =
-                mStores.stream()
-                        .filter(store -> mLog.leaderVm().filter(store.vm()::equals).isPresent())
-                        .findFirst();
+        Optional<PeerVm> leader = leader();
         if (leader.isEmpty()) {
             return refusal("no leader is known");
         }
@@ -84,32 +83,78 @@
         }
     }
 
+    @Override
+    public OriginLeaseReply leaseOrigin(OriginLeaseRequest request) {
+        if (mLog.isLeader()) {
+            return grantDraws(request);
+        }
+        return leader().map(leader -> forward(leader, request)).orElseGet(this::noDraws);
+    }
+
+    private Optional<PeerVm> leader() {
+        return mStores.stream()
+                .filter(store -> !store.vm().equals(mIdentity.vm()))
+                .filter(store -> mLog.leaderVm().filter(store.vm()::equals).isPresent())
+                .findFirst();
+    }
+
+    private synchronized OriginLeaseReply grantDraws(OriginLeaseRequest request) {
+        int granted =
+                mBudget.grant(
+                        request.getVersionDigest(),
+                        request.getVersionChunks(),
+                        request.getChunks(),
+                        mClock.now());
+        return new OriginLeaseReply(mIdentity.sender(), granted);
+    }
+
+    private OriginLeaseReply forward(PeerVm leader, OriginLeaseRequest request) {
+        try {
+            return mClient.call(
+                            leader.control(),
+                            ServiceStub.TURNS,
+                            client -> client.leaseOrigin(request))
+                    .join();
+        } catch (CompletionException e) {
+            return noDraws();
+        }
+    }
+
+    /** Less than zero says that no leader has decided. */
+    private OriginLeaseReply noDraws() {
+        return new OriginLeaseReply(mIdentity.sender(), -1);
+    }
+
     private synchronized TurnReply decide(TurnRequest request) {
-        String vm = request.getSender().getVm();
-        TurnKey key = new TurnKey(request.getServiceName(), request.getSender().getDataCentre());
-        Map<String, Duration> holders = mHolders.computeIfAbsent(key, k -> new HashMap<>());
-        Duration now = mClock.now();
-        holders.values().removeIf(expiry -> expiry.compareTo(now) <= 0);
+        Sender sender = request.getSender();
+        TurnTable.Wish wish =
+                new TurnTable.Wish(
+                        request.getServiceName(),
+                        sender.getDataCentre(),
+                        sender.getVm(),
+                        request.getVersionDigest(),
+                        request.getServing(),
+                        request.isIdle());
         if (request.isFinished()) {
-            holders.remove(vm);
+            mTurns.giveBack(wish);
             return refusal("given back");
         }
-        Optional<ServiceDocument> document = mView.current().service(request.getServiceName());
-        if (document.isEmpty()) {
-            return refusal("the service is not known");
+        long term = mLog.term();
+        long revision = mView.current().revision();
+        TurnTable.Verdict verdict =
+                mTurns.decide(
+                        wish,
+                        mView.current().service(request.getServiceName()),
+                        term,
+                        mClock.now());
+        if (verdict != TurnTable.Verdict.GRANTED) {
+            return refusal(verdict.name());
         }
-        if (!holders.containsKey(vm)
-                && holders.size() >= document.get().rollout().maxUnavailable()) {
-            return refusal("others have their turn");
-        }
-        holders.put(vm, now.plus(LEASE));
-        long fence = (mLog.term() << TERM_SHIFT_BITS) | mView.current().revision();
+        long fence = (term << TERM_SHIFT_BITS) | revision;
         return new TurnReply(mIdentity.sender(), true, fence, LEASE.toMillis());
     }
 
     private TurnReply refusal(String reason) {
         return new TurnReply(mIdentity.sender(), false, 0, 0).setReason(reason);
     }
-
-    private record TurnKey(String service, String dataCentre) {}
 }
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/directory/Announcer.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/directory/Announcer.java
@@ -26,6 +26,7 @@
     private final ConfigurationSync mSync;
     private final Supplier<Announcement> mAnnouncement;
     private final Map<String, Peer> mPeers = new ConcurrentHashMap<>();
+    private volatile List<Peer> mElsewhere = List.of();
 
     private Announcer(
             List<PeerVm> entries,
@@ -66,6 +67,11 @@
         return List.copyOf(mPeers.values());
     }
 
+    /** Returns a few agents of the same service in other data centres. */
+    public List<Peer> elsewhere() {
+        return mElsewhere;
+    }
+
     private CompletableFuture<Void> announceTo(PeerVm entry, Announcement announcement) {
         return mClient.call(
                         entry.control(),
@@ -86,5 +92,6 @@
         mSync.heardOf(reply.getSender());
         mPeers.keySet().retainAll(reply.getPeers().stream().map(Peer::getVm).toList());
         reply.getPeers().forEach(peer -> mPeers.put(peer.getVm(), peer));
+        mElsewhere = reply.isSetElsewhere() ? List.copyOf(reply.getElsewhere()) : List.of();
     }
 }
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/directory/DataCentreTable.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/directory/DataCentreTable.java
@@ -5,9 +5,11 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import org.sequoiahill.daemon.process.time.MonotonicClock;
 import org.sequoiahill.protocol.gen.DataCentreSummary;
+import org.sequoiahill.protocol.gen.Peer;
 import org.sequoiahill.protocol.gen.ServiceSummary;
 
 /** Summaries of other data centres, as their entries tell them. */
@@ -52,6 +54,19 @@
                 .toList();
     }
 
+    /** Returns a few agents of a service elsewhere. */
+    public List<Peer> agentsOf(String service) {
+        Map<String, Peer> byVm = new TreeMap<>();
+        for (DataCentreSummary summary : current()) {
+            for (ServiceSummary entry : summary.getServices()) {
+                if (entry.getServiceName().equals(service) && entry.isSetAgents()) {
+                    entry.getAgents().forEach(agent -> byVm.put(agent.getVm(), agent));
+                }
+            }
+        }
+        return List.copyOf(byVm.values());
+    }
+
     private static boolean hasEndpoints(DataCentreSummary summary, String service) {
         for (ServiceSummary entry : summary.getServices()) {
             if (entry.getServiceName().equals(service) && entry.getEndpoints() > 0) {
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/directory/DirectoryHandler.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/directory/DirectoryHandler.java
@@ -25,6 +25,7 @@
 /** Takes announcements and exchanges summaries with entries of other data centres. */
 public final class DirectoryHandler implements Directory.Iface {
     private static final Duration EXCHANGE_INTERVAL = Duration.ofSeconds(1);
+    private static final int MAX_AGENTS_TOLD = 3;
 
     private final DaemonSettings mSettings;
     private final Identity mIdentity;
@@ -87,10 +88,15 @@
                         new Peer(
                                 endpoint.vm(),
                                 held.getSender().getDataCentre(),
-                                held.getDataAddress()));
+                                held.getDataAddress(),
+                                held.isServing()));
             }
         }
-        return new AnnounceReply(mIdentity.sender(), EndpointDirectory.LEASE.toMillis(), peers);
+        return new AnnounceReply(
+                mIdentity.sender(),
+                EndpointDirectory.LEASE.toMillis(),
+                peers,
+                mTable.agentsOf(announcement.getServiceName()));
     }
 
     @Override
@@ -118,7 +124,26 @@
             ServiceSummary summary =
                     byVersion.computeIfAbsent(
                             key,
-                            k -> new ServiceSummary(k.service(), k.digest(), 0, 0, 0, "", 0, 0, 0));
+                            k ->
+                                    new ServiceSummary(
+                                            k.service(),
+                                            k.digest(),
+                                            0,
+                                            0,
+                                            0,
+                                            "",
+                                            0,
+                                            0,
+                                            0,
+                                            new ArrayList<>()));
+            if (summary.getAgents().size() < MAX_AGENTS_TOLD) {
+                summary.addToAgents(
+                        new Peer(
+                                endpoint.vm(),
+                                held.getSender().getDataCentre(),
+                                held.getDataAddress(),
+                                true));
+            }
             summary.setEndpoints(summary.getEndpoints() + 1);
             summary.setCapacity(summary.getCapacity() + held.getCapacity());
             summary.setRunning(summary.getRunning() + held.getRunning());
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/settings/DaemonSettings.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/settings/DaemonSettings.java
@@ -56,6 +56,8 @@
      * @param capacity requests that the endpoint bears at once
      * @param capacityBytes bytes of request bodies that the endpoint bears at once
      * @param checksFencing whether the endpoint refuses an order with an old fencing number
+     * @param cacheBytes bytes of weights that may be kept on disk
+     * @param linkBytesPerSecond rate at which chunks may be sent, and received
      */
     public record AgentSettings(
             String service,
@@ -63,7 +65,9 @@
             URI origin,
             int capacity,
             long capacityBytes,
-            boolean checksFencing) {}
+            boolean checksFencing,
+            long cacheBytes,
+            long linkBytesPerSecond) {}
 
     /**
      * An operator.
@@ -82,6 +86,11 @@
      */
     public record LogSettings(String level, Optional<String> file) {}
 
+    /** Returns how many data centres have entries. */
+    public int dataCentres() {
+        return (int) entries.stream().map(PeerVm::dataCentre).distinct().count();
+    }
+
     /** Returns whether the daemon has a role. */
     public boolean hasRole(Role role) {
         return roles.contains(role);
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/settings/SettingsReader.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/settings/SettingsReader.java
@@ -30,6 +30,10 @@
     private static final int MAX_CAPACITY = 100_000;
     private static final long MAX_CAPACITY_BYTES = 1L << 30;
     private static final long DEFAULT_CAPACITY_BYTES = 64L << 20;
+    private static final long MAX_CACHE_BYTES = 1L << 50;
+    private static final long DEFAULT_CACHE_BYTES = 256L << 30;
+    private static final long MAX_LINK_RATE = 1L << 40;
+    private static final long DEFAULT_LINK_RATE = 1_250_000_000;
     private static final int MAX_PORT = 65_535;
 
     private SettingsReader() {}
@@ -107,7 +111,9 @@
                 URI.create(reader.string("origin", HTTP, "")),
                 (int) reader.integer("capacity", 1, MAX_CAPACITY),
                 reader.integer("capacityBytes", 1, MAX_CAPACITY_BYTES, DEFAULT_CAPACITY_BYTES),
-                reader.bool("checksFencing", false));
+                reader.bool("checksFencing", false),
+                reader.integer("cacheBytes", 1, MAX_CACHE_BYTES, DEFAULT_CACHE_BYTES),
+                reader.integer("linkBytesPerSecond", 1, MAX_LINK_RATE, DEFAULT_LINK_RATE));
     }
 
     private static Operator readOperator(ObjectReader reader) {
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/cache/ChunkSlot.java
@@ -0,0 +1,106 @@
+package org.sequoiahill.daemon.version.cache;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.security.MessageDigest;
+import org.sequoiahill.protocol.weights.Digests;
+import org.sequoiahill.protocol.weights.Manifest.Chunk;
+
+/**
+ * The place of one chunk in its file; only the newest writer's bytes count.
+ *
+ * <p>All bytes of a checked chunk come from one writer, since a writer that has been superseded
+ * can't write any more.
+ */
+final class ChunkSlot {
+    private final Path mFile;
+    private final Chunk mChunk;
+    private long mNewestWriter;
+    private boolean mIsHeld;
+
+    ChunkSlot(Path file, Chunk chunk) {
+        mFile = file;
+        mChunk = chunk;
+    }
+
+    Path file() {
+        return mFile;
+    }
+
+    Chunk chunk() {
+        return mChunk;
+    }
+
+    synchronized boolean isHeld() {
+        return mIsHeld;
+    }
+
+    synchronized void markHeld() {
+        mIsHeld = true;
+    }
+
+    synchronized void drop() {
+        mIsHeld = false;
+    }
+
+    /** Returns a writer from the chunk's first byte; the writer before it ends. */
+    synchronized Writer supersede() {
+        mNewestWriter++;
+        return new Writer(mNewestWriter);
+    }
+
+    /** Writes one stream of bytes into the slot. */
+    final class Writer implements ChunkWriter {
+        private final long mId;
+        private final MessageDigest mDigest = Digests.sha256();
+        private long mWritten;
+
+        private Writer(long id) {
+            mId = id;
+        }
+
+        @Override
+        public boolean write(ByteBuffer bytes) throws IOException {
+            synchronized (ChunkSlot.this) {
+                if (mIsHeld || mId != mNewestWriter) {
+                    return false;
+                }
+                if (mWritten + bytes.remaining() > mChunk.bytes()) {
+                    mWritten = Long.MAX_VALUE / 2;
+                    return false;
+                }
+                mDigest.update(bytes.duplicate());
+                append(bytes.duplicate());
+                return true;
+            }
+        }
+
+        @Override
+        public Outcome finish() {
+            synchronized (ChunkSlot.this) {
+                if (mIsHeld || mId != mNewestWriter) {
+                    return Outcome.SUPERSEDED;
+                }
+                boolean isRight =
+                        mWritten == mChunk.bytes()
+                                && Digests.hex(mDigest.digest()).equals(mChunk.digest());
+                mIsHeld = isRight;
+                return isRight ? Outcome.KEPT : Outcome.WRONG;
+            }
+        }
+
+        private void append(ByteBuffer bytes) throws IOException {
+            Files.createDirectories(mFile.getParent());
+            try (FileChannel channel =
+                    FileChannel.open(mFile, StandardOpenOption.CREATE, StandardOpenOption.WRITE)) {
+                while (bytes.hasRemaining()) {
+                    mWritten += channel.write(bytes, mChunk.offset() + mWritten);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/cache/ChunkStore.java
@@ -0,0 +1,330 @@
+package org.sequoiahill.daemon.version.cache;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.security.MessageDigest;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.stream.Stream;
+import org.sequoiahill.protocol.json.Checked;
+import org.sequoiahill.protocol.weights.Digests;
+import org.sequoiahill.protocol.weights.Manifest;
+import org.sequoiahill.protocol.weights.Manifest.Chunk;
+import org.sequoiahill.protocol.weights.Manifest.WeightFile;
+import org.tinylog.Logger;
+
+/**
+ * Versions of weights on this VM's disk, chunk by chunk; each chunk is checked before it counts.
+ */
+public final class ChunkStore {
+    private static final int COPY_BUFFER_BYTES = 1 << 20;
+    private static final String MANIFEST_FILE = "manifest.json";
+
+    private final Path mFolder;
+    private final long mCapacityBytes;
+    private final Map<String, StoredVersion> mVersions = new ConcurrentHashMap<>();
+    private final Map<String, ChunkSlot> mByDigest = new ConcurrentHashMap<>();
+    private final Map<String, Set<CompletableFuture<Void>>> mAwaited = new ConcurrentHashMap<>();
+    private long mUses;
+
+    private ChunkStore(Path folder, long capacityBytes) {
+        mFolder = folder;
+        mCapacityBytes = capacityBytes;
+    }
+
+    /** Returns an empty store in a folder; see {@link #recover}. */
+    public static ChunkStore in(Path folder, long capacityBytes) {
+        return new ChunkStore(folder, capacityBytes);
+    }
+
+    /**
+     * A held chunk on disk.
+     *
+     * @param file file that holds it
+     * @param offset its first byte
+     * @param bytes its size
+     */
+    public record Location(Path file, long offset, int bytes) {}
+
+    /** Checks every chunk that an earlier process left and keeps the right ones. */
+    public void recover() throws IOException {
+        Files.createDirectories(mFolder);
+        List<Path> folders;
+        try (Stream<Path> paths = Files.list(mFolder)) {
+            folders = paths.filter(Files::isDirectory).toList();
+        }
+        for (Path folder : folders) {
+            Optional<Manifest> manifest = readManifest(folder);
+            if (manifest.isEmpty()) {
+                delete(folder);
+                continue;
+            }
+            int held = recheck(open(manifest.get()));
+            Logger.info("{} chunks of {} are held", held, manifest.get().version());
+        }
+    }
+
+    /**
+     * Makes room for a version and opens it.
+     *
+     * @param needed digests of manifests that must stay
+     * @param former manifest that stays if it fits; empty for none
+     * @return whether the version fits beside those that must stay
+     */
+    public synchronized boolean prepare(Manifest manifest, Set<String> needed, String former)
+            throws IOException {
+        String digest = manifest.digest();
+        List<CacheRules.Entry> entries = new ArrayList<>();
+        mVersions.forEach(
+                (key, version) -> {
+                    if (!key.equals(digest)) {
+                        entries.add(
+                                new CacheRules.Entry(
+                                        key, version.manifest().totalBytes(), version.lastUse()));
+                    }
+                });
+        Set<String> pinned = new HashSet<>(needed);
+        CacheRules.Plan plan =
+                CacheRules.plan(entries, mCapacityBytes, manifest.totalBytes(), pinned, former);
+        if (!plan.fits()) {
+            return false;
+        }
+        for (String evicted : plan.evicted()) {
+            evict(evicted);
+        }
+        open(manifest).use(++mUses);
+        return true;
+    }
+
+    /** Returns the folder of a version; its files are whole only after {@link #verify}. */
+    public Path folderOf(String version) {
+        return mFolder.resolve(version);
+    }
+
+    /** Returns the manifest of a version that is opened. */
+    public Optional<Manifest> manifest(String digest) {
+        return Optional.ofNullable(mVersions.get(digest)).map(StoredVersion::manifest);
+    }
+
+    /** Returns where a chunk is held. */
+    public Optional<Location> locate(String digest) {
+        ChunkSlot slot = mByDigest.get(digest);
+        if (slot == null || !slot.isHeld()) {
+            return Optional.empty();
+        }
+        Chunk chunk = slot.chunk();
+        return Optional.of(new Location(slot.file(), chunk.offset(), chunk.bytes()));
+    }
+
+    /** Returns a future that completes once a chunk is held; a caller gives up by cancelling it. */
+    public CompletableFuture<Void> await(String digest) {
+        CompletableFuture<Void> arrival = new CompletableFuture<>();
+        mAwaited.compute(
+                digest,
+                (key, awaited) -> {
+                    Set<CompletableFuture<Void>> all =
+                            awaited == null ? ConcurrentHashMap.newKeySet() : awaited;
+                    all.add(arrival);
+                    return all;
+                });
+        arrival.whenComplete((nothing, failure) -> forget(digest, arrival));
+        if (locate(digest).isPresent()) {
+            announce(digest);
+        }
+        return arrival;
+    }
+
+    /** Returns whether a chunk is held at its place in a version that is opened. */
+    public boolean holds(String version, int chunk) {
+        return slot(version, chunk).isHeld();
+    }
+
+    /** Returns a writer of a chunk; with its first byte the writer before it ends. */
+    public ChunkWriter writer(String version, int chunk) {
+        ChunkSlot slot = slot(version, chunk);
+        return new LazyWriter(slot, this::keep);
+    }
+
+    /** Copies a chunk that another version or file holds; returns whether it is held now. */
+    public boolean copyFromOther(String version, int chunk) throws IOException {
+        ChunkSlot slot = slot(version, chunk);
+        if (slot.isHeld()) {
+            return true;
+        }
+        Optional<Location> other = locate(slot.chunk().digest());
+        if (other.isEmpty()) {
+            return false;
+        }
+        ChunkWriter writer = slot.supersede();
+        readInto(other.get(), writer::write);
+        boolean isKept = writer.finish() == ChunkWriter.Outcome.KEPT;
+        if (isKept) {
+            keep(slot);
+        }
+        return isKept;
+    }
+
+    /** Checks every whole file of a version; where one is wrong its chunks are checked anew. */
+    public boolean verify(String version) throws IOException {
+        StoredVersion opened = opened(version);
+        for (WeightFile file : opened.manifest().files()) {
+            Path path = folderOf(version).resolve(file.name());
+            if (!Files.exists(path) || !digestOf(path).equals(file.sha256())) {
+                recheck(opened);
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private StoredVersion open(Manifest manifest) throws IOException {
+        String digest = manifest.digest();
+        StoredVersion held = mVersions.get(digest);
+        if (held != null) {
+            return held;
+        }
+        Path folder = folderOf(digest);
+        Files.createDirectories(folder);
+        Files.writeString(folder.resolve(MANIFEST_FILE), manifest.toJson());
+        StoredVersion opened = StoredVersion.of(manifest, folder);
+        mVersions.put(digest, opened);
+        return opened;
+    }
+
+    private int recheck(StoredVersion version) throws IOException {
+        int held = 0;
+        for (ChunkSlot slot : version.slots()) {
+            if (isRight(slot)) {
+                slot.markHeld();
+                keep(slot);
+                held++;
+            } else {
+                slot.drop();
+            }
+        }
+        return held;
+    }
+
+    private static boolean isRight(ChunkSlot slot) throws IOException {
+        Chunk chunk = slot.chunk();
+        if (!Files.exists(slot.file())) {
+            return false;
+        }
+        MessageDigest digest = Digests.sha256();
+        readInto(
+                new Location(slot.file(), chunk.offset(), chunk.bytes()),
+                bytes -> {
+                    digest.update(bytes);
+                    return true;
+                });
+        return Digests.hex(digest.digest()).equals(chunk.digest());
+    }
+
+    private ChunkSlot slot(String version, int chunk) {
+        return opened(version).slots().get(chunk);
+    }
+
+    private StoredVersion opened(String version) {
+        StoredVersion opened = mVersions.get(version);
+        if (opened == null) {
+            throw new IllegalStateException("version is not opened: " + version);
+        }
+        return opened;
+    }
+
+    private void keep(ChunkSlot slot) {
+        mByDigest.put(slot.chunk().digest(), slot);
+        announce(slot.chunk().digest());
+    }
+
+    private void announce(String digest) {
+        Set<CompletableFuture<Void>> awaited = mAwaited.remove(digest);
+        if (awaited != null) {
+            awaited.forEach(arrival -> arrival.complete(null));
+        }
+    }
+
+    private void forget(String digest, CompletableFuture<Void> arrival) {
+        mAwaited.computeIfPresent(
+                digest,
+                (key, awaited) -> {
+                    awaited.removeIf(held -> held == arrival);
+                    return awaited.isEmpty() ? null : awaited;
+                });
+    }
+
+    private void evict(String digest) throws IOException {
+        StoredVersion version = mVersions.remove(digest);
+        if (version == null) {
+            return;
+        }
+        version.slots().forEach(ChunkSlot::drop);
+        mByDigest.values().removeIf(slot -> !slot.isHeld());
+        delete(mFolder.resolve(digest));
+        Logger.info("version {} left the cache", version.manifest().version());
+    }
+
+    private static Optional<Manifest> readManifest(Path folder) throws IOException {
+        Path file = folder.resolve(MANIFEST_FILE);
+        if (!Files.isRegularFile(file)) {
+            return Optional.empty();
+        }
+        Checked<Manifest> manifest = Manifest.parse(Files.readString(file));
+        return Optional.ofNullable(manifest.value())
+                .filter(value -> value.digest().equals(String.valueOf(folder.getFileName())));
+    }
+
+    private static void delete(Path folder) throws IOException {
+        List<Path> paths;
+        try (Stream<Path> files = Files.list(folder)) {
+            paths = files.toList();
+        }
+        for (Path path : paths) {
+            Files.delete(path);
+        }
+        Files.delete(folder);
+    }
+
+    private static String digestOf(Path file) throws IOException {
+        MessageDigest digest = Digests.sha256();
+        ByteBuffer buffer = ByteBuffer.allocate(COPY_BUFFER_BYTES);
+        try (FileChannel channel = FileChannel.open(file, StandardOpenOption.READ)) {
+            while (channel.read(buffer) >= 0) {
+                digest.update(buffer.flip());
+                buffer.clear();
+            }
+        }
+        return Digests.hex(digest.digest());
+    }
+
+    private static void readInto(Location location, BytesSink sink) throws IOException {
+        ByteBuffer buffer = ByteBuffer.allocate(Math.min(COPY_BUFFER_BYTES, location.bytes()));
+        long position = location.offset();
+        long end = position + location.bytes();
+        try (FileChannel channel = FileChannel.open(location.file(), StandardOpenOption.READ)) {
+            while (position < end) {
+                buffer.clear().limit((int) Math.min(buffer.capacity(), end - position));
+                int read = channel.read(buffer, position);
+                if (read < 0 || !sink.write(buffer.flip())) {
+                    return;
+                }
+                position += read;
+            }
+        }
+    }
+
+    @FunctionalInterface
+    private interface BytesSink {
+        boolean write(ByteBuffer bytes) throws IOException;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/cache/LazyWriter.java
@@ -0,0 +1,38 @@
+package org.sequoiahill.daemon.version.cache;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+
+/** A writer that takes its slot over only once it has a byte to write. */
+final class LazyWriter implements ChunkWriter {
+    private final ChunkSlot mSlot;
+    private final Consumer<ChunkSlot> mOnKept;
+    private ChunkSlot.@Nullable Writer mWriter;
+
+    LazyWriter(ChunkSlot slot, Consumer<ChunkSlot> onKept) {
+        mSlot = slot;
+        mOnKept = onKept;
+    }
+
+    @Override
+    public synchronized boolean write(ByteBuffer bytes) throws IOException {
+        if (mWriter == null) {
+            mWriter = mSlot.supersede();
+        }
+        return mWriter.write(bytes);
+    }
+
+    @Override
+    public synchronized Outcome finish() {
+        if (mWriter == null) {
+            return mSlot.isHeld() ? Outcome.SUPERSEDED : Outcome.WRONG;
+        }
+        Outcome outcome = mWriter.finish();
+        if (outcome == Outcome.KEPT) {
+            mOnKept.accept(mSlot);
+        }
+        return outcome;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/fetch/AttemptFailure.java
@@ -0,0 +1,17 @@
+package org.sequoiahill.daemon.version.fetch;
+
+/** Why an attempt brought no chunk. */
+public enum AttemptFailure {
+    /** The peer is alive and does not hold the chunk yet. */
+    PENDING,
+    /** The peer can't be reached or broke off. */
+    UNREACHABLE,
+    /** No byte came in time. */
+    SILENT,
+    /** The bytes have another digest or size than the manifest says. */
+    WRONG,
+    /** The origin wants fewer requests. */
+    THROTTLED,
+    /** Another attempt brought the chunk first. */
+    SUPERSEDED
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/fetch/ChunkClient.java
@@ -0,0 +1,217 @@
+package org.sequoiahill.daemon.version.fetch;
+
+import java.io.IOException;
+import java.net.URI;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Pattern;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.Response;
+import org.eclipse.jetty.client.Result;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.io.Content;
+import org.sequoiahill.daemon.version.cache.ChunkWriter;
+import org.sequoiahill.protocol.weights.Manifest;
+import org.sequoiahill.protocol.weights.Manifest.Chunk;
+
+/** Draws single chunks over HTTP straight into their place on disk. */
+public final class ChunkClient {
+    private static final Duration WAIT = Duration.ofSeconds(2);
+    private static final Duration IDLE = Duration.ofSeconds(4);
+    private static final Duration WHOLE = Duration.ofMinutes(2);
+    private static final Pattern SECONDS = Pattern.compile("[0-9]{1,4}");
+    private static final int MAX_HOLDERS = 16;
+
+    private final HttpClient mClient;
+    private final URI mServiceAtOrigin;
+    private final String mOwnAddress;
+    private final TokenBucket mBucket;
+    private final TransferCounts mCounts;
+    private final ScheduledExecutorService mScheduler;
+
+    private ChunkClient(
+            HttpClient client,
+            URI serviceAtOrigin,
+            String ownAddress,
+            TokenBucket bucket,
+            TransferCounts counts,
+            ScheduledExecutorService scheduler) {
+        mClient = client;
+        mServiceAtOrigin = serviceAtOrigin;
+        mOwnAddress = ownAddress;
+        mBucket = bucket;
+        mCounts = counts;
+        mScheduler = scheduler;
+    }
+
+    /**
+     * Returns a client whose bytes all pass one bucket.
+     *
+     * @param serviceAtOrigin where the origin keeps the versions of the service
+     * @param ownAddress address at which this agent serves chunks
+     */
+    public static ChunkClient of(
+            HttpClient client,
+            URI serviceAtOrigin,
+            String ownAddress,
+            TokenBucket bucket,
+            TransferCounts counts,
+            ScheduledExecutorService scheduler) {
+        return new ChunkClient(client, serviceAtOrigin, ownAddress, bucket, counts, scheduler);
+    }
+
+    /** What became of an attempt. */
+    sealed interface Drawn {
+        /** The chunk is held. */
+        record Kept() implements Drawn {}
+
+        /** The peer names other holders. */
+        record SentOn(List<String> addresses) implements Drawn {}
+
+        /** The attempt failed; {@code retryAfter} is zero where the source names no pause. */
+        record Failed(AttemptFailure failure, Duration retryAfter) implements Drawn {}
+
+        /** The disk of this VM failed or is full. */
+        record DiskFailed(IOException cause) implements Drawn {}
+    }
+
+    /** Draws a chunk; the result never fails. */
+    CompletableFuture<Drawn> draw(
+            Attempt attempt, Manifest manifest, Chunk chunk, ChunkWriter writer) {
+        Request request =
+                attempt.source() instanceof Source.Peer peer
+                        ? askPeer(peer, chunk, attempt.redirects())
+                        : askOrigin(manifest, chunk);
+        Drawing drawing = new Drawing(attempt.source(), chunk, writer);
+        request.idleTimeout(IDLE.toMillis(), TimeUnit.MILLISECONDS)
+                .timeout(WHOLE.toMillis(), TimeUnit.MILLISECONDS)
+                .onResponseContentAsync(drawing::onContent)
+                .send(drawing::onEnd);
+        return drawing.mDrawn;
+    }
+
+    private Request askPeer(Source.Peer peer, Chunk chunk, int redirects) {
+        String wait = peer.canWait() ? String.valueOf(WAIT.toMillis()) : "0";
+        URI uri = URI.create("http://" + peer.member().address() + "/chunks/" + chunk.digest());
+        return mClient.newRequest(uri)
+                .headers(
+                        headers ->
+                                headers.put(ChunkHeaders.ASKER, mOwnAddress)
+                                        .put(ChunkHeaders.WAIT, wait)
+                                        .put(ChunkHeaders.REDIRECTS, String.valueOf(redirects)));
+    }
+
+    private Request askOrigin(Manifest manifest, Chunk chunk) {
+        String range = "bytes=" + chunk.offset() + "-" + (chunk.offset() + chunk.bytes() - 1);
+        URI uri = URI.create(mServiceAtOrigin + "/" + manifest.version() + "/" + chunk.file());
+        return mClient.newRequest(uri).headers(headers -> headers.put(HttpHeader.RANGE, range));
+    }
+
+    /** One answer as it comes. */
+    private final class Drawing {
+        private final Source mSource;
+        private final Chunk mChunk;
+        private final ChunkWriter mWriter;
+        private final CompletableFuture<Drawn> mDrawn = new CompletableFuture<>();
+
+        Drawing(Source source, Chunk chunk, ChunkWriter writer) {
+            mSource = source;
+            mChunk = chunk;
+            mWriter = writer;
+        }
+
+        void onContent(Response response, Content.Chunk content, Runnable demander) {
+            int bytes = content.remaining();
+            if (!isChunk(response)) {
+                demander.run();
+                return;
+            }
+            mCounts.received(mSource, bytes);
+            if (!write(response, content.getByteBuffer())) {
+                return;
+            }
+            Duration delay = mBucket.reserve(bytes);
+            if (delay.isZero()) {
+                demander.run();
+            } else {
+                mScheduler.schedule(demander, delay.toNanos(), TimeUnit.NANOSECONDS);
+            }
+        }
+
+        void onEnd(Result result) {
+            mDrawn.complete(outcome(result));
+        }
+
+        private boolean write(Response response, ByteBuffer bytes) {
+            try {
+                if (mWriter.write(bytes)) {
+                    return true;
+                }
+                mDrawn.complete(finished());
+            } catch (IOException e) {
+                mDrawn.complete(new Drawn.DiskFailed(e));
+            }
+            response.abort(new IOException("chunk is not wanted any more"));
+            return false;
+        }
+
+        private Drawn outcome(Result result) {
+            Response response = result.getResponse();
+            if (result.isFailed()) {
+                boolean isSilent =
+                        result.getFailure() instanceof java.util.concurrent.TimeoutException;
+                return failed(isSilent ? AttemptFailure.SILENT : AttemptFailure.UNREACHABLE);
+            }
+            if (isChunk(response)) {
+                return finished();
+            }
+            return switch (response.getStatus()) {
+                case HttpStatus.SEE_OTHER_303 -> new Drawn.SentOn(holders(response));
+                case HttpStatus.TOO_MANY_REQUESTS_429, HttpStatus.SERVICE_UNAVAILABLE_503 ->
+                        new Drawn.Failed(AttemptFailure.THROTTLED, retryAfter(response));
+                case HttpStatus.NOT_FOUND_404 ->
+                        failed(
+                                mSource instanceof Source.Peer
+                                        ? AttemptFailure.PENDING
+                                        : AttemptFailure.UNREACHABLE);
+                default -> failed(AttemptFailure.UNREACHABLE);
+            };
+        }
+
+        private Drawn finished() {
+            return switch (mWriter.finish()) {
+                case KEPT -> new Drawn.Kept();
+                case SUPERSEDED -> failed(AttemptFailure.SUPERSEDED);
+                case WRONG -> failed(AttemptFailure.WRONG);
+            };
+        }
+
+        private boolean isChunk(Response response) {
+            boolean isWholeFile = mSource instanceof Source.Peer || mChunk.offset() == 0;
+            return response.getStatus() == HttpStatus.PARTIAL_CONTENT_206
+                    || (response.getStatus() == HttpStatus.OK_200 && isWholeFile);
+        }
+    }
+
+    private static Drawn failed(AttemptFailure failure) {
+        return new Drawn.Failed(failure, Duration.ZERO);
+    }
+
+    private static List<String> holders(Response response) {
+        String text = String.valueOf(response.getHeaders().get(ChunkHeaders.HOLDERS));
+        return List.of(text.split(",", MAX_HOLDERS));
+    }
+
+    private static Duration retryAfter(Response response) {
+        String text = String.valueOf(response.getHeaders().get(HttpHeader.RETRY_AFTER));
+        return SECONDS.matcher(text).matches()
+                ? Duration.ofSeconds(Long.parseLong(text))
+                : Duration.ZERO;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/fetch/ChunkHandler.java
@@ -0,0 +1,191 @@
+package org.sequoiahill.daemon.version.fetch;
+
+import java.util.Map;
+import java.util.Queue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.regex.Pattern;
+import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.sequoiahill.daemon.version.cache.ChunkStore;
+import org.sequoiahill.protocol.document.ServiceDocument;
+
+/**
+ * Serves chunks that this agent holds to other agents, at {@code /chunks/DIGEST}.
+ *
+ * <p>Answers 200 with the chunk, 303 with the addresses of other holders, or 404 where the chunk
+ * did not come within the time that the asker waits.
+ */
+public final class ChunkHandler extends Handler.Abstract {
+    private static final String PREFIX = "/chunks/";
+    private static final long MAX_WAIT_MILLIS = 5_000;
+    private static final int MAX_REDIRECTS = 1_000;
+    private static final Pattern NUMBER = Pattern.compile("[0-9]{1,9}");
+    private static final Pattern ADDRESS = Pattern.compile("[0-9a-fA-F.:]{2,45}:[0-9]{1,5}");
+
+    private final ChunkStore mStore;
+    private final HolderTable mHolders;
+    private final ChunkSender mSender;
+    private final ScheduledExecutorService mScheduler;
+    private final Map<String, Queue<Asker>> mWaiting = new ConcurrentHashMap<>();
+
+    private ChunkHandler(
+            ChunkStore store,
+            HolderTable holders,
+            ChunkSender sender,
+            ScheduledExecutorService scheduler) {
+        mStore = store;
+        mHolders = holders;
+        mSender = sender;
+        mScheduler = scheduler;
+    }
+
+    /** Returns a handler over a store of chunks. */
+    public static ChunkHandler over(
+            ChunkStore store,
+            HolderTable holders,
+            ChunkSender sender,
+            ScheduledExecutorService scheduler) {
+        return new ChunkHandler(store, holders, sender, scheduler);
+    }
+
+    @Override
+    public boolean handle(Request request, Response response, Callback callback) {
+        String path = Request.getPathInContext(request);
+        if (!path.startsWith(PREFIX)) {
+            return false;
+        }
+        String digest = path.substring(PREFIX.length());
+        if (!ServiceDocument.DIGEST.matcher(digest).matches()) {
+            Response.writeError(request, response, callback, HttpStatus.BAD_REQUEST_400);
+            return true;
+        }
+        Asker asker = new Asker(digest, request, response, callback);
+        long wait = Math.min(MAX_WAIT_MILLIS, number(request, ChunkHeaders.WAIT));
+        if (mStore.locate(digest).isPresent()) {
+            asker.bound(wait);
+            decide(asker);
+            return true;
+        }
+        if (wait == 0) {
+            asker.end(HttpStatus.NOT_FOUND_404);
+            return true;
+        }
+        CompletableFuture<Void> arrival = mStore.await(digest);
+        arrival.thenRunAsync(() -> decide(asker), mScheduler);
+        asker.bound(wait);
+        mScheduler.schedule(() -> arrival.cancel(false), wait, TimeUnit.MILLISECONDS);
+        return true;
+    }
+
+    private void decide(Asker asker) {
+        if (asker.isEnded()) {
+            return;
+        }
+        HolderTable.Decision decision =
+                mHolders.decide(asker.mDigest, asker.mAddress, asker.mRedirects);
+        if (decision instanceof HolderTable.Decision.Send) {
+            send(asker);
+        } else if (decision instanceof HolderTable.Decision.SendOn sendOn) {
+            asker.sendOn(String.join(",", sendOn.addresses()));
+        } else {
+            mWaiting.computeIfAbsent(asker.mDigest, key -> new ConcurrentLinkedQueue<>())
+                    .add(asker);
+        }
+    }
+
+    private void send(Asker asker) {
+        if (!asker.begin()) {
+            mHolders.broken(asker.mDigest);
+            return;
+        }
+        CompletableFuture<Void> sending =
+                mStore.locate(asker.mDigest)
+                        .map(location -> mSender.send(location, asker.mResponse))
+                        .orElseGet(
+                                () ->
+                                        CompletableFuture.failedFuture(
+                                                new IllegalStateException("chunk was evicted")));
+        sending.whenCompleteAsync((nothing, failure) -> sent(asker, failure), mScheduler);
+    }
+
+    private void sent(Asker asker, Throwable failure) {
+        if (failure == null) {
+            mHolders.sent(asker.mDigest, asker.mAddress);
+            asker.mCallback.succeeded();
+        } else {
+            mHolders.broken(asker.mDigest);
+            asker.mCallback.failed(failure);
+        }
+        mWaiting.keySet().forEach(this::decideWaiting);
+    }
+
+    private void decideWaiting(String digest) {
+        Queue<Asker> waiting = mWaiting.remove(digest);
+        if (waiting != null) {
+            waiting.forEach(this::decide);
+        }
+    }
+
+    private static int number(Request request, String header) {
+        String text = String.valueOf(request.getHeaders().get(header));
+        return NUMBER.matcher(text).matches() ? Integer.parseInt(text) : 0;
+    }
+
+    /** One request for a chunk; exactly one of its ends takes place. */
+    private final class Asker {
+        private final String mDigest;
+        private final String mAddress;
+        private final int mRedirects;
+        private final Request mRequest;
+        private final Response mResponse;
+        private final Callback mCallback;
+        private final AtomicBoolean mIsEnded = new AtomicBoolean();
+
+        Asker(String digest, Request request, Response response, Callback callback) {
+            mDigest = digest;
+            String address = String.valueOf(request.getHeaders().get(ChunkHeaders.ASKER));
+            mAddress = ADDRESS.matcher(address).matches() ? address : "";
+            mRedirects = Math.min(MAX_REDIRECTS, number(request, ChunkHeaders.REDIRECTS));
+            mRequest = request;
+            mResponse = response;
+            mCallback = callback;
+        }
+
+        void bound(long waitMillis) {
+            mScheduler.schedule(
+                    () -> end(HttpStatus.NOT_FOUND_404),
+                    Math.max(1, waitMillis),
+                    TimeUnit.MILLISECONDS);
+        }
+
+        boolean isEnded() {
+            return mIsEnded.get();
+        }
+
+        boolean begin() {
+            return mIsEnded.compareAndSet(false, true);
+        }
+
+        void end(int status) {
+            if (begin()) {
+                Response.writeError(mRequest, mResponse, mCallback, status);
+            }
+        }
+
+        void sendOn(String holders) {
+            if (begin()) {
+                mResponse.setStatus(HttpStatus.SEE_OTHER_303);
+                mResponse.getHeaders().put(ChunkHeaders.HOLDERS, holders);
+                mCallback.succeeded();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/fetch/ChunkRanking.java
@@ -0,0 +1,55 @@
+package org.sequoiahill.daemon.version.fetch;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HexFormat;
+import java.util.List;
+
+/** Orders the agents of a region for each chunk; the first is the owner of the chunk. */
+@FunctionalInterface
+public interface ChunkRanking {
+    /** Returns the members that may be asked for a chunk, the owner first. */
+    List<Member> rank(String chunkDigest, List<Member> members);
+
+    /** Returns the ranking by rendezvous hashing, which moves few chunks as members change. */
+    static ChunkRanking rendezvous() {
+        return ChunkRanking::byWeight;
+    }
+
+    private static List<Member> byWeight(String chunkDigest, List<Member> members) {
+        long chunk = HexFormat.fromHexDigitsToLong(chunkDigest, 0, Long.BYTES * 2);
+        List<Weighted> weighted = new ArrayList<>(members.size());
+        for (Member member : members) {
+            weighted.add(new Weighted(member, mix(chunk ^ hash(member.vm()))));
+        }
+        weighted.sort(
+                Comparator.comparingLong(Weighted::weight)
+                        .thenComparing(entry -> entry.member().vm()));
+        return weighted.stream().map(Weighted::member).toList();
+    }
+
+    private static long hash(String text) {
+        long hash = 0;
+        for (byte b : text.getBytes(StandardCharsets.UTF_8)) {
+            hash = mix(hash ^ b);
+        }
+        return hash;
+    }
+
+    /** The finaliser of SplitMix64: every bit of the input changes half of the output's bits. */
+    private static long mix(long value) {
+        long z = value + 0x9e3779b97f4a7c15L;
+        z = (z ^ (z >>> 30)) * 0xbf58476d1ce4e5b9L;
+        z = (z ^ (z >>> 27)) * 0x94d049bb133111ebL;
+        return z ^ (z >>> 31);
+    }
+
+    /**
+     * A member and its rank.
+     *
+     * @param member the member
+     * @param weight position among the members of a chunk
+     */
+    record Weighted(Member member, long weight) {}
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/fetch/ChunkSender.java
@@ -0,0 +1,99 @@
+package org.sequoiahill.daemon.version.fetch;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.StandardOpenOption;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.sequoiahill.daemon.version.cache.ChunkStore.Location;
+
+/** Sends chunks from disk in slices, so that memory stays bounded, at the rate of a bucket. */
+public final class ChunkSender {
+    private static final int SLICE_BYTES = 64 << 10;
+
+    private final TokenBucket mBucket;
+    private final TransferCounts mCounts;
+    private final ScheduledExecutorService mScheduler;
+
+    private ChunkSender(
+            TokenBucket bucket, TransferCounts counts, ScheduledExecutorService scheduler) {
+        mBucket = bucket;
+        mCounts = counts;
+        mScheduler = scheduler;
+    }
+
+    /** Returns a sender whose bytes all pass one bucket. */
+    public static ChunkSender of(
+            TokenBucket bucket, TransferCounts counts, ScheduledExecutorService scheduler) {
+        return new ChunkSender(bucket, counts, scheduler);
+    }
+
+    /** Sends a chunk; the result fails where the disk or the connection does. */
+    CompletableFuture<Void> send(Location location, Response response) {
+        CompletableFuture<Void> whole = new CompletableFuture<>();
+        response.getHeaders().put(HttpHeader.CONTENT_LENGTH, location.bytes());
+        new Sending(location, response, whole).step(0);
+        return whole;
+    }
+
+    private final class Sending {
+        private final Location mLocation;
+        private final Response mResponse;
+        private final CompletableFuture<Void> mWhole;
+
+        Sending(Location location, Response response, CompletableFuture<Void> whole) {
+            mLocation = location;
+            mResponse = response;
+            mWhole = whole;
+        }
+
+        void step(int sent) {
+            try {
+                ByteBuffer slice = read(sent);
+                int next = sent + slice.remaining();
+                Duration delay = mBucket.reserve(slice.remaining());
+                mScheduler.schedule(
+                        () -> write(slice, next), delay.toNanos(), TimeUnit.NANOSECONDS);
+            } catch (IOException e) {
+                mWhole.completeExceptionally(e);
+            }
+        }
+
+        private void write(ByteBuffer slice, int next) {
+            mCounts.sent(slice.remaining());
+            boolean isLast = next == mLocation.bytes();
+            mResponse.write(
+                    isLast,
+                    slice,
+                    Callback.from(
+                            () -> {
+                                if (isLast) {
+                                    mWhole.complete(null);
+                                } else {
+                                    step(next);
+                                }
+                            },
+                            mWhole::completeExceptionally));
+        }
+
+        private ByteBuffer read(int sent) throws IOException {
+            ByteBuffer slice = ByteBuffer.allocate(Math.min(SLICE_BYTES, mLocation.bytes() - sent));
+            try (FileChannel channel =
+                    FileChannel.open(mLocation.file(), StandardOpenOption.READ)) {
+                while (slice.hasRemaining()) {
+                    long position = mLocation.offset() + sent + slice.position();
+                    if (channel.read(slice, position) < 0) {
+                        throw new IOException("chunk is cut on disk: " + mLocation.file());
+                    }
+                }
+            }
+            return slice.flip();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/fetch/ChunkState.java
@@ -0,0 +1,114 @@
+package org.sequoiahill.daemon.version.fetch;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+
+/** What a plan knows of one chunk that is not held yet. */
+final class ChunkState {
+    private static final int MAX_HINTS = 8;
+
+    private final List<Attempt> mAttempts = new ArrayList<>();
+    private final Map<String, Duration> mPassedOver = new HashMap<>();
+    private final Deque<Member> mHints = new ArrayDeque<>();
+    private Duration mNotBefore = Duration.ZERO;
+    private @Nullable Duration mPendingSince;
+    private boolean mIsProbed;
+    private int mDraws;
+    private int mFailures;
+    private int mRedirects;
+
+    List<Attempt> attempts() {
+        return mAttempts;
+    }
+
+    /** Returns whether a new attempt may start beside those that run. */
+    boolean isStartable(Duration now, Duration slowAfter) {
+        if (mNotBefore.compareTo(now) > 0) {
+            return false;
+        }
+        return mAttempts.isEmpty()
+                || (mAttempts.size() == 1
+                        && mAttempts.get(0).startedAt().plus(slowAfter).compareTo(now) <= 0);
+    }
+
+    boolean isTrying(String vm) {
+        return mAttempts.stream()
+                .anyMatch(
+                        attempt ->
+                                attempt.source() instanceof Source.Peer peer
+                                        && peer.member().vm().equals(vm));
+    }
+
+    void passOver(String source, Duration until) {
+        mPassedOver.put(source, until);
+    }
+
+    boolean isPassedOver(String source, Duration now) {
+        Duration until = mPassedOver.get(source);
+        return until != null && until.compareTo(now) > 0;
+    }
+
+    void hint(List<Member> holders) {
+        mRedirects++;
+        for (Member holder : holders) {
+            if (mHints.size() < MAX_HINTS) {
+                mHints.add(holder);
+            }
+        }
+    }
+
+    int redirects() {
+        return mRedirects;
+    }
+
+    @Nullable Member takeHint() {
+        return mHints.poll();
+    }
+
+    void waitUntil(Duration notBefore) {
+        mNotBefore = notBefore;
+    }
+
+    /** Returns for how long live sources have had nothing to give. */
+    Duration pendingFor(Duration now) {
+        if (mPendingSince == null) {
+            mPendingSince = now;
+        }
+        return now.minus(mPendingSince);
+    }
+
+    void clearPending() {
+        mPendingSince = null;
+    }
+
+    boolean isProbed() {
+        return mIsProbed;
+    }
+
+    void markProbed() {
+        mIsProbed = true;
+    }
+
+    int draws() {
+        return mDraws;
+    }
+
+    void countDraw() {
+        mDraws++;
+    }
+
+    /** Takes back a draw that the origin refused, since none of its bytes came. */
+    void uncountDraw() {
+        mDraws--;
+    }
+
+    int countFailure() {
+        return ++mFailures;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/fetch/HolderTable.java
@@ -0,0 +1,117 @@
+package org.sequoiahill.daemon.version.fetch;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Decides whether this agent sends a chunk itself or names those it has sent the chunk to. */
+public final class HolderTable {
+    private static final int DIRECT_COPIES = 2;
+    private static final int SENDS_AT_ONCE = 16;
+    private static final int MAX_REDIRECTS = 3;
+    private static final int MAX_CHUNKS = 8_192;
+    private static final int MAX_HOLDERS = 16;
+    private static final int NAMED_HOLDERS = 3;
+
+    private final int mCopiesPerChunk;
+    private final int mSendsAtOnce;
+    private final int mMaxRedirects;
+    private final Map<String, Entry> mEntries =
+            new LinkedHashMap<>(16, 0.75f, true) {
+                private static final long serialVersionUID = 1L;
+
+                @Override
+                protected boolean removeEldestEntry(Map.Entry<String, Entry> eldest) {
+                    return size() > MAX_CHUNKS && eldest.getValue().mSending == 0;
+                }
+            };
+    private int mSending;
+
+    private HolderTable(int copiesPerChunk, int sendsAtOnce, int maxRedirects) {
+        mCopiesPerChunk = copiesPerChunk;
+        mSendsAtOnce = sendsAtOnce;
+        mMaxRedirects = maxRedirects;
+    }
+
+    /**
+     * Returns an empty table.
+     *
+     * @param copiesPerChunk askers that get a chunk before later ones are sent on
+     * @param sendsAtOnce chunks sent at once
+     * @param maxRedirects after so many an asker is sent on no more
+     */
+    public static HolderTable of(int copiesPerChunk, int sendsAtOnce, int maxRedirects) {
+        return new HolderTable(copiesPerChunk, sendsAtOnce, maxRedirects);
+    }
+
+    /** Returns an empty table with the bounds that a daemon uses. */
+    public static HolderTable standard() {
+        return of(DIRECT_COPIES, SENDS_AT_ONCE, MAX_REDIRECTS);
+    }
+
+    /** What to answer to an asker. */
+    public sealed interface Decision {
+        /** Send the chunk; {@link #sent} or {@link #broken} must follow. */
+        record Send() implements Decision {}
+
+        /** Name other holders. */
+        record SendOn(List<String> addresses) implements Decision {}
+
+        /** Decide again once a send has ended. */
+        record Wait() implements Decision {}
+    }
+
+    /** Decides on one asker of a chunk that is held. */
+    public synchronized Decision decide(String digest, String asker, int redirects) {
+        Entry entry = mEntries.computeIfAbsent(digest, key -> new Entry());
+        boolean mustServe = redirects >= mMaxRedirects || asker.isEmpty();
+        boolean hasCopiesLeft = entry.mHolders.size() + entry.mSending < mCopiesPerChunk;
+        if (mSending < mSendsAtOnce && (mustServe || hasCopiesLeft)) {
+            entry.mSending++;
+            mSending++;
+            return new Decision.Send();
+        }
+        List<String> others = entry.name(asker);
+        return mustServe || others.isEmpty() ? new Decision.Wait() : new Decision.SendOn(others);
+    }
+
+    /** Notes a chunk that went out whole. */
+    public synchronized void sent(String digest, String asker) {
+        Entry entry = end(digest);
+        if (!asker.isEmpty() && entry.mHolders.size() < MAX_HOLDERS) {
+            entry.mHolders.remove(asker);
+            entry.mHolders.add(asker);
+        }
+    }
+
+    /** Notes a send that broke off. */
+    public synchronized void broken(String digest) {
+        end(digest);
+    }
+
+    private Entry end(String digest) {
+        Entry entry = mEntries.computeIfAbsent(digest, key -> new Entry());
+        entry.mSending = Math.max(0, entry.mSending - 1);
+        mSending--;
+        return entry;
+    }
+
+    private static final class Entry {
+        private final List<String> mHolders = new ArrayList<>();
+        private int mSending;
+        private int mNext;
+
+        List<String> name(String asker) {
+            List<String> named = new ArrayList<>();
+            for (int i = 0; i < mHolders.size() && named.size() < NAMED_HOLDERS; i++) {
+                String holder = mHolders.get((mNext + i) % mHolders.size());
+                if (!holder.equals(asker)) {
+                    named.add(holder);
+                }
+            }
+            mNext++;
+            return named;
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/fetch/ManifestClient.java
@@ -0,0 +1,94 @@
+package org.sequoiahill.daemon.version.fetch;
+
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.client.CompletableResponseListener;
+import org.eclipse.jetty.client.ContentResponse;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.http.HttpStatus;
+import org.sequoiahill.protocol.document.ServiceDocument;
+import org.sequoiahill.protocol.json.Checked;
+import org.sequoiahill.protocol.weights.Digests;
+import org.sequoiahill.protocol.weights.Manifest;
+import org.tinylog.Logger;
+
+/** Draws manifests: the owner from the origin, the others from the owner, then by rank. */
+public final class ManifestClient {
+    /** Largest manifest in bytes. */
+    public static final int MAX_BYTES = 16 << 20;
+
+    private static final Duration TIMEOUT = Duration.ofSeconds(3);
+    private static final int TRIES_PER_SOURCE = 10;
+
+    private final HttpClient mClient;
+    private final URI mServiceAtOrigin;
+    private final String mOwnVm;
+    private final ChunkRanking mRanking;
+
+    private ManifestClient(
+            HttpClient client, URI serviceAtOrigin, String ownVm, ChunkRanking ranking) {
+        mClient = client;
+        mServiceAtOrigin = serviceAtOrigin;
+        mOwnVm = ownVm;
+        mRanking = ranking;
+    }
+
+    /** Returns a client; {@code serviceAtOrigin} is where the origin keeps a service's versions. */
+    public static ManifestClient of(
+            HttpClient client, URI serviceAtOrigin, String ownVm, ChunkRanking ranking) {
+        return new ManifestClient(client, serviceAtOrigin, ownVm, ranking);
+    }
+
+    /**
+     * Draws the manifest of a version; empty where it can't be had or has another digest.
+     *
+     * @param tries how often this was tried before; later tries ask lower ranks
+     */
+    public CompletableFuture<Optional<Manifest>> fetch(
+            ServiceDocument.Version version, List<Member> near, int tries) {
+        URI uri = source(version, near, tries / TRIES_PER_SOURCE);
+        return new CompletableResponseListener(
+                        mClient.newRequest(uri).timeout(TIMEOUT.toMillis(), TimeUnit.MILLISECONDS),
+                        MAX_BYTES)
+                .send()
+                .handle(
+                        (response, failure) -> {
+                            if (failure != null) {
+                                Logger.debug("manifest from {} failed: {}", uri, failure);
+                                return Optional.empty();
+                            }
+                            return check(version, uri, response);
+                        });
+    }
+
+    private URI source(ServiceDocument.Version version, List<Member> near, int index) {
+        List<Member> ranked = mRanking.rank(version.manifestDigest(), near);
+        if (index < ranked.size() && !ranked.get(index).vm().equals(mOwnVm)) {
+            String address = ranked.get(index).address();
+            return URI.create("http://" + address + "/manifests/" + version.manifestDigest());
+        }
+        return URI.create(mServiceAtOrigin + "/" + version.name() + "/manifest.json");
+    }
+
+    private static Optional<Manifest> check(
+            ServiceDocument.Version version, URI uri, ContentResponse response) {
+        if (response.getStatus() != HttpStatus.OK_200) {
+            return Optional.empty();
+        }
+        byte[] bytes = response.getContent();
+        if (!Digests.of(bytes).equals(version.manifestDigest())) {
+            Logger.warn("manifest of {} from {} has another digest", version.name(), uri);
+            return Optional.empty();
+        }
+        Checked<Manifest> manifest = Manifest.parse(new String(bytes, StandardCharsets.UTF_8));
+        if (!manifest.isValid()) {
+            Logger.warn("manifest of {}: {}", version.name(), manifest.describeFaults());
+        }
+        return Optional.ofNullable(manifest.value());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/fetch/Member.java
@@ -0,0 +1,9 @@
+package org.sequoiahill.daemon.version.fetch;
+
+/**
+ * An agent that may hold chunks.
+ *
+ * @param vm name of its VM
+ * @param address address of its chunks, as host:port
+ */
+public record Member(String vm, String address) {}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/fetch/OriginLease.java
@@ -0,0 +1,17 @@
+package org.sequoiahill.daemon.version.fetch;
+
+import java.util.concurrent.CompletableFuture;
+
+/** Grants draws from the origin beyond each region's first copy. */
+@FunctionalInterface
+public interface OriginLease {
+    /**
+     * Asks for draws.
+     *
+     * @param version digest of the manifest
+     * @param versionChunks chunks that the version has
+     * @param chunks draws wanted
+     * @return draws granted, from zero to those wanted; never fails
+     */
+    CompletableFuture<Integer> ask(String version, int versionChunks, int chunks);
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/fetch/StoreLease.java
@@ -0,0 +1,83 @@
+package org.sequoiahill.daemon.version.fetch;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.IntSupplier;
+import org.sequoiahill.daemon.process.control.ControlClient;
+import org.sequoiahill.daemon.process.control.Identity;
+import org.sequoiahill.daemon.process.control.ServiceStub;
+import org.sequoiahill.daemon.process.controller.OriginBudget;
+import org.sequoiahill.daemon.process.settings.DaemonSettings.PeerVm;
+import org.sequoiahill.daemon.process.time.MonotonicClock;
+import org.sequoiahill.protocol.gen.OriginLeaseReply;
+import org.sequoiahill.protocol.gen.OriginLeaseRequest;
+
+/** Leases draws from the leader of the stores, and from the region's own share without one. */
+public final class StoreLease implements OriginLease {
+    private final Identity mIdentity;
+    private final ControlClient mControl;
+    private final List<PeerVm> mStores;
+    private final OriginBudget mOwnShare;
+    private final IntSupplier mAgents;
+    private final MonotonicClock mClock;
+
+    private StoreLease(
+            Identity identity,
+            ControlClient control,
+            List<PeerVm> stores,
+            OriginBudget ownShare,
+            IntSupplier agents,
+            MonotonicClock clock) {
+        mIdentity = identity;
+        mControl = control;
+        mStores = stores;
+        mOwnShare = ownShare;
+        mAgents = agents;
+        mClock = clock;
+    }
+
+    /**
+     * Returns a lease.
+     *
+     * @param ownShare budget of which this region has a share of its own
+     * @param agents agents of the region, among which the share is divided
+     */
+    public static StoreLease of(
+            Identity identity,
+            ControlClient control,
+            List<PeerVm> stores,
+            OriginBudget ownShare,
+            IntSupplier agents,
+            MonotonicClock clock) {
+        return new StoreLease(identity, control, stores, ownShare, agents, clock);
+    }
+
+    @Override
+    public CompletableFuture<Integer> ask(String version, int versionChunks, int chunks) {
+        OriginLeaseRequest request =
+                new OriginLeaseRequest(mIdentity.sender(), version, versionChunks, chunks);
+        CompletableFuture<Integer> granted = CompletableFuture.completedFuture(-1);
+        for (PeerVm store : mStores) {
+            granted =
+                    granted.thenCompose(
+                            held ->
+                                    held >= 0
+                                            ? CompletableFuture.completedFuture(held)
+                                            : ask(store, request));
+        }
+        return granted.thenApply(
+                held -> held >= 0 ? held : askOwnShare(version, versionChunks, chunks));
+    }
+
+    private CompletableFuture<Integer> ask(PeerVm store, OriginLeaseRequest request) {
+        return mControl.call(
+                        store.control(), ServiceStub.TURNS, client -> client.leaseOrigin(request))
+                .thenApply(OriginLeaseReply::getChunks)
+                .exceptionally(failure -> -1);
+    }
+
+    private synchronized int askOwnShare(String version, int versionChunks, int chunks) {
+        return mOwnShare.grantAlone(
+                version, versionChunks, mAgents.getAsInt(), chunks, mClock.now());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/fetch/VersionFetch.java
@@ -0,0 +1,185 @@
+package org.sequoiahill.daemon.version.fetch;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Future;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import org.sequoiahill.daemon.process.time.MonotonicClock;
+import org.sequoiahill.daemon.process.time.Periodic;
+import org.sequoiahill.daemon.version.cache.ChunkStore;
+import org.sequoiahill.protocol.weights.Manifest;
+import org.sequoiahill.protocol.weights.Manifest.Chunk;
+import org.tinylog.Logger;
+
+/** Fetches one version into the store by carrying out what a planner decides. */
+public final class VersionFetch {
+    private static final Duration INTERVAL = Duration.ofMillis(50);
+
+    private final String mVersion;
+    private final Manifest mManifest;
+    private final List<Chunk> mChunks;
+    private final Context mContext;
+    private final FetchPlanner mPlanner;
+    private final CompletableFuture<Outcome> mOutcome = new CompletableFuture<>();
+
+    private VersionFetch(Manifest manifest, Context context, FetchPlanner planner) {
+        mVersion = manifest.digest();
+        mManifest = manifest;
+        mChunks = manifest.chunks();
+        mContext = context;
+        mPlanner = planner;
+    }
+
+    /** How a fetch ended. */
+    public enum Outcome {
+        /** Every chunk is held. */
+        WHOLE,
+        /** The disk failed or is full. */
+        DISK_FAILED,
+        /** The fetch was cancelled. */
+        CANCELLED
+    }
+
+    /**
+     * What every fetch of an agent shares.
+     *
+     * @param ownVm VM of the agent
+     * @param store store that the version is opened in
+     * @param client draws chunks
+     * @param members agents that may be asked
+     * @param ranking order in which they are asked
+     * @param limits bounds
+     * @param lease grants draws beyond the first copy of the region
+     * @param clock time
+     * @param random jitter
+     * @param scheduler runs the steps
+     */
+    public record Context(
+            String ownVm,
+            ChunkStore store,
+            ChunkClient client,
+            Supplier<Members> members,
+            ChunkRanking ranking,
+            FetchLimits limits,
+            OriginLease lease,
+            MonotonicClock clock,
+            RandomGenerator random,
+            ScheduledExecutorService scheduler) {}
+
+    /** Starts to fetch a version that is opened in the store. */
+    public static VersionFetch start(Manifest manifest, Context context) {
+        FetchPlanner planner =
+                FetchPlanner.of(
+                        manifest.chunks().stream().map(Chunk::digest).toList(),
+                        context.ownVm(),
+                        context.members().get().near(),
+                        context.ranking(),
+                        context.limits(),
+                        context.random());
+        VersionFetch fetch = new VersionFetch(manifest, context, planner);
+        for (int chunk = 0; chunk < fetch.mChunks.size(); chunk++) {
+            if (context.store().holds(fetch.mVersion, chunk)) {
+                planner.hold(chunk);
+            }
+        }
+        Future<?> schedule = Periodic.every(context.scheduler(), INTERVAL, "fetch", fetch::step);
+        fetch.mOutcome.whenComplete((outcome, failure) -> schedule.cancel(false));
+        return fetch;
+    }
+
+    /** Returns the digest of the version's manifest. */
+    public String version() {
+        return mVersion;
+    }
+
+    /** Returns the manifest of the version. */
+    public Manifest manifest() {
+        return mManifest;
+    }
+
+    /** Completes with the end of the fetch; never fails. */
+    public CompletableFuture<Outcome> outcome() {
+        return mOutcome;
+    }
+
+    /** Returns the chunks held. */
+    public int held() {
+        synchronized (mPlanner) {
+            return mPlanner.held();
+        }
+    }
+
+    /** Ends the fetch; chunks that are held stay. */
+    public void cancel() {
+        mOutcome.complete(Outcome.CANCELLED);
+    }
+
+    private void step() {
+        if (mOutcome.isDone()) {
+            return;
+        }
+        Members members = mContext.members().get();
+        List<FetchPlanner.Step> steps;
+        synchronized (mPlanner) {
+            mPlanner.membersChanged(members.near(), members.far());
+            steps = mPlanner.next(mContext.clock().now());
+            if (mPlanner.isWhole()) {
+                mOutcome.complete(Outcome.WHOLE);
+            }
+        }
+        for (FetchPlanner.Step step : steps) {
+            if (step instanceof FetchPlanner.Step.Begin begin) {
+                begin(begin.attempt());
+            } else if (step instanceof FetchPlanner.Step.AskLease ask) {
+                mContext.lease()
+                        .ask(mVersion, mChunks.size(), ask.chunks())
+                        .thenAccept(this::leased);
+            }
+        }
+    }
+
+    private void begin(Attempt attempt) {
+        ChunkStore store = mContext.store();
+        try {
+            if (store.copyFromOther(mVersion, attempt.chunk())) {
+                ended(attempt, new ChunkClient.Drawn.Kept());
+                return;
+            }
+        } catch (IOException e) {
+            ended(attempt, new ChunkClient.Drawn.DiskFailed(e));
+            return;
+        }
+        Chunk chunk = mChunks.get(attempt.chunk());
+        mContext.client()
+                .draw(attempt, mManifest, chunk, store.writer(mVersion, attempt.chunk()))
+                .thenAcceptAsync(drawn -> ended(attempt, drawn), mContext.scheduler());
+    }
+
+    private void ended(Attempt attempt, ChunkClient.Drawn drawn) {
+        Duration now = mContext.clock().now();
+        synchronized (mPlanner) {
+            if (drawn instanceof ChunkClient.Drawn.Kept) {
+                mPlanner.arrived(attempt);
+            } else if (drawn instanceof ChunkClient.Drawn.SentOn sentOn) {
+                mPlanner.redirected(attempt, sentOn.addresses());
+            } else if (drawn instanceof ChunkClient.Drawn.Failed failed) {
+                Logger.debug("{} of chunk {}: {}", failed, attempt.chunk(), attempt.source());
+                mPlanner.failed(attempt, failed.failure(), failed.retryAfter(), now);
+            } else if (drawn instanceof ChunkClient.Drawn.DiskFailed disk) {
+                Logger.error(disk.cause(), "the disk of weights failed or is full");
+                mOutcome.complete(Outcome.DISK_FAILED);
+            }
+        }
+        mContext.scheduler().execute(this::step);
+    }
+
+    private void leased(int chunks) {
+        synchronized (mPlanner) {
+            mPlanner.leased(chunks, mContext.clock().now());
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/fetch/VersionSupply.java
@@ -0,0 +1,228 @@
+package org.sequoiahill.daemon.version.fetch;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executor;
+import org.jspecify.annotations.Nullable;
+import org.sequoiahill.protocol.document.ServiceDocument;
+import org.sequoiahill.protocol.weights.Manifest;
+import org.tinylog.Logger;
+
+/** Brings the stated version whole into the cache; called by one thread, again and again. */
+public final class VersionSupply {
+    private static final Duration MANIFEST_RETRY = Duration.ofMillis(200);
+    private static final Duration DISK_RETRY = Duration.ofSeconds(5);
+
+    private final VersionFetch.Context mContext;
+    private final ManifestClient mManifests;
+    private final Executor mChecker;
+    private final Set<String> mWhole = ConcurrentHashMap.newKeySet();
+    private Duration mNotBefore;
+    private int mManifestTries;
+    private String mStated = "";
+    private volatile State mState = State.IDLE;
+    private @Nullable CompletableFuture<Optional<Manifest>> mManifest;
+    private volatile @Nullable VersionFetch mFetch;
+
+    private VersionSupply(
+            VersionFetch.Context context,
+            ManifestClient manifests,
+            Executor checker,
+            Duration notBefore) {
+        mContext = context;
+        mManifests = manifests;
+        mChecker = checker;
+        mNotBefore = notBefore;
+    }
+
+    /**
+     * Returns a supply.
+     *
+     * @param checker runs the checks of whole versions
+     * @param settle time after which the members of the region are expected to be known
+     */
+    public static VersionSupply of(
+            VersionFetch.Context context,
+            ManifestClient manifests,
+            Executor checker,
+            Duration settle) {
+        return new VersionSupply(context, manifests, checker, context.clock().now().plus(settle));
+    }
+
+    /** How far the stated version is. */
+    public enum State {
+        /** Nothing is stated. */
+        IDLE,
+        /** The manifest is being drawn. */
+        MANIFEST,
+        /** Chunks are being drawn. */
+        FETCHING,
+        /** Whole files are being checked. */
+        CHECKING,
+        /** The version is held whole. */
+        WHOLE,
+        /** The version does not fit beside those that must stay. */
+        CACHE_FULL,
+        /** The disk failed or is full. */
+        DISK_FAILED
+    }
+
+    /** Returns how far the stated version is. */
+    public State state() {
+        return mState;
+    }
+
+    /** Returns the versions that are held whole and checked. */
+    public Set<String> whole() {
+        return Set.copyOf(mWhole);
+    }
+
+    /** Returns the chunks held of the version that is being fetched, and the chunks it has. */
+    public int[] progress() {
+        VersionFetch fetch = mFetch;
+        if (fetch == null) {
+            return new int[] {0, 0};
+        }
+        return new int[] {fetch.held(), fetch.manifest().chunks().size()};
+    }
+
+    /** Takes a version that an earlier process has left whole. */
+    public void recovered(String version) throws IOException {
+        boolean isOpened = mContext.store().manifest(version).isPresent();
+        if (isOpened && mContext.store().verify(version)) {
+            mWhole.add(version);
+        }
+    }
+
+    /** Doubts a version that the engine did not take for whole; it is checked again. */
+    public void doubt(String version) {
+        mWhole.remove(version);
+        mFetch = null;
+    }
+
+    /**
+     * Goes on towards a version.
+     *
+     * @param needed digests that must stay in the cache
+     */
+    public void step(ServiceDocument.Version version, Set<String> needed) {
+        if (!version.manifestDigest().equals(mStated)) {
+            restate(version.manifestDigest());
+        }
+        if (mWhole.contains(mStated)) {
+            enter(State.WHOLE);
+            return;
+        }
+        if (mNotBefore.compareTo(mContext.clock().now()) > 0 || mFetch != null) {
+            return;
+        }
+        Optional<Manifest> manifest = manifest(version);
+        if (manifest.isPresent()) {
+            fetch(manifest.get(), needed);
+        }
+    }
+
+    private void restate(String stated) {
+        VersionFetch running = mFetch;
+        if (running != null) {
+            running.cancel();
+        }
+        mFetch = null;
+        mManifest = null;
+        mManifestTries = 0;
+        mStated = stated;
+    }
+
+    private Optional<Manifest> manifest(ServiceDocument.Version version) {
+        Optional<Manifest> held = mContext.store().manifest(version.manifestDigest());
+        if (held.isPresent()) {
+            return held;
+        }
+        enter(State.MANIFEST);
+        if (mManifest == null) {
+            mManifest = mManifests.fetch(version, mContext.members().get().near(), mManifestTries);
+            mManifestTries++;
+        }
+        if (!mManifest.isDone()) {
+            return Optional.empty();
+        }
+        Optional<Manifest> manifest = mManifest.join();
+        mManifest = null;
+        if (manifest.isEmpty()) {
+            pause(MANIFEST_RETRY);
+        }
+        return manifest;
+    }
+
+    private void fetch(Manifest manifest, Set<String> needed) {
+        Set<String> kept = new HashSet<>(needed);
+        kept.add(mStated);
+        try {
+            if (!mContext.store().prepare(manifest, kept, formerOf(needed))) {
+                enter(State.CACHE_FULL);
+                pause(DISK_RETRY);
+                return;
+            }
+        } catch (IOException e) {
+            Logger.error(e, "the cache of weights can't be prepared");
+            enter(State.DISK_FAILED);
+            pause(DISK_RETRY);
+            return;
+        }
+        mWhole.removeIf(version -> mContext.store().manifest(version).isEmpty());
+        enter(State.FETCHING);
+        VersionFetch fetch = VersionFetch.start(manifest, mContext);
+        mFetch = fetch;
+        fetch.outcome().thenAcceptAsync(outcome -> ended(fetch, outcome), mChecker);
+    }
+
+    /** What the engine runs is kept anyway, so the former version is the one used before. */
+    private static String formerOf(Set<String> needed) {
+        return needed.stream().findFirst().orElse("");
+    }
+
+    private void ended(VersionFetch fetch, VersionFetch.Outcome outcome) {
+        if (outcome == VersionFetch.Outcome.CANCELLED || fetch != mFetch) {
+            return;
+        }
+        if (outcome == VersionFetch.Outcome.DISK_FAILED) {
+            enter(State.DISK_FAILED);
+            again();
+            return;
+        }
+        enter(State.CHECKING);
+        try {
+            if (mContext.store().verify(fetch.version())) {
+                mWhole.add(fetch.version());
+            } else {
+                Logger.warn("version {} is not whole; it is fetched again", fetch.version());
+                again();
+            }
+        } catch (IOException e) {
+            Logger.error(e, "version {} can't be checked", fetch.version());
+            enter(State.DISK_FAILED);
+            again();
+        }
+    }
+
+    private synchronized void again() {
+        pause(DISK_RETRY);
+        mFetch = null;
+    }
+
+    private synchronized void pause(Duration pause) {
+        mNotBefore = mContext.clock().now().plus(pause);
+    }
+
+    private void enter(State state) {
+        if (mState != state) {
+            mState = state;
+            Logger.info("version {}: {}", mStated, state);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/fetch/package-info.java
@@ -0,0 +1,5 @@
+/** Draws the chunks of one version of weights from other agents and from the origin. */
+@NullMarked
+package org.sequoiahill.daemon.version.fetch;
+
+import org.jspecify.annotations.NullMarked;
--- a/daemon/src/main/java/org/sequoiahill/daemon/version/EngineClient.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/swap/EngineClient.java
@@ -1,8 +1,9 @@
-package org.sequoiahill.daemon.version;
+package org.sequoiahill.daemon.version.swap;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.URI;
 import java.nio.file.Path;
 import java.util.Optional;
@@ -17,7 +18,8 @@
 
 /** Orders to the model engine beside this agent, and what the engine reports. */
 public final class EngineClient {
-    private static final int TIMEOUT_SECONDS = 60;
+    private static final int LOAD_TIMEOUT_SECONDS = 60;
+    private static final int REPORT_TIMEOUT_SECONDS = 2;
     private static final JsonMapper MAPPER = JsonMapper.builder().build();
 
     private final URI mEngine;
@@ -36,10 +38,7 @@
     /** Returns the manifest digest that the engine says it serves; empty where it is silent. */
     public Optional<String> loadedDigest() throws InterruptedException {
         try {
-            ContentResponse response =
-                    mClient.newRequest(mEngine + "/admin/state")
-                            .timeout(TIMEOUT_SECONDS, TimeUnit.SECONDS)
-                            .send();
+            ContentResponse response = report("/admin/state");
             JsonNode state = MAPPER.readTree(response.getContent());
             return Optional.ofNullable(state.path("versionDigest").textValue());
         } catch (IOException | ExecutionException | TimeoutException e) {
@@ -48,8 +47,18 @@
         }
     }
 
-    /** Orders the engine to load a version; returns whether it took the order. */
-    public boolean load(String version, Path folder, long fence) throws InterruptedException {
+    /** Returns whether the engine says that it can serve. */
+    public boolean isHealthy() throws InterruptedException {
+        try {
+            return report("/health").getStatus() == HttpStatus.OK_200;
+        } catch (ExecutionException | TimeoutException e) {
+            Logger.debug("engine is silent: {}", e);
+            return false;
+        }
+    }
+
+    /** Orders the engine to load a version from a folder. */
+    public OrderResult load(String version, Path folder, long fence) throws InterruptedException {
         String order =
                 MAPPER.createObjectNode()
                         .put("version", version)
@@ -60,12 +69,24 @@
             ContentResponse response =
                     mClient.POST(mEngine + "/admin/load")
                             .body(new StringRequestContent("application/json", order))
-                            .timeout(TIMEOUT_SECONDS, TimeUnit.SECONDS)
+                            .timeout(LOAD_TIMEOUT_SECONDS, TimeUnit.SECONDS)
                             .send();
-            return response.getStatus() == HttpStatus.OK_200;
-        } catch (ExecutionException | TimeoutException e) {
-            Logger.warn("engine did not take the order: {}", e);
-            return false;
+            boolean isTaken = response.getStatus() == HttpStatus.OK_200;
+            return isTaken ? OrderResult.TAKEN : OrderResult.REFUSED;
+        } catch (ExecutionException e) {
+            Logger.warn("engine did not take the order: {}", e.getCause());
+            boolean isNotSent = e.getCause() instanceof ConnectException;
+            return isNotSent ? OrderResult.REFUSED : OrderResult.UNKNOWN;
+        } catch (TimeoutException e) {
+            Logger.warn("engine gave no answer to the order");
+            return OrderResult.UNKNOWN;
         }
     }
+
+    private ContentResponse report(String path)
+            throws InterruptedException, ExecutionException, TimeoutException {
+        return mClient.newRequest(mEngine + path)
+                .timeout(REPORT_TIMEOUT_SECONDS, TimeUnit.SECONDS)
+                .send();
+    }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/swap/Order.java
@@ -0,0 +1,9 @@
+package org.sequoiahill.daemon.version.swap;
+
+/**
+ * An order to load a version.
+ *
+ * @param version digest of the version's manifest
+ * @param fence fencing number: term in the high half, revision in the low half
+ */
+public record Order(String version, long fence) {}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/swap/OrderRecord.java
@@ -0,0 +1,57 @@
+package org.sequoiahill.daemon.version.swap;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.Optional;
+import org.tinylog.Logger;
+
+/** The last order of this VM's agent, kept over restarts of the agent. */
+public final class OrderRecord {
+    private static final JsonMapper MAPPER = JsonMapper.builder().build();
+
+    private final Path mFile;
+
+    private OrderRecord(Path file) {
+        mFile = file;
+    }
+
+    /** Returns the record in a file. */
+    public static OrderRecord in(Path file) {
+        return new OrderRecord(file);
+    }
+
+    /** Returns the last order; one that can't be read counts as an unknown order. */
+    public Optional<Order> load() {
+        if (!Files.exists(mFile)) {
+            return Optional.empty();
+        }
+        try {
+            JsonNode node = MAPPER.readTree(mFile.toFile());
+            return Optional.of(
+                    new Order(node.path("version").asText(), node.path("fence").asLong()));
+        } catch (IOException e) {
+            Logger.warn("the record of the last order can't be read: {}", e);
+            return Optional.of(new Order("", 0));
+        }
+    }
+
+    /** Writes an order before it is sent. */
+    public void save(Order order) throws IOException {
+        String text =
+                MAPPER.createObjectNode()
+                        .put("version", order.version())
+                        .put("fence", order.fence())
+                        .toString();
+        Path parent = mFile.toAbsolutePath().getParent();
+        if (parent != null) {
+            Files.createDirectories(parent);
+        }
+        Path next = mFile.resolveSibling(mFile.getFileName() + ".new");
+        Files.writeString(next, text);
+        Files.move(next, mFile, StandardCopyOption.ATOMIC_MOVE);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/swap/OrderResult.java
@@ -0,0 +1,11 @@
+package org.sequoiahill.daemon.version.swap;
+
+/** What became of an order to load weights. */
+public enum OrderResult {
+    /** The engine says that it has taken the order. */
+    TAKEN,
+    /** The engine refused the order; it changes nothing. */
+    REFUSED,
+    /** No answer came, so the order may take effect later. */
+    UNKNOWN
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/swap/SwapTiming.java
@@ -0,0 +1,18 @@
+package org.sequoiahill.daemon.version.swap;
+
+import java.time.Duration;
+
+/**
+ * Times of a swap.
+ *
+ * @param orderLease time after which an order that was sent can take effect no more
+ * @param readBack time between two read-backs while the endpoint serves
+ * @param retry pause before a refused or failed step is tried again
+ */
+public record SwapTiming(Duration orderLease, Duration readBack, Duration retry) {
+    /** Returns the times that a daemon uses. */
+    public static SwapTiming standard() {
+        return new SwapTiming(
+                Duration.ofSeconds(10), Duration.ofMillis(500), Duration.ofMillis(500));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/swap/TurnClient.java
@@ -0,0 +1,102 @@
+package org.sequoiahill.daemon.version.swap;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletionException;
+import java.util.function.IntSupplier;
+import org.sequoiahill.daemon.process.config.ConfigurationView;
+import org.sequoiahill.daemon.process.control.ControlClient;
+import org.sequoiahill.daemon.process.control.Identity;
+import org.sequoiahill.daemon.process.control.ServiceStub;
+import org.sequoiahill.daemon.process.settings.DaemonSettings.PeerVm;
+import org.sequoiahill.protocol.gen.TurnReply;
+import org.sequoiahill.protocol.gen.TurnRequest;
+import org.tinylog.Logger;
+
+/** Asks the stores for turns to swap. */
+public final class TurnClient {
+    private final String mService;
+    private final Identity mIdentity;
+    private final ConfigurationView mView;
+    private final ControlClient mControl;
+    private final List<PeerVm> mStores;
+    private final IntSupplier mServing;
+
+    private TurnClient(
+            String service,
+            Identity identity,
+            ConfigurationView view,
+            ControlClient control,
+            List<PeerVm> stores,
+            IntSupplier serving) {
+        mService = service;
+        mIdentity = identity;
+        mView = view;
+        mControl = control;
+        mStores = stores;
+        mServing = serving;
+    }
+
+    /**
+     * Returns a client of the stores.
+     *
+     * @param serving endpoints of the service that serve in this data centre
+     */
+    public static TurnClient of(
+            String service,
+            Identity identity,
+            ConfigurationView view,
+            ControlClient control,
+            List<PeerVm> stores,
+            IntSupplier serving) {
+        return new TurnClient(service, identity, view, control, stores, serving);
+    }
+
+    /**
+     * A turn.
+     *
+     * @param fence fencing number of orders in this turn
+     * @param lease time that the turn is held from when it was asked for
+     */
+    public record Turn(long fence, Duration lease) {}
+
+    /** Asks for a turn; empty where none is granted or no leader is reached. */
+    public Optional<Turn> ask(String version, boolean isIdle) {
+        TurnReply reply = send(version, isIdle, false);
+        if (!reply.isGranted()) {
+            Logger.debug("no turn: {}", reply.getReason());
+            return Optional.empty();
+        }
+        return Optional.of(new Turn(reply.getFence(), Duration.ofMillis(reply.getLeaseMillis())));
+    }
+
+    /** Gives a turn back; where no leader is reached it ends with its lease. */
+    public void giveBack(String version) {
+        send(version, false, true);
+    }
+
+    private TurnReply send(String version, boolean isIdle, boolean isFinished) {
+        TurnRequest request =
+                new TurnRequest(
+                        mIdentity.sender(),
+                        mService,
+                        version,
+                        mView.current().revision(),
+                        isFinished,
+                        mServing.getAsInt(),
+                        isIdle);
+        for (PeerVm store : mStores) {
+            try {
+                return mControl.call(
+                                store.control(),
+                                ServiceStub.TURNS,
+                                client -> client.request(request))
+                        .join();
+            } catch (CompletionException e) {
+                Logger.debug("store {} failed: {}", store.vm(), e);
+            }
+        }
+        return new TurnReply(mIdentity.sender(), false, 0, 0).setReason("no store is reached");
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/swap/VersionLoop.java
@@ -0,0 +1,243 @@
+package org.sequoiahill.daemon.version.swap;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Queue;
+import java.util.Set;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.Executor;
+import java.util.concurrent.ScheduledExecutorService;
+import org.sequoiahill.daemon.process.config.ConfigurationView;
+import org.sequoiahill.daemon.process.time.MonotonicClock;
+import org.sequoiahill.daemon.process.time.Periodic;
+import org.sequoiahill.daemon.request.EndpointGate;
+import org.sequoiahill.daemon.version.cache.ChunkStore;
+import org.sequoiahill.daemon.version.fetch.VersionSupply;
+import org.sequoiahill.protocol.document.ServiceDocument;
+import org.tinylog.Logger;
+
+/** Brings the endpoint to the version that the configuration states, one step at a time. */
+public final class VersionLoop {
+    private static final Duration INTERVAL = Duration.ofMillis(50);
+    private static final int STEPS_PER_INTERVAL = 16;
+
+    private final String mService;
+    private final ConfigurationView mView;
+    private final ChunkStore mStore;
+    private final VersionSupply mSupply;
+    private final TurnClient mTurns;
+    private final EngineClient mEngine;
+    private final EndpointGate mGate;
+    private final OrderRecord mRecord;
+    private final MonotonicClock mClock;
+    private final Executor mOrders;
+    private final SwapMachine mMachine;
+    private final Queue<Runnable> mEvents = new ConcurrentLinkedQueue<>();
+    private Optional<Order> mLastOrder;
+    private boolean mIsConfirming;
+    private volatile Progress mProgress = new Progress("", "", 0, 0);
+
+    private VersionLoop(Parts parts, boolean checksFencing) {
+        mService = parts.service();
+        mView = parts.view();
+        mStore = parts.store();
+        mSupply = parts.supply();
+        mTurns = parts.turns();
+        mEngine = parts.engine();
+        mGate = parts.gate();
+        mRecord = parts.record();
+        mClock = parts.clock();
+        mOrders = parts.orders();
+        mLastOrder = mRecord.load();
+        mMachine =
+                SwapMachine.start(checksFencing, SwapTiming.standard(), mLastOrder, mClock.now());
+    }
+
+    /**
+     * What a loop works with.
+     *
+     * @param service service of the endpoint
+     * @param view configuration
+     * @param store cache of weights
+     * @param supply brings the stated version whole
+     * @param turns asks for turns
+     * @param engine engine beside this agent
+     * @param gate gate before the engine
+     * @param record last order
+     * @param clock time
+     * @param orders runs orders, which may take long
+     */
+    public record Parts(
+            String service,
+            ConfigurationView view,
+            ChunkStore store,
+            VersionSupply supply,
+            TurnClient turns,
+            EngineClient engine,
+            EndpointGate gate,
+            OrderRecord record,
+            MonotonicClock clock,
+            Executor orders) {}
+
+    /** Returns the loop of one agent. */
+    public static VersionLoop of(Parts parts, boolean checksFencing) {
+        return new VersionLoop(parts, checksFencing);
+    }
+
+    /**
+     * How far the endpoint is.
+     *
+     * @param servedName version that is served
+     * @param servedDigest manifest digest of the version that is served
+     * @param chunksHeld chunks held of the stated version
+     * @param chunksStated chunks that the stated version has
+     */
+    public record Progress(
+            String servedName, String servedDigest, int chunksHeld, int chunksStated) {}
+
+    /** Starts to take a step every interval. */
+    public void start(ScheduledExecutorService scheduler) {
+        scheduler.execute(this::recover);
+        Periodic.every(scheduler, INTERVAL, "version", this::stepSafely);
+    }
+
+    /** Returns how far the endpoint is. */
+    public Progress progress() {
+        return mProgress;
+    }
+
+    private void recover() {
+        try {
+            mStore.recover();
+            if (mLastOrder.isPresent()) {
+                mSupply.recovered(mLastOrder.get().version());
+            }
+        } catch (IOException e) {
+            Logger.error(e, "the cache of weights can't be read");
+        }
+    }
+
+    private void stepSafely() {
+        try {
+            step();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void step() throws InterruptedException {
+        Optional<ServiceDocument> service = mView.current().service(mService);
+        if (service.isEmpty()) {
+            return;
+        }
+        if (service.get().kind() == ServiceDocument.Kind.PLAIN) {
+            mGate.open("");
+            return;
+        }
+        ServiceDocument.Version version = service.get().version().orElseThrow();
+        mSupply.step(version, needed());
+        for (Runnable event = mEvents.poll(); event != null; event = mEvents.poll()) {
+            event.run();
+        }
+        mMachine.observe(Optional.of(version.manifestDigest()), mSupply.whole());
+        for (int i = 0; i < STEPS_PER_INTERVAL && act(mMachine.next(mClock.now())); i++) {
+            // Goes on until there is nothing to do now.
+        }
+        publishProgress();
+    }
+
+    private Set<String> needed() {
+        Set<String> needed = new HashSet<>();
+        mMachine.served().ifPresent(needed::add);
+        mLastOrder.ifPresent(order -> needed.add(order.version()));
+        return needed;
+    }
+
+    /** Carries one action out; returns whether there may be another one now. */
+    private boolean act(SwapMachine.Action action) throws InterruptedException {
+        switch (action) {
+            case READ_BACK -> readBack();
+            case ASK_TURN -> askTurn();
+            case CLOSE_GATE -> mGate.close().thenRun(() -> mEvents.add(mMachine::drained));
+            case ORDER -> order(mMachine.order());
+            case PROBE -> mMachine.probed(mEngine.isHealthy(), mClock.now());
+            case OPEN_GATE -> open(mMachine.served().orElseThrow());
+            case GIVE_BACK -> {
+                mTurns.giveBack(mMachine.wanted());
+                mMachine.gaveBack();
+            }
+            default -> {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private void readBack() throws InterruptedException {
+        Optional<String> reported = mEngine.loadedDigest();
+        if (mIsConfirming && reported.isPresent()) {
+            mIsConfirming = false;
+            mLastOrder
+                    .map(Order::version)
+                    .filter(ordered -> !reported.get().equals(ordered))
+                    .ifPresent(mSupply::doubt);
+        }
+        mMachine.readBack(reported, mClock.now());
+    }
+
+    private void askTurn() {
+        Duration asked = mClock.now();
+        Optional<TurnClient.Turn> turn = mTurns.ask(mMachine.wanted(), mMachine.isIdle());
+        if (turn.isPresent()) {
+            mMachine.granted(turn.get().fence(), turn.get().lease(), asked);
+        } else {
+            mMachine.refused(mClock.now());
+        }
+    }
+
+    private void order(Order order) {
+        try {
+            mRecord.save(order);
+        } catch (IOException e) {
+            Logger.error(e, "the order can't be recorded, so it is not given");
+            mMachine.ordered(OrderResult.REFUSED, mClock.now());
+            return;
+        }
+        mLastOrder = Optional.of(order);
+        mOrders.execute(() -> send(order));
+    }
+
+    private void send(Order order) {
+        try {
+            OrderResult result =
+                    mEngine.load(
+                            nameOf(order.version()),
+                            mStore.folderOf(order.version()),
+                            order.fence());
+            mEvents.add(
+                    () -> {
+                        mIsConfirming = result == OrderResult.TAKEN;
+                        mMachine.ordered(result, mClock.now());
+                    });
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void open(String digest) {
+        mGate.open(digest);
+        Logger.info("serving version {} ({})", nameOf(digest), digest);
+    }
+
+    private String nameOf(String digest) {
+        return mStore.manifest(digest).map(manifest -> manifest.version()).orElse("");
+    }
+
+    private void publishProgress() {
+        String served = mMachine.served().orElse("");
+        int[] chunks = mSupply.progress();
+        mProgress = new Progress(nameOf(served), served, chunks[0], chunks[1]);
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/sequoiahill/daemon/version/fetch/FetchPlannerTest.java
@@ -0,0 +1,201 @@
+package org.sequoiahill.daemon.version.fetch;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+class FetchPlannerTest {
+    private static final Member A = new Member("a", "127.0.0.1:1");
+    private static final Member B = new Member("b", "127.0.0.1:2");
+    private static final Member C = new Member("c", "127.0.0.1:3");
+    private static final Member FAR = new Member("far", "127.0.0.1:9");
+    private static final List<Member> NEAR = List.of(A, B, C);
+    private static final FetchLimits LIMITS =
+            new FetchLimits(
+                    8,
+                    2,
+                    Duration.ofSeconds(20),
+                    Duration.ofSeconds(15),
+                    Duration.ofSeconds(10),
+                    Duration.ofSeconds(60),
+                    Duration.ofMillis(200));
+
+    /** Drives a plan of one chunk and names each step; the rank is a, b, c. */
+    private static final class Driver {
+        private final FetchPlanner mPlanner;
+        private final List<String> mSteps = new ArrayList<>();
+        private Duration mNow = Duration.ofSeconds(100);
+        private Attempt mLast;
+
+        Driver(String own) {
+            mPlanner =
+                    FetchPlanner.of(List.of("00"), own, NEAR, (d, m) -> m, LIMITS, new Random(1));
+            mPlanner.membersChanged(NEAR, List.of(FAR));
+        }
+
+        Driver next() {
+            List<FetchPlanner.Step> steps = mPlanner.next(mNow);
+            mSteps.add(steps.isEmpty() ? "-" : name(steps.get(steps.size() - 1)));
+            return this;
+        }
+
+        Driver fail(AttemptFailure failure) {
+            return fail(failure, 0);
+        }
+
+        Driver fail(AttemptFailure failure, int retryAfterSeconds) {
+            mPlanner.failed(mLast, failure, Duration.ofSeconds(retryAfterSeconds), mNow);
+            return after(1).next();
+        }
+
+        Driver after(int seconds) {
+            mNow = mNow.plusSeconds(seconds);
+            return this;
+        }
+
+        Driver lease(int chunks) {
+            mPlanner.leased(chunks, mNow);
+            return next();
+        }
+
+        Driver sendOn(Member holder) {
+            mPlanner.redirected(mLast, List.of(holder.address()));
+            return next();
+        }
+
+        private String name(FetchPlanner.Step step) {
+            if (step instanceof FetchPlanner.Step.AskLease) {
+                return "lease";
+            }
+            mLast = ((FetchPlanner.Step.Begin) step).attempt();
+            if (mLast.source() instanceof Source.Peer peer) {
+                return peer.member().vm() + (peer.canWait() ? "+" : "");
+            }
+            return "origin";
+        }
+    }
+
+    static Stream<Arguments> faults() {
+        return Stream.of(
+                Arguments.of("owner alive", run("c").next(), "a+"),
+                Arguments.of("asked once", run("c").next().next(), "a+ -"),
+                Arguments.of(
+                        "owner dead", run("c").next().fail(AttemptFailure.UNREACHABLE), "a+ b+"),
+                Arguments.of("owner silent", run("c").next().fail(AttemptFailure.SILENT), "a+ b+"),
+                Arguments.of("owner wrong", run("c").next().fail(AttemptFailure.WRONG), "a+ b+"),
+                Arguments.of(
+                        "owner wrong is asked again only after its time",
+                        run("c").next()
+                                .fail(AttemptFailure.WRONG)
+                                .fail(AttemptFailure.PENDING)
+                                .after(30)
+                                .fail(AttemptFailure.PENDING)
+                                .after(40)
+                                .next(),
+                        "a+ b+ b+ lease a+"),
+                Arguments.of(
+                        "owner slow but alive",
+                        run("c").next().fail(AttemptFailure.PENDING).fail(AttemptFailure.PENDING),
+                        "a+ a+ a+"),
+                Arguments.of(
+                        "owner alive without progress",
+                        run("c").next()
+                                .fail(AttemptFailure.PENDING)
+                                .after(20)
+                                .fail(AttemptFailure.PENDING),
+                        "a+ a+ b+"),
+                Arguments.of("owner drips", run("c").next().after(15).next(), "a+ b+"),
+                Arguments.of("owner sends on to a holder", run("c").next().sendOn(B), "a+ b+"),
+                Arguments.of(
+                        "all owners dead: the origin out of a lease",
+                        run("c").next()
+                                .fail(AttemptFailure.UNREACHABLE)
+                                .fail(AttemptFailure.UNREACHABLE)
+                                .lease(1),
+                        "a+ b+ lease origin"),
+                Arguments.of(
+                        "all owners dead and no lease: another region",
+                        run("c").next()
+                                .fail(AttemptFailure.UNREACHABLE)
+                                .fail(AttemptFailure.SILENT)
+                                .lease(0)
+                                .fail(AttemptFailure.UNREACHABLE),
+                        "a+ b+ lease far -"));
+    }
+
+    static Stream<Arguments> originFaults() {
+        return Stream.of(
+                Arguments.of(
+                        "the owner looks at the next in rank first",
+                        run("a").next().fail(AttemptFailure.PENDING),
+                        "b origin"),
+                Arguments.of(
+                        "429 is waited out, with jitter",
+                        owner().fail(AttemptFailure.THROTTLED, 5).after(4).next().after(3).next(),
+                        "b origin - - origin"),
+                Arguments.of(
+                        "wrong bytes need a lease",
+                        owner().fail(AttemptFailure.WRONG).lease(1),
+                        "b origin lease origin"),
+                Arguments.of(
+                        "truncated bytes need a lease, and none is granted",
+                        owner().fail(AttemptFailure.WRONG).lease(0),
+                        "b origin lease far"),
+                Arguments.of(
+                        "origin out of reach: the next in rank may reach it",
+                        owner().fail(AttemptFailure.UNREACHABLE),
+                        "b origin c+"),
+                Arguments.of("origin stalls", owner().fail(AttemptFailure.SILENT), "b origin c+"));
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @MethodSource({"faults", "originFaults"})
+    void next_afterFault_choosesSource(String fault, Driver driver, String expected) {
+        assertThat(String.join(" ", driver.mSteps), is(expected));
+    }
+
+    @Test
+    void arrived_lastChunk_isWhole() {
+        Driver driver = run("c").next();
+        driver.mPlanner.arrived(driver.mLast);
+        assertThat(driver.mPlanner.isWhole(), is(true));
+        assertThat(driver.mPlanner.next(driver.mNow), is(List.of()));
+    }
+
+    @Test
+    void membersChanged_ownerGone_nextInRankIsAsked() {
+        Driver driver = run("c").next();
+        driver.mPlanner.membersChanged(List.of(B, C), List.of());
+        driver.fail(AttemptFailure.UNREACHABLE);
+        assertThat(driver.mSteps, is(List.of("a+", "b+")));
+    }
+
+    @Test
+    void rendezvous_memberLeaves_movesOnlyItsChunks() {
+        Random random = new Random(3);
+        for (int i = 0; i < 100; i++) {
+            String digest = String.format("%016x", random.nextLong());
+            List<Member> all = ChunkRanking.rendezvous().rank(digest, NEAR);
+            List<Member> fewer = ChunkRanking.rendezvous().rank(digest, List.of(A, C));
+            List<Member> expected = all.stream().filter(member -> !member.equals(B)).toList();
+            assertThat(fewer, is(expected));
+        }
+    }
+
+    private static Driver run(String own) {
+        return new Driver(own);
+    }
+
+    private static Driver owner() {
+        return run("a").next().fail(AttemptFailure.PENDING);
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/sequoiahill/daemon/version/swap/SwapMachineTest.java
@@ -0,0 +1,257 @@
+package org.sequoiahill.daemon.version.swap;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Stream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+class SwapMachineTest {
+    private static final SwapTiming TIMING =
+            new SwapTiming(Duration.ofSeconds(10), Duration.ofMillis(500), Duration.ofMillis(500));
+    private static final Duration LEASE = Duration.ofSeconds(10);
+
+    /** An engine and a leader in one, driven action by action without threads. */
+    private static final class Driver {
+        private final SwapMachine mMachine;
+        private final List<String> mActions = new ArrayList<>();
+        private final Set<String> mWhole = new java.util.HashSet<>();
+        private String mStated = "v1";
+        private Optional<String> mEngine = Optional.of("");
+        private boolean mIsLeaderReachable = true;
+        private boolean mIsIgnoringOrders;
+        private OrderResult mOrderResult = OrderResult.TAKEN;
+        private boolean mIsDrainHeld;
+        private long mFence = 1;
+        private Duration mNow = Duration.ofSeconds(100);
+
+        Driver(boolean checksFencing, Order former) {
+            mMachine = SwapMachine.start(checksFencing, TIMING, Optional.ofNullable(former), mNow);
+        }
+
+        Driver whole(String version) {
+            mWhole.add(version);
+            return this;
+        }
+
+        Driver state(String version) {
+            mStated = version;
+            mFence++;
+            return this;
+        }
+
+        Driver engine(String version) {
+            mEngine = Optional.ofNullable(version);
+            return this;
+        }
+
+        Driver leader(boolean isReachable) {
+            mIsLeaderReachable = isReachable;
+            return this;
+        }
+
+        Driver orders(OrderResult result, boolean isIgnored) {
+            mOrderResult = result;
+            mIsIgnoringOrders = isIgnored;
+            return this;
+        }
+
+        Driver holdDrain(boolean isHeld) {
+            mIsDrainHeld = isHeld;
+            if (!isHeld) {
+                mMachine.drained();
+            }
+            return this;
+        }
+
+        /** Goes on for some milliseconds in steps of 100 and notes all actions but read-backs. */
+        Driver run(int millis) {
+            for (int t = 0; t < millis; t += 100) {
+                mMachine.observe(Optional.of(mStated), mWhole);
+                SwapMachine.Action action = mMachine.next(mNow);
+                for (int i = 0; i < 20 && action != SwapMachine.Action.WAIT; i++) {
+                    act(action);
+                    action = mMachine.next(mNow);
+                }
+                mNow = mNow.plusMillis(100);
+            }
+            return this;
+        }
+
+        private void act(SwapMachine.Action action) {
+            switch (action) {
+                case READ_BACK -> mMachine.readBack(mEngine, mNow);
+                case ASK_TURN -> {
+                    mActions.add(mMachine.isIdle() ? "ask-idle" : "ask");
+                    if (mIsLeaderReachable) {
+                        mMachine.granted(mFence, LEASE, mNow);
+                    } else {
+                        mMachine.refused(mNow);
+                    }
+                }
+                case CLOSE_GATE -> {
+                    mActions.add("close");
+                    if (!mIsDrainHeld) {
+                        mMachine.drained();
+                    }
+                }
+                case ORDER -> {
+                    mActions.add("order " + mMachine.order().version());
+                    if (!mIsIgnoringOrders) {
+                        mEngine = Optional.of(mMachine.order().version());
+                    }
+                    mMachine.ordered(mOrderResult, mNow);
+                }
+                case PROBE -> mMachine.probed(true, mNow);
+                case OPEN_GATE -> mActions.add("open " + mMachine.served().orElseThrow());
+                case GIVE_BACK -> {
+                    mActions.add("give-back");
+                    mMachine.gaveBack();
+                }
+                default -> throw new AssertionError(action);
+            }
+        }
+
+        Driver forget() {
+            mActions.clear();
+            return this;
+        }
+    }
+
+    static Stream<Arguments> cases() {
+        return Stream.of(
+                Arguments.of(
+                        "first start",
+                        fresh(true).whole("v1").run(300),
+                        "ask-idle, order v1, open v1, give-back"),
+                Arguments.of("not yet whole", fresh(true).run(300), ""),
+                Arguments.of(
+                        "push",
+                        serving(true).state("v2").whole("v2").run(300),
+                        "ask, close, order v2, open v2, give-back"),
+                Arguments.of("push not yet whole", serving(true).state("v2").run(3_000), ""),
+                Arguments.of(
+                        "no turn: the old version serves on",
+                        serving(true).state("v2").whole("v2").leader(false).run(1_000),
+                        "ask, ask"),
+                Arguments.of(
+                        "controller lost between order and read-back",
+                        serving(true)
+                                .orders(OrderResult.UNKNOWN, false)
+                                .state("v2")
+                                .whole("v2")
+                                .run(100)
+                                .leader(false)
+                                .run(12_000),
+                        "ask, close, order v2, open v2, give-back"),
+                Arguments.of(
+                        "turn lost while answers run: the old version opens again",
+                        serving(true)
+                                .holdDrain(true)
+                                .state("v2")
+                                .whole("v2")
+                                .run(100)
+                                .leader(false)
+                                .run(10_000)
+                                .forget()
+                                .holdDrain(false)
+                                .run(1_000),
+                        "open v1, ask, ask"),
+                Arguments.of(
+                        "a newer push before the order",
+                        serving(true)
+                                .holdDrain(true)
+                                .state("v2")
+                                .whole("v2")
+                                .run(100)
+                                .state("v3")
+                                .whole("v3")
+                                .holdDrain(false)
+                                .run(300),
+                        "ask, close, ask, order v3, open v3, give-back"),
+                Arguments.of(
+                        "engine comes back with other weights",
+                        serving(true).engine("v0").run(1_000),
+                        "close, order v1, open v1"),
+                Arguments.of(
+                        "engine comes back empty while no leader is reached",
+                        serving(false).leader(false).engine("").run(1_000),
+                        "close, order v1, open v1"),
+                Arguments.of(
+                        "engine silent: closed, and open once it is right",
+                        serving(true).engine(null).run(1_000).engine("v1").run(1_000),
+                        "close, open v1"),
+                Arguments.of(
+                        "engine takes the order and reports other weights: stays closed",
+                        serving(true)
+                                .orders(OrderResult.TAKEN, true)
+                                .state("v2")
+                                .whole("v2")
+                                .run(700),
+                        "ask, close, order v2, order v2"),
+                Arguments.of(
+                        "order unanswered at an engine that ignores numbers: waits it out",
+                        serving(false)
+                                .orders(OrderResult.UNKNOWN, true)
+                                .state("v2")
+                                .whole("v2")
+                                .run(9_000),
+                        "ask, close, order v2"));
+    }
+
+    static Stream<Arguments> restarts() {
+        Order former = new Order("v1", 1);
+        return Stream.of(
+                Arguments.of(
+                        "restart: the former lease is waited out",
+                        new Driver(false, former).whole("v1").engine("v1").run(9_900),
+                        ""),
+                Arguments.of(
+                        "restart: opens after the former lease",
+                        new Driver(false, former).whole("v1").engine("v1").run(10_500),
+                        "open v1"),
+                Arguments.of(
+                        "restart in mid-swap: no order before the lease has ended",
+                        new Driver(false, former).whole("v1").whole("v2").state("v2").run(9_900),
+                        ""),
+                Arguments.of(
+                        "restart in mid-swap at an engine that checks: a newer number bars",
+                        new Driver(true, former)
+                                .whole("v1")
+                                .whole("v2")
+                                .state("v2")
+                                .engine("v1")
+                                .run(200),
+                        "ask-idle, order v2"),
+                Arguments.of(
+                        "the former order arrives during the wait: read back, ordered anew",
+                        new Driver(false, former)
+                                .whole("v2")
+                                .state("v2")
+                                .run(5_000)
+                                .engine("v1")
+                                .run(6_000),
+                        "ask-idle, order v2, open v2, give-back"));
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @MethodSource({"cases", "restarts"})
+    void next_inCase_actsInOrder(String name, Driver driver, String expected) {
+        assertThat(String.join(", ", driver.mActions), is(expected));
+    }
+
+    private static Driver fresh(boolean checksFencing) {
+        return new Driver(checksFencing, null);
+    }
+
+    private static Driver serving(boolean checksFencing) {
+        return fresh(checksFencing).whole("v1").run(300).forget();
+    }
+}
--- a/examples/src/main/java/org/sequoiahill/examples/EngineHandler.java
+++ b/examples/src/main/java/org/sequoiahill/examples/EngineHandler.java
@@ -25,6 +25,7 @@
 /** Serves completions and orders of one stand-in engine. */
 final class EngineHandler extends Handler.Abstract {
     private static final JsonMapper MAPPER = JsonMapper.builder().build();
+    private static final String OTHER_DIGEST = "other";
     private static final int DEFAULT_TOKENS = 16;
 
     private final StandInEngine.Arguments mArguments;
@@ -32,6 +33,8 @@
     private final AtomicInteger mRunning = new AtomicInteger();
     private final List<String> mLoaded = new ArrayList<>();
     private volatile String mVersionDigest = "";
+    private volatile boolean mIsSilentOnOrders;
+    private volatile boolean mIsReportingOther;
     private long mHighestFence;
 
     EngineHandler(StandInEngine.Arguments arguments, ScheduledExecutorService scheduler) {
@@ -43,6 +46,13 @@
     public boolean handle(Request request, Response response, Callback callback)
             throws IOException {
         switch (Request.getPathInContext(request)) {
+            case "/health" -> StandInServer.json(response, callback, 200, "{}");
+            case "/admin/fault" -> {
+                JsonNode fault = MAPPER.readTree(Content.Source.asInputStream(request));
+                mIsSilentOnOrders = fault.path("silentOnOrders").asBoolean();
+                mIsReportingOther = fault.path("reportsOther").asBoolean();
+                StandInServer.json(response, callback, 200, "{}");
+            }
             case "/admin/state" -> StandInServer.json(response, callback, 200, state());
             case "/admin/load" -> {
                 JsonNode order = MAPPER.readTree(Content.Source.asInputStream(request));
@@ -73,7 +83,7 @@
 
     private synchronized ObjectNode state() {
         ObjectNode state = MAPPER.createObjectNode();
-        state.put("versionDigest", mVersionDigest);
+        state.put("versionDigest", mIsReportingOther ? OTHER_DIGEST : mVersionDigest);
         state.put("running", mRunning.get());
         ArrayNode loaded = state.putArray("loaded");
         mLoaded.forEach(loaded::add);
@@ -86,6 +96,9 @@
             StandInServer.json(response, callback, 409, "{\"error\":\"old fencing number\"}");
             return;
         }
+        if (mIsSilentOnOrders) {
+            return;
+        }
         mHighestFence = Math.max(fence, mHighestFence);
         mVersionDigest = digestOf(Path.of(order.path("folder").asText()));
         mLoaded.add(mVersionDigest);
--- a/protocol/src/main/java/org/sequoiahill/protocol/document/ServiceDocument.java
+++ b/protocol/src/main/java/org/sequoiahill/protocol/document/ServiceDocument.java
@@ -100,8 +100,9 @@
      * Bounds on a swap of versions.
      *
      * @param maxUnavailable endpoints that may swap at once in one data centre
+     * @param leastServing endpoints that go on serving in each data centre during a swap
      */
-    public record Rollout(long maxUnavailable) {}
+    public record Rollout(long maxUnavailable, long leastServing) {}
 
     /**
      * Bounds on a request.
@@ -146,15 +147,20 @@
         if (routes.isEmpty()) {
             reader.fault("routes", "must hold at least one route");
         }
+        Map<String, Long> replicas = reader.integers("replicas", 0, MAX_REPLICAS);
+        Rollout rollout = reader.object("rollout", ServiceDocument::readRollout);
+        if (replicas.values().stream().anyMatch(n -> n > 0 && n <= rollout.leastServing())) {
+            reader.fault("rollout", "must leave leastServing below each count of replicas");
+        }
         return new ServiceDocument(
                 reader.string("service", NAME),
                 reader.string("owner", NAME),
                 kind,
                 version,
-                reader.integers("replicas", 0, MAX_REPLICAS),
+                replicas,
                 routes,
                 reader.objects("organisations", ServiceDocument::readOrganisation),
-                reader.object("rollout", ServiceDocument::readRollout),
+                rollout,
                 reader.object("limits", ServiceDocument::readLimits));
     }
 
@@ -178,7 +184,9 @@
     }
 
     private static Rollout readRollout(ObjectReader reader) {
-        return new Rollout(reader.integer("maxUnavailable", 1, MAX_REPLICAS, 1));
+        return new Rollout(
+                reader.integer("maxUnavailable", 1, MAX_REPLICAS, 1),
+                reader.integer("leastServing", 0, MAX_REPLICAS, 0));
     }
 
     private static Limits readLimits(ObjectReader reader) {
--- a/protocol/src/main/java/org/sequoiahill/protocol/gen/AnnounceReply.java
+++ b/protocol/src/main/java/org/sequoiahill/protocol/gen/AnnounceReply.java
@@ -13,6 +13,7 @@
   private static final org.apache.thrift.protocol.TField SENDER_FIELD_DESC = new org.apache.thrift.protocol.TField("sender", org.apache.thrift.protocol.TType.STRUCT, (short)1);
   private static final org.apache.thrift.protocol.TField LEASE_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("leaseMillis", org.apache.thrift.protocol.TType.I64, (short)2);
   private static final org.apache.thrift.protocol.TField PEERS_FIELD_DESC = new org.apache.thrift.protocol.TField("peers", org.apache.thrift.protocol.TType.LIST, (short)3);
+  private static final org.apache.thrift.protocol.TField ELSEWHERE_FIELD_DESC = new org.apache.thrift.protocol.TField("elsewhere", org.apache.thrift.protocol.TType.LIST, (short)4);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new AnnounceReplyStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new AnnounceReplyTupleSchemeFactory();
@@ -20,6 +21,7 @@
   private @org.apache.thrift.annotation.Nullable org.sequoiahill.protocol.gen.Sender sender; // required
   private long leaseMillis; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<Peer> peers; // required
+  private @org.apache.thrift.annotation.Nullable java.util.List<Peer> elsewhere; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -28,7 +30,11 @@
     /**
      * Agents of the same service in the same data centre.
      */
-    PEERS((short)3, "peers");
+    PEERS((short)3, "peers"),
+    /**
+     * A few agents of the same service in other data centres.
+     */
+    ELSEWHERE((short)4, "elsewhere");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -50,6 +56,8 @@
           return LEASE_MILLIS;
         case 3: // PEERS
           return PEERS;
+        case 4: // ELSEWHERE
+          return ELSEWHERE;
         default:
           return null;
       }
@@ -105,6 +113,9 @@
     tmpMap.put(_Fields.PEERS, new org.apache.thrift.meta_data.FieldMetaData("peers", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, Peer.class))));
+    tmpMap.put(_Fields.ELSEWHERE, new org.apache.thrift.meta_data.FieldMetaData("elsewhere", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, Peer.class))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(AnnounceReply.class, metaDataMap);
   }
@@ -115,13 +126,15 @@
   public AnnounceReply(
     org.sequoiahill.protocol.gen.Sender sender,
     long leaseMillis,
-    java.util.List<Peer> peers)
+    java.util.List<Peer> peers,
+    java.util.List<Peer> elsewhere)
   {
     this();
     this.sender = sender;
     this.leaseMillis = leaseMillis;
     setLeaseMillisIsSet(true);
     this.peers = peers;
+    this.elsewhere = elsewhere;
   }
 
   /**
@@ -140,6 +153,13 @@
       }
       this.peers = __this__peers;
     }
+    if (other.isSetElsewhere()) {
+      java.util.List<Peer> __this__elsewhere = new java.util.ArrayList<Peer>(other.elsewhere.size());
+      for (Peer other_element : other.elsewhere) {
+        __this__elsewhere.add(new Peer(other_element));
+      }
+      this.elsewhere = __this__elsewhere;
+    }
   }
 
   @Override
@@ -153,6 +173,7 @@
     setLeaseMillisIsSet(false);
     this.leaseMillis = 0;
     this.peers = null;
+    this.elsewhere = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -250,6 +271,53 @@
     }
   }
 
+  public int getElsewhereSize() {
+    return (this.elsewhere == null) ? 0 : this.elsewhere.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<Peer> getElsewhereIterator() {
+    return (this.elsewhere == null) ? null : this.elsewhere.iterator();
+  }
+
+  public void addToElsewhere(Peer elem) {
+    if (this.elsewhere == null) {
+      this.elsewhere = new java.util.ArrayList<Peer>();
+    }
+    this.elsewhere.add(elem);
+  }
+
+  /**
+   * A few agents of the same service in other data centres.
+   */
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<Peer> getElsewhere() {
+    return this.elsewhere;
+  }
+
+  /**
+   * A few agents of the same service in other data centres.
+   */
+  public AnnounceReply setElsewhere(@org.apache.thrift.annotation.Nullable java.util.List<Peer> elsewhere) {
+    this.elsewhere = elsewhere;
+    return this;
+  }
+
+  public void unsetElsewhere() {
+    this.elsewhere = null;
+  }
+
+  /** Returns true if field elsewhere is set (has been assigned a value) and false otherwise */
+  public boolean isSetElsewhere() {
+    return this.elsewhere != null;
+  }
+
+  public void setElsewhereIsSet(boolean value) {
+    if (!value) {
+      this.elsewhere = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -277,6 +345,14 @@
       }
       break;
 
+    case ELSEWHERE:
+      if (value == null) {
+        unsetElsewhere();
+      } else {
+        setElsewhere((java.util.List<Peer>)value);
+      }
+      break;
+
     }
   }
 
@@ -293,6 +369,9 @@
     case PEERS:
       return getPeers();
 
+    case ELSEWHERE:
+      return getElsewhere();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -311,6 +390,8 @@
       return isSetLeaseMillis();
     case PEERS:
       return isSetPeers();
+    case ELSEWHERE:
+      return isSetElsewhere();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -355,6 +436,15 @@
         return false;
     }
 
+    boolean this_present_elsewhere = true && this.isSetElsewhere();
+    boolean that_present_elsewhere = true && that.isSetElsewhere();
+    if (this_present_elsewhere || that_present_elsewhere) {
+      if (!(this_present_elsewhere && that_present_elsewhere))
+        return false;
+      if (!this.elsewhere.equals(that.elsewhere))
+        return false;
+    }
+
     return true;
   }
 
@@ -372,6 +462,10 @@
     if (isSetPeers())
       hashCode = hashCode * 8191 + peers.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetElsewhere()) ? 131071 : 524287);
+    if (isSetElsewhere())
+      hashCode = hashCode * 8191 + elsewhere.hashCode();
+
     return hashCode;
   }
 
@@ -413,6 +507,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetElsewhere(), other.isSetElsewhere());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetElsewhere()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.elsewhere, other.elsewhere);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -456,6 +560,14 @@
       sb.append(this.peers);
     }
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("elsewhere:");
+    if (this.elsewhere == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.elsewhere);
+    }
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -542,6 +654,25 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 4: // ELSEWHERE
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list3 = iprot.readListBegin();
+                struct.elsewhere = new java.util.ArrayList<Peer>(_list3.size);
+                @org.apache.thrift.annotation.Nullable Peer _elem4;
+                for (int _i5 = 0; _i5 < _list3.size; ++_i5)
+                {
+                  _elem4 = new Peer();
+                  _elem4.read(iprot);
+                  struct.elsewhere.add(_elem4);
+                }
+                iprot.readListEnd();
+              }
+              struct.setElsewhereIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -570,9 +701,21 @@
         oprot.writeFieldBegin(PEERS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.peers.size()));
-          for (Peer _iter3 : struct.peers)
+          for (Peer _iter6 : struct.peers)
+          {
+            _iter6.write(oprot);
+          }
+          oprot.writeListEnd();
+        }
+        oprot.writeFieldEnd();
+      }
+      if (struct.elsewhere != null) {
+        oprot.writeFieldBegin(ELSEWHERE_FIELD_DESC);
+        {
+          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.elsewhere.size()));
+          for (Peer _iter7 : struct.elsewhere)
           {
-            _iter3.write(oprot);
+            _iter7.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -606,7 +749,10 @@
       if (struct.isSetPeers()) {
         optionals.set(2);
       }
-      oprot.writeBitSet(optionals, 3);
+      if (struct.isSetElsewhere()) {
+        optionals.set(3);
+      }
+      oprot.writeBitSet(optionals, 4);
       if (struct.isSetSender()) {
         struct.sender.write(oprot);
       }
@@ -616,9 +762,18 @@
       if (struct.isSetPeers()) {
         {
           oprot.writeI32(struct.peers.size());
-          for (Peer _iter4 : struct.peers)
+          for (Peer _iter8 : struct.peers)
           {
-            _iter4.write(oprot);
+            _iter8.write(oprot);
+          }
+        }
+      }
+      if (struct.isSetElsewhere()) {
+        {
+          oprot.writeI32(struct.elsewhere.size());
+          for (Peer _iter9 : struct.elsewhere)
+          {
+            _iter9.write(oprot);
           }
         }
       }
@@ -627,7 +782,7 @@
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, AnnounceReply struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(3);
+      java.util.BitSet incoming = iprot.readBitSet(4);
       if (incoming.get(0)) {
         struct.sender = new org.sequoiahill.protocol.gen.Sender();
         struct.sender.read(iprot);
@@ -639,18 +794,32 @@
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list5 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.peers = new java.util.ArrayList<Peer>(_list5.size);
-          @org.apache.thrift.annotation.Nullable Peer _elem6;
-          for (int _i7 = 0; _i7 < _list5.size; ++_i7)
+          org.apache.thrift.protocol.TList _list10 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.peers = new java.util.ArrayList<Peer>(_list10.size);
+          @org.apache.thrift.annotation.Nullable Peer _elem11;
+          for (int _i12 = 0; _i12 < _list10.size; ++_i12)
           {
-            _elem6 = new Peer();
-            _elem6.read(iprot);
-            struct.peers.add(_elem6);
+            _elem11 = new Peer();
+            _elem11.read(iprot);
+            struct.peers.add(_elem11);
           }
         }
         struct.setPeersIsSet(true);
       }
+      if (incoming.get(3)) {
+        {
+          org.apache.thrift.protocol.TList _list13 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.elsewhere = new java.util.ArrayList<Peer>(_list13.size);
+          @org.apache.thrift.annotation.Nullable Peer _elem14;
+          for (int _i15 = 0; _i15 < _list13.size; ++_i15)
+          {
+            _elem14 = new Peer();
+            _elem14.read(iprot);
+            struct.elsewhere.add(_elem14);
+          }
+        }
+        struct.setElsewhereIsSet(true);
+      }
     }
   }
 
--- a/protocol/src/main/java/org/sequoiahill/protocol/gen/DataCentreSummary.java
+++ b/protocol/src/main/java/org/sequoiahill/protocol/gen/DataCentreSummary.java
@@ -599,14 +599,14 @@
           case 3: // SERVICES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list8 = iprot.readListBegin();
-                struct.services = new java.util.ArrayList<ServiceSummary>(_list8.size);
-                @org.apache.thrift.annotation.Nullable ServiceSummary _elem9;
-                for (int _i10 = 0; _i10 < _list8.size; ++_i10)
+                org.apache.thrift.protocol.TList _list24 = iprot.readListBegin();
+                struct.services = new java.util.ArrayList<ServiceSummary>(_list24.size);
+                @org.apache.thrift.annotation.Nullable ServiceSummary _elem25;
+                for (int _i26 = 0; _i26 < _list24.size; ++_i26)
                 {
-                  _elem9 = new ServiceSummary();
-                  _elem9.read(iprot);
-                  struct.services.add(_elem9);
+                  _elem25 = new ServiceSummary();
+                  _elem25.read(iprot);
+                  struct.services.add(_elem25);
                 }
                 iprot.readListEnd();
               }
@@ -653,9 +653,9 @@
         oprot.writeFieldBegin(SERVICES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.services.size()));
-          for (ServiceSummary _iter11 : struct.services)
+          for (ServiceSummary _iter27 : struct.services)
           {
-            _iter11.write(oprot);
+            _iter27.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -705,9 +705,9 @@
       if (struct.isSetServices()) {
         {
           oprot.writeI32(struct.services.size());
-          for (ServiceSummary _iter12 : struct.services)
+          for (ServiceSummary _iter28 : struct.services)
           {
-            _iter12.write(oprot);
+            _iter28.write(oprot);
           }
         }
       }
@@ -731,14 +731,14 @@
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list13 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.services = new java.util.ArrayList<ServiceSummary>(_list13.size);
-          @org.apache.thrift.annotation.Nullable ServiceSummary _elem14;
-          for (int _i15 = 0; _i15 < _list13.size; ++_i15)
+          org.apache.thrift.protocol.TList _list29 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.services = new java.util.ArrayList<ServiceSummary>(_list29.size);
+          @org.apache.thrift.annotation.Nullable ServiceSummary _elem30;
+          for (int _i31 = 0; _i31 < _list29.size; ++_i31)
           {
-            _elem14 = new ServiceSummary();
-            _elem14.read(iprot);
-            struct.services.add(_elem14);
+            _elem30 = new ServiceSummary();
+            _elem30.read(iprot);
+            struct.services.add(_elem30);
           }
         }
         struct.setServicesIsSet(true);
--- a/protocol/src/main/java/org/sequoiahill/protocol/gen/Peer.java
+++ b/protocol/src/main/java/org/sequoiahill/protocol/gen/Peer.java
@@ -13,6 +13,7 @@
   private static final org.apache.thrift.protocol.TField VM_FIELD_DESC = new org.apache.thrift.protocol.TField("vm", org.apache.thrift.protocol.TType.STRING, (short)1);
   private static final org.apache.thrift.protocol.TField DATA_CENTRE_FIELD_DESC = new org.apache.thrift.protocol.TField("dataCentre", org.apache.thrift.protocol.TType.STRING, (short)2);
   private static final org.apache.thrift.protocol.TField DATA_ADDRESS_FIELD_DESC = new org.apache.thrift.protocol.TField("dataAddress", org.apache.thrift.protocol.TType.STRING, (short)3);
+  private static final org.apache.thrift.protocol.TField SERVING_FIELD_DESC = new org.apache.thrift.protocol.TField("serving", org.apache.thrift.protocol.TType.BOOL, (short)4);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new PeerStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new PeerTupleSchemeFactory();
@@ -20,12 +21,17 @@
   private @org.apache.thrift.annotation.Nullable java.lang.String vm; // required
   private @org.apache.thrift.annotation.Nullable java.lang.String dataCentre; // required
   private @org.apache.thrift.annotation.Nullable java.lang.String dataAddress; // required
+  private boolean serving; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     VM((short)1, "vm"),
     DATA_CENTRE((short)2, "dataCentre"),
-    DATA_ADDRESS((short)3, "dataAddress");
+    DATA_ADDRESS((short)3, "dataAddress"),
+    /**
+     * Whether the endpoint takes new work.
+     */
+    SERVING((short)4, "serving");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -47,6 +53,8 @@
           return DATA_CENTRE;
         case 3: // DATA_ADDRESS
           return DATA_ADDRESS;
+        case 4: // SERVING
+          return SERVING;
         default:
           return null;
       }
@@ -90,6 +98,8 @@
   }
 
   // isset id assignments
+  private static final int __SERVING_ISSET_ID = 0;
+  private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -99,6 +109,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     tmpMap.put(_Fields.DATA_ADDRESS, new org.apache.thrift.meta_data.FieldMetaData("dataAddress", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.SERVING, new org.apache.thrift.meta_data.FieldMetaData("serving", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(Peer.class, metaDataMap);
   }
@@ -109,18 +121,22 @@
   public Peer(
     java.lang.String vm,
     java.lang.String dataCentre,
-    java.lang.String dataAddress)
+    java.lang.String dataAddress,
+    boolean serving)
   {
     this();
     this.vm = vm;
     this.dataCentre = dataCentre;
     this.dataAddress = dataAddress;
+    this.serving = serving;
+    setServingIsSet(true);
   }
 
   /**
    * Performs a deep copy on <i>other</i>.
    */
   public Peer(Peer other) {
+    __isset_bitfield = other.__isset_bitfield;
     if (other.isSetVm()) {
       this.vm = other.vm;
     }
@@ -130,6 +146,7 @@
     if (other.isSetDataAddress()) {
       this.dataAddress = other.dataAddress;
     }
+    this.serving = other.serving;
   }
 
   @Override
@@ -142,6 +159,8 @@
     this.vm = null;
     this.dataCentre = null;
     this.dataAddress = null;
+    setServingIsSet(false);
+    this.serving = false;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -219,6 +238,35 @@
     }
   }
 
+  /**
+   * Whether the endpoint takes new work.
+   */
+  public boolean isServing() {
+    return this.serving;
+  }
+
+  /**
+   * Whether the endpoint takes new work.
+   */
+  public Peer setServing(boolean serving) {
+    this.serving = serving;
+    setServingIsSet(true);
+    return this;
+  }
+
+  public void unsetServing() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SERVING_ISSET_ID);
+  }
+
+  /** Returns true if field serving is set (has been assigned a value) and false otherwise */
+  public boolean isSetServing() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SERVING_ISSET_ID);
+  }
+
+  public void setServingIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SERVING_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -246,6 +294,14 @@
       }
       break;
 
+    case SERVING:
+      if (value == null) {
+        unsetServing();
+      } else {
+        setServing((java.lang.Boolean)value);
+      }
+      break;
+
     }
   }
 
@@ -262,6 +318,9 @@
     case DATA_ADDRESS:
       return getDataAddress();
 
+    case SERVING:
+      return isServing();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -280,6 +339,8 @@
       return isSetDataCentre();
     case DATA_ADDRESS:
       return isSetDataAddress();
+    case SERVING:
+      return isSetServing();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -324,6 +385,15 @@
         return false;
     }
 
+    boolean this_present_serving = true;
+    boolean that_present_serving = true;
+    if (this_present_serving || that_present_serving) {
+      if (!(this_present_serving && that_present_serving))
+        return false;
+      if (this.serving != that.serving)
+        return false;
+    }
+
     return true;
   }
 
@@ -343,6 +413,8 @@
     if (isSetDataAddress())
       hashCode = hashCode * 8191 + dataAddress.hashCode();
 
+    hashCode = hashCode * 8191 + ((serving) ? 131071 : 524287);
+
     return hashCode;
   }
 
@@ -384,6 +456,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetServing(), other.isSetServing());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetServing()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.serving, other.serving);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -431,6 +513,10 @@
       sb.append(this.dataAddress);
     }
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("serving:");
+    sb.append(this.serving);
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -450,6 +536,8 @@
 
   private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
     try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
       read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
     } catch (org.apache.thrift.TException te) {
       throw new java.io.IOException(te);
@@ -500,6 +588,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 4: // SERVING
+            if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
+              struct.serving = iprot.readBool();
+              struct.setServingIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -531,6 +627,9 @@
         oprot.writeString(struct.dataAddress);
         oprot.writeFieldEnd();
       }
+      oprot.writeFieldBegin(SERVING_FIELD_DESC);
+      oprot.writeBool(struct.serving);
+      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -559,7 +658,10 @@
       if (struct.isSetDataAddress()) {
         optionals.set(2);
       }
-      oprot.writeBitSet(optionals, 3);
+      if (struct.isSetServing()) {
+        optionals.set(3);
+      }
+      oprot.writeBitSet(optionals, 4);
       if (struct.isSetVm()) {
         oprot.writeString(struct.vm);
       }
@@ -569,12 +671,15 @@
       if (struct.isSetDataAddress()) {
         oprot.writeString(struct.dataAddress);
       }
+      if (struct.isSetServing()) {
+        oprot.writeBool(struct.serving);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, Peer struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(3);
+      java.util.BitSet incoming = iprot.readBitSet(4);
       if (incoming.get(0)) {
         struct.vm = iprot.readString();
         struct.setVmIsSet(true);
@@ -587,6 +692,10 @@
         struct.dataAddress = iprot.readString();
         struct.setDataAddressIsSet(true);
       }
+      if (incoming.get(3)) {
+        struct.serving = iprot.readBool();
+        struct.setServingIsSet(true);
+      }
     }
   }
 
--- a/protocol/src/main/java/org/sequoiahill/protocol/gen/ServiceSummary.java
+++ b/protocol/src/main/java/org/sequoiahill/protocol/gen/ServiceSummary.java
@@ -22,6 +22,7 @@
   private static final org.apache.thrift.protocol.TField CHUNKS_HELD_FIELD_DESC = new org.apache.thrift.protocol.TField("chunksHeld", org.apache.thrift.protocol.TType.I64, (short)7);
   private static final org.apache.thrift.protocol.TField CHUNKS_STATED_FIELD_DESC = new org.apache.thrift.protocol.TField("chunksStated", org.apache.thrift.protocol.TType.I64, (short)8);
   private static final org.apache.thrift.protocol.TField LOWEST_REVISION_FIELD_DESC = new org.apache.thrift.protocol.TField("lowestRevision", org.apache.thrift.protocol.TType.I64, (short)9);
+  private static final org.apache.thrift.protocol.TField AGENTS_FIELD_DESC = new org.apache.thrift.protocol.TField("agents", org.apache.thrift.protocol.TType.LIST, (short)10);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new ServiceSummaryStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new ServiceSummaryTupleSchemeFactory();
@@ -35,6 +36,7 @@
   private long chunksHeld; // required
   private long chunksStated; // required
   private long lowestRevision; // required
+  private @org.apache.thrift.annotation.Nullable java.util.List<Peer> agents; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -52,7 +54,11 @@
     /**
      * Lowest configuration revision in force at one of the endpoints.
      */
-    LOWEST_REVISION((short)9, "lowestRevision");
+    LOWEST_REVISION((short)9, "lowestRevision"),
+    /**
+     * A few of the agents, to draw chunks from.
+     */
+    AGENTS((short)10, "agents");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -86,6 +92,8 @@
           return CHUNKS_STATED;
         case 9: // LOWEST_REVISION
           return LOWEST_REVISION;
+        case 10: // AGENTS
+          return AGENTS;
         default:
           return null;
       }
@@ -157,6 +165,9 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.LOWEST_REVISION, new org.apache.thrift.meta_data.FieldMetaData("lowestRevision", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.AGENTS, new org.apache.thrift.meta_data.FieldMetaData("agents", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, Peer.class))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ServiceSummary.class, metaDataMap);
   }
@@ -173,7 +184,8 @@
     java.lang.String versionName,
     long chunksHeld,
     long chunksStated,
-    long lowestRevision)
+    long lowestRevision,
+    java.util.List<Peer> agents)
   {
     this();
     this.serviceName = serviceName;
@@ -191,6 +203,7 @@
     setChunksStatedIsSet(true);
     this.lowestRevision = lowestRevision;
     setLowestRevisionIsSet(true);
+    this.agents = agents;
   }
 
   /**
@@ -213,6 +226,13 @@
     this.chunksHeld = other.chunksHeld;
     this.chunksStated = other.chunksStated;
     this.lowestRevision = other.lowestRevision;
+    if (other.isSetAgents()) {
+      java.util.List<Peer> __this__agents = new java.util.ArrayList<Peer>(other.agents.size());
+      for (Peer other_element : other.agents) {
+        __this__agents.add(new Peer(other_element));
+      }
+      this.agents = __this__agents;
+    }
   }
 
   @Override
@@ -237,6 +257,7 @@
     this.chunksStated = 0;
     setLowestRevisionIsSet(false);
     this.lowestRevision = 0;
+    this.agents = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -464,6 +485,53 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __LOWESTREVISION_ISSET_ID, value);
   }
 
+  public int getAgentsSize() {
+    return (this.agents == null) ? 0 : this.agents.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<Peer> getAgentsIterator() {
+    return (this.agents == null) ? null : this.agents.iterator();
+  }
+
+  public void addToAgents(Peer elem) {
+    if (this.agents == null) {
+      this.agents = new java.util.ArrayList<Peer>();
+    }
+    this.agents.add(elem);
+  }
+
+  /**
+   * A few of the agents, to draw chunks from.
+   */
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<Peer> getAgents() {
+    return this.agents;
+  }
+
+  /**
+   * A few of the agents, to draw chunks from.
+   */
+  public ServiceSummary setAgents(@org.apache.thrift.annotation.Nullable java.util.List<Peer> agents) {
+    this.agents = agents;
+    return this;
+  }
+
+  public void unsetAgents() {
+    this.agents = null;
+  }
+
+  /** Returns true if field agents is set (has been assigned a value) and false otherwise */
+  public boolean isSetAgents() {
+    return this.agents != null;
+  }
+
+  public void setAgentsIsSet(boolean value) {
+    if (!value) {
+      this.agents = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -539,6 +607,14 @@
       }
       break;
 
+    case AGENTS:
+      if (value == null) {
+        unsetAgents();
+      } else {
+        setAgents((java.util.List<Peer>)value);
+      }
+      break;
+
     }
   }
 
@@ -573,6 +649,9 @@
     case LOWEST_REVISION:
       return getLowestRevision();
 
+    case AGENTS:
+      return getAgents();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -603,6 +682,8 @@
       return isSetChunksStated();
     case LOWEST_REVISION:
       return isSetLowestRevision();
+    case AGENTS:
+      return isSetAgents();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -701,6 +782,15 @@
         return false;
     }
 
+    boolean this_present_agents = true && this.isSetAgents();
+    boolean that_present_agents = true && that.isSetAgents();
+    if (this_present_agents || that_present_agents) {
+      if (!(this_present_agents && that_present_agents))
+        return false;
+      if (!this.agents.equals(that.agents))
+        return false;
+    }
+
     return true;
   }
 
@@ -732,6 +822,10 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(lowestRevision);
 
+    hashCode = hashCode * 8191 + ((isSetAgents()) ? 131071 : 524287);
+    if (isSetAgents())
+      hashCode = hashCode * 8191 + agents.hashCode();
+
     return hashCode;
   }
 
@@ -833,6 +927,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetAgents(), other.isSetAgents());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetAgents()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.agents, other.agents);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -904,6 +1008,14 @@
     sb.append("lowestRevision:");
     sb.append(this.lowestRevision);
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("agents:");
+    if (this.agents == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.agents);
+    }
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -1023,6 +1135,25 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 10: // AGENTS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list16 = iprot.readListBegin();
+                struct.agents = new java.util.ArrayList<Peer>(_list16.size);
+                @org.apache.thrift.annotation.Nullable Peer _elem17;
+                for (int _i18 = 0; _i18 < _list16.size; ++_i18)
+                {
+                  _elem17 = new Peer();
+                  _elem17.read(iprot);
+                  struct.agents.add(_elem17);
+                }
+                iprot.readListEnd();
+              }
+              struct.setAgentsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -1072,6 +1203,18 @@
       oprot.writeFieldBegin(LOWEST_REVISION_FIELD_DESC);
       oprot.writeI64(struct.lowestRevision);
       oprot.writeFieldEnd();
+      if (struct.agents != null) {
+        oprot.writeFieldBegin(AGENTS_FIELD_DESC);
+        {
+          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.agents.size()));
+          for (Peer _iter19 : struct.agents)
+          {
+            _iter19.write(oprot);
+          }
+          oprot.writeListEnd();
+        }
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -1118,7 +1261,10 @@
       if (struct.isSetLowestRevision()) {
         optionals.set(8);
       }
-      oprot.writeBitSet(optionals, 9);
+      if (struct.isSetAgents()) {
+        optionals.set(9);
+      }
+      oprot.writeBitSet(optionals, 10);
       if (struct.isSetServiceName()) {
         oprot.writeString(struct.serviceName);
       }
@@ -1146,12 +1292,21 @@
       if (struct.isSetLowestRevision()) {
         oprot.writeI64(struct.lowestRevision);
       }
+      if (struct.isSetAgents()) {
+        {
+          oprot.writeI32(struct.agents.size());
+          for (Peer _iter20 : struct.agents)
+          {
+            _iter20.write(oprot);
+          }
+        }
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, ServiceSummary struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(9);
+      java.util.BitSet incoming = iprot.readBitSet(10);
       if (incoming.get(0)) {
         struct.serviceName = iprot.readString();
         struct.setServiceNameIsSet(true);
@@ -1188,6 +1343,20 @@
         struct.lowestRevision = iprot.readI64();
         struct.setLowestRevisionIsSet(true);
       }
+      if (incoming.get(9)) {
+        {
+          org.apache.thrift.protocol.TList _list21 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.agents = new java.util.ArrayList<Peer>(_list21.size);
+          @org.apache.thrift.annotation.Nullable Peer _elem22;
+          for (int _i23 = 0; _i23 < _list21.size; ++_i23)
+          {
+            _elem22 = new Peer();
+            _elem22.read(iprot);
+            struct.agents.add(_elem22);
+          }
+        }
+        struct.setAgentsIsSet(true);
+      }
     }
   }
 
--- a/protocol/src/main/java/org/sequoiahill/protocol/gen/TurnRequest.java
+++ b/protocol/src/main/java/org/sequoiahill/protocol/gen/TurnRequest.java
@@ -18,6 +18,8 @@
   private static final org.apache.thrift.protocol.TField VERSION_DIGEST_FIELD_DESC = new org.apache.thrift.protocol.TField("versionDigest", org.apache.thrift.protocol.TType.STRING, (short)3);
   private static final org.apache.thrift.protocol.TField SERVICE_REVISION_FIELD_DESC = new org.apache.thrift.protocol.TField("serviceRevision", org.apache.thrift.protocol.TType.I64, (short)4);
   private static final org.apache.thrift.protocol.TField FINISHED_FIELD_DESC = new org.apache.thrift.protocol.TField("finished", org.apache.thrift.protocol.TType.BOOL, (short)5);
+  private static final org.apache.thrift.protocol.TField SERVING_FIELD_DESC = new org.apache.thrift.protocol.TField("serving", org.apache.thrift.protocol.TType.I32, (short)6);
+  private static final org.apache.thrift.protocol.TField IDLE_FIELD_DESC = new org.apache.thrift.protocol.TField("idle", org.apache.thrift.protocol.TType.BOOL, (short)7);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new TurnRequestStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new TurnRequestTupleSchemeFactory();
@@ -27,6 +29,8 @@
   private @org.apache.thrift.annotation.Nullable java.lang.String versionDigest; // required
   private long serviceRevision; // required
   private boolean finished; // required
+  private int serving; // required
+  private boolean idle; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -37,7 +41,15 @@
     /**
      * True when the swap ended, so that the turn is given back.
      */
-    FINISHED((short)5, "finished");
+    FINISHED((short)5, "finished"),
+    /**
+     * Endpoints of the service in the sender's data centre that serve now.
+     */
+    SERVING((short)6, "serving"),
+    /**
+     * True where the endpoint serves nothing, so that its swap takes no capacity away.
+     */
+    IDLE((short)7, "idle");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -63,6 +75,10 @@
           return SERVICE_REVISION;
         case 5: // FINISHED
           return FINISHED;
+        case 6: // SERVING
+          return SERVING;
+        case 7: // IDLE
+          return IDLE;
         default:
           return null;
       }
@@ -108,6 +124,8 @@
   // isset id assignments
   private static final int __SERVICEREVISION_ISSET_ID = 0;
   private static final int __FINISHED_ISSET_ID = 1;
+  private static final int __SERVING_ISSET_ID = 2;
+  private static final int __IDLE_ISSET_ID = 3;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
@@ -122,6 +140,10 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.FINISHED, new org.apache.thrift.meta_data.FieldMetaData("finished", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
+    tmpMap.put(_Fields.SERVING, new org.apache.thrift.meta_data.FieldMetaData("serving", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
+    tmpMap.put(_Fields.IDLE, new org.apache.thrift.meta_data.FieldMetaData("idle", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(TurnRequest.class, metaDataMap);
   }
@@ -134,7 +156,9 @@
     java.lang.String serviceName,
     java.lang.String versionDigest,
     long serviceRevision,
-    boolean finished)
+    boolean finished,
+    int serving,
+    boolean idle)
   {
     this();
     this.sender = sender;
@@ -144,6 +168,10 @@
     setServiceRevisionIsSet(true);
     this.finished = finished;
     setFinishedIsSet(true);
+    this.serving = serving;
+    setServingIsSet(true);
+    this.idle = idle;
+    setIdleIsSet(true);
   }
 
   /**
@@ -162,6 +190,8 @@
     }
     this.serviceRevision = other.serviceRevision;
     this.finished = other.finished;
+    this.serving = other.serving;
+    this.idle = other.idle;
   }
 
   @Override
@@ -178,6 +208,10 @@
     this.serviceRevision = 0;
     setFinishedIsSet(false);
     this.finished = false;
+    setServingIsSet(false);
+    this.serving = 0;
+    setIdleIsSet(false);
+    this.idle = false;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -307,6 +341,64 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __FINISHED_ISSET_ID, value);
   }
 
+  /**
+   * Endpoints of the service in the sender's data centre that serve now.
+   */
+  public int getServing() {
+    return this.serving;
+  }
+
+  /**
+   * Endpoints of the service in the sender's data centre that serve now.
+   */
+  public TurnRequest setServing(int serving) {
+    this.serving = serving;
+    setServingIsSet(true);
+    return this;
+  }
+
+  public void unsetServing() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SERVING_ISSET_ID);
+  }
+
+  /** Returns true if field serving is set (has been assigned a value) and false otherwise */
+  public boolean isSetServing() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SERVING_ISSET_ID);
+  }
+
+  public void setServingIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SERVING_ISSET_ID, value);
+  }
+
+  /**
+   * True where the endpoint serves nothing, so that its swap takes no capacity away.
+   */
+  public boolean isIdle() {
+    return this.idle;
+  }
+
+  /**
+   * True where the endpoint serves nothing, so that its swap takes no capacity away.
+   */
+  public TurnRequest setIdle(boolean idle) {
+    this.idle = idle;
+    setIdleIsSet(true);
+    return this;
+  }
+
+  public void unsetIdle() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __IDLE_ISSET_ID);
+  }
+
+  /** Returns true if field idle is set (has been assigned a value) and false otherwise */
+  public boolean isSetIdle() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __IDLE_ISSET_ID);
+  }
+
+  public void setIdleIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __IDLE_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -350,6 +442,22 @@
       }
       break;
 
+    case SERVING:
+      if (value == null) {
+        unsetServing();
+      } else {
+        setServing((java.lang.Integer)value);
+      }
+      break;
+
+    case IDLE:
+      if (value == null) {
+        unsetIdle();
+      } else {
+        setIdle((java.lang.Boolean)value);
+      }
+      break;
+
     }
   }
 
@@ -372,6 +480,12 @@
     case FINISHED:
       return isFinished();
 
+    case SERVING:
+      return getServing();
+
+    case IDLE:
+      return isIdle();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -394,6 +508,10 @@
       return isSetServiceRevision();
     case FINISHED:
       return isSetFinished();
+    case SERVING:
+      return isSetServing();
+    case IDLE:
+      return isSetIdle();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -456,6 +574,24 @@
         return false;
     }
 
+    boolean this_present_serving = true;
+    boolean that_present_serving = true;
+    if (this_present_serving || that_present_serving) {
+      if (!(this_present_serving && that_present_serving))
+        return false;
+      if (this.serving != that.serving)
+        return false;
+    }
+
+    boolean this_present_idle = true;
+    boolean that_present_idle = true;
+    if (this_present_idle || that_present_idle) {
+      if (!(this_present_idle && that_present_idle))
+        return false;
+      if (this.idle != that.idle)
+        return false;
+    }
+
     return true;
   }
 
@@ -479,6 +615,10 @@
 
     hashCode = hashCode * 8191 + ((finished) ? 131071 : 524287);
 
+    hashCode = hashCode * 8191 + serving;
+
+    hashCode = hashCode * 8191 + ((idle) ? 131071 : 524287);
+
     return hashCode;
   }
 
@@ -540,6 +680,26 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetServing(), other.isSetServing());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetServing()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.serving, other.serving);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetIdle(), other.isSetIdle());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetIdle()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.idle, other.idle);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -595,6 +755,14 @@
     sb.append("finished:");
     sb.append(this.finished);
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("serving:");
+    sb.append(this.serving);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("idle:");
+    sb.append(this.idle);
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -686,6 +854,22 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 6: // SERVING
+            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
+              struct.serving = iprot.readI32();
+              struct.setServingIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 7: // IDLE
+            if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
+              struct.idle = iprot.readBool();
+              struct.setIdleIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -723,6 +907,12 @@
       oprot.writeFieldBegin(FINISHED_FIELD_DESC);
       oprot.writeBool(struct.finished);
       oprot.writeFieldEnd();
+      oprot.writeFieldBegin(SERVING_FIELD_DESC);
+      oprot.writeI32(struct.serving);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(IDLE_FIELD_DESC);
+      oprot.writeBool(struct.idle);
+      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -757,7 +947,13 @@
       if (struct.isSetFinished()) {
         optionals.set(4);
       }
-      oprot.writeBitSet(optionals, 5);
+      if (struct.isSetServing()) {
+        optionals.set(5);
+      }
+      if (struct.isSetIdle()) {
+        optionals.set(6);
+      }
+      oprot.writeBitSet(optionals, 7);
       if (struct.isSetSender()) {
         struct.sender.write(oprot);
       }
@@ -773,12 +969,18 @@
       if (struct.isSetFinished()) {
         oprot.writeBool(struct.finished);
       }
+      if (struct.isSetServing()) {
+        oprot.writeI32(struct.serving);
+      }
+      if (struct.isSetIdle()) {
+        oprot.writeBool(struct.idle);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, TurnRequest struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(5);
+      java.util.BitSet incoming = iprot.readBitSet(7);
       if (incoming.get(0)) {
         struct.sender = new org.sequoiahill.protocol.gen.Sender();
         struct.sender.read(iprot);
@@ -800,6 +1002,14 @@
         struct.finished = iprot.readBool();
         struct.setFinishedIsSet(true);
       }
+      if (incoming.get(5)) {
+        struct.serving = iprot.readI32();
+        struct.setServingIsSet(true);
+      }
+      if (incoming.get(6)) {
+        struct.idle = iprot.readBool();
+        struct.setIdleIsSet(true);
+      }
     }
   }
 
