--- a/bench/src/main/java/org/sequoiahill/bench/Bench.java
+++ b/bench/src/main/java/org/sequoiahill/bench/Bench.java
@@ -7,6 +7,7 @@
 import java.util.TreeMap;
 import org.sequoiahill.bench.capacity.CapacityExperiment;
 import org.sequoiahill.bench.faults.FaultExperiment;
+import org.sequoiahill.bench.weights.FetchExperiment;
 
 /** The program {@code bench}: measures running daemons. */
 public final class Bench {
@@ -29,6 +30,7 @@
         Map<String, Experiment> experiments = new TreeMap<>();
         experiments.put("capacity", new CapacityExperiment());
         experiments.put("faults", new FaultExperiment());
+        experiments.put("fetch", FetchExperiment.create());
         return experiments;
     }
 
--- a/daemon/src/test/java/org/sequoiahill/daemon/process/control/ControlServerTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/process/control/ControlServerTest.java
@@ -21,6 +21,8 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.sequoiahill.daemon.process.settings.HostPort;
+import org.sequoiahill.protocol.gen.OriginLeaseReply;
+import org.sequoiahill.protocol.gen.OriginLeaseRequest;
 import org.sequoiahill.protocol.gen.TurnReply;
 import org.sequoiahill.protocol.gen.TurnRequest;
 import org.sequoiahill.protocol.gen.Turns;
@@ -37,7 +39,7 @@
     void start() throws IOException {
         mAddress = new HostPort(HOST, freePort());
         mServer = ControlServer.bind(mAddress, mExecutor);
-        mServer.register(ServiceStub.TURNS, new Turns.Processor<>(ControlServerTest::answer));
+        mServer.register(ServiceStub.TURNS, new Turns.Processor<>(new GrantingTurns()));
         mServer.start();
         mClient = ControlClient.on(mExecutor);
     }
@@ -112,8 +114,17 @@
                 .join();
     }
 
-    private static TurnReply answer(TurnRequest request) {
-        return new TurnReply().setGranted(true);
+    /** Grants every turn. */
+    private static final class GrantingTurns implements Turns.Iface {
+        @Override
+        public TurnReply request(TurnRequest request) {
+            return new TurnReply().setGranted(true);
+        }
+
+        @Override
+        public OriginLeaseReply leaseOrigin(OriginLeaseRequest request) {
+            return new OriginLeaseReply();
+        }
     }
 
     private static int freePort() throws IOException {
