Split the operators' tool into commands with distinct exit codes

Cause: one class held every command; a refusal, a conflict and a lost majority gave one exit code; there was no status, history, audit or store command.

A fetch of configuration that is answered late is taken in all the same: under load an answer may take longer than the time after which another source is asked.

--- /dev/null
+++ b/cli/src/main/java/org/sequoiahill/cli/EndpointCommand.java
@@ -0,0 +1,33 @@
+package org.sequoiahill.cli;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import com.beust.jcommander.Parameters;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Lists endpoints. */
+@Parameters(commandDescription = "list: endpoints that the asked entry knows")
+final class EndpointCommand implements Command {
+    @Parameter(description = "list")
+    private List<String> mWords = new ArrayList<>();
+
+    @Override
+    public ExitCode run(CommandContext context) throws Exception {
+        if (!CommandContext.word(mWords, 0, "list").equals("list")) {
+            throw new ParameterException("endpoint takes list");
+        }
+        return context.print(
+                context.client().read("endpoints"),
+                "vm",
+                "dataCentre",
+                "service",
+                "serving",
+                "version",
+                "running",
+                "capacity",
+                "chunksHeld",
+                "chunksStated",
+                "revision");
+    }
+}
--- a/cli/src/main/java/org/sequoiahill/cli/OperatorsClient.java
+++ b/cli/src/main/java/org/sequoiahill/cli/OperatorsClient.java
@@ -3,37 +3,55 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.UnaryOperator;
 import org.eclipse.jetty.client.ContentResponse;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.StringRequestContent;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpMethod;
+import org.eclipse.jetty.http.HttpStatus;
 
 /** Calls the operators' address of a daemon. */
 public final class OperatorsClient implements AutoCloseable {
     private static final int TIMEOUT_SECONDS = 10;
     private static final JsonMapper MAPPER = JsonMapper.builder().build();
 
-    private final String mServer;
+    private final List<String> mServers;
     private final String mToken;
     private final HttpClient mClient = new HttpClient();
 
-    private OperatorsClient(String server, String token) {
-        mServer = server;
+    private OperatorsClient(List<String> servers, String token) {
+        mServers = servers;
         mToken = token;
     }
 
-    /** Returns a client of the daemon at an address. */
-    public static OperatorsClient connect(String server, String token) throws Exception {
-        OperatorsClient client = new OperatorsClient(server, token);
+    /**
+     * Returns a client of daemons that are tried in turn.
+     *
+     * @param servers addresses as host:port, separated by commas
+     */
+    public static OperatorsClient connect(String servers, String token) throws Exception {
+        OperatorsClient client = new OperatorsClient(List.of(servers.split(",", -1)), token);
         client.mClient.start();
         return client;
     }
 
+    /** No server could be reached. */
+    public static final class UnreachableException extends IOException {
+        private static final long serialVersionUID = 1;
+
+        UnreachableException(String message) {
+            super(message);
+        }
+    }
+
     /**
      * An answer of the daemon.
      *
@@ -49,30 +67,53 @@
 
     /** Reads below the operators' path. */
     public Answer read(String path) throws IOException, InterruptedException {
-        return send(mClient.newRequest("http://" + mServer + "/operators/" + path));
+        return send(path, request -> request);
+    }
+
+    /** Calls a path without a body. */
+    public Answer call(HttpMethod method, String path) throws IOException, InterruptedException {
+        return send(path, request -> request.method(method));
     }
 
     /** Replaces a document; the change id makes a resend idempotent. */
     public Answer change(String path, long replaces, String changeId, String document)
             throws IOException, InterruptedException {
         return send(
-                mClient.newRequest("http://" + mServer + "/operators/" + path)
-                        .method(HttpMethod.PUT)
-                        .param("replaces", Long.toString(replaces))
-                        .headers(headers -> headers.put("Sequoia-Change-Id", changeId))
-                        .body(new StringRequestContent("application/json", document)));
+                path,
+                request ->
+                        request.method(HttpMethod.PUT)
+                                .param("replaces", Long.toString(replaces))
+                                .headers(headers -> headers.put("Sequoia-Change-Id", changeId))
+                                .body(new StringRequestContent("application/json", document)));
     }
 
-    private Answer send(Request request) throws IOException, InterruptedException {
-        try {
-            ContentResponse response =
-                    request.headers(h -> h.put(HttpHeader.AUTHORIZATION, "Bearer " + mToken))
-                            .timeout(TIMEOUT_SECONDS, TimeUnit.SECONDS)
-                            .send();
-            return new Answer(response.getStatus(), MAPPER.readTree(response.getContent()));
-        } catch (ExecutionException | TimeoutException e) {
-            throw new IOException(mServer + " can't be reached: " + e.getMessage(), e);
+    /** Asks each server until one answers with something else than 503. */
+    private Answer send(String path, UnaryOperator<Request> with)
+            throws IOException, InterruptedException {
+        Optional<Answer> unavailable = Optional.empty();
+        List<String> failures = new ArrayList<>();
+        for (String server : mServers) {
+            Request request = mClient.newRequest("http://" + server + "/operators/" + path);
+            try {
+                Answer answer = send(with.apply(request));
+                if (answer.status() != HttpStatus.SERVICE_UNAVAILABLE_503) {
+                    return answer;
+                }
+                unavailable = Optional.of(answer);
+            } catch (ExecutionException | TimeoutException e) {
+                failures.add(server + " can't be reached: " + e.getMessage());
+            }
         }
+        return unavailable.orElseThrow(() -> new UnreachableException(String.join("; ", failures)));
+    }
+
+    private Answer send(Request request)
+            throws IOException, InterruptedException, ExecutionException, TimeoutException {
+        ContentResponse response =
+                request.headers(h -> h.put(HttpHeader.AUTHORIZATION, "Bearer " + mToken))
+                        .timeout(TIMEOUT_SECONDS, TimeUnit.SECONDS)
+                        .send();
+        return new Answer(response.getStatus(), MAPPER.readTree(response.getContent()));
     }
 
     @Override
--- /dev/null
+++ b/cli/src/main/java/org/sequoiahill/cli/ServiceCommand.java
@@ -0,0 +1,124 @@
+package org.sequoiahill.cli;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import com.beust.jcommander.Parameters;
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.UUID;
+import org.sequoiahill.protocol.document.ServiceDocument;
+import org.sequoiahill.protocol.json.Checked;
+
+/** Documents of services, and how far they are in force. */
+@Parameters(commandDescription = "apply|get|list|status|history: documents of services")
+final class ServiceCommand implements Command {
+    private static final int DEFAULT_WAIT_SECONDS = 600;
+
+    @Parameter(description = "apply FILE | get NAME | list | status NAME | history NAME")
+    private List<String> mWords = new ArrayList<>();
+
+    @Parameter(names = "--replaces", description = "revision that the change replaces")
+    private long mReplaces = -1;
+
+    @Parameter(names = "--change-id", description = "resend with the same id after a lost answer")
+    private String mChangeId = UUID.randomUUID().toString();
+
+    @Parameter(names = "--wait", description = "wait until every stated replica is done")
+    private boolean mIsWaiting;
+
+    @Parameter(names = "--wait-seconds", description = "longest wait, in seconds")
+    private int mWaitSeconds = DEFAULT_WAIT_SECONDS;
+
+    @Override
+    public ExitCode run(CommandContext context) throws Exception {
+        String verb = CommandContext.word(mWords, 0, "apply, get, list, status or history");
+        return switch (verb) {
+            case "list" -> context.print(context.client().read("services"), "name", "revision");
+            case "get" -> context.print(context.client().read("services/" + name()));
+            case "history" -> AuditCommand.printAll(context, "services/" + name() + "/history");
+            case "status" -> status(context);
+            case "apply" -> apply(context);
+            default ->
+                    throw new ParameterException(
+                            "service takes apply, get, list, status or history, not " + verb);
+        };
+    }
+
+    private String name() {
+        return CommandContext.word(mWords, 1, "the name of the service");
+    }
+
+    private ExitCode apply(CommandContext context) throws Exception {
+        String text = Files.readString(Path.of(CommandContext.word(mWords, 1, "the file")));
+        Checked<ServiceDocument> document = ServiceDocument.parse(text);
+        if (!document.isValid()) {
+            context.errors().println(document.describeFaults());
+            return ExitCode.REFUSED;
+        }
+        String path = "services/" + document.orElseThrow().service();
+        long replaces = mReplaces >= 0 ? mReplaces : revision(context, path);
+        OperatorsClient.Answer answer = context.client().change(path, replaces, mChangeId, text);
+        ExitCode code = context.print(answer, "status", "revision");
+        if (code == ExitCode.UNAVAILABLE) {
+            context.errors()
+                    .println("resend with --change-id " + mChangeId + " --replaces " + replaces);
+        }
+        return code;
+    }
+
+    private ExitCode status(CommandContext context) throws Exception {
+        OperatorsClient.Answer answer = context.client().read("services/" + name() + "/status");
+        for (int i = 0; mIsWaiting && isPending(answer) && i < mWaitSeconds; i++) {
+            progress(context, answer.body());
+            context.pause().await();
+            answer = context.client().read("services/" + name() + "/status");
+        }
+        if (!answer.isOk()) {
+            return context.print(answer);
+        }
+        if (context.isTable()) {
+            context.printBody(
+                    answer.body().path("dataCentres"),
+                    "dataCentre",
+                    "state",
+                    "done",
+                    "stated",
+                    "serving",
+                    "chunksHeld",
+                    "chunksStated",
+                    "revisionInForce");
+        } else {
+            context.printBody(answer.body());
+        }
+        return mIsWaiting && isPending(answer) ? ExitCode.NOT_DONE : ExitCode.OK;
+    }
+
+    private static boolean isPending(OperatorsClient.Answer answer) {
+        return answer.status() == 503
+                || (answer.isOk() && !answer.body().path("isDone").asBoolean());
+    }
+
+    private static void progress(CommandContext context, JsonNode status) {
+        long held = 0;
+        long stated = 0;
+        for (JsonNode line : status.path("dataCentres")) {
+            held += line.path("chunksHeld").asLong();
+            stated += line.path("chunksStated").asLong();
+        }
+        context.errors()
+                .printf(
+                        "%d of %d replicas done, %d of %d chunks held%n",
+                        status.path("done").asLong(), status.path("stated").asLong(), held, stated);
+    }
+
+    /** Returns the revision of a document, zero where there is none. */
+    static long revision(CommandContext context, String path)
+            throws IOException, InterruptedException {
+        OperatorsClient.Answer answer = context.client().read(path);
+        return answer.isOk() ? answer.body().path("revision").asLong() : 0;
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/sequoiahill/cli/StoreCommand.java
@@ -0,0 +1,32 @@
+package org.sequoiahill.cli;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import com.beust.jcommander.Parameters;
+import java.util.ArrayList;
+import java.util.List;
+import org.eclipse.jetty.http.HttpMethod;
+
+/** Members of the replicated log. */
+@Parameters(commandDescription = "members|add|remove: stores of the replicated log")
+final class StoreCommand implements Command {
+    @Parameter(description = "members | add VM | remove VM")
+    private List<String> mWords = new ArrayList<>();
+
+    @Override
+    public ExitCode run(CommandContext context) throws Exception {
+        String verb = CommandContext.word(mWords, 0, "members, add or remove");
+        OperatorsClient client = context.client();
+        return switch (verb) {
+            case "members" -> context.print(client.read("stores"));
+            case "add" -> context.print(client.call(HttpMethod.PUT, "stores/" + vm()));
+            case "remove" -> context.print(client.call(HttpMethod.DELETE, "stores/" + vm()));
+            default ->
+                    throw new ParameterException("store takes members, add or remove, not " + verb);
+        };
+    }
+
+    private String vm() {
+        return CommandContext.word(mWords, 1, "the VM of the store");
+    }
+}
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/config/ConfigurationSync.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/config/ConfigurationSync.java
@@ -115,10 +115,10 @@
         picked.ifPresent(source -> fetch(source, held));
     }
 
+    /** An answer that comes after the picker has given the source up is still taken in. */
     private void fetch(String source, long held) {
         ConfigurationFetch request = new ConfigurationFetch(mIdentity.sender(), held);
         mClient.call(addressOf(source), ServiceStub.CONFIGURATION, client -> client.fetch(request))
-                .orTimeout(SourcePicker.TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
                 .whenComplete((delta, failure) -> take(source, delta, failure));
     }
 
