--- a/bench/src/main/java/org/sequoiahill/bench/Bench.java
+++ b/bench/src/main/java/org/sequoiahill/bench/Bench.java
@@ -6,6 +6,8 @@
 import java.util.Map;
 import java.util.TreeMap;
 import org.sequoiahill.bench.capacity.CapacityExperiment;
+import org.sequoiahill.bench.claims.ClaimsExperiment;
+import org.sequoiahill.bench.config.ConfigExperiment;
 import org.sequoiahill.bench.faults.FaultExperiment;
 import org.sequoiahill.bench.weights.FetchExperiment;
 
@@ -31,6 +33,8 @@
         experiments.put("capacity", new CapacityExperiment());
         experiments.put("faults", new FaultExperiment());
         experiments.put("fetch", FetchExperiment.create());
+        experiments.put("claims", new ClaimsExperiment());
+        experiments.put("config", new ConfigExperiment());
         return experiments;
     }
 
