--- a/bench/src/main/java/org/sequoiahill/bench/Bench.java
+++ b/bench/src/main/java/org/sequoiahill/bench/Bench.java
@@ -5,6 +5,8 @@
 import com.beust.jcommander.ParameterException;
 import java.util.Map;
 import java.util.TreeMap;
+import org.sequoiahill.bench.calls.OnceExperiment;
+import org.sequoiahill.bench.calls.SlowReadersExperiment;
 import org.sequoiahill.bench.capacity.CapacityExperiment;
 import org.sequoiahill.bench.claims.ClaimsExperiment;
 import org.sequoiahill.bench.config.ConfigExperiment;
@@ -35,6 +37,8 @@
         experiments.put("fetch", FetchExperiment.create());
         experiments.put("claims", new ClaimsExperiment());
         experiments.put("config", new ConfigExperiment());
+        experiments.put("once", new OnceExperiment());
+        experiments.put("slow-readers", new SlowReadersExperiment());
         return experiments;
     }
 
--- /dev/null
+++ b/bench/src/main/java/org/sequoiahill/bench/calls/SlowReadersExperiment.java
@@ -0,0 +1,170 @@
+package org.sequoiahill.bench.calls;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpRequest.BodyPublishers;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.HdrHistogram.Histogram;
+import org.sequoiahill.bench.Experiment;
+import org.sequoiahill.bench.capacity.ProcessUsage;
+import org.sequoiahill.bench.processes.Deployment;
+import org.sequoiahill.bench.processes.Topology;
+import org.sequoiahill.bench.processes.Topology.DataCentre;
+import org.sequoiahill.bench.processes.Topology.Endpoints;
+import org.sequoiahill.bench.processes.Topology.Kind;
+import org.sequoiahill.bench.processes.Topology.Vm;
+import org.sequoiahill.protocol.weights.Manifest;
+
+/** Memory of entry and agents, and others' latency, while many readers stand still. */
+@Parameters(commandDescription = "memory and latency while readers stand still")
+public final class SlowReadersExperiment implements Experiment {
+    private static final Duration BOUND = Duration.ofSeconds(90);
+    private static final long MAX_RESIDENT_BYTES = 256L << 20;
+    private static final int RECEIVE_BUFFER_BYTES = 4 << 10;
+    private static final int OTHER_TOKENS = 8;
+    private static final int OK = 200;
+
+    @Parameter(names = "--readers", description = "readers that stand still")
+    private int mReaders = 1_000;
+
+    @Parameter(names = "--tokens", description = "tokens of a stopped reader's stream")
+    private int mTokens = 400;
+
+    @Parameter(names = "--token-bytes", description = "size of a prompt, which each token repeats")
+    private int mTokenBytes = 1_000;
+
+    @Parameter(names = "--others", description = "requests of readers that go on, each phase")
+    private int mOthers = 60;
+
+    @Parameter(names = "--prefix", description = "first two octets of the addresses used")
+    private String mPrefix = "127.24";
+
+    private final HttpClient mClient = HttpClient.newHttpClient();
+    private int mRefused;
+
+    @Override
+    public boolean run() throws Exception {
+        Path folder = Files.createTempDirectory("slow-readers");
+        Topology topology =
+                new Topology(
+                        mPrefix,
+                        List.of(
+                                new DataCentre(
+                                        "ne-a",
+                                        1,
+                                        List.of(new Endpoints("writer", Kind.ENGINE, 2, 32)))),
+                        1);
+        List<Socket> stopped = new ArrayList<>();
+        try (Deployment deployment = Deployment.start(folder, topology, settings -> {})) {
+            Manifest weights = deployment.publish("writer", "v1", 1 << 18, 1 << 12, 7);
+            deployment.apply("writer", deployment.modelDocument("writer", weights));
+            deployment.awaitServing("writer", weights.digest(), 2, BOUND);
+            Vm entry = topology.entryVms().get(0);
+            Histogram before = others(entry);
+            long idle = resident(deployment, entry);
+            for (int i = 0; i < mReaders; i++) {
+                stopped.add(stop(entry, i));
+            }
+            Histogram during = others(entry);
+            return report(deployment, topology, idle, before, during);
+        } finally {
+            for (Socket socket : stopped) {
+                socket.close();
+            }
+        }
+    }
+
+    private Socket stop(Vm entry, int number) throws IOException {
+        Socket socket = new Socket();
+        socket.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
+        String[] address = entry.data().split(":", -1);
+        socket.connect(
+                new InetSocketAddress(
+                        InetAddress.getByName(address[0]), Integer.parseInt(address[1])));
+        String body = bodyOf(number + "x".repeat(mTokenBytes), mTokens);
+        String request =
+                "POST /services/writer/v1/completions HTTP/1.1\r\nHost: %s\r\n"
+                        + "Authorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s";
+        byte[] bytes =
+                request.formatted(entry.data(), Deployment.CALLER_TOKEN, body.length(), body)
+                        .getBytes(StandardCharsets.US_ASCII);
+        socket.getOutputStream().write(bytes);
+        return socket;
+    }
+
+    private Histogram others(Vm entry) throws IOException, InterruptedException {
+        Histogram micros = new Histogram(3);
+        for (int i = 0; i < mOthers; i++) {
+            long start = System.nanoTime();
+            HttpRequest request =
+                    HttpRequest.newBuilder(
+                                    URI.create(
+                                            "http://"
+                                                    + entry.data()
+                                                    + "/services/writer/v1/completions"))
+                            .header("Authorization", "Bearer " + Deployment.CALLER_TOKEN)
+                            .timeout(BOUND)
+                            .POST(BodyPublishers.ofString(bodyOf("other" + i, OTHER_TOKENS)))
+                            .build();
+            HttpResponse<String> answer = mClient.send(request, BodyHandlers.ofString());
+            boolean isWhole = answer.statusCode() == OK && answer.body().contains("[DONE]");
+            mRefused += isWhole ? 0 : 1;
+            micros.recordValue(TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - start));
+        }
+        return micros;
+    }
+
+    private boolean report(
+            Deployment deployment, Topology topology, long idle, Histogram before, Histogram during)
+            throws IOException {
+        long entry = resident(deployment, topology.entryVms().get(0));
+        long agent = 0;
+        for (Vm vm : topology.endpointVms("writer")) {
+            agent = Math.max(agent, resident(deployment, vm));
+        }
+        System.out.printf(
+                "{\"readers\": %d, \"entry_idle_mb\": %d, \"entry_mb\": %d, \"agent_mb\": %d,"
+                        + " \"kb_a_stream\": %.1f, \"others_not_whole\": %d}%n",
+                mReaders,
+                idle >> 20,
+                entry >> 20,
+                agent >> 20,
+                (entry - idle) / 1024.0 / mReaders,
+                mRefused);
+        print("others before", before);
+        print("others during", during);
+        return Math.max(entry, agent) < MAX_RESIDENT_BYTES;
+    }
+
+    private static long resident(Deployment deployment, Vm vm) throws IOException {
+        return ProcessUsage.residentBytes(deployment.process(vm.name()).pid());
+    }
+
+    private static String bodyOf(String prompt, int tokens) {
+        return "{\"prompt\": \"%s\", \"max_tokens\": %d}".formatted(prompt, tokens);
+    }
+
+    private static void print(String name, Histogram micros) {
+        System.out.printf(
+                "{\"series\": \"%s\", \"p50_ms\": %.1f, \"p95_ms\": %.1f, \"max_ms\": %.1f}%n",
+                name,
+                micros.getValueAtPercentile(50) / 1e3,
+                micros.getValueAtPercentile(95) / 1e3,
+                micros.getMaxValue() / 1e3);
+    }
+}
--- a/bench/src/main/java/org/sequoiahill/bench/capacity/ProcessUsage.java
+++ b/bench/src/main/java/org/sequoiahill/bench/capacity/ProcessUsage.java
@@ -6,19 +6,21 @@
 import java.time.Duration;
 
 /** Processor time and resident memory of a process on this VM. */
-final class ProcessUsage {
+public final class ProcessUsage {
     private static final long KIBIBYTE = 1024;
     private static final String RESIDENT = "VmRSS:";
 
     private ProcessUsage() {}
 
-    static Duration cpuTime(long pid) {
+    /** Returns the processor time that a process has used. */
+    public static Duration cpuTime(long pid) {
         return ProcessHandle.of(pid)
                 .flatMap(handle -> handle.info().totalCpuDuration())
                 .orElseThrow(() -> new IllegalStateException("process " + pid + " has ended"));
     }
 
-    static long residentBytes(long pid) throws IOException {
+    /** Returns the resident memory of a process, in bytes. */
+    public static long residentBytes(long pid) throws IOException {
         for (String line : Files.readAllLines(Path.of("/proc/" + pid + "/status"))) {
             if (line.startsWith(RESIDENT)) {
                 String kilobytes = line.substring(RESIDENT.length()).strip().split(" ", 2)[0];
--- /dev/null
+++ b/bench/src/test/java/org/sequoiahill/bench/calls/EngineFaultProcessTest.java
@@ -0,0 +1,131 @@
+package org.sequoiahill.bench.calls;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+import static org.hamcrest.Matchers.not;
+
+import java.net.http.HttpResponse;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.sequoiahill.bench.processes.Await;
+import org.sequoiahill.bench.processes.Deployment;
+import org.sequoiahill.bench.processes.Topology;
+import org.sequoiahill.bench.processes.Topology.DataCentre;
+import org.sequoiahill.bench.processes.Topology.Endpoints;
+import org.sequoiahill.bench.processes.Topology.Kind;
+import org.sequoiahill.bench.processes.Topology.Vm;
+import org.sequoiahill.protocol.weights.Manifest;
+
+class EngineFaultProcessTest {
+    private static final Duration BOUND = Duration.ofSeconds(60);
+    private static final int ENGINES = 4;
+    private static final int TOKENS = 12;
+    private static final int RESENDS = 10;
+    private static final Topology TOPOLOGY =
+            new Topology(
+                    "127.24",
+                    List.of(
+                            new DataCentre(
+                                    "ma-a",
+                                    2,
+                                    List.of(new Endpoints("writer", Kind.ENGINE, ENGINES, 8)))),
+                    1);
+
+    private static Deployment sDeployment;
+
+    private final StreamCaller mCaller = new StreamCaller();
+
+    @BeforeAll
+    static void start(@TempDir Path folder) throws Exception {
+        sDeployment = Deployment.start(folder, TOPOLOGY, settings -> {});
+        Manifest weights = sDeployment.publish("writer", "v1", 1 << 18, 1 << 12, 7);
+        sDeployment.apply("writer", sDeployment.modelDocument("writer", weights));
+        sDeployment.awaitServing("writer", weights.digest(), ENGINES, BOUND);
+    }
+
+    @AfterAll
+    static void stop() {
+        sDeployment.close();
+    }
+
+    @Test
+    void complete_crossedAnswer_isNeverGivenToTheCaller() throws Exception {
+        orderAtAll("crossed", "cross-me", 1);
+
+        HttpResponse<String> answer = complete(0, "cross-me");
+
+        assertThat(answer.body(), answer.statusCode(), equalTo(502));
+        assertThat(answer.body(), not(containsString("another prompt")));
+        assertThat(answer.headers().firstValue("Sequoia-Not-Run").isPresent(), is(false));
+    }
+
+    @Test
+    void complete_streamCut_goesOnElsewhereWithoutRepeatOrLoss() throws Exception {
+        orderAtAll("cut", "cut-me", 1);
+
+        HttpResponse<String> answer = complete(0, "cut-me");
+
+        assertThat(answer.statusCode(), equalTo(200));
+        assertThat(StreamCaller.tokensOf(answer), equalTo(wholeAnswer("cut-me")));
+    }
+
+    @Test
+    void complete_promptThatCrashesEngines_fellsAtMostTwo() throws Exception {
+        orderAtAll("crash", "poison", RESENDS);
+        List<Integer> told = new ArrayList<>();
+
+        for (int i = 0; i < RESENDS; i++) {
+            told.add(complete(i % 2, "poison").statusCode());
+        }
+
+        int fallen = fallenEngines();
+        restartFallen();
+        assertThat("engines that fell", fallen, lessThanOrEqualTo(2));
+        assertThat(told.toString(), told.get(RESENDS - 1), equalTo(422));
+    }
+
+    private HttpResponse<String> complete(int entry, String prompt) throws Exception {
+        return mCaller.complete(TOPOLOGY.entryVms().get(entry), "writer", prompt, TOKENS);
+    }
+
+    private void orderAtAll(String kind, String marker, int count) throws Exception {
+        for (Vm engine : TOPOLOGY.endpointVms("writer")) {
+            mCaller.order(engine, kind, marker, count);
+        }
+    }
+
+    private int fallenEngines() {
+        return (int)
+                TOPOLOGY.endpointVms("writer").stream().filter(vm -> !isEngineAlive(vm)).count();
+    }
+
+    private void restartFallen() throws Exception {
+        for (Vm vm : TOPOLOGY.endpointVms("writer")) {
+            if (!isEngineAlive(vm)) {
+                sDeployment.process(vm.name() + "-stand-in").restart();
+            }
+        }
+        Await.until("engines again", BOUND, () -> complete(0, "after").statusCode() == 200);
+    }
+
+    private static boolean isEngineAlive(Vm vm) {
+        return sDeployment.process(vm.name() + "-stand-in").isAlive();
+    }
+
+    private static String wholeAnswer(String prompt) {
+        StringBuilder whole = new StringBuilder();
+        for (int token = 0; token < TOKENS; token++) {
+            whole.append(prompt).append('#').append(token).append(' ');
+        }
+        return whole.append("data: [DONE]").toString();
+    }
+}
--- /dev/null
+++ b/bench/src/test/java/org/sequoiahill/bench/calls/StreamCaller.java
@@ -0,0 +1,57 @@
+package org.sequoiahill.bench.calls;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpRequest.BodyPublishers;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.time.Duration;
+import org.sequoiahill.bench.processes.Deployment;
+import org.sequoiahill.bench.processes.Topology.Vm;
+
+/** Asks entries for completions, and stand-in engines for faults. */
+final class StreamCaller {
+    private static final Duration BOUND = Duration.ofSeconds(60);
+
+    private final HttpClient mClient = HttpClient.newHttpClient();
+
+    /** Asks for a completion; a cut answer throws. */
+    HttpResponse<String> complete(Vm entry, String service, String prompt, int tokens)
+            throws IOException, InterruptedException {
+        String body = "{\"prompt\": \"%s\", \"max_tokens\": %d}".formatted(prompt, tokens);
+        return post(entry.data() + "/services/" + service + "/v1/completions", body);
+    }
+
+    /** Orders a fault at an engine for the next completions whose prompt has the marker. */
+    void order(Vm engine, String kind, String marker, int count)
+            throws IOException, InterruptedException {
+        String body =
+                "{\"kind\": \"%s\", \"marker\": \"%s\", \"count\": %d}"
+                        .formatted(kind, marker, count);
+        post(engine.standIn() + "/admin/request-fault", body);
+    }
+
+    /** Returns the body of a whole answer, as the stand-in engine gives it, without its weights. */
+    static String tokensOf(HttpResponse<String> answer) {
+        StringBuilder tokens = new StringBuilder();
+        answer.body()
+                .lines()
+                .filter(line -> line.startsWith("data: "))
+                .map(line -> line.replaceAll(".*\"text\":\"([^\"]*)\".*", "$1"))
+                .forEach(tokens::append);
+        return tokens.toString();
+    }
+
+    private HttpResponse<String> post(String path, String body)
+            throws IOException, InterruptedException {
+        HttpRequest request =
+                HttpRequest.newBuilder(URI.create("http://" + path))
+                        .header("Authorization", "Bearer " + Deployment.CALLER_TOKEN)
+                        .timeout(BOUND)
+                        .POST(BodyPublishers.ofString(body))
+                        .build();
+        return mClient.send(request, BodyHandlers.ofString());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/connection/ExchangeAsker.java
@@ -0,0 +1,18 @@
+package org.sequoiahill.daemon.connection;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import org.sequoiahill.daemon.connection.ExchangeTable.Report;
+
+/** Asks a peer over a new connection what became of an exchange. */
+@FunctionalInterface
+public interface ExchangeAsker {
+    /**
+     * Asks; fails where the peer does not answer in time.
+     *
+     * @param address data address of the peer, as host:port
+     * @param id identity of the request
+     * @param age time since the exchange was sent
+     */
+    CompletableFuture<Report> ask(String address, String id, Duration age);
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/connection/ExchangeHandler.java
@@ -0,0 +1,103 @@
+package org.sequoiahill.daemon.connection;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.function.Predicate;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.sequoiahill.daemon.connection.ExchangeTable.Report;
+
+/**
+ * Echoes the identity of each request in its answer, and tells peers what became of an exchange.
+ *
+ * <p>A peer asks by a POST to {@value #ASK_PATH} over a connection of its own.
+ */
+public final class ExchangeHandler extends Handler.Wrapper {
+    /** Path at which peers ask. */
+    static final String ASK_PATH = "/exchanges/ask";
+
+    /** Age of the exchange that is asked about, in milliseconds. */
+    static final String AGE = "Sequoia-Exchange-Age";
+
+    private final String mIdHeader;
+    private final Predicate<Request> mIsFromPeer;
+    private final ExchangeTable mTable;
+    private final Refuser mRefuser;
+
+    private ExchangeHandler(
+            String idHeader,
+            Predicate<Request> isFromPeer,
+            ExchangeTable table,
+            Refuser refuser,
+            Handler handler) {
+        super(handler);
+        mIdHeader = idHeader;
+        mIsFromPeer = isFromPeer;
+        mTable = table;
+        mRefuser = refuser;
+    }
+
+    /** Answers a request that was barred, and so has not run. */
+    @FunctionalInterface
+    public interface Refuser {
+        /** Writes the refusal as the whole response. */
+        void refuse(Response response, Callback callback);
+    }
+
+    /**
+     * Returns a handler around another.
+     *
+     * @param idHeader header that carries the identity of a request
+     * @param isFromPeer whether a request comes from another process of the system
+     * @param table what is known of exchanges
+     * @param refuser answers barred requests
+     * @param handler handler of all other requests
+     */
+    public static ExchangeHandler around(
+            String idHeader,
+            Predicate<Request> isFromPeer,
+            ExchangeTable table,
+            Refuser refuser,
+            Handler handler) {
+        return new ExchangeHandler(idHeader, isFromPeer, table, refuser, handler);
+    }
+
+    @Override
+    public boolean handle(Request request, Response response, Callback callback) throws Exception {
+        String id = request.getHeaders().get(mIdHeader);
+        if (Request.getPathInContext(request).equals(ASK_PATH)) {
+            answerAsk(String.valueOf(id), request, response, callback);
+            return true;
+        }
+        if (id == null || !mIsFromPeer.test(request)) {
+            return super.handle(request, response, callback);
+        }
+        response.getHeaders().put(mIdHeader, id);
+        if (!mTable.begin(id, () -> Response.getContentBytesWritten(response))) {
+            mRefuser.refuse(response, callback);
+            return true;
+        }
+        Request.addCompletionListener(request, failure -> mTable.end(id));
+        return super.handle(request, response, callback);
+    }
+
+    private void answerAsk(String id, Request request, Response response, Callback callback) {
+        Report report = mTable.reportOrBar(id, ageOf(request));
+        response.getHeaders().put(HttpHeader.CONTENT_TYPE, "text/plain");
+        byte[] body = (report.state() + " " + report.sent()).getBytes(StandardCharsets.US_ASCII);
+        response.write(true, ByteBuffer.wrap(body), callback);
+    }
+
+    /** Returns the age that the peer states; the longest where it states none. */
+    private static Duration ageOf(Request request) {
+        try {
+            return Duration.ofMillis(Long.parseLong(String.valueOf(request.getHeaders().get(AGE))));
+        } catch (NumberFormatException e) {
+            return ExchangeTable.RETENTION;
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/connection/ExchangeLostException.java
@@ -0,0 +1,21 @@
+package org.sequoiahill.daemon.connection;
+
+import java.io.IOException;
+import org.sequoiahill.daemon.connection.LivenessTracker.Verdict;
+
+/** Ends an exchange whose connection has gone silent. */
+public final class ExchangeLostException extends IOException {
+    private static final long serialVersionUID = 1L;
+
+    private final Verdict mVerdict;
+
+    ExchangeLostException(Verdict verdict) {
+        super("the connection was lost: " + verdict);
+        mVerdict = verdict;
+    }
+
+    /** Returns whether the request has certainly not run and never will. */
+    public boolean isNotRun() {
+        return mVerdict == Verdict.NEVER_ARRIVED;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/connection/HttpExchangeAsker.java
@@ -0,0 +1,76 @@
+package org.sequoiahill.daemon.connection;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.eclipse.jetty.client.BufferingResponseListener;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Result;
+import org.eclipse.jetty.http.HttpHeader;
+import org.sequoiahill.daemon.connection.ExchangeTable.Report;
+import org.sequoiahill.daemon.connection.LivenessTracker.PeerState;
+
+/** Asks by HTTP; each ask has a connection of its own, which no exchange shares. */
+public final class HttpExchangeAsker implements ExchangeAsker {
+    private static final Duration TIMEOUT = Duration.ofSeconds(1);
+    private static final int MAX_BYTES = 64;
+    private static final int OK = 200;
+    private static final Pattern REPORT =
+            Pattern.compile("(RUNNING|ENDED|BARRED|UNKNOWN) ([0-9]{1,18})");
+
+    private final HttpClient mClient;
+    private final String mIdHeader;
+
+    private HttpExchangeAsker(HttpClient client, String idHeader) {
+        mClient = client;
+        mIdHeader = idHeader;
+    }
+
+    /**
+     * Returns an asker.
+     *
+     * @param client client that nothing else uses
+     * @param idHeader header that carries the identity of a request
+     */
+    public static HttpExchangeAsker of(HttpClient client, String idHeader) {
+        return new HttpExchangeAsker(client, idHeader);
+    }
+
+    @Override
+    public CompletableFuture<Report> ask(String address, String id, Duration age) {
+        CompletableFuture<Report> report = new CompletableFuture<>();
+        mClient.POST("http://" + address + ExchangeHandler.ASK_PATH)
+                .headers(
+                        headers ->
+                                headers.put(mIdHeader, id)
+                                        .put(ExchangeHandler.AGE, Long.toString(age.toMillis()))
+                                        .put(HttpHeader.CONNECTION, "close"))
+                .timeout(TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
+                .send(
+                        new BufferingResponseListener(MAX_BYTES) {
+                            @Override
+                            public void onComplete(Result result) {
+                                complete(result, getContent(), report);
+                            }
+                        });
+        return report;
+    }
+
+    private static void complete(Result result, byte[] content, CompletableFuture<Report> report) {
+        if (result.isFailed() || result.getResponse().getStatus() != OK) {
+            report.completeExceptionally(new IOException("no answer to an ask"));
+            return;
+        }
+        Matcher matcher = REPORT.matcher(new String(content, StandardCharsets.US_ASCII));
+        if (!matcher.matches()) {
+            report.completeExceptionally(new IOException("malformed answer to an ask"));
+            return;
+        }
+        report.complete(
+                new Report(PeerState.valueOf(matcher.group(1)), Long.parseLong(matcher.group(2))));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/connection/WatchedSource.java
@@ -0,0 +1,57 @@
+package org.sequoiahill.daemon.connection;
+
+import org.eclipse.jetty.io.Content;
+import org.sequoiahill.daemon.process.time.MonotonicClock;
+
+/** A source that tells a tracker of its bytes, and whether its reader waits for some. */
+final class WatchedSource implements Content.Source {
+    private final Content.Source mSource;
+    private final LivenessTracker mTracker;
+    private final MonotonicClock mClock;
+    private final Runnable mOnEnd;
+    private long mReceived;
+
+    WatchedSource(
+            Content.Source source, LivenessTracker tracker, MonotonicClock clock, Runnable onEnd) {
+        mSource = source;
+        mTracker = tracker;
+        mClock = clock;
+        mOnEnd = onEnd;
+    }
+
+    @Override
+    public Content.Chunk read() {
+        Content.Chunk chunk = mSource.read();
+        if (chunk == null) {
+            return chunk;
+        }
+        if (chunk.isLast() || Content.Chunk.isFailure(chunk)) {
+            mOnEnd.run();
+            return chunk;
+        }
+        mReceived += chunk.remaining();
+        mTracker.received(mReceived, mClock.now());
+        return chunk;
+    }
+
+    @Override
+    public void demand(Runnable demandCallback) {
+        mTracker.waits(true, mClock.now());
+        mSource.demand(
+                () -> {
+                    mTracker.waits(false, mClock.now());
+                    demandCallback.run();
+                });
+    }
+
+    @Override
+    public void fail(Throwable failure) {
+        mOnEnd.run();
+        mSource.fail(failure);
+    }
+
+    @Override
+    public long getLength() {
+        return mSource.getLength();
+    }
+}
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/AgentRole.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/AgentRole.java
@@ -2,6 +2,7 @@
 
 import jakarta.inject.Inject;
 import jakarta.inject.Singleton;
+import java.time.InstantSource;
 import java.util.List;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -19,17 +20,22 @@
 import org.sequoiahill.daemon.process.settings.DaemonSettings.PeerVm;
 import org.sequoiahill.daemon.process.time.MonotonicClock;
 import org.sequoiahill.daemon.request.AgentHandler;
-import org.sequoiahill.daemon.request.AgentHooks;
 import org.sequoiahill.daemon.request.EndpointGate;
 import org.sequoiahill.daemon.request.HttpForwarder;
 import org.sequoiahill.daemon.request.RequestPolicy;
 import org.sequoiahill.daemon.request.gate.LoadReporter;
+import org.sequoiahill.daemon.request.once.AttemptHooks;
+import org.sequoiahill.daemon.request.once.AttemptTable;
+import org.sequoiahill.daemon.request.once.BarHandler;
 import org.sequoiahill.daemon.version.swap.VersionLoop;
 import org.sequoiahill.protocol.gen.Announcement;
 
 /** The role that stands before one endpoint. */
 @Singleton
 final class AgentRole implements DaemonRole {
+    private static final int MAX_ATTEMPTS = 100_000;
+    private static final long MAX_RECORDED_ANSWER_BYTES = 16L << 20;
+
     private final DaemonSettings mSettings;
     private final AgentSettings mAgent;
     private final Identity mIdentity;
@@ -50,6 +56,7 @@
             ControlClient control,
             HttpClient http,
             HttpForwarder forwarder,
+            InstantSource time,
             MonotonicClock clock,
             RequestPolicy policy,
             RandomGenerator random,
@@ -70,10 +77,16 @@
                         mAnnouncer,
                         mGate);
         mVersions = weights.versions();
+        AttemptTable attempts =
+                AttemptTable.of(
+                        identity.incarnation(), time, MAX_ATTEMPTS, MAX_RECORDED_ANSWER_BYTES);
+        Handler requests =
+                AgentHandler.of(
+                        identity, mAgent, view, mGate, forwarder, AttemptHooks.over(attempts));
         mHandlers =
                 List.of(
-                        AgentHandler.of(
-                                identity, mAgent, view, mGate, forwarder, AgentHooks.none()),
+                        BarHandler.over(attempts),
+                        HttpServers.echoing(clock, request -> true, requests),
                         weights.chunks(),
                         weights.manifests());
     }
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/EntryCalls.java
@@ -0,0 +1,152 @@
+package org.sequoiahill.daemon.process;
+
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import jakarta.inject.Inject;
+import jakarta.inject.Singleton;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.random.RandomGenerator;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.sequoiahill.daemon.connection.ExchangeWatch;
+import org.sequoiahill.daemon.connection.LivenessTracker;
+import org.sequoiahill.daemon.process.claims.ClaimRegistry;
+import org.sequoiahill.daemon.process.control.ControlClient;
+import org.sequoiahill.daemon.process.control.ControlServer;
+import org.sequoiahill.daemon.process.control.Identity;
+import org.sequoiahill.daemon.process.control.ServiceStub;
+import org.sequoiahill.daemon.process.directory.Endpoint;
+import org.sequoiahill.daemon.process.directory.EndpointDirectory;
+import org.sequoiahill.daemon.process.settings.DaemonSettings;
+import org.sequoiahill.daemon.process.settings.DaemonSettings.PeerVm;
+import org.sequoiahill.daemon.process.settings.HostPort;
+import org.sequoiahill.daemon.process.time.MonotonicClock;
+import org.sequoiahill.daemon.request.EntryHooks;
+import org.sequoiahill.daemon.request.RequestHeaders;
+import org.sequoiahill.daemon.request.once.AgentAddresses.Address;
+import org.sequoiahill.daemon.request.once.AttemptNumbers;
+import org.sequoiahill.daemon.request.once.BarClient;
+import org.sequoiahill.daemon.request.once.BarRelayHandler;
+import org.sequoiahill.daemon.request.once.ClaimedCalls;
+import org.sequoiahill.daemon.request.quarantine.SharedQuarantine;
+import org.sequoiahill.daemon.request.quarantine.SuspectShare;
+import org.sequoiahill.daemon.request.quarantine.SuspectTable;
+import org.sequoiahill.daemon.request.stream.ParkingPolicy;
+import org.sequoiahill.daemon.request.stream.StreamBuffers;
+import org.sequoiahill.protocol.gen.Suspects;
+
+/** What an entry adds to the life of a request: claims, and the watch over its exchanges. */
+@Singleton
+final class EntryCalls {
+    private static final LivenessTracker.Bounds LIVENESS =
+            new LivenessTracker.Bounds(Duration.ofSeconds(2), 3);
+    private static final ParkingPolicy PARKING =
+            new ParkingPolicy(32L << 20, Duration.ofSeconds(5));
+    private static final int MAX_SUSPECTS = 10_000;
+    private static final int ENTRIES_ASKED_PER_DATA_CENTRE = 2;
+
+    private final DaemonSettings mSettings;
+    private final EndpointDirectory mDirectory;
+    private final MonotonicClock mClock;
+    private final ScheduledExecutorService mScheduler;
+    private final ProbeClient mProbes = ProbeClient.create();
+    private final ExchangeWatch mWatch;
+    private final BarClient mBars;
+    private final ClaimedCalls mClaimedCalls;
+    private final SuspectShare mShare;
+    private final SharedQuarantine mQuarantine;
+    private final StreamBuffers mStreams;
+
+    @Inject
+    EntryCalls(
+            DaemonSettings settings,
+            Identity identity,
+            EndpointDirectory directory,
+            ClaimRegistry registry,
+            ControlClient control,
+            MonotonicClock clock,
+            InstantSource time,
+            RandomGenerator random,
+            PrometheusMeterRegistry metrics,
+            ScheduledExecutorService scheduler) {
+        mSettings = settings;
+        mDirectory = directory;
+        mClock = clock;
+        mScheduler = scheduler;
+        SuspectTable suspects = SuspectTable.of(clock, MAX_SUSPECTS);
+        mShare = SuspectShare.of(identity, suspects, control, otherEntries(settings));
+        mQuarantine = SharedQuarantine.of(suspects, random, mShare::tell, metrics);
+        mStreams = StreamBuffers.of(PARKING, clock, mQuarantine, scheduler, metrics);
+        mWatch = ExchangeWatch.of(LIVENESS, clock, mProbes.asker(), metrics);
+        mBars = BarClient.of(mProbes.http(), this::addressesOf);
+        mClaimedCalls =
+                ClaimedCalls.of(
+                        identity,
+                        registry,
+                        mBars,
+                        AttemptNumbers.of(time, random),
+                        clock,
+                        scheduler,
+                        metrics);
+    }
+
+    /** Returns what plugs into the life of a request. */
+    EntryHooks hooks() {
+        return new EntryHooks(mQuarantine, mClaimedCalls, mStreams, mWatch);
+    }
+
+    /** Returns the handlers of the data address around the one of requests. */
+    List<Handler> around(Handler requests) {
+        return List.of(
+                BarRelayHandler.over(mBars),
+                HttpServers.echoing(mClock, EntryCalls::isPassedOn, requests));
+    }
+
+    void register(ControlServer server) {
+        server.register(ServiceStub.SUSPECTS, new Suspects.Processor<>(mShare));
+    }
+
+    void start() {
+        mProbes.start();
+        mShare.learn();
+        mStreams.start();
+        mWatch.start(mScheduler);
+    }
+
+    private List<Address> addressesOf(String vm) {
+        for (Endpoint endpoint : mDirectory.all()) {
+            if (endpoint.vm().equals(vm)) {
+                return List.of(new Address(endpoint.announcement().getDataAddress(), false));
+            }
+        }
+        List<Address> addresses = new ArrayList<>();
+        mSettings.entries().stream()
+                .map(PeerVm::dataCentre)
+                .distinct()
+                .filter(dataCentre -> !dataCentre.equals(mSettings.dataCentre()))
+                .forEach(dataCentre -> addresses.addAll(entriesOf(dataCentre)));
+        return addresses;
+    }
+
+    private static List<HostPort> otherEntries(DaemonSettings settings) {
+        return settings.entries().stream()
+                .filter(entry -> !entry.vm().equals(settings.vm()))
+                .map(PeerVm::control)
+                .toList();
+    }
+
+    private List<Address> entriesOf(String dataCentre) {
+        return mSettings.entries().stream()
+                .filter(entry -> entry.dataCentre().equals(dataCentre))
+                .limit(ENTRIES_ASKED_PER_DATA_CENTRE)
+                .map(entry -> new Address(entry.data().toString(), true))
+                .toList();
+    }
+
+    private static boolean isPassedOn(Request request) {
+        return request.getHeaders().contains(RequestHeaders.HOP);
+    }
+}
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/EntryRole.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/EntryRole.java
@@ -17,7 +17,6 @@
 import org.sequoiahill.daemon.process.directory.EndpointDirectory;
 import org.sequoiahill.daemon.process.settings.DaemonSettings;
 import org.sequoiahill.daemon.request.EntryHandler;
-import org.sequoiahill.daemon.request.EntryHooks;
 import org.sequoiahill.daemon.request.HttpForwarder;
 import org.sequoiahill.daemon.request.Router;
 import org.sequoiahill.protocol.gen.Directory;
@@ -26,7 +25,8 @@
 @Singleton
 final class EntryRole implements DaemonRole {
     private final DirectoryHandler mDirectoryHandler;
-    private final EntryHandler mEntryHandler;
+    private final List<Handler> mHandlers;
+    private final EntryCalls mCalls;
     private final ConfigurationView mView;
     private final ScheduledExecutorService mScheduler;
 
@@ -41,15 +41,18 @@
             ControlClient client,
             HttpForwarder forwarder,
             RandomGenerator random,
+            EntryCalls calls,
             ScheduledExecutorService scheduler) {
         mDirectoryHandler =
                 DirectoryHandler.of(settings, identity, view, sync, directory, table, client);
-        mEntryHandler =
+        mCalls = calls;
+        Handler requests =
                 EntryHandler.of(
                         view,
                         Router.of(identity, view, directory, table, random),
                         forwarder,
-                        EntryHooks.none());
+                        calls.hooks());
+        mHandlers = calls.around(requests);
         mView = view;
         mScheduler = scheduler;
     }
@@ -57,15 +60,17 @@
     @Override
     public void register(ControlServer server) {
         server.register(ServiceStub.DIRECTORY, new Directory.Processor<>(mDirectoryHandler));
+        mCalls.register(server);
     }
 
     @Override
     public List<Handler> dataHandlers() {
-        return List.of(mEntryHandler);
+        return mHandlers;
     }
 
     @Override
     public void start() {
+        mCalls.start();
         mDirectoryHandler.start(mScheduler);
     }
 
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/HttpServers.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/HttpServers.java
@@ -1,17 +1,26 @@
 package org.sequoiahill.daemon.process;
 
 import java.time.Duration;
+import java.util.function.Predicate;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.server.handler.GracefulHandler;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.sequoiahill.daemon.connection.ExchangeHandler;
+import org.sequoiahill.daemon.connection.ExchangeTable;
 import org.sequoiahill.daemon.process.settings.HostPort;
+import org.sequoiahill.daemon.process.time.MonotonicClock;
+import org.sequoiahill.daemon.request.Refusal;
+import org.sequoiahill.daemon.request.RequestHeaders;
 
 /** Makes HTTP servers that end running requests before they stop. */
 final class HttpServers {
+    private static final int SEND_BUFFER_BYTES = 64 << 10;
+    private static final int MAX_PAST_EXCHANGES = 50_000;
     private static final int MAX_THREADS = 32;
     private static final int MIN_THREADS = 2;
     private static final Duration DRAIN_BOUND = Duration.ofSeconds(30);
@@ -19,6 +28,24 @@
 
     private HttpServers() {}
 
+    /**
+     * Returns a handler that echoes identities of requests and answers for exchanges.
+     *
+     * @param clock monotonic clock
+     * @param isFromPeer whether a request comes from another process of the system
+     * @param handler handler of the requests
+     */
+    static Handler echoing(MonotonicClock clock, Predicate<Request> isFromPeer, Handler handler) {
+        return ExchangeHandler.around(
+                RequestHeaders.REQUEST_ID,
+                isFromPeer,
+                ExchangeTable.of(clock, MAX_PAST_EXCHANGES),
+                (response, callback) ->
+                        Refusal.unavailable("exchange_barred", "the exchange was given up")
+                                .write(response, callback),
+                handler);
+    }
+
     /** Returns a server at an address, not yet started. */
     static Server create(String name, HostPort address, Handler handler) {
         QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, MIN_THREADS);
@@ -30,6 +57,7 @@
                 new ServerConnector(server, 1, 1, new HttpConnectionFactory(configuration));
         connector.setHost(address.host());
         connector.setPort(address.port());
+        connector.setAcceptedSendBufferSize(SEND_BUFFER_BYTES);
         connector.setIdleTimeout(IDLE_TIMEOUT.toMillis());
         server.addConnector(connector);
         server.setHandler(new GracefulHandler(handler));
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/ProbeClient.java
@@ -0,0 +1,51 @@
+package org.sequoiahill.daemon.process;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.time.Duration;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.sequoiahill.daemon.connection.ExchangeAsker;
+import org.sequoiahill.daemon.connection.HttpExchangeAsker;
+import org.sequoiahill.daemon.request.RequestHeaders;
+
+/** HTTP client of questions between processes, apart from the connections of requests. */
+final class ProbeClient {
+    private static final int MAX_THREADS = 4;
+    private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+
+    private final HttpClient mClient;
+
+    private ProbeClient(HttpClient client) {
+        mClient = client;
+    }
+
+    static ProbeClient create() {
+        HttpClient client = new HttpClient();
+        QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, 1);
+        threads.setName("probe-client");
+        threads.setDaemon(true);
+        client.setExecutor(threads);
+        client.setFollowRedirects(false);
+        client.setConnectTimeout(CONNECT_TIMEOUT.toMillis());
+        return new ProbeClient(client);
+    }
+
+    void start() {
+        try {
+            mClient.start();
+        } catch (Exception e) {
+            throw new UncheckedIOException(new IOException("the probe client can't start", e));
+        }
+    }
+
+    /** Returns an asker by this client. */
+    ExchangeAsker asker() {
+        return HttpExchangeAsker.of(mClient, RequestHeaders.REQUEST_ID);
+    }
+
+    /** Returns the client for other questions. */
+    HttpClient http() {
+        return mClient;
+    }
+}
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/ProcessModule.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/ProcessModule.java
@@ -7,6 +7,7 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import jakarta.inject.Singleton;
+import java.time.Duration;
 import java.time.InstantSource;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -42,6 +43,7 @@
     private static final int CONTROL_CALL_THREADS = 64;
     private static final long IDLE_THREAD_SECONDS = 30;
     private static final int SCHEDULER_THREADS = 2;
+    private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(30);
     private static final int CLIENT_THREADS = 32;
     private static final int MAX_CONNECTIONS_PER_PEER = 4_096;
     private static final int MAX_QUEUED_PER_PEER = 16_384;
@@ -152,6 +154,7 @@
         threads.setName("http-client");
         client.setExecutor(threads);
         client.setFollowRedirects(false);
+        client.setIdleTimeout(IDLE_TIMEOUT.toMillis());
         client.setMaxConnectionsPerDestination(MAX_CONNECTIONS_PER_PEER);
         client.setMaxRequestsQueuedPerDestination(MAX_QUEUED_PER_PEER);
         client.getContentDecoderFactories().clear();
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/control/ServiceStub.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/control/ServiceStub.java
@@ -7,6 +7,7 @@
 import org.sequoiahill.protocol.gen.Configuration;
 import org.sequoiahill.protocol.gen.Directory;
 import org.sequoiahill.protocol.gen.Log;
+import org.sequoiahill.protocol.gen.Suspects;
 import org.sequoiahill.protocol.gen.Turns;
 
 /**
@@ -37,6 +38,10 @@
     public static final ServiceStub<Log.Client> LOG_CLAIMS =
             new ServiceStub<>("log-claims", Log.Client::new);
 
+    /** Suspects of the quarantine. */
+    public static final ServiceStub<Suspects.Client> SUSPECTS =
+            new ServiceStub<>("suspects", Suspects.Client::new);
+
     /** Claims of calls that may run once. */
     public static final ServiceStub<Claims.Client> CLAIMS =
             new ServiceStub<>("claims", Claims.Client::new);
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/AgentHandler.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/AgentHandler.java
@@ -1,7 +1,10 @@
 package org.sequoiahill.daemon.request;
 
+import java.io.EOFException;
+import java.io.IOException;
 import java.net.URI;
 import java.nio.ByteBuffer;
+import java.nio.channels.ClosedChannelException;
 import java.time.Duration;
 import java.util.Optional;
 import org.eclipse.jetty.client.Response;
@@ -11,6 +14,7 @@
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.util.Callback;
+import org.jspecify.annotations.Nullable;
 import org.sequoiahill.daemon.connection.BodyReader;
 import org.sequoiahill.daemon.process.config.ConfigurationView;
 import org.sequoiahill.daemon.process.control.Identity;
@@ -117,6 +121,7 @@
         private final org.eclipse.jetty.server.Response mResponse;
         private final Callback mCallback;
         private final EndpointGate.Permit mPermit;
+        private final @Nullable String mId;
 
         EndpointCall(
                 Request request,
@@ -127,6 +132,7 @@
             mResponse = response;
             mCallback = callback;
             mPermit = permit;
+            mId = request.getHeaders().get(RequestHeaders.REQUEST_ID);
         }
 
         void start(String route) {
@@ -148,11 +154,15 @@
                 refuse(barred.get());
                 return;
             }
+            HttpFields.Mutable headers = HttpFields.build(mRequest.getHeaders());
+            if (mId != null) {
+                headers.put(RequestHeaders.ENDPOINT_REQUEST_ID, mId);
+            }
             HttpForwarder.Call call =
                     new HttpForwarder.Call(
                             mRequest.getMethod(),
                             URI.create(mSettings.engine() + route),
-                            HttpFields.build(mRequest.getHeaders()),
+                            headers,
                             ByteBuffer.wrap(body),
                             TIMEOUT);
             mForwarder.send(call, this);
@@ -160,6 +170,13 @@
 
         @Override
         public void onAnswer(Response answer, Content.Source content) {
+            String echoed = answer.getHeaders().get(RequestHeaders.ENDPOINT_REQUEST_ID);
+            if (mId != null && echoed != null && !echoed.equals(mId)) {
+                IOException crossed = new IOException("the answer belongs to another request");
+                answer.abort(crossed);
+                onFailure(crossed, false);
+                return;
+            }
             if (HttpStatus.isServerError(answer.getStatus())) {
                 mGate.failed(mPermit);
             } else {
@@ -167,10 +184,6 @@
             }
             tellLoad(mResponse);
             mResponse.getHeaders().put(RequestHeaders.WEIGHTS, mPermit.digest());
-            String id = mRequest.getHeaders().get(RequestHeaders.REQUEST_ID);
-            if (id != null) {
-                mResponse.getHeaders().put(RequestHeaders.REQUEST_ID, id);
-            }
             mHooks.relay(mRequest, answer, content, mResponse, mCallback);
         }
 
@@ -182,7 +195,14 @@
             refuse(
                     isNotRun
                             ? Refusal.unavailable("engine_down", "no engine listens")
-                            : Refusal.outcomeUnknown("the engine was lost"));
+                            : lost(failure));
+        }
+
+        /** An engine that closed the connection has died; a slow or crossed one has not. */
+        private Refusal lost(Throwable failure) {
+            return failure instanceof EOFException || failure instanceof ClosedChannelException
+                    ? Refusal.endpointDied("the engine died")
+                    : Refusal.outcomeUnknown("the engine was lost");
         }
 
         private void refuse(Refusal refusal) {
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/EntryHooks.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/EntryHooks.java
@@ -1,15 +1,19 @@
 package org.sequoiahill.daemon.request;
 
+import org.sequoiahill.daemon.connection.ExchangeWatch;
+
 /**
  * What plugs into the life of a request at an entry.
  *
  * @param quarantine keeps requests that crash endpoints away
  * @param runOnce claims and settles calls that may run once
  * @param relay passes answers on
+ * @param watch ends exchanges whose connections have gone silent
  */
-public record EntryHooks(Quarantine quarantine, RunOnce runOnce, StreamRelay relay) {
-    /** Returns hooks that let everything pass. */
-    public static EntryHooks none() {
-        return new EntryHooks(Quarantine.none(), RunOnce.none(), StreamRelay.copying());
+public record EntryHooks(
+        Quarantine quarantine, RunOnce runOnce, StreamRelay relay, ExchangeWatch watch) {
+    /** Returns hooks that let everything pass but what {@code watch} ends. */
+    public static EntryHooks none(ExchangeWatch watch) {
+        return new EntryHooks(Quarantine.none(), RunOnce.none(), StreamRelay.copying(), watch);
     }
 }
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/Exchange.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/Exchange.java
@@ -6,10 +6,9 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
-import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.http.HttpFields;
-import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.util.Callback;
+import org.sequoiahill.daemon.connection.ExchangeWatch;
 import org.sequoiahill.daemon.process.directory.Endpoint;
 
 /** One caller's request from its admission to its answer. */
@@ -181,35 +180,13 @@
                         headers,
                         mRequest.body().slice(),
                         mRequest.service().limits().deadline());
-        mForwarder.send(call, OutcomeListener.of(outcome));
+        ExchangeWatch.Watched watched =
+                mHooks.watch().watch(attempt.requestId(), attempt.address());
+        watched.abortBy(
+                mForwarder.send(call, OutcomeListener.of(attempt, watched, outcome))::abort);
     }
 
     private void refuse(Refusal refusal) {
         refusal.write(mResponse, mCallback);
     }
-
-    /** Turns what the forwarder hears into an outcome. */
-    private record OutcomeListener(Consumer<Outcome> outcome) implements HttpForwarder.Listener {
-        static OutcomeListener of(Consumer<Outcome> outcome) {
-            return new OutcomeListener(outcome);
-        }
-
-        @Override
-        public void onAnswer(Response answer, Content.Source content) {
-            if (answer.getHeaders().contains(RequestHeaders.NOT_RUN)) {
-                Outcome notRun = new Outcome.NotRun("refused", Duration.ZERO);
-                Content.Source.consumeAll(content, Callback.from(() -> outcome.accept(notRun)));
-                return;
-            }
-            outcome.accept(new Outcome.Answered(answer, content));
-        }
-
-        @Override
-        public void onFailure(Throwable failure, boolean isNotRun) {
-            outcome.accept(
-                    isNotRun
-                            ? new Outcome.NotRun("unreachable", Duration.ZERO)
-                            : new Outcome.Unknown(failure));
-        }
-    }
 }
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/HttpForwarder.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/HttpForwarder.java
@@ -17,6 +17,7 @@
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.util.Callback;
+import org.sequoiahill.daemon.connection.ExchangeLostException;
 
 /** Sends one buffered request on and streams its answer back with backpressure. */
 public final class HttpForwarder {
@@ -54,13 +55,18 @@
         void onFailure(Throwable failure, boolean isNotRun);
     }
 
-    /** Sends a call; the listener is called from the client's threads. */
-    public void send(Call call, Listener listener) {
+    /**
+     * Sends a call; the listener is called from the client's threads.
+     *
+     * @return the request, by which the call can be aborted
+     */
+    public Request send(Call call, Listener listener) {
         AtomicBoolean answered = new AtomicBoolean();
         Request request =
                 mClient.newRequest(call.target())
                         .method(call.method())
                         .headers(fields -> copyEndToEnd(call.headers(), fields::add))
+                        .idleTimeout(call.timeout().toMillis(), TimeUnit.MILLISECONDS)
                         .timeout(call.timeout().toMillis(), TimeUnit.MILLISECONDS);
         String contentType = call.headers().get("Content-Type");
         if (call.body().hasRemaining()) {
@@ -75,6 +81,7 @@
                     listener.onAnswer(answer, content);
                 });
         request.send(result -> reportFailure(result, answered.get(), listener));
+        return request;
     }
 
     /** Copies an answer to the caller's response and completes the callback at its end. */
@@ -83,18 +90,34 @@
             Content.Source content,
             org.eclipse.jetty.server.Response response,
             Callback callback) {
-        response.setStatus(answer.getStatus());
-        copyEndToEnd(answer.getHeaders(), response.getHeaders()::add);
+        copyHead(answer, response);
         Content.copy(content, response, callback);
     }
 
+    /** Copies status and headers, but the identity, which belongs to the asked side's hop. */
+    public static void copyHead(Response answer, org.eclipse.jetty.server.Response response) {
+        response.setStatus(answer.getStatus());
+        copyEndToEnd(
+                answer.getHeaders(),
+                field -> {
+                    if (!field.getName().equalsIgnoreCase(RequestHeaders.REQUEST_ID)) {
+                        response.getHeaders().add(field);
+                    }
+                });
+    }
+
     private static void reportFailure(Result result, boolean isAnswered, Listener listener) {
         if (result.isFailed() && !isAnswered) {
             Throwable failure = result.getFailure();
-            listener.onFailure(failure, failure instanceof ConnectException);
+            listener.onFailure(failure, isNotRun(failure));
         }
     }
 
+    private static boolean isNotRun(Throwable failure) {
+        return failure instanceof ConnectException
+                || (failure instanceof ExchangeLostException lost && lost.isNotRun());
+    }
+
     private static void copyEndToEnd(HttpFields fields, Consumer<HttpField> to) {
         for (HttpField field : fields) {
             if (!RequestHeaders.HOP_BY_HOP.contains(field.getName().toLowerCase(Locale.ROOT))) {
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/OutcomeListener.java
@@ -0,0 +1,71 @@
+package org.sequoiahill.daemon.request;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.function.Consumer;
+import org.eclipse.jetty.client.Response;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.util.Callback;
+import org.sequoiahill.daemon.connection.ExchangeWatch;
+
+/**
+ * Turns what the forwarder hears of an attempt into an outcome.
+ *
+ * <p>An answer that does not echo the attempt's identity belongs to another request: it is dropped,
+ * and its connection is closed.
+ *
+ * @param attempt the attempt
+ * @param watched its watch, which ends here or with the answer's body
+ * @param outcome takes the outcome, once
+ */
+record OutcomeListener(Attempt attempt, ExchangeWatch.Watched watched, Consumer<Outcome> outcome)
+        implements HttpForwarder.Listener {
+    static OutcomeListener of(
+            Attempt attempt, ExchangeWatch.Watched watched, Consumer<Outcome> outcome) {
+        return new OutcomeListener(attempt, watched, outcome);
+    }
+
+    @Override
+    public void onAnswer(Response answer, Content.Source content) {
+        HttpFields headers = answer.getHeaders();
+        if (!attempt.requestId().equals(headers.get(RequestHeaders.REQUEST_ID))) {
+            watched.end();
+            IOException crossed = new IOException("the answer belongs to another request");
+            answer.abort(crossed);
+            outcome.accept(new Outcome.Unknown(crossed));
+            return;
+        }
+        if (isRetryableRefusal(answer)) {
+            end(content, new Outcome.NotRun("refused", Duration.ZERO));
+            return;
+        }
+        if (headers.contains(RequestHeaders.OUTCOME_UNKNOWN)) {
+            String code = headers.get(RequestHeaders.OUTCOME_UNKNOWN);
+            end(content, new Outcome.Unknown(new EndpointLostException(code)));
+            return;
+        }
+        outcome.accept(new Outcome.Answered(answer, watched.watch(content)));
+    }
+
+    @Override
+    public void onFailure(Throwable failure, boolean isNotRun) {
+        watched.end();
+        outcome.accept(
+                isNotRun
+                        ? new Outcome.NotRun("unreachable", Duration.ZERO)
+                        : new Outcome.Unknown(failure));
+    }
+
+    /** A refusal of the request itself would be the same elsewhere, so it goes to the caller. */
+    private static boolean isRetryableRefusal(Response answer) {
+        return answer.getHeaders().contains(RequestHeaders.NOT_RUN)
+                && answer.getStatus() == HttpStatus.SERVICE_UNAVAILABLE_503;
+    }
+
+    private void end(Content.Source content, Outcome known) {
+        watched.end();
+        Content.Source.consumeAll(content, Callback.from(() -> outcome.accept(known)));
+    }
+}
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/Refusal.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/Refusal.java
@@ -21,6 +21,11 @@
 public record Refusal(
         int status, String code, String message, boolean isNotRun, Duration retryAfter) {
     private static final JsonMapper MAPPER = JsonMapper.builder().build();
+
+    /** Code of the answer to a request that was in flight when its endpoint died. */
+    public static final String ENDPOINT_DIED = "endpoint_died";
+
+    private static final int BAD_GATEWAY = 502;
     private static final Duration DEFAULT_RETRY_AFTER = Duration.ofSeconds(1);
 
     /** Returns a refusal of a faulty request, which has not run. */
@@ -35,7 +40,12 @@
 
     /** Returns the answer to a request that may have run. */
     public static Refusal outcomeUnknown(String message) {
-        return new Refusal(502, "outcome_unknown", message, false, Duration.ZERO);
+        return new Refusal(BAD_GATEWAY, "outcome_unknown", message, false, Duration.ZERO);
+    }
+
+    /** Returns the answer to a request that may have run on an endpoint that has died. */
+    public static Refusal endpointDied(String message) {
+        return new Refusal(BAD_GATEWAY, ENDPOINT_DIED, message, false, Duration.ZERO);
     }
 
     /** Writes the refusal as the whole response. */
@@ -45,6 +55,9 @@
         if (isNotRun) {
             response.getHeaders().put(RequestHeaders.NOT_RUN, "true");
         }
+        if (status == BAD_GATEWAY && !isNotRun) {
+            response.getHeaders().put(RequestHeaders.OUTCOME_UNKNOWN, code);
+        }
         if (!retryAfter.isZero()) {
             long seconds = Math.max(1, retryAfter.plusMillis(999).toSeconds());
             response.getHeaders().put(HttpHeader.RETRY_AFTER, seconds);
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/RequestHeaders.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/RequestHeaders.java
@@ -34,6 +34,12 @@
     /** Hash of a prompt's beginning, for engines that cache prefixes. */
     public static final String PREFIX = "Sequoia-Prefix";
 
+    /** Present on an answer of an agent or entry that can't know whether the request has run. */
+    public static final String OUTCOME_UNKNOWN = "Sequoia-Outcome-Unknown";
+
+    /** Identity of a request towards an endpoint; one that echoes it is checked. */
+    public static final String ENDPOINT_REQUEST_ID = "X-Request-Id";
+
     /** Headers that belong to one connection and are never passed on. */
     static final Set<String> HOP_BY_HOP =
             Set.of(
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/quarantine/SharedQuarantine.java
@@ -0,0 +1,140 @@
+package org.sequoiahill.daemon.request.quarantine;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import java.io.EOFException;
+import java.nio.ByteBuffer;
+import java.nio.channels.ClosedChannelException;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import org.sequoiahill.daemon.request.Attempt;
+import org.sequoiahill.daemon.request.EndpointLostException;
+import org.sequoiahill.daemon.request.Outcome;
+import org.sequoiahill.daemon.request.Quarantine;
+import org.sequoiahill.daemon.request.Refusal;
+import org.sequoiahill.daemon.request.RoutedRequest;
+import org.sequoiahill.daemon.request.once.ClaimedCalls;
+import org.sequoiahill.daemon.request.quarantine.SuspectTable.Suspect;
+import org.sequoiahill.daemon.request.stream.EndpointBrokeException;
+import org.sequoiahill.protocol.document.ServiceDocument.Kind;
+import org.sequoiahill.protocol.weights.Digests;
+import org.tinylog.Logger;
+
+/** Makes requests suspects at the death of their endpoint, tells peers, refuses the quarantined. */
+public final class SharedQuarantine implements Quarantine {
+    private static final int STATUS = 422;
+
+    private final SuspectTable mTable;
+    private final RandomGenerator mRandom;
+    private final Consumer<Suspect> mTell;
+    private final MeterRegistry mMetrics;
+
+    private SharedQuarantine(
+            SuspectTable table,
+            RandomGenerator random,
+            Consumer<Suspect> tell,
+            MeterRegistry metrics) {
+        mTable = table;
+        mRandom = random;
+        mTell = tell;
+        mMetrics = metrics;
+    }
+
+    /**
+     * Returns the quarantine of an entry.
+     *
+     * @param table what this entry knows
+     * @param random draws names of deaths
+     * @param tell tells the other entries of a death that this one has seen
+     * @param metrics counts suspects and refusals
+     */
+    public static SharedQuarantine of(
+            SuspectTable table,
+            RandomGenerator random,
+            Consumer<Suspect> tell,
+            MeterRegistry metrics) {
+        return new SharedQuarantine(table, random, tell, metrics);
+    }
+
+    @Override
+    public Optional<Refusal> check(RoutedRequest request) {
+        Optional<Duration> left = mTable.quarantine(fingerprintOf(request));
+        left.ifPresent(time -> mMetrics.counter("sequoia_quarantine_refused").increment());
+        return left.map(
+                time ->
+                        new Refusal(
+                                STATUS,
+                                "quarantined",
+                                "endpoints died while this request ran on them",
+                                true,
+                                time));
+    }
+
+    @Override
+    public boolean mustRunAlone(RoutedRequest request) {
+        return mTable.isSuspect(fingerprintOf(request));
+    }
+
+    @Override
+    public void ended(RoutedRequest request, Attempt attempt, Outcome outcome) {
+        if (outcome instanceof Outcome.Unknown unknown
+                && isDeath(unknown.cause())
+                && !attempt.isHop()) {
+            suspect(request);
+        }
+    }
+
+    @Override
+    public void broke(RoutedRequest request, Attempt attempt, Throwable cause) {
+        if (cause instanceof EndpointBrokeException && !attempt.isHop()) {
+            suspect(request);
+        }
+    }
+
+    /** A timeout, a lost connection or a crossed answer is no death. */
+    private static boolean isDeath(Throwable cause) {
+        return cause instanceof EOFException
+                || cause instanceof ClosedChannelException
+                || (cause instanceof EndpointLostException lost && lost.hasDied());
+    }
+
+    private void suspect(RoutedRequest request) {
+        Suspect suspect =
+                new Suspect(fingerprintOf(request), Set.of(mRandom.nextLong()), Duration.ZERO);
+        mMetrics.counter("sequoia_quarantine_deaths").increment();
+        Logger.warn(
+                "a request of {} was in flight when its endpoint died",
+                request.organisation().name());
+        mTable.note(suspect);
+        mTell.accept(suspect);
+    }
+
+    /**
+     * Returns the digest of organisation, method, path and body; equal for a resend.
+     *
+     * <p>Equal bodies with different keys are different calls of a plain service, and a keyed call
+     * that was lost never runs again, so there the key counts too.
+     */
+    static ByteBuffer fingerprintOf(RoutedRequest request) {
+        MessageDigest digest = Digests.sha256();
+        String head =
+                String.join(
+                        "\n",
+                        request.organisation().name(),
+                        request.method(),
+                        request.pathQuery(),
+                        keyOf(request));
+        digest.update(head.getBytes(StandardCharsets.UTF_8));
+        digest.update(request.body().slice());
+        return ByteBuffer.wrap(digest.digest()).asReadOnlyBuffer();
+    }
+
+    private static String keyOf(RoutedRequest request) {
+        String key = request.headers().get(ClaimedCalls.IDEMPOTENCY_KEY);
+        return request.service().kind() == Kind.PLAIN && key != null ? key + "\n" : "";
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/quarantine/SuspectShare.java
@@ -0,0 +1,103 @@
+package org.sequoiahill.daemon.request.quarantine;
+
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.sequoiahill.daemon.process.control.ControlClient;
+import org.sequoiahill.daemon.process.control.Identity;
+import org.sequoiahill.daemon.process.control.ServiceStub;
+import org.sequoiahill.daemon.process.settings.HostPort;
+import org.sequoiahill.daemon.request.quarantine.SuspectTable.Suspect;
+import org.sequoiahill.protocol.gen.SuspectList;
+import org.sequoiahill.protocol.gen.SuspectRequest;
+import org.sequoiahill.protocol.gen.Suspects;
+import org.tinylog.Logger;
+
+/** Tells the other entries of all data centres of suspects, and learns of theirs. */
+public final class SuspectShare implements Suspects.Iface {
+    private static final int MAX_SUSPECTS = 1_000;
+    private static final int FINGERPRINT_BYTES = 32;
+
+    private final Identity mIdentity;
+    private final SuspectTable mTable;
+    private final ControlClient mClient;
+    private final List<HostPort> mPeers;
+
+    private SuspectShare(
+            Identity identity, SuspectTable table, ControlClient client, List<HostPort> peers) {
+        mIdentity = identity;
+        mTable = table;
+        mClient = client;
+        mPeers = List.copyOf(peers);
+    }
+
+    /** Returns a share with the entries at these control addresses. */
+    public static SuspectShare of(
+            Identity identity, SuspectTable table, ControlClient client, List<HostPort> peers) {
+        return new SuspectShare(identity, table, client, peers);
+    }
+
+    /** Asks all peers for what they know; a process that has just started knows nothing. */
+    public void learn() {
+        send(List.of());
+    }
+
+    /** Tells all peers of a suspect. */
+    public void tell(Suspect suspect) {
+        send(List.of(suspect));
+    }
+
+    @Override
+    public SuspectList tell(SuspectList told) {
+        take(told);
+        return listOf(mTable.newest(MAX_SUSPECTS));
+    }
+
+    private void send(List<Suspect> suspects) {
+        SuspectList list = listOf(suspects);
+        for (HostPort peer : mPeers) {
+            mClient.call(peer, ServiceStub.SUSPECTS, client -> client.tell(list))
+                    .whenComplete(
+                            (answer, failure) -> {
+                                if (failure != null) {
+                                    Logger.warn("{} was not told of suspects: {}", peer, failure);
+                                    return;
+                                }
+                                take(answer);
+                            });
+        }
+    }
+
+    private void take(SuspectList told) {
+        told.getSuspects().stream()
+                .limit(MAX_SUSPECTS)
+                .filter(suspect -> suspect.getFingerprint().length == FINGERPRINT_BYTES)
+                .filter(suspect -> suspect.getAgeMillis() >= 0)
+                .map(SuspectShare::suspectOf)
+                .forEach(mTable::note);
+    }
+
+    private static Suspect suspectOf(SuspectRequest told) {
+        Set<Long> deaths = new HashSet<>();
+        told.getDeaths().stream().limit(SuspectTable.DEATHS_TO_QUARANTINE).forEach(deaths::add);
+        return new Suspect(
+                ByteBuffer.wrap(told.getFingerprint()),
+                deaths,
+                Duration.ofMillis(told.getAgeMillis()));
+    }
+
+    private SuspectList listOf(List<Suspect> suspects) {
+        List<SuspectRequest> list =
+                suspects.stream()
+                        .map(
+                                suspect ->
+                                        new SuspectRequest(
+                                                suspect.fingerprint().slice(),
+                                                List.copyOf(suspect.deaths()),
+                                                suspect.age().toMillis()))
+                        .toList();
+        return new SuspectList(mIdentity.sender(), list);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/quarantine/SuspectTable.java
@@ -0,0 +1,120 @@
+package org.sequoiahill.daemon.request.quarantine;
+
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.sequoiahill.daemon.process.time.MonotonicClock;
+
+/**
+ * Requests by fingerprint that were in flight when endpoints died.
+ *
+ * <p>Deaths are named, so that one that is told by several entries counts once. Records are bounded
+ * in number and time; the one that was touched longest ago goes first.
+ */
+public final class SuspectTable {
+    /** Deaths after which a request is quarantined. */
+    public static final int DEATHS_TO_QUARANTINE = 2;
+
+    /** Time after the last death that a request stays a suspect or quarantined. */
+    public static final Duration RETENTION = Duration.ofMinutes(10);
+
+    private final MonotonicClock mClock;
+    private final int mMaxRecords;
+    private final Map<ByteBuffer, Trace> mRecords = new LinkedHashMap<>();
+
+    private SuspectTable(MonotonicClock clock, int maxRecords) {
+        mClock = clock;
+        mMaxRecords = maxRecords;
+    }
+
+    /** Returns an empty table that holds at most {@code maxRecords} fingerprints. */
+    public static SuspectTable of(MonotonicClock clock, int maxRecords) {
+        return new SuspectTable(clock, maxRecords);
+    }
+
+    /**
+     * One suspect as entries tell one another.
+     *
+     * @param fingerprint fingerprint of the request
+     * @param deaths names of the deaths
+     * @param age time since the last of them
+     */
+    public record Suspect(ByteBuffer fingerprint, Set<Long> deaths, Duration age) {}
+
+    private record Trace(Set<Long> deaths, Duration last) {}
+
+    /** Notes deaths; returns whether any of them was new here. */
+    public synchronized boolean note(Suspect suspect) {
+        Duration at = mClock.now().minus(suspect.age());
+        if (suspect.age().compareTo(RETENTION) >= 0) {
+            return false;
+        }
+        Trace held = mRecords.remove(suspect.fingerprint());
+        Set<Long> deaths = new LinkedHashSet<>();
+        if (held != null && !isOver(held)) {
+            deaths.addAll(held.deaths());
+        }
+        boolean isNew = deaths.size() < DEATHS_TO_QUARANTINE && deaths.addAll(suspect.deaths());
+        Duration last = held == null || held.last().compareTo(at) < 0 ? at : held.last();
+        mRecords.put(suspect.fingerprint(), new Trace(deaths, last));
+        forget();
+        return isNew;
+    }
+
+    /** Returns whether a request was in flight at a death, and so must run alone. */
+    public synchronized boolean isSuspect(ByteBuffer fingerprint) {
+        Trace record = mRecords.get(fingerprint);
+        return record != null && !isOver(record);
+    }
+
+    /** Returns the time until a quarantine ends; empty where the request is in none. */
+    public synchronized Optional<Duration> quarantine(ByteBuffer fingerprint) {
+        Trace record = mRecords.get(fingerprint);
+        if (record == null || isOver(record) || record.deaths().size() < DEATHS_TO_QUARANTINE) {
+            return Optional.empty();
+        }
+        return Optional.of(record.last().plus(RETENTION).minus(mClock.now()));
+    }
+
+    /** Returns what is held, at most {@code max} suspects, the newest first. */
+    public synchronized List<Suspect> newest(int max) {
+        List<Suspect> suspects = new ArrayList<>();
+        mRecords.forEach(
+                (fingerprint, record) ->
+                        suspects.add(
+                                0,
+                                new Suspect(
+                                        fingerprint,
+                                        Set.copyOf(record.deaths()),
+                                        mClock.now().minus(record.last()))));
+        return List.copyOf(suspects.subList(0, Math.min(max, suspects.size())));
+    }
+
+    /** Returns the fingerprints that are held. */
+    public synchronized int size() {
+        return mRecords.size();
+    }
+
+    private boolean isOver(Trace record) {
+        return record.last().plus(RETENTION).compareTo(mClock.now()) <= 0;
+    }
+
+    private void forget() {
+        Iterator<Trace> oldest = mRecords.values().iterator();
+        boolean isSurplus = true;
+        while (isSurplus && oldest.hasNext()) {
+            Trace record = oldest.next();
+            isSurplus = mRecords.size() > mMaxRecords || isOver(record);
+            if (isSurplus) {
+                oldest.remove();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/stream/StreamBuffers.java
@@ -0,0 +1,137 @@
+package org.sequoiahill.daemon.request.stream;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpStatus;
+import org.sequoiahill.daemon.process.time.MonotonicClock;
+import org.sequoiahill.daemon.process.time.Periodic;
+import org.sequoiahill.daemon.request.Attempt;
+import org.sequoiahill.daemon.request.HttpForwarder;
+import org.sequoiahill.daemon.request.Outcome;
+import org.sequoiahill.daemon.request.Quarantine;
+import org.sequoiahill.daemon.request.RoutedRequest;
+import org.sequoiahill.daemon.request.StreamRelay;
+import org.sequoiahill.protocol.document.ServiceDocument.Kind;
+
+/** Relays streams of model services through bounded buffers; all other answers are copied. */
+public final class StreamBuffers implements StreamRelay {
+    private static final Duration CHECK_INTERVAL = Duration.ofMillis(500);
+    private static final String EVENT_STREAM = "text/event-stream";
+
+    private final ParkingPolicy mPolicy;
+    private final MonotonicClock mClock;
+    private final Quarantine mQuarantine;
+    private final ScheduledExecutorService mScheduler;
+    private final MeterRegistry mMetrics;
+    private final AtomicLong mBuffered = new AtomicLong();
+    private final Map<String, BufferedStream> mStreams = new ConcurrentHashMap<>();
+
+    private StreamBuffers(
+            ParkingPolicy policy,
+            MonotonicClock clock,
+            Quarantine quarantine,
+            ScheduledExecutorService scheduler,
+            MeterRegistry metrics) {
+        mScheduler = scheduler;
+        mPolicy = policy;
+        mClock = clock;
+        mQuarantine = quarantine;
+        mMetrics = metrics;
+        metrics.gauge("sequoia_stream_buffered_bytes", mBuffered);
+        metrics.gaugeMapSize("sequoia_streams", List.of(), mStreams);
+    }
+
+    /** Returns a relay; {@link #start} makes it park slow readers. */
+    public static StreamBuffers of(
+            ParkingPolicy policy,
+            MonotonicClock clock,
+            Quarantine quarantine,
+            ScheduledExecutorService scheduler,
+            MeterRegistry metrics) {
+        return new StreamBuffers(policy, clock, quarantine, scheduler, metrics);
+    }
+
+    /** Starts to look for readers to park again and again. */
+    public void start() {
+        Periodic.every(mScheduler, CHECK_INTERVAL, "parking", this::parkSlowReaders);
+    }
+
+    @Override
+    public void relay(
+            RoutedRequest request,
+            Attempt attempt,
+            Outcome.Answered answered,
+            Destination destination,
+            Resumer resumer) {
+        if (!isEventStream(request, answered)) {
+            HttpForwarder.relay(
+                    answered.answer(),
+                    answered.content(),
+                    destination.response(),
+                    destination.end());
+            return;
+        }
+        HttpForwarder.copyHead(answered.answer(), destination.response());
+        BufferedStream stream =
+                new BufferedStream(
+                        this,
+                        attempt.requestId(),
+                        destination,
+                        Resumption.of(answered.answer().getHeaders(), resumer),
+                        cause ->
+                                mQuarantine.broke(
+                                        request, attempt, new EndpointBrokeException(cause)));
+        mStreams.put(attempt.requestId(), stream);
+        stream.start(answered.content());
+    }
+
+    /** Parks the readers that the policy chooses. */
+    void parkSlowReaders() {
+        List<ParkingPolicy.Reader> readers =
+                mStreams.values().stream()
+                        .filter(BufferedStream::isFlowing)
+                        .map(BufferedStream::reader)
+                        .toList();
+        for (String id : mPolicy.choose(readers, mBuffered.get(), mClock.now())) {
+            BufferedStream stream = mStreams.get(id);
+            if (stream != null) {
+                stream.park();
+            }
+        }
+    }
+
+    void later(Duration time, Runnable task) {
+        mScheduler.schedule(task, time.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    Duration now() {
+        return mClock.now();
+    }
+
+    void buffered(long bytes) {
+        mBuffered.addAndGet(bytes);
+    }
+
+    void count(String what) {
+        mMetrics.counter("sequoia_streams_changed", "what", what).increment();
+    }
+
+    void ended(String id) {
+        mStreams.remove(id);
+    }
+
+    private static boolean isEventStream(RoutedRequest request, Outcome.Answered answered) {
+        String type = answered.answer().getHeaders().get(HttpHeader.CONTENT_TYPE);
+        return request.service().kind() == Kind.MODEL
+                && answered.answer().getStatus() == HttpStatus.OK_200
+                && type != null
+                && type.startsWith(EVENT_STREAM);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/stream/package-info.java
@@ -0,0 +1,5 @@
+/** Streams of tokens to callers: bounded buffers, parking of slow readers, resuming. */
+@NullMarked
+package org.sequoiahill.daemon.request.stream;
+
+import org.jspecify.annotations.NullMarked;
--- a/daemon/src/test/java/org/sequoiahill/daemon/request/once/RunOnceWorld.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/request/once/RunOnceWorld.java
@@ -39,6 +39,8 @@
         ENTRY_STALLS_BEFORE,
         /** Another entry handles a resend while this one stands still after the step. */
         ENTRY_STALLS_AFTER,
+        /** Another entry handles a resend while the call runs at the ledger. */
+        RESEND_WITHIN,
         /** The registry has no majority from this step on, until the exchange ends. */
         NO_MAJORITY
     }
@@ -218,6 +220,9 @@
                             restartAgent();
                             return new RunOnceEvent.CallLost();
                         }
+                        if (mFault == Fault.RESEND_WITHIN && mStep == mFaultStep) {
+                            exchange(0, Fault.NONE);
+                        }
                         RecordedAnswer answer = answer(mLedgerRuns);
                         mAgent.finish(ticket, answer);
                         return new RunOnceEvent.Answered(answer);
--- /dev/null
+++ b/daemon/src/test/java/org/sequoiahill/daemon/request/quarantine/SuspectTableTest.java
@@ -0,0 +1,113 @@
+package org.sequoiahill.daemon.request.quarantine;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.sequoiahill.daemon.request.quarantine.SuspectTable.Suspect;
+
+final class SuspectTableTest {
+    private static final int MAX_RECORDS = 3;
+    private static final ByteBuffer POISON = ByteBuffer.wrap(new byte[] {1});
+
+    private Duration mNow = Duration.ofHours(1);
+    private final SuspectTable mTable = newTable();
+
+    static Stream<Arguments> cases() {
+        Duration minute = Duration.ofMinutes(1);
+        Duration over = SuspectTable.RETENTION.plus(minute);
+        return Stream.of(
+                Arguments.of("no death", List.of(), List.of(), false, false),
+                Arguments.of("one death", List.of(1L), List.of(minute), true, false),
+                Arguments.of("two deaths", List.of(1L, 2L), List.of(minute, minute), true, true),
+                Arguments.of(
+                        "one death told twice",
+                        List.of(1L, 1L),
+                        List.of(minute, minute),
+                        true,
+                        false),
+                Arguments.of("one old death", List.of(1L), List.of(over), false, false),
+                Arguments.of(
+                        "two deaths far apart",
+                        List.of(1L, 2L),
+                        List.of(over, minute),
+                        true,
+                        false),
+                Arguments.of("two old ones", List.of(1L, 2L), List.of(minute, over), false, false));
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("cases")
+    void table_afterDeaths_isAsStated(
+            String name,
+            List<Long> deaths,
+            List<Duration> waits,
+            boolean isSuspect,
+            boolean isQuarantined) {
+        for (int i = 0; i < deaths.size(); i++) {
+            mTable.note(suspect(POISON, deaths.get(i)));
+            mNow = mNow.plus(waits.get(i));
+        }
+
+        assertThat(name, mTable.isSuspect(POISON), equalTo(isSuspect));
+        assertThat(name, mTable.quarantine(POISON).isPresent(), equalTo(isQuarantined));
+    }
+
+    @Test
+    void quarantine_tellsWhenItEnds() {
+        mTable.note(suspect(POISON, 1));
+        mTable.note(suspect(POISON, 2));
+        mNow = mNow.plusSeconds(60);
+
+        Duration left = SuspectTable.RETENTION.minusSeconds(60);
+        assertThat(mTable.quarantine(POISON), equalTo(Optional.of(left)));
+    }
+
+    @Test
+    void note_moreThanTheBound_forgetsTheOldest() {
+        for (byte i = 0; i < 2 * MAX_RECORDS; i++) {
+            mTable.note(suspect(ByteBuffer.wrap(new byte[] {i}), i));
+        }
+
+        assertThat(mTable.size(), equalTo(MAX_RECORDS));
+        assertThat(mTable.isSuspect(ByteBuffer.wrap(new byte[] {0})), equalTo(false));
+        assertThat(mTable.isSuspect(ByteBuffer.wrap(new byte[] {5})), equalTo(true));
+    }
+
+    @Test
+    void resend_tenTimesAtEntriesThatShare_fellsTwoEndpoints() {
+        List<SuspectTable> entries = new ArrayList<>();
+        for (int i = 0; i < 10; i++) {
+            entries.add(newTable());
+        }
+        int fallen = 0;
+        for (int resend = 0; resend < 10; resend++) {
+            SuspectTable entry = entries.get(resend);
+            if (entry.quarantine(POISON).isEmpty()) {
+                Suspect seen = suspect(POISON, ++fallen);
+                entries.forEach(table -> table.note(seen));
+            }
+        }
+
+        assertThat(fallen, lessThanOrEqualTo(2));
+    }
+
+    private SuspectTable newTable() {
+        return SuspectTable.of(() -> mNow, MAX_RECORDS);
+    }
+
+    private static Suspect suspect(ByteBuffer fingerprint, long death) {
+        return new Suspect(fingerprint, Set.of(death), Duration.ZERO);
+    }
+}
--- a/examples/src/main/java/org/sequoiahill/examples/Completion.java
+++ b/examples/src/main/java/org/sequoiahill/examples/Completion.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.ScheduledExecutorService;
@@ -9,9 +10,16 @@
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
+import org.jspecify.annotations.Nullable;
 
 /** One streamed completion: tokens that name the prompt and the weights they come from. */
 final class Completion {
+    /** Header that names a request and is echoed. */
+    static final String REQUEST_ID = "X-Request-Id";
+
+    private static final int CRASH_STATUS = 70;
+    private static final int TOKENS_BEFORE_CUT = 3;
+    private static final int LATE_SECONDS = 3;
     private static final JsonMapper MAPPER = JsonMapper.builder().build();
 
     private final ScheduledExecutorService mScheduler;
@@ -30,30 +38,59 @@
         mResponse = response;
     }
 
-    void start(String prompt, int tokens, Callback callback) {
+    /**
+     * What one completion is.
+     *
+     * @param prompt text that each token names
+     * @param from token to begin with, where an earlier completion broke off
+     * @param tokens tokens of the whole completion
+     * @param fault what goes wrong
+     */
+    record Plan(String prompt, int from, int tokens, EngineFaults.Kind fault) {}
+
+    void start(@Nullable String requestId, Plan plan, Callback callback) {
         mResponse.getHeaders().put(HttpHeader.CONTENT_TYPE, "text/event-stream");
-        schedule(prompt, 0, tokens, callback);
+        if (requestId != null) {
+            mResponse.getHeaders().put(REQUEST_ID, requestId);
+        }
+        switch (plan.fault()) {
+            case SILENT -> {}
+            case CRASH -> Runtime.getRuntime().halt(CRASH_STATUS);
+            case CROSSED -> {
+                mResponse.getHeaders().put(REQUEST_ID, "another-request");
+                Plan other = new Plan("another prompt", 0, plan.tokens(), EngineFaults.Kind.NONE);
+                schedule(other, 0, callback);
+            }
+            case LATE ->
+                    mScheduler.schedule(
+                            () -> emit(plan, plan.from(), callback),
+                            LATE_SECONDS,
+                            TimeUnit.SECONDS);
+            default -> schedule(plan, plan.from(), callback);
+        }
     }
 
-    private void schedule(String prompt, int token, int tokens, Callback callback) {
-        mScheduler.schedule(
-                () -> emit(prompt, token, tokens, callback), mTokenMillis, TimeUnit.MILLISECONDS);
+    private void schedule(Plan plan, int token, Callback callback) {
+        mScheduler.schedule(() -> emit(plan, token, callback), mTokenMillis, TimeUnit.MILLISECONDS);
     }
 
-    private void emit(String prompt, int token, int tokens, Callback callback) {
-        if (token == tokens) {
+    private void emit(Plan plan, int token, Callback callback) {
+        if (token == plan.tokens()) {
             mResponse.write(true, event("[DONE]"), callback);
             return;
         }
+        if (plan.fault() == EngineFaults.Kind.CUT && token == plan.from() + TOKENS_BEFORE_CUT) {
+            callback.failed(new IOException("the stream was cut on demand"));
+            return;
+        }
         ObjectNode chunk = MAPPER.createObjectNode();
         chunk.put("object", "text_completion");
         chunk.put("system_fingerprint", mFingerprint);
-        chunk.putArray("choices").addObject().put("text", prompt + "#" + token + " ");
+        chunk.putArray("choices").addObject().put("text", plan.prompt() + "#" + token + " ");
         mResponse.write(
                 false,
                 event(chunk.toString()),
-                Callback.from(
-                        () -> schedule(prompt, token + 1, tokens, callback), callback::failed));
+                Callback.from(() -> schedule(plan, token + 1, callback), callback::failed));
     }
 
     private static ByteBuffer event(String data) {
--- a/examples/src/main/java/org/sequoiahill/examples/EngineHandler.java
+++ b/examples/src/main/java/org/sequoiahill/examples/EngineHandler.java
@@ -26,10 +26,12 @@
 final class EngineHandler extends Handler.Abstract {
     private static final JsonMapper MAPPER = JsonMapper.builder().build();
     private static final String OTHER_DIGEST = "other";
+    private static final String RESUME_FROM = "Sequoia-Resume-From";
     private static final int DEFAULT_TOKENS = 16;
 
     private final StandInEngine.Arguments mArguments;
     private final ScheduledExecutorService mScheduler;
+    private final EngineFaults mFaults = new EngineFaults();
     private final AtomicInteger mRunning = new AtomicInteger();
     private final List<String> mLoaded = new ArrayList<>();
     private volatile String mVersionDigest = "";
@@ -63,12 +65,22 @@
             }
             case "/v1/completions" -> {
                 JsonNode prompt = MAPPER.readTree(Content.Source.asInputStream(request));
-                new Completion(mScheduler, mArguments.tokenMillis(), mVersionDigest, response)
-                        .start(
+                Completion.Plan plan =
+                        new Completion.Plan(
                                 prompt.path("prompt").asText(),
+                                resumeFrom(request, response),
                                 prompt.path("max_tokens").asInt(DEFAULT_TOKENS),
+                                mFaults.next(prompt.path("prompt").asText()));
+                new Completion(mScheduler, mArguments.tokenMillis(), mVersionDigest, response)
+                        .start(
+                                request.getHeaders().get(Completion.REQUEST_ID),
+                                plan,
                                 counted(callback));
             }
+            case "/admin/request-fault" -> {
+                mFaults.add(MAPPER.readTree(Content.Source.asInputStream(request)));
+                StandInServer.json(response, callback, 200, state());
+            }
             default -> {
                 return false;
             }
@@ -76,6 +88,16 @@
         return true;
     }
 
+    /** Returns the token to go on from, and confirms it in the answer. */
+    private static int resumeFrom(Request request, Response response) {
+        String from = request.getHeaders().get(RESUME_FROM);
+        if (from == null) {
+            return 0;
+        }
+        response.getHeaders().put(RESUME_FROM, from);
+        return Integer.parseInt(from);
+    }
+
     private Callback counted(Callback callback) {
         mRunning.incrementAndGet();
         return Callback.from(callback, mRunning::decrementAndGet);
--- a/examples/src/main/java/org/sequoiahill/examples/StandInLedger.java
+++ b/examples/src/main/java/org/sequoiahill/examples/StandInLedger.java
@@ -1,11 +1,15 @@
 package org.sequoiahill.examples;
 
 import com.beust.jcommander.Parameter;
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Handler;
@@ -13,7 +17,10 @@
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
 
-/** A stand-in plain service whose calls must not be repeated; it counts every run by key. */
+/**
+ * A stand-in plain service whose calls must not be repeated; it counts every run by key before it
+ * answers, and answers after the {@code delayMillis} of the body.
+ */
 public final class StandInLedger {
     private StandInLedger() {}
 
@@ -32,6 +39,7 @@
     private static final class EntriesHandler extends Handler.Abstract {
         private static final JsonMapper MAPPER = JsonMapper.builder().build();
 
+        private final ScheduledExecutorService mScheduler = Executors.newScheduledThreadPool(1);
         private final Map<String, AtomicInteger> mRuns = new ConcurrentHashMap<>();
 
         @Override
@@ -39,13 +47,17 @@
                 throws IOException {
             switch (Request.getPathInContext(request)) {
                 case "/entries" -> {
-                    Content.Source.asString(request);
+                    JsonNode body = MAPPER.readTree(Content.Source.asInputStream(request));
                     String key = request.getHeaders().get("Idempotency-Key");
                     int runs =
                             mRuns.computeIfAbsent(String.valueOf(key), k -> new AtomicInteger())
                                     .incrementAndGet();
                     ObjectNode answer = MAPPER.createObjectNode().put("key", key);
-                    StandInServer.json(response, callback, 201, answer.put("run", runs));
+                    answer.put("run", runs);
+                    mScheduler.schedule(
+                            () -> StandInServer.json(response, callback, 201, answer),
+                            body.path("delayMillis").asLong(),
+                            TimeUnit.MILLISECONDS);
                 }
                 case "/admin/runs" -> {
                     ObjectNode runs = MAPPER.createObjectNode();
