--- a/daemon/src/main/java/org/sequoiahill/daemon/process/ProcessModule.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/ProcessModule.java
@@ -10,8 +10,12 @@
 import java.time.InstantSource;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionHandler;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.SynchronousQueue;
 import java.util.concurrent.ThreadFactory;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.random.RandomGenerator;
 import org.eclipse.jetty.client.HttpClient;
@@ -34,7 +38,9 @@
 /** Provides what lives as long as the process, whatever its roles. */
 @Module
 final class ProcessModule {
-    private static final int CONTROL_THREADS = 16;
+    private static final int CONTROL_THREADS = 256;
+    private static final int CONTROL_CALL_THREADS = 64;
+    private static final long IDLE_THREAD_SECONDS = 30;
     private static final int SCHEDULER_THREADS = 2;
     private static final int CLIENT_THREADS = 32;
     private static final int MAX_CONNECTIONS_PER_PEER = 4_096;
@@ -79,7 +85,8 @@
     @Provides
     @Singleton
     static ExecutorService controlExecutor() {
-        return Executors.newFixedThreadPool(CONTROL_THREADS, daemonThreads("control"));
+        // A handler may wait for a commit, which needs other handlers to run.
+        return boundedThreads("control", CONTROL_THREADS, new ThreadPoolExecutor.AbortPolicy());
     }
 
     @Provides
@@ -90,8 +97,12 @@
 
     @Provides
     @Singleton
-    static ControlClient controlClient(ExecutorService executor) {
-        return ControlClient.on(executor);
+    static ControlClient controlClient() {
+        return ControlClient.on(
+                boundedThreads(
+                        "control-call",
+                        CONTROL_CALL_THREADS,
+                        new ThreadPoolExecutor.CallerRunsPolicy()));
     }
 
     @Provides
@@ -159,6 +170,18 @@
         return RequestPolicy.fromSystemProperties();
     }
 
+    private static ExecutorService boundedThreads(
+            String name, int most, RejectedExecutionHandler whenFull) {
+        return new ThreadPoolExecutor(
+                0,
+                most,
+                IDLE_THREAD_SECONDS,
+                TimeUnit.SECONDS,
+                new SynchronousQueue<>(),
+                daemonThreads(name),
+                whenFull);
+    }
+
     static ThreadFactory daemonThreads(String name) {
         AtomicInteger count = new AtomicInteger();
         return task -> {
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/StoreRole.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/StoreRole.java
@@ -2,11 +2,9 @@
 
 import jakarta.inject.Inject;
 import jakarta.inject.Singleton;
-import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.time.InstantSource;
 import java.util.List;
-import java.util.concurrent.ScheduledExecutorService;
+import java.util.random.RandomGenerator;
 import org.eclipse.jetty.server.Handler;
 import org.sequoiahill.daemon.process.claims.ClaimBounds;
 import org.sequoiahill.daemon.process.claims.ClaimsHandler;
@@ -22,8 +20,8 @@
 import org.sequoiahill.daemon.process.control.ServiceStub;
 import org.sequoiahill.daemon.process.controller.OriginBudget;
 import org.sequoiahill.daemon.process.controller.TurnHandler;
-import org.sequoiahill.daemon.process.log.FixedLeaderLog;
-import org.sequoiahill.daemon.process.log.ReplicatedLog;
+import org.sequoiahill.daemon.process.log.StateMachine;
+import org.sequoiahill.daemon.process.log.StoreGroup;
 import org.sequoiahill.daemon.process.settings.DaemonSettings;
 import org.sequoiahill.daemon.process.time.MonotonicClock;
 import org.sequoiahill.protocol.gen.Claims;
@@ -33,9 +31,14 @@
 /** The role of a voter of the replicated log. */
 @Singleton
 final class StoreRole implements DaemonRole {
-    private final ScheduledExecutorService mScheduler;
-    private final FixedLeaderLog mLog;
+    private final DaemonSettings mSettings;
+    private final Identity mIdentity;
+    private final MonotonicClock mClock;
+    private final RandomGenerator mRandom;
+    private final InstantSource mTime;
     private final ConfigurationMachine mMachine;
+    private final StoreGroup mConfigGroup;
+    private final StoreGroup mClaimsGroup;
     private final ConfigurationWriter mWriter;
     private final TurnHandler mTurns;
     private final ClaimsHandler mClaims;
@@ -48,29 +51,23 @@
             ControlClient client,
             MonotonicClock clock,
             InstantSource time,
-            ScheduledExecutorService scheduler) {
-        mScheduler = scheduler;
+            RandomGenerator random) {
+        mSettings = settings;
+        mIdentity = identity;
+        mClock = clock;
+        mRandom = random;
+        mTime = time;
         mMachine = ConfigurationMachine.of(identity, view, ConfigurationBounds.standard());
         ClaimsMachine claims = ClaimsMachine.of(ClaimBounds.standard());
-        try {
-            mLog =
-                    FixedLeaderLog.open(
-                            identity,
-                            settings.stores(),
-                            client,
-                            SharedLog.applier(List.of(mMachine::apply, claims::apply)),
-                            settings.dataFolder().resolve("log"));
-        } catch (IOException e) {
-            throw new UncheckedIOException("the log can't be opened", e);
-        }
-        ReplicatedLog config = SharedLog.part(mLog, 0);
-        mClaims = ClaimsHandler.of(identity, SharedLog.part(mLog, 1), claims, time);
-        mWriter = LeaderWriter.of(identity, config, mMachine, time);
+        mConfigGroup = openGroup("config", ServiceStub.LOG_CONFIG, mMachine);
+        mClaimsGroup = openGroup("claims", ServiceStub.LOG_CLAIMS, claims);
+        mClaims = ClaimsHandler.of(identity, mClaimsGroup.log(), claims, time);
+        mWriter = LeaderWriter.of(identity, mConfigGroup.log(), mMachine, time);
         mTurns =
                 TurnHandler.of(
                         identity,
                         view,
-                        mLog,
+                        mConfigGroup.log(),
                         client,
                         settings.stores(),
                         OriginBudget.standard(settings.dataCentres()),
@@ -89,7 +86,8 @@
 
     @Override
     public void register(ControlServer server) {
-        server.register(ServiceStub.LOG, new Log.Processor<>(mLog));
+        mConfigGroup.register(server);
+        mClaimsGroup.register(server);
         server.register(ServiceStub.TURNS, new Turns.Processor<>(mTurns));
         server.register(ServiceStub.CLAIMS, new Claims.Processor<>(mClaims));
     }
@@ -101,7 +99,8 @@
 
     @Override
     public void start() {
-        mLog.start(mScheduler);
+        mConfigGroup.log().start();
+        mClaimsGroup.log().start();
     }
 
     @Override
@@ -113,4 +112,8 @@
     public void leave() {
         // A voter stops without notice; the others keep the majority.
     }
+
+    private StoreGroup openGroup(String name, ServiceStub<Log.Client> stub, StateMachine machine) {
+        return StoreGroup.open(name, stub, machine, mSettings, mIdentity, mClock, mRandom, mTime);
+    }
 }
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/control/ServiceStub.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/control/ServiceStub.java
@@ -29,8 +29,13 @@
     public static final ServiceStub<Turns.Client> TURNS =
             new ServiceStub<>("turns", Turns.Client::new);
 
-    /** Replicated log. */
-    public static final ServiceStub<Log.Client> LOG = new ServiceStub<>("log", Log.Client::new);
+    /** Replicated log of the configuration. */
+    public static final ServiceStub<Log.Client> LOG_CONFIG =
+            new ServiceStub<>("log-config", Log.Client::new);
+
+    /** Replicated log of the claims. */
+    public static final ServiceStub<Log.Client> LOG_CLAIMS =
+            new ServiceStub<>("log-claims", Log.Client::new);
 
     /** Claims of calls that may run once. */
     public static final ServiceStub<Claims.Client> CLAIMS =
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/log/CoreState.java
@@ -0,0 +1,180 @@
+package org.sequoiahill.daemon.process.log;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+/** State that the parts of the core share, and the outputs that it gathers. */
+final class CoreState {
+    private final LocalStore mLocal;
+    private final LogTiming mTiming;
+    private final RandomGenerator mRandom;
+    private final EntryLog mLog;
+    private final List<Message> mMessages = new ArrayList<>();
+    private final List<Entry> mAppended = new ArrayList<>();
+    private final List<Long> mReadyReads = new ArrayList<>();
+    private final List<Long> mFailedReads = new ArrayList<>();
+    private StoreId mSelf;
+    private HardState mHard;
+    private boolean mHardChanged;
+    private Optional<Snapshot> mInstalled = Optional.empty();
+    private Optional<Long> mAdopted = Optional.empty();
+    private long mAppliedIndex;
+    private LogRole mRole = LogRole.FOLLOWER;
+    private Optional<StoreId> mLeader = Optional.empty();
+    private Duration mNow;
+
+    private CoreState(
+            LocalStore local,
+            StoredState stored,
+            LogTiming timing,
+            RandomGenerator random,
+            Duration now) {
+        mLocal = local;
+        mSelf = local.id();
+        mTiming = timing;
+        mRandom = random;
+        mLog = EntryLog.of(stored);
+        mHard = stored.hard();
+        mAppliedIndex = stored.snapshot().index();
+        mNow = now;
+    }
+
+    static CoreState of(
+            LocalStore local,
+            StoredState stored,
+            LogTiming timing,
+            RandomGenerator random,
+            Duration now) {
+        return new CoreState(local, stored, timing, random, now);
+    }
+
+    LocalStore local() {
+        return mLocal;
+    }
+
+    StoreId self() {
+        return mSelf;
+    }
+
+    LogTiming timing() {
+        return mTiming;
+    }
+
+    EntryLog log() {
+        return mLog;
+    }
+
+    Duration now() {
+        return mNow;
+    }
+
+    void advanceTo(Duration now) {
+        mNow = now.compareTo(mNow) > 0 ? now : mNow;
+    }
+
+    LogRole role() {
+        return mRole;
+    }
+
+    void become(LogRole role) {
+        mRole = role;
+    }
+
+    Optional<StoreId> leader() {
+        return mLeader;
+    }
+
+    void follow(Optional<StoreId> leader) {
+        mLeader = leader;
+    }
+
+    long term() {
+        return mHard.term();
+    }
+
+    long cluster() {
+        return mHard.cluster();
+    }
+
+    Optional<StoreId> vote() {
+        return mHard.vote();
+    }
+
+    void hardState(HardState hard) {
+        mHardChanged |= !hard.equals(mHard);
+        mHard = hard;
+    }
+
+    boolean isVoter() {
+        return mLog.members().isVoter(mSelf);
+    }
+
+    /** Takes the incarnation for an empty folder that the group asks for. */
+    void adopt(long incarnation) {
+        mSelf = new StoreId(mSelf.vm(), incarnation);
+        mAdopted = Optional.of(incarnation);
+    }
+
+    Duration randomElectionTimeout() {
+        long min = mTiming.electionMin().toNanos();
+        long max = mTiming.electionMax().toNanos();
+        return Duration.ofNanos(mRandom.nextLong(min, max));
+    }
+
+    void send(StoreId to, Message.Body body) {
+        mMessages.add(new Message(mSelf, to, cluster(), term(), mLocal.start(), body));
+    }
+
+    void append(Entry entry) {
+        mLog.add(entry);
+        mAppended.add(entry);
+    }
+
+    /** Cuts the log off; what was to be stored from there on is replaced as well. */
+    void truncateFrom(long index) {
+        mLog.truncateFrom(index);
+        mAppended.removeIf(entry -> entry.index() >= index);
+    }
+
+    void install(Snapshot snapshot) {
+        mLog.install(snapshot);
+        mAppended.clear();
+        mInstalled = Optional.of(snapshot);
+        mAppliedIndex = snapshot.index();
+    }
+
+    void readReady(long id) {
+        mReadyReads.add(id);
+    }
+
+    void readFailed(long id) {
+        mFailedReads.add(id);
+    }
+
+    Outputs drain() {
+        List<Entry> committed =
+                mLog.slice(mAppliedIndex + 1, mLog.commitIndex(), Integer.MAX_VALUE);
+        mAppliedIndex = mLog.commitIndex();
+        Outputs outputs =
+                new Outputs(
+                        mHardChanged ? Optional.of(mHard) : Optional.empty(),
+                        mInstalled,
+                        List.copyOf(mAppended),
+                        List.copyOf(mMessages),
+                        committed,
+                        List.copyOf(mReadyReads),
+                        List.copyOf(mFailedReads),
+                        mAdopted);
+        mHardChanged = false;
+        mInstalled = Optional.empty();
+        mAdopted = Optional.empty();
+        mAppended.clear();
+        mMessages.clear();
+        mReadyReads.clear();
+        mFailedReads.clear();
+        return outputs;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/log/DiskFolder.java
@@ -0,0 +1,144 @@
+package org.sequoiahill.daemon.process.log;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.channels.FileLock;
+import java.nio.channels.OverlappingFileLockException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.util.List;
+import java.util.stream.Stream;
+
+/** A folder on a disk, locked against a second process. */
+public final class DiskFolder implements LogFolder {
+    private static final String LOCK_NAME = "lock";
+
+    private final Path mPath;
+    private final FileChannel mLock;
+
+    private DiskFolder(Path path, FileChannel lock) {
+        mPath = path;
+        mLock = lock;
+    }
+
+    /**
+     * Opens a folder, and makes it where there is none.
+     *
+     * @throws IOException where it can't be made or another process has it open
+     */
+    public static DiskFolder open(Path path) throws IOException {
+        createSynced(path.toAbsolutePath());
+        FileChannel lock =
+                FileChannel.open(
+                        path.resolve(LOCK_NAME),
+                        StandardOpenOption.CREATE,
+                        StandardOpenOption.WRITE);
+        if (!isLocked(lock)) {
+            lock.close();
+            throw new IOException(path + " is in use by another process");
+        }
+        return new DiskFolder(path, lock);
+    }
+
+    @Override
+    public List<String> names() throws IOException {
+        try (Stream<Path> files = Files.list(mPath)) {
+            return files.map(file -> String.valueOf(file.getFileName()))
+                    .filter(name -> !name.equals(LOCK_NAME))
+                    .sorted()
+                    .toList();
+        }
+    }
+
+    @Override
+    public byte[] read(String name) throws IOException {
+        return Files.readAllBytes(mPath.resolve(name));
+    }
+
+    @Override
+    public LogFile create(String name) throws IOException {
+        return new DiskFile(
+                FileChannel.open(
+                        mPath.resolve(name),
+                        StandardOpenOption.CREATE,
+                        StandardOpenOption.TRUNCATE_EXISTING,
+                        StandardOpenOption.WRITE));
+    }
+
+    @Override
+    public LogFile openAt(String name, long length) throws IOException {
+        FileChannel channel = FileChannel.open(mPath.resolve(name), StandardOpenOption.WRITE);
+        channel.truncate(length);
+        channel.position(length);
+        channel.force(true);
+        return new DiskFile(channel);
+    }
+
+    @Override
+    public void rename(String from, String to) throws IOException {
+        Files.move(mPath.resolve(from), mPath.resolve(to), StandardCopyOption.ATOMIC_MOVE);
+    }
+
+    @Override
+    public void delete(String name) throws IOException {
+        Files.deleteIfExists(mPath.resolve(name));
+    }
+
+    @Override
+    public void sync() throws IOException {
+        syncFolder(mPath);
+    }
+
+    @Override
+    public void close() throws IOException {
+        mLock.close();
+    }
+
+    private static void createSynced(Path path) throws IOException {
+        if (Files.isDirectory(path)) {
+            return;
+        }
+        Path parent = path.getParent();
+        if (parent == null) {
+            throw new IOException(path + " can't be made");
+        }
+        createSynced(parent);
+        Files.createDirectories(path);
+        syncFolder(parent);
+    }
+
+    private static void syncFolder(Path path) throws IOException {
+        try (FileChannel channel = FileChannel.open(path, StandardOpenOption.READ)) {
+            channel.force(true);
+        }
+    }
+
+    private static boolean isLocked(FileChannel channel) throws IOException {
+        try {
+            FileLock lock = channel.tryLock();
+            return lock != null;
+        } catch (OverlappingFileLockException e) {
+            return false;
+        }
+    }
+
+    private record DiskFile(FileChannel channel) implements LogFile {
+        @Override
+        public int write(ByteBuffer bytes) throws IOException {
+            return channel.write(bytes);
+        }
+
+        @Override
+        public void sync() throws IOException {
+            channel.force(true);
+        }
+
+        @Override
+        public void close() throws IOException {
+            channel.close();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/log/GroupHandler.java
@@ -0,0 +1,106 @@
+package org.sequoiahill.daemon.process.log;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import org.sequoiahill.daemon.process.control.ControlClient;
+import org.sequoiahill.daemon.process.control.Identity;
+import org.sequoiahill.daemon.process.control.ServiceStub;
+import org.sequoiahill.daemon.process.settings.HostPort;
+import org.sequoiahill.protocol.gen.Log;
+import org.sequoiahill.protocol.gen.LogDelivery;
+import org.sequoiahill.protocol.gen.LogMessage;
+import org.sequoiahill.protocol.gen.MembersReply;
+import org.sequoiahill.protocol.gen.MembersRequest;
+import org.sequoiahill.protocol.gen.Sender;
+
+/** Offers one group to other processes. */
+final class GroupHandler implements Log.Iface {
+    private final Identity mIdentity;
+    private final GroupLog mLog;
+    private final ThriftTransport mTransport;
+    private final ServiceStub<Log.Client> mStub;
+    private final ControlClient mClient;
+
+    private GroupHandler(
+            Identity identity,
+            GroupLog log,
+            ThriftTransport transport,
+            ServiceStub<Log.Client> stub,
+            ControlClient client) {
+        mIdentity = identity;
+        mLog = log;
+        mTransport = transport;
+        mStub = stub;
+        mClient = client;
+    }
+
+    static GroupHandler of(
+            Identity identity,
+            GroupLog log,
+            ThriftTransport transport,
+            ServiceStub<Log.Client> stub,
+            ControlClient client) {
+        return new GroupHandler(identity, log, transport, stub, client);
+    }
+
+    @Override
+    public Sender deliver(LogDelivery delivery) {
+        for (LogMessage thrift : delivery.getMessages()) {
+            Optional<Message> message = MessageCodec.fromThrift(thrift);
+            message.ifPresent(this::take);
+        }
+        return mIdentity.sender();
+    }
+
+    @Override
+    public MembersReply members(MembersRequest request) {
+        if (!mLog.isLeader()) {
+            return forward(request);
+        }
+        try {
+            if (request.isSetVm()) {
+                change(request).join();
+            }
+            return reply();
+        } catch (CompletionException e) {
+            return reply().setFailure(String.valueOf(e.getCause()));
+        }
+    }
+
+    private void take(Message message) {
+        if (message.body() instanceof Message.Hello hello) {
+            mTransport.locate(message.from().vm(), hello.address());
+        } else if (message.body() instanceof Message.HelloReply reply) {
+            mTransport.locate(reply.members());
+        }
+        mLog.receive(message);
+    }
+
+    private CompletableFuture<Long> change(MembersRequest request) {
+        if (request.isSetAddress()) {
+            return mLog.addMember(request.getVm(), request.getAddress());
+        }
+        return mLog.removeMember(request.getVm());
+    }
+
+    private MembersReply forward(MembersRequest request) {
+        Optional<HostPort> leader = mLog.leaderVm().flatMap(mTransport::addressOf);
+        boolean isSelf = mLog.leaderVm().filter(mIdentity.vm()::equals).isPresent();
+        if (leader.isEmpty() || isSelf || request.getSender().getVm().equals(mIdentity.vm())) {
+            return reply().setFailure("no leader is known");
+        }
+        MembersRequest forwarded = request.deepCopy().setSender(mIdentity.sender());
+        try {
+            return mClient.call(leader.get(), mStub, client -> client.members(forwarded)).join();
+        } catch (CompletionException e) {
+            return reply().setFailure("the leader can't be reached: " + e.getCause());
+        }
+    }
+
+    private MembersReply reply() {
+        MembersReply reply = new MembersReply(mIdentity.sender(), mLog.members().toThrift());
+        mLog.leaderVm().ifPresent(reply::setLeaderVm);
+        return reply;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/log/GroupLog.java
@@ -0,0 +1,352 @@
+package org.sequoiahill.daemon.process.log;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Function;
+import java.util.random.RandomGenerator;
+import org.sequoiahill.daemon.process.time.MonotonicClock;
+import org.tinylog.Logger;
+
+/** The replicated log of one group: one thread that drives the core, its files and its machine. */
+public final class GroupLog implements ReplicatedLog, AutoCloseable {
+    private static final int MAX_EVENTS = 32_768;
+    private static final int MAX_EVENTS_A_STEP = 1_024;
+    private static final long MAX_QUEUED_BYTES = 64L << 20;
+    private static final int TICKS_A_HEARTBEAT = 4;
+
+    private final Options mOptions;
+    private final StateMachine mMachine;
+    private final LogStorage mStorage;
+    private final LogTransport mTransport;
+    private final MonotonicClock mClock;
+    private final LogCore mCore;
+    private final PendingCalls mPending;
+    private final SnapshotPolicy mSnapshots;
+    private final BlockingQueue<GroupEvent> mEvents = new LinkedBlockingQueue<>(MAX_EVENTS);
+    private final AtomicLong mQueuedBytes = new AtomicLong();
+    private final Thread mRunner;
+    private volatile GroupStatus mStatus;
+    private volatile boolean mIsClosed;
+    private boolean mHasLed;
+
+    private GroupLog(
+            Options options,
+            StateMachine machine,
+            LogStorage storage,
+            LogTransport transport,
+            MonotonicClock clock,
+            RandomGenerator random,
+            Executor callbacks) {
+        mOptions = options;
+        mMachine = machine;
+        mStorage = storage;
+        mTransport = transport;
+        mClock = clock;
+        mPending = PendingCalls.on(callbacks);
+        mSnapshots = SnapshotPolicy.of(options.snapshotEntries());
+        mCore =
+                LogCore.open(
+                        localStore(options, storage, random),
+                        storage.state(),
+                        options.timing(),
+                        random,
+                        clock.now());
+        restore(storage.state().snapshot());
+        mStatus = GroupStatus.of(mCore);
+        mTransport.locate(new Membership(options.seeds()));
+        mTransport.locate(mCore.members());
+        mRunner = new Thread(this::run, "log-" + options.group());
+        mRunner.setDaemon(true);
+    }
+
+    /**
+     * What a group is set up with.
+     *
+     * @param group name of the group
+     * @param address own control address
+     * @param seeds stores that found the group, the founder first
+     * @param timing times of the group
+     * @param snapshotEntries entries after which a snapshot is made
+     */
+    public record Options(
+            String group,
+            String address,
+            List<Member> seeds,
+            LogTiming timing,
+            int snapshotEntries) {}
+
+    /** Returns a log over opened files; {@link #start} lets it run. */
+    public static GroupLog of(
+            Options options,
+            StateMachine machine,
+            LogStorage storage,
+            LogTransport transport,
+            MonotonicClock clock,
+            RandomGenerator random,
+            Executor callbacks) {
+        return new GroupLog(options, machine, storage, transport, clock, random, callbacks);
+    }
+
+    /** Starts to take part. */
+    public void start() {
+        mRunner.start();
+    }
+
+    /** Takes a message of another store; drops it where too many wait. */
+    void receive(Message message) {
+        mEvents.offer(new GroupEvent.Incoming(message));
+    }
+
+    @Override
+    public CompletableFuture<Long> propose(byte[] payload) {
+        if (payload.length > Leadership.MAX_PAYLOAD_BYTES) {
+            return failed(LogFailure.Kind.TOO_LARGE);
+        }
+        if (mQueuedBytes.addAndGet(payload.length) > MAX_QUEUED_BYTES) {
+            mQueuedBytes.addAndGet(-payload.length);
+            return failed(LogFailure.Kind.BUSY);
+        }
+        CompletableFuture<Long> done = new CompletableFuture<>();
+        if (!mEvents.offer(new GroupEvent.Propose(ByteBuffer.wrap(payload), done))) {
+            mQueuedBytes.addAndGet(-payload.length);
+            return failed(LogFailure.Kind.BUSY);
+        }
+        return failIfStopped(done);
+    }
+
+    @Override
+    public CompletableFuture<Void> confirmLeadership() {
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        if (!mEvents.offer(new GroupEvent.Read(done))) {
+            return failed(LogFailure.Kind.BUSY);
+        }
+        return failIfStopped(done);
+    }
+
+    @Override
+    public boolean isLeader() {
+        GroupStatus status = mStatus;
+        Optional<Duration> lease = status.leaseUntil();
+        return status.role() == LogRole.LEADER
+                && lease.isPresent()
+                && lease.get().compareTo(mClock.now()) > 0;
+    }
+
+    @Override
+    public long term() {
+        return mStatus.term();
+    }
+
+    @Override
+    public Optional<String> leaderVm() {
+        return mStatus.leader().map(StoreId::vm);
+    }
+
+    /** Returns what the store does now. */
+    public LogRole role() {
+        return mStatus.role();
+    }
+
+    /** Returns the members as this store knows them. */
+    public Membership members() {
+        return mStatus.members();
+    }
+
+    /** Adds a VM, which votes once it has caught up; completes once the learner is committed. */
+    public CompletableFuture<Long> addMember(String vm, String address) {
+        return change(core -> core.addMember(vm, address, mClock.now()));
+    }
+
+    /** Removes a VM; completes once that is committed. */
+    public CompletableFuture<Long> removeMember(String vm) {
+        return change(core -> core.removeMember(vm, mClock.now()));
+    }
+
+    /** Starts to hand leadership to a voter; completes with whether that was possible. */
+    public CompletableFuture<Boolean> handOverTo(String vm) {
+        CompletableFuture<Boolean> done = new CompletableFuture<>();
+        if (!mEvents.offer(new GroupEvent.HandOver(vm, done))) {
+            return failed(LogFailure.Kind.BUSY);
+        }
+        return failIfStopped(done);
+    }
+
+    @Override
+    public void close() {
+        mIsClosed = true;
+        mRunner.interrupt();
+    }
+
+    private CompletableFuture<Long> change(Function<LogCore, Proposal> change) {
+        CompletableFuture<Long> done = new CompletableFuture<>();
+        if (!mEvents.offer(new GroupEvent.Change(change, done))) {
+            return failed(LogFailure.Kind.BUSY);
+        }
+        return failIfStopped(done);
+    }
+
+    /** A runner that has ended answers no more; whoever came late is failed here. */
+    private <T> CompletableFuture<T> failIfStopped(CompletableFuture<T> done) {
+        if (mStatus.role() == LogRole.STOPPED) {
+            done.completeExceptionally(LogFailure.of(LogFailure.Kind.STOPPED));
+        }
+        return done;
+    }
+
+    private static <T> CompletableFuture<T> failed(LogFailure.Kind kind) {
+        return CompletableFuture.failedFuture(LogFailure.of(kind));
+    }
+
+    private static LocalStore localStore(
+            Options options, LogStorage storage, RandomGenerator random) {
+        Message.Start start =
+                new Message.Start(
+                        storage.starts(),
+                        random.nextLong(),
+                        storage.state().hard().term(),
+                        storage.state().lastIndex());
+        return new LocalStore(storage.id(), options.address(), start, options.seeds());
+    }
+
+    private void run() {
+        long tickNanos = mOptions.timing().heartbeat().toNanos() / TICKS_A_HEARTBEAT;
+        List<GroupEvent> events = new ArrayList<>();
+        try {
+            while (!mIsClosed && mCore.role() != LogRole.STOPPED) {
+                GroupEvent first = mEvents.poll(tickNanos, TimeUnit.NANOSECONDS);
+                if (first != null) {
+                    events.add(first);
+                    mEvents.drainTo(events, MAX_EVENTS_A_STEP - 1);
+                }
+                step(events);
+                events.clear();
+            }
+        } catch (InterruptedException e) {
+            Logger.debug("log {} ends", mOptions.group());
+        } catch (IOException | RuntimeException e) {
+            Logger.error(e, "log {} stops taking part", mOptions.group());
+        } finally {
+            end();
+        }
+    }
+
+    private void step(List<GroupEvent> events) throws IOException {
+        mCore.tick(mClock.now());
+        events.forEach(this::take);
+        Outputs outputs = mCore.drain();
+        mStorage.store(outputs);
+        publish();
+        mTransport.send(outputs.messages());
+        outputs.installed().ifPresent(this::restore);
+        outputs.committed().forEach(this::apply);
+        outputs.readyReads().forEach(mPending::readReady);
+        outputs.failedReads().forEach(id -> mPending.readFailed(id, LogFailure.Kind.NOT_LEADER));
+        if (mHasLed && mCore.role() != LogRole.LEADER) {
+            mPending.failProposals();
+        }
+        mHasLed = mCore.role() == LogRole.LEADER;
+        compactIfDue(outputs);
+    }
+
+    private void take(GroupEvent event) {
+        Duration now = mClock.now();
+        if (event instanceof GroupEvent.Incoming incoming) {
+            mCore.receive(incoming.message(), now);
+        } else if (event instanceof GroupEvent.Propose propose) {
+            mQueuedBytes.addAndGet(-propose.payload().remaining());
+            mPending.addProposal(mCore.propose(propose.payload(), now), propose.done());
+        } else if (event instanceof GroupEvent.Read read) {
+            mCore.requestRead(mPending.addRead(read.done()), now);
+        } else if (event instanceof GroupEvent.Change change) {
+            mPending.addProposal(change.change().apply(mCore), change.done());
+        } else if (event instanceof GroupEvent.HandOver handOver) {
+            handOver.isStarted().complete(mCore.handOverTo(handOver.vm(), now));
+        }
+    }
+
+    private void publish() {
+        GroupStatus before = mStatus;
+        GroupStatus after = GroupStatus.of(mCore);
+        mStatus = after;
+        if (!before.members().equals(after.members())) {
+            mTransport.locate(after.members());
+            Logger.info("log {}: members {}", mOptions.group(), after.members().members());
+        }
+        if (before.role() != after.role() || before.term() != after.term()) {
+            Logger.info(
+                    "log {}: {} of term {}, leader {}",
+                    mOptions.group(),
+                    after.role(),
+                    after.term(),
+                    after.leader().map(StoreId::vm).orElse("unknown"));
+        }
+    }
+
+    private void restore(Snapshot snapshot) {
+        if (snapshot.data().hasRemaining()) {
+            byte[] data = new byte[snapshot.data().remaining()];
+            snapshot.data().duplicate().get(data);
+            mMachine.restore(data);
+        }
+    }
+
+    private void apply(Entry entry) {
+        if (entry.kind() == EntryKind.PAYLOAD) {
+            mMachine.apply(entry.index(), entry.payloadBytes());
+        }
+        mPending.committed(entry);
+    }
+
+    private void compactIfDue(Outputs outputs) throws IOException {
+        if (outputs.committed().isEmpty()
+                || !mSnapshots.isDue(mCore.log(), mCore.log().commitIndex())) {
+            return;
+        }
+        byte[] data = mMachine.snapshot();
+        if (data.length > SnapshotReceiver.MAX_SNAPSHOT_BYTES) {
+            Logger.error("the snapshot of {} is too large: {}", mOptions.group(), data.length);
+            return;
+        }
+        long index = mCore.log().commitIndex();
+        Snapshot snapshot = mCore.compact(index, ByteBuffer.wrap(data), mSnapshots.kept());
+        mStorage.compact(
+                snapshot, mCore.log().baseIndex(), mCore.log().baseTerm(), mCore.log().entries());
+    }
+
+    private void end() {
+        mCore.stop();
+        publish();
+        mPending.failProposals();
+        mPending.failReads();
+        List<GroupEvent> late = new ArrayList<>();
+        mEvents.drainTo(late);
+        late.forEach(this::refuse);
+        try {
+            mStorage.close();
+        } catch (IOException e) {
+            Logger.warn(e, "the files of log {} could not be closed", mOptions.group());
+        }
+    }
+
+    private void refuse(GroupEvent event) {
+        if (event instanceof GroupEvent.Propose propose) {
+            mPending.fail(propose.done(), LogFailure.Kind.STOPPED);
+        } else if (event instanceof GroupEvent.Read read) {
+            mPending.fail(read.done(), LogFailure.Kind.STOPPED);
+        } else if (event instanceof GroupEvent.Change change) {
+            mPending.fail(change.done(), LogFailure.Kind.STOPPED);
+        } else if (event instanceof GroupEvent.HandOver handOver) {
+            mPending.fail(handOver.isStarted(), LogFailure.Kind.STOPPED);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/log/LogCore.java
@@ -0,0 +1,463 @@
+package org.sequoiahill.daemon.process.log;
+
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Decides for one store of a group: a plain state machine of messages, time and outputs.
+ *
+ * <p>Every call may add outputs, which {@link #drain} takes; whoever drives the core carries them
+ * out in the order that {@link Outputs} names before it calls again. Not safe for use by several
+ * threads.
+ */
+public final class LogCore {
+    private final CoreState mState;
+    private final StoreMarks mMarks = StoreMarks.create();
+    private final Joining mJoining;
+    private final Following mFollowing;
+    private final Set<StoreId> mVotes = new HashSet<>();
+    private @Nullable Leadership mLeadership;
+    private Duration mLeaderHeardAt;
+    private Duration mElectionAt;
+
+    private LogCore(CoreState state) {
+        mState = state;
+        mJoining = Joining.of(state);
+        mFollowing = Following.of(state);
+        mLeaderHeardAt = state.now();
+        mElectionAt = state.now().plus(state.randomElectionTimeout());
+    }
+
+    /** Returns the core of a store that holds {@code stored}. */
+    public static LogCore open(
+            LocalStore local,
+            StoredState stored,
+            LogTiming timing,
+            RandomGenerator random,
+            Duration now) {
+        return new LogCore(CoreState.of(local, stored, timing, random, now));
+    }
+
+    /** Lets time pass. */
+    public void tick(Duration now) {
+        mState.advanceTo(now);
+        if (mState.role() == LogRole.STOPPED) {
+            return;
+        }
+        if (mState.log().isBlank()) {
+            mJoining.tick();
+            return;
+        }
+        if (mLeadership != null) {
+            if (!mLeadership.tick()) {
+                followNobody();
+            }
+            return;
+        }
+        if (isForgotten()) {
+            mJoining.askForMembership();
+        }
+        if (mState.isVoter() && mState.now().compareTo(mElectionAt) >= 0) {
+            startPreVote();
+        }
+    }
+
+    /** Takes a message of another store. */
+    public void receive(Message message, Duration now) {
+        mState.advanceTo(now);
+        if (mState.role() == LogRole.STOPPED || !isForUs(message)) {
+            return;
+        }
+        if (message.body() instanceof Message.Refused refused) {
+            if (refused.nonce() == mState.local().start().nonce()) {
+                stop();
+            }
+            return;
+        }
+        if (mMarks.check(message) == StoreMarks.Verdict.OLD) {
+            mState.send(message.from(), new Message.Refused(message.start().nonce()));
+            return;
+        }
+        if (mState.log().isBlank()) {
+            receiveBlank(message);
+        } else {
+            receiveAsMember(message);
+        }
+    }
+
+    /** Proposes a payload; only a leader takes it. */
+    public Proposal propose(ByteBuffer payload, Duration now) {
+        mState.advanceTo(now);
+        if (mLeadership == null) {
+            return Proposal.refused(notLeading());
+        }
+        return mLeadership.propose(payload);
+    }
+
+    /** Adds a VM as a learner, which becomes a voter once it has caught up. */
+    public Proposal addMember(String vm, String address, Duration now) {
+        mState.advanceTo(now);
+        if (mLeadership == null) {
+            return Proposal.refused(notLeading());
+        }
+        if (mState.log().members().byVm(vm).isPresent()) {
+            return Proposal.refused(LogFailure.Kind.CHANGE_REFUSED);
+        }
+        Member awaited = new Member(new StoreId(vm, 0), address, false);
+        return mLeadership.changeMembers(mState.log().members().with(awaited));
+    }
+
+    /** Removes the member on a VM. */
+    public Proposal removeMember(String vm, Duration now) {
+        mState.advanceTo(now);
+        if (mLeadership == null) {
+            return Proposal.refused(notLeading());
+        }
+        if (mState.log().members().byVm(vm).isEmpty()) {
+            return Proposal.refused(LogFailure.Kind.CHANGE_REFUSED);
+        }
+        return mLeadership.changeMembers(mState.log().members().without(vm));
+    }
+
+    /**
+     * Hands leadership to a voter.
+     *
+     * @return false where this store doesn't lead or the VM is no voter
+     */
+    public boolean handOverTo(String vm, Duration now) {
+        mState.advanceTo(now);
+        Optional<Member> successor = mState.log().members().byVm(vm);
+        return mLeadership != null
+                && successor.isPresent()
+                && !successor.get().id().equals(mState.self())
+                && mLeadership.handOverTo(successor.get().id());
+    }
+
+    /** Asks for a read; {@link Outputs} names it once the state holds all acknowledged before. */
+    public void requestRead(long id, Duration now) {
+        mState.advanceTo(now);
+        if (mLeadership == null) {
+            mState.readFailed(id);
+            return;
+        }
+        mLeadership.requestRead(id);
+    }
+
+    /**
+     * Notes a snapshot of all that was handed out to be applied.
+     *
+     * @param index last applied index
+     * @param data state of the machine there
+     * @param kept entries before the snapshot that stay for slow members
+     */
+    public Snapshot compact(long index, ByteBuffer data, int kept) {
+        EntryLog log = mState.log();
+        Snapshot snapshot = new Snapshot(index, log.termAt(index), log.membersAt(index), data);
+        log.compact(snapshot, kept);
+        return snapshot;
+    }
+
+    /** Ends all taking part, after storage has failed. */
+    public void stop() {
+        leaveLeadership();
+        mState.become(LogRole.STOPPED);
+        mState.follow(Optional.empty());
+    }
+
+    /** Returns the outputs since the last call. */
+    public Outputs drain() {
+        if (mLeadership != null) {
+            mLeadership.flush();
+        }
+        return mState.drain();
+    }
+
+    /** Returns what the store does now. */
+    public LogRole role() {
+        return mState.role();
+    }
+
+    /** Returns the highest term seen. */
+    public long term() {
+        return mState.term();
+    }
+
+    /** Returns the leader, where one is known. */
+    public Optional<StoreId> leader() {
+        return mState.leader();
+    }
+
+    /** Returns the storage of this store. */
+    public StoreId self() {
+        return mState.self();
+    }
+
+    /** Returns the entries that are held. */
+    EntryLog log() {
+        return mState.log();
+    }
+
+    /** Returns the members as the last entry states them. */
+    public Membership members() {
+        return mState.log().members();
+    }
+
+    /** Returns until when no other store can lead, where this one holds a lease. */
+    public Optional<Duration> leaseUntil() {
+        return mLeadership == null ? Optional.empty() : Optional.of(mLeadership.leaseUntil());
+    }
+
+    private LogFailure.Kind notLeading() {
+        return mState.role() == LogRole.STOPPED
+                ? LogFailure.Kind.STOPPED
+                : LogFailure.Kind.NOT_LEADER;
+    }
+
+    /** Returns whether no leader has been heard for so long that none may know this store. */
+    private boolean isForgotten() {
+        Duration patience = mState.timing().electionMax().multipliedBy(2);
+        return mState.now().compareTo(mLeaderHeardAt.plus(patience)) > 0;
+    }
+
+    private boolean isForUs(Message message) {
+        boolean isOpen = message.body() instanceof Message.Hello && message.to().isAwaited();
+        boolean isAddressed =
+                message.to().equals(mState.self())
+                        || (isOpen && message.to().vm().equals(mState.self().vm()));
+        boolean isOtherCluster =
+                message.cluster() != 0
+                        && mState.cluster() != 0
+                        && message.cluster() != mState.cluster();
+        return isAddressed && !isOtherCluster;
+    }
+
+    private void receiveBlank(Message message) {
+        if (message.body() instanceof Message.Hello hello) {
+            mJoining.onHello(message, hello);
+        } else if (message.body() instanceof Message.HelloReply reply) {
+            mJoining.onHelloReply(message, reply);
+        } else if (message.body() instanceof Message.Append append) {
+            mFollowing.reply(message, append, false, 0);
+        } else if (message.body() instanceof Message.SnapshotChunk part
+                && mFollowing.onChunk(message, part)) {
+            mState.hardState(new HardState(message.cluster(), message.term(), Optional.empty()));
+            hearLeader(message);
+            mFollowing.replyChunk(message, part, part.total(), true);
+        }
+        if (!mState.log().isBlank()) {
+            mLeaderHeardAt = mState.now();
+            resetElection();
+        }
+    }
+
+    private void receiveAsMember(Message message) {
+        if (message.body() instanceof Message.VoteRequest request) {
+            onVoteRequest(message, request);
+        } else if (message.body() instanceof Message.VoteReply reply) {
+            followHigherTerm(message);
+            onVoteReply(message, reply);
+        } else if (message.body() instanceof Message.Append append) {
+            onAppend(message, append);
+        } else if (message.body() instanceof Message.SnapshotChunk part) {
+            onChunk(message, part);
+        } else if (message.body() instanceof Message.AppendReply reply) {
+            followHigherTerm(message);
+            onAppendReply(message, reply);
+        } else if (message.body() instanceof Message.SnapshotReply reply) {
+            followHigherTerm(message);
+            if (mLeadership != null) {
+                mLeadership.onSnapshotReply(message.from(), reply);
+            }
+        } else if (message.body() instanceof Message.TransferNow) {
+            onTransferNow(message);
+        } else if (message.body() instanceof Message.Hello hello) {
+            onHello(message, hello);
+        } else if (message.body() instanceof Message.HelloReply reply) {
+            mJoining.learnOf(reply.members());
+        }
+    }
+
+    private void onVoteRequest(Message message, Message.VoteRequest request) {
+        if (!request.isTransfer() && hasLiveLeader()) {
+            return;
+        }
+        if (request.isPreVote()) {
+            boolean isGranted = request.forTerm() > mState.term() && isUpToDate(request);
+            mState.send(message.from(), new Message.VoteReply(request.forTerm(), true, isGranted));
+            return;
+        }
+        followHigherTerm(message);
+        boolean isGranted =
+                request.forTerm() == mState.term()
+                        && mState.vote().map(message.from()::equals).orElse(true)
+                        && isUpToDate(request);
+        if (isGranted) {
+            mState.hardState(
+                    new HardState(mState.cluster(), mState.term(), Optional.of(message.from())));
+            resetElection();
+        }
+        mState.send(message.from(), new Message.VoteReply(request.forTerm(), false, isGranted));
+    }
+
+    private boolean hasLiveLeader() {
+        Duration promised = mLeaderHeardAt.plus(mState.timing().electionMin());
+        return mLeadership != null || mState.now().compareTo(promised) < 0;
+    }
+
+    private boolean isUpToDate(Message.VoteRequest request) {
+        long lastTerm = mState.log().lastTerm();
+        return request.lastTerm() > lastTerm
+                || (request.lastTerm() == lastTerm
+                        && request.lastIndex() >= mState.log().lastIndex());
+    }
+
+    private void onVoteReply(Message message, Message.VoteReply reply) {
+        boolean isAwaited =
+                reply.isPreVote()
+                        ? mState.role() == LogRole.PRE_CANDIDATE
+                                && reply.forTerm() == mState.term() + 1
+                        : mState.role() == LogRole.CANDIDATE && reply.forTerm() == mState.term();
+        if (isAwaited && reply.isGranted()) {
+            mVotes.add(message.from());
+            advanceElection();
+        }
+    }
+
+    private void onAppend(Message message, Message.Append append) {
+        if (message.term() < mState.term()) {
+            mFollowing.reply(message, append, false, mState.log().lastIndex());
+            return;
+        }
+        hearLeader(message);
+        mFollowing.onAppend(message, append);
+    }
+
+    private void onChunk(Message message, Message.SnapshotChunk part) {
+        if (message.term() < mState.term()) {
+            mFollowing.replyChunk(message, part, 0, false);
+            return;
+        }
+        hearLeader(message);
+        if (mFollowing.onChunk(message, part)) {
+            mFollowing.replyChunk(message, part, part.total(), true);
+        }
+    }
+
+    private void onAppendReply(Message message, Message.AppendReply reply) {
+        if (reply.isMatched()) {
+            mMarks.noteHeld(message.from(), reply.forTerm(), reply.index());
+        }
+        if (mLeadership != null) {
+            mLeadership.onAppendReply(message.from(), reply);
+        }
+    }
+
+    private void onTransferNow(Message message) {
+        boolean isFromLeader =
+                message.term() == mState.term()
+                        && mState.leader().filter(message.from()::equals).isPresent();
+        if (isFromLeader && mState.isVoter()) {
+            startElection(true);
+        }
+    }
+
+    private void onHello(Message message, Message.Hello hello) {
+        Snapshot snapshot = mState.log().snapshot();
+        boolean isFounding =
+                message.cluster() == 0
+                        && snapshot.index() == Snapshot.FOUNDING_INDEX
+                        && snapshot.members().byId(message.from()).isPresent();
+        Membership members = isFounding ? snapshot.members() : members();
+        long known = members().byVm(message.from().vm()).map(m -> m.id().incarnation()).orElse(0L);
+        mState.send(message.from(), new Message.HelloReply(known, isFounding, members));
+        if (mLeadership != null && !isFounding) {
+            mLeadership.onHello(message.from(), hello);
+        }
+    }
+
+    private void hearLeader(Message message) {
+        followHigherTerm(message);
+        leaveLeadership();
+        mState.become(LogRole.FOLLOWER);
+        mState.follow(Optional.of(message.from()));
+        mLeaderHeardAt = mState.now();
+        resetElection();
+    }
+
+    private void followHigherTerm(Message message) {
+        if (message.term() <= mState.term()) {
+            return;
+        }
+        followNobody();
+        mState.hardState(new HardState(mState.cluster(), message.term(), Optional.empty()));
+    }
+
+    private void followNobody() {
+        leaveLeadership();
+        mState.become(LogRole.FOLLOWER);
+        mState.follow(Optional.empty());
+        resetElection();
+    }
+
+    private void leaveLeadership() {
+        if (mLeadership != null) {
+            mLeadership.failReads();
+            mLeadership = null;
+        }
+    }
+
+    private void startPreVote() {
+        mState.become(LogRole.PRE_CANDIDATE);
+        mState.follow(Optional.empty());
+        requestVotes(mState.term() + 1, true, false);
+    }
+
+    private void startElection(boolean isTransfer) {
+        mState.become(LogRole.CANDIDATE);
+        mState.follow(Optional.empty());
+        mState.hardState(
+                new HardState(mState.cluster(), mState.term() + 1, Optional.of(mState.self())));
+        requestVotes(mState.term(), false, isTransfer);
+    }
+
+    private void requestVotes(long forTerm, boolean isPreVote, boolean isTransfer) {
+        resetElection();
+        mVotes.clear();
+        mVotes.add(mState.self());
+        for (Member voter : mState.log().members().voters()) {
+            if (!voter.id().equals(mState.self())) {
+                mState.send(
+                        voter.id(),
+                        new Message.VoteRequest(
+                                forTerm,
+                                isPreVote,
+                                isTransfer,
+                                mState.log().lastIndex(),
+                                mState.log().lastTerm()));
+            }
+        }
+        advanceElection();
+    }
+
+    private void advanceElection() {
+        Membership members = mState.log().members();
+        long granted = mVotes.stream().filter(members::isVoter).count();
+        if (granted < members.quorum()) {
+            return;
+        }
+        if (mState.role() == LogRole.PRE_CANDIDATE) {
+            startElection(false);
+        } else {
+            mLeadership = Leadership.begin(mState);
+        }
+    }
+
+    private void resetElection() {
+        mElectionAt = mState.now().plus(mState.randomElectionTimeout());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/log/Proposal.java
@@ -0,0 +1,20 @@
+package org.sequoiahill.daemon.process.log;
+
+import java.util.Optional;
+
+/**
+ * What became of a proposal at the leader.
+ *
+ * @param index index of the entry that was made
+ * @param term term of that entry
+ * @param refusal why none was made
+ */
+public record Proposal(long index, long term, Optional<LogFailure.Kind> refusal) {
+    static Proposal taken(Entry entry) {
+        return new Proposal(entry.index(), entry.term(), Optional.empty());
+    }
+
+    static Proposal refused(LogFailure.Kind kind) {
+        return new Proposal(0, 0, Optional.of(kind));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/log/SnapshotReceiver.java
@@ -0,0 +1,58 @@
+package org.sequoiahill.daemon.process.log;
+
+import java.nio.ByteBuffer;
+import java.util.Optional;
+
+/** Puts the parts of one snapshot together. */
+final class SnapshotReceiver {
+    /** Largest snapshot that is taken, in bytes. */
+    static final int MAX_SNAPSHOT_BYTES = 128 << 20;
+
+    private final StoreId mFrom;
+    private final Message.SnapshotChunk mFirst;
+    private final ByteBuffer mData;
+
+    private SnapshotReceiver(StoreId from, Message.SnapshotChunk first) {
+        mFrom = from;
+        mFirst = first;
+        mData = ByteBuffer.allocate(first.total());
+    }
+
+    /** Returns a receiver of the snapshot that a part belongs to, where its size is in bounds. */
+    static Optional<SnapshotReceiver> begin(StoreId from, Message.SnapshotChunk part) {
+        if (part.total() < 0 || part.total() > MAX_SNAPSHOT_BYTES) {
+            return Optional.empty();
+        }
+        return Optional.of(new SnapshotReceiver(from, part));
+    }
+
+    boolean isFor(StoreId from, Message.SnapshotChunk part) {
+        return mFrom.equals(from)
+                && mFirst.index() == part.index()
+                && mFirst.lastTerm() == part.lastTerm()
+                && mFirst.total() == part.total();
+    }
+
+    /** Takes the part if it is the next one. */
+    void add(Message.SnapshotChunk part) {
+        if (part.offset() == mData.position() && part.data().remaining() <= mData.remaining()) {
+            mData.put(part.data().duplicate());
+        }
+    }
+
+    int received() {
+        return mData.position();
+    }
+
+    Optional<Snapshot> completed() {
+        if (mData.hasRemaining()) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                new Snapshot(
+                        mFirst.index(),
+                        mFirst.lastTerm(),
+                        mFirst.members(),
+                        mData.duplicate().flip()));
+    }
+}
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/log/StateMachine.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/log/StateMachine.java
@@ -5,7 +5,7 @@
     /**
      * Applies one committed payload; must depend on nothing but the state and the payload.
      *
-     * @param index index in the log, rising by one
+     * @param index index in the log, always rising, not always by one
      * @param payload what was proposed
      */
     void apply(long index, byte[] payload);
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/log/StoreGroup.java
@@ -0,0 +1,132 @@
+package org.sequoiahill.daemon.process.log;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Path;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.SynchronousQueue;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.sequoiahill.daemon.process.control.ControlClient;
+import org.sequoiahill.daemon.process.control.ControlServer;
+import org.sequoiahill.daemon.process.control.Identity;
+import org.sequoiahill.daemon.process.control.ServiceStub;
+import org.sequoiahill.daemon.process.settings.DaemonSettings;
+import org.sequoiahill.daemon.process.settings.DaemonSettings.ReplicationSettings;
+import org.sequoiahill.daemon.process.time.MonotonicClock;
+import org.sequoiahill.protocol.gen.Log;
+
+/**
+ * One group on a store VM: its log with files, threads and connections that no other group uses.
+ */
+public final class StoreGroup {
+    private static final int MAX_THREADS = 16;
+    private static final long IDLE_SECONDS = 60;
+
+    private final GroupLog mLog;
+    private final ServiceStub<Log.Client> mStub;
+    private final GroupHandler mHandler;
+
+    private StoreGroup(GroupLog log, ServiceStub<Log.Client> stub, GroupHandler handler) {
+        mLog = log;
+        mStub = stub;
+        mHandler = handler;
+    }
+
+    /**
+     * Opens a group in a folder of its own under the data folder.
+     *
+     * @param group name of the group and its folder
+     * @param stub service under which stores talk about the group
+     * @param machine state that the log makes
+     * @throws UncheckedIOException where the folder can't be read, belongs elsewhere or is damaged
+     */
+    public static StoreGroup open(
+            String group,
+            ServiceStub<Log.Client> stub,
+            StateMachine machine,
+            DaemonSettings settings,
+            Identity identity,
+            MonotonicClock clock,
+            RandomGenerator random,
+            InstantSource wallClock) {
+        ControlClient client = ControlClient.on(threads("log-" + group + "-call"));
+        ThriftTransport transport = ThriftTransport.over(identity, stub, client);
+        GroupLog log =
+                GroupLog.of(
+                        optionsOf(group, settings),
+                        machine,
+                        openStorage(group, settings, wallClock),
+                        transport,
+                        clock,
+                        random,
+                        threads("log-" + group + "-answer"));
+        return new StoreGroup(log, stub, GroupHandler.of(identity, log, transport, stub, client));
+    }
+
+    /** Returns the log. */
+    public GroupLog log() {
+        return mLog;
+    }
+
+    /** Offers the group to other stores. */
+    public void register(ControlServer server) {
+        server.register(mStub, new Log.Processor<>(mHandler));
+    }
+
+    /** Returns who answers for the members of the group. */
+    public Log.Iface members() {
+        return mHandler;
+    }
+
+    private static LogStorage openStorage(
+            String group, DaemonSettings settings, InstantSource wallClock) {
+        Path folder = settings.dataFolder().resolve("log").resolve(group);
+        try {
+            return LogStorage.open(
+                    DiskFolder.open(folder), settings.vm(), group, Math.max(1, wallClock.millis()));
+        } catch (IOException e) {
+            throw new UncheckedIOException("the log in " + folder + " can't be opened", e);
+        }
+    }
+
+    private static GroupLog.Options optionsOf(String group, DaemonSettings settings) {
+        ReplicationSettings replication = settings.replication();
+        List<Member> seeds =
+                settings.stores().stream()
+                        .map(
+                                store ->
+                                        new Member(
+                                                new StoreId(store.vm(), 0),
+                                                store.control().toString(),
+                                                true))
+                        .toList();
+        return new GroupLog.Options(
+                group,
+                settings.control().toString(),
+                seeds,
+                new LogTiming(
+                        replication.heartbeat(),
+                        replication.electionMin(),
+                        replication.electionMax()),
+                replication.snapshotEntries());
+    }
+
+    private static ExecutorService threads(String name) {
+        return new ThreadPoolExecutor(
+                0,
+                MAX_THREADS,
+                IDLE_SECONDS,
+                TimeUnit.SECONDS,
+                new SynchronousQueue<>(),
+                task -> {
+                    Thread thread = new Thread(task, name);
+                    thread.setDaemon(true);
+                    return thread;
+                },
+                new ThreadPoolExecutor.CallerRunsPolicy());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/log/ThriftTransport.java
@@ -0,0 +1,128 @@
+package org.sequoiahill.daemon.process.log;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import org.sequoiahill.daemon.process.control.ControlClient;
+import org.sequoiahill.daemon.process.control.Identity;
+import org.sequoiahill.daemon.process.control.ServiceStub;
+import org.sequoiahill.daemon.process.settings.HostPort;
+import org.sequoiahill.protocol.gen.Log;
+import org.sequoiahill.protocol.gen.LogDelivery;
+import org.tinylog.Logger;
+
+/** Sends the messages of one group, with one call at a time to each store. */
+final class ThriftTransport implements LogTransport, AutoCloseable {
+    private static final int MAX_QUEUED = 256;
+    private static final int MAX_BATCH_BYTES = 4 << 20;
+    private static final int MESSAGE_BYTES = 128;
+
+    private final Identity mIdentity;
+    private final ServiceStub<Log.Client> mStub;
+    private final ControlClient mClient;
+    private final Map<String, Outbox> mOutboxes = new ConcurrentHashMap<>();
+    private final Map<String, HostPort> mAddresses = new ConcurrentHashMap<>();
+
+    private ThriftTransport(Identity identity, ServiceStub<Log.Client> stub, ControlClient client) {
+        mIdentity = identity;
+        mStub = stub;
+        mClient = client;
+    }
+
+    /** Returns a transport over a client that no other group uses. */
+    static ThriftTransport over(
+            Identity identity, ServiceStub<Log.Client> stub, ControlClient client) {
+        return new ThriftTransport(identity, stub, client);
+    }
+
+    /** Notes where a store can be reached. */
+    void locate(String vm, String address) {
+        mAddresses.put(vm, HostPort.parse(address));
+    }
+
+    @Override
+    public void locate(Membership members) {
+        members.members().forEach(member -> locate(member.id().vm(), member.address()));
+    }
+
+    /** Returns where a store can be reached, where that is known. */
+    Optional<HostPort> addressOf(String vm) {
+        return Optional.ofNullable(mAddresses.get(vm));
+    }
+
+    @Override
+    public void send(List<Message> messages) {
+        for (Message message : messages) {
+            String vm = message.to().vm();
+            mOutboxes.computeIfAbsent(vm, key -> new Outbox(key)).add(message);
+        }
+    }
+
+    @Override
+    public void close() {
+        mClient.close();
+    }
+
+    private static int sizeOf(Message message) {
+        if (message.body() instanceof Message.Append append) {
+            return MESSAGE_BYTES + append.entries().stream().mapToInt(Entry::size).sum();
+        }
+        if (message.body() instanceof Message.SnapshotChunk part) {
+            return MESSAGE_BYTES + part.data().remaining();
+        }
+        return MESSAGE_BYTES;
+    }
+
+    /** Messages that wait for one store; the oldest are dropped beyond a bound. */
+    private final class Outbox {
+        private final String mVm;
+        private final Deque<Message> mQueue = new ArrayDeque<>();
+        private boolean mIsCalling;
+
+        Outbox(String vm) {
+            mVm = vm;
+        }
+
+        synchronized void add(Message message) {
+            if (mQueue.size() >= MAX_QUEUED) {
+                mQueue.removeFirst();
+            }
+            mQueue.addLast(message);
+            callNext();
+        }
+
+        private synchronized void callNext() {
+            HostPort address = mAddresses.get(mVm);
+            if (mIsCalling || mQueue.isEmpty()) {
+                return;
+            }
+            if (address == null) {
+                mQueue.clear();
+                return;
+            }
+            mIsCalling = true;
+            LogDelivery delivery = new LogDelivery(mIdentity.sender(), new ArrayList<>());
+            int bytes = 0;
+            while (!mQueue.isEmpty() && bytes < MAX_BATCH_BYTES) {
+                Message message = mQueue.removeFirst();
+                bytes += sizeOf(message);
+                delivery.addToMessages(MessageCodec.toThrift(message));
+            }
+            mClient.call(address, mStub, client -> client.deliver(delivery))
+                    .whenComplete((reply, failure) -> ended(failure));
+        }
+
+        private synchronized void ended(Throwable failure) {
+            mIsCalling = false;
+            if (failure != null) {
+                Logger.debug("store {} can't be reached: {}", mVm, failure.toString());
+                mQueue.clear();
+            }
+            callNext();
+        }
+    }
+}
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/settings/DaemonSettings.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/settings/DaemonSettings.java
@@ -2,6 +2,7 @@
 
 import java.net.URI;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -22,6 +23,7 @@
  * @param agent settings of the agent, where the daemon is one
  * @param operators who may call the operators' address
  * @param log where log lines go
+ * @param replication how stores replicate their logs
  */
 public record DaemonSettings(
         String vm,
@@ -36,7 +38,8 @@
         List<PeerVm> stores,
         Optional<AgentSettings> agent,
         List<Operator> operators,
-        LogSettings log) {
+        LogSettings log,
+        ReplicationSettings replication) {
     /**
      * Another VM of the system.
      *
@@ -91,6 +94,17 @@
         return (int) entries.stream().map(PeerVm::dataCentre).distinct().count();
     }
 
+    /**
+     * How stores replicate their logs.
+     *
+     * @param heartbeat interval between messages of an idle leader
+     * @param electionMin least time without a leader before an election
+     * @param electionMax greatest time without a leader before an election
+     * @param snapshotEntries entries after which a snapshot is made
+     */
+    public record ReplicationSettings(
+            Duration heartbeat, Duration electionMin, Duration electionMax, int snapshotEntries) {}
+
     /** Returns whether the daemon has a role. */
     public boolean hasRole(Role role) {
         return roles.contains(role);
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/settings/SettingsReader.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/settings/SettingsReader.java
@@ -2,6 +2,7 @@
 
 import java.net.URI;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.EnumSet;
 import java.util.List;
@@ -13,6 +14,7 @@
 import org.sequoiahill.daemon.process.settings.DaemonSettings.LogSettings;
 import org.sequoiahill.daemon.process.settings.DaemonSettings.Operator;
 import org.sequoiahill.daemon.process.settings.DaemonSettings.PeerVm;
+import org.sequoiahill.daemon.process.settings.DaemonSettings.ReplicationSettings;
 import org.sequoiahill.protocol.document.ServiceDocument;
 import org.sequoiahill.protocol.json.Checked;
 import org.sequoiahill.protocol.json.Fault;
@@ -70,7 +72,8 @@
                 reader.objects("stores", SettingsReader::readPeer),
                 agent,
                 reader.objects("operators", SettingsReader::readOperator),
-                reader.object("log", SettingsReader::readLog));
+                reader.object("log", SettingsReader::readLog),
+                reader.object("replication", SettingsReader::readReplication));
     }
 
     private static Set<Role> readRoles(ObjectReader reader) {
@@ -123,6 +126,23 @@
                 reader.string("tokenDigest", ServiceDocument.DIGEST));
     }
 
+    private static ReplicationSettings readReplication(ObjectReader reader) {
+        long heartbeat = reader.integer("heartbeatMillis", 20, 10_000, 500);
+        long least = reader.integer("electionMinMillis", 100, 60_000, 1_500);
+        long most = reader.integer("electionMaxMillis", 200, 120_000, 3_000);
+        if (2 * heartbeat > least) {
+            reader.fault("electionMinMillis", "must be at least twice heartbeatMillis");
+        }
+        if (least >= most) {
+            reader.fault("electionMaxMillis", "must be above electionMinMillis");
+        }
+        return new ReplicationSettings(
+                Duration.ofMillis(heartbeat),
+                Duration.ofMillis(least),
+                Duration.ofMillis(most),
+                (int) reader.integer("snapshotEntries", 16, 1_000_000, 4_096));
+    }
+
     private static LogSettings readLog(ObjectReader reader) {
         String file = reader.string("file", PATH, "");
         return new LogSettings(
--- a/daemon/src/test/java/org/sequoiahill/daemon/process/control/ControlServerTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/process/control/ControlServerTest.java
@@ -64,8 +64,8 @@
                         () ->
                                 mClient.call(
                                                 mAddress,
-                                                ServiceStub.LOG,
-                                                client -> client.append(null))
+                                                ServiceStub.LOG_CONFIG,
+                                                client -> client.members(null))
                                         .join());
 
         assertThat(failure.getCause(), instanceOf(TException.class));
--- /dev/null
+++ b/daemon/src/test/java/org/sequoiahill/daemon/process/log/LogFaultTableTest.java
@@ -0,0 +1,225 @@
+package org.sequoiahill.daemon.process.log;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThan;
+
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.IntStream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Runs seeded schedules of faults against groups of stores, one row a kind of fault. */
+final class LogFaultTableTest {
+    private static final int SEEDS = Integer.getInteger("log.seeds", 250);
+    private static final int FIRST_SEED = Integer.getInteger("log.seed", 1);
+    private static final int RUN_MILLIS = 6_000;
+
+    private enum Fault {
+        LOSS,
+        CUT,
+        ONE_WAY_CUT,
+        FREEZE,
+        RESTART,
+        FAILED_SYNC,
+        LOST_DISK,
+        MEMBERS,
+        HAND_OVER
+    }
+
+    private enum Row {
+        LOSS_REPEAT_DELAY(Fault.LOSS),
+        CUTS(Fault.CUT, Fault.ONE_WAY_CUT, Fault.LOSS),
+        FREEZES(Fault.FREEZE, Fault.ONE_WAY_CUT),
+        RESTARTS(Fault.RESTART, Fault.LOSS),
+        FAILED_SYNCS(Fault.FAILED_SYNC, Fault.RESTART),
+        LOST_DISKS(Fault.LOST_DISK, Fault.LOSS),
+        LOST_DISKS_AND_CUTS(Fault.LOST_DISK, Fault.CUT, Fault.FREEZE),
+        MEMBERS_DURING_ELECTIONS(Fault.MEMBERS, Fault.CUT, Fault.HAND_OVER),
+        HAND_OVERS(Fault.HAND_OVER, Fault.FREEZE, Fault.LOSS),
+        ALL(Fault.values());
+
+        private final Set<Fault> mFaults;
+
+        Row(Fault... faults) {
+            mFaults = EnumSet.copyOf(List.of(faults));
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    void run_seededFaults_keepsEveryInvariant(Row row) {
+        AtomicLong acknowledged = new AtomicLong();
+        List<String> failures =
+                IntStream.range(FIRST_SEED, FIRST_SEED + SEEDS)
+                        .parallel()
+                        .mapToObj(seed -> failureOf(row, seed, acknowledged))
+                        .flatMap(Optional::stream)
+                        .sorted()
+                        .toList();
+        assertThat(failures.size() + " of " + SEEDS + " seeds", failures, empty());
+        assertThat(acknowledged.get(), greaterThan(20L * SEEDS));
+    }
+
+    private static Optional<String> failureOf(Row row, int seed, AtomicLong acknowledged) {
+        try {
+            Schedule schedule = new Schedule(row.mFaults, seed);
+            schedule.run();
+            acknowledged.addAndGet(schedule.mGroup.acknowledged());
+            return Optional.empty();
+        } catch (AssertionError | RuntimeException e) {
+            return Optional.of("seed " + seed + ": " + e);
+        }
+    }
+
+    /** One seeded schedule. */
+    private static final class Schedule {
+        private final Set<Fault> mFaults;
+        private final Random mRandom;
+        private final SimulatedGroup mGroup;
+        private long mCalls;
+
+        Schedule(Set<Fault> faults, int seed) {
+            mFaults = faults;
+            mRandom = new Random(seed * 7_919L);
+            int stores = mRandom.nextBoolean() ? 3 : 5;
+            int seeds = faults.contains(Fault.MEMBERS) ? 3 : stores;
+            mGroup = new SimulatedGroup(seeds, stores, mRandom);
+        }
+
+        void run() {
+            mGroup.startAll();
+            while (mGroup.now() < RUN_MILLIS) {
+                callStores();
+                disturb();
+                mGroup.step();
+            }
+            mGroup.settle();
+        }
+
+        private void callStores() {
+            for (SimulatedStore store : mGroup.stores()) {
+                boolean isLeading =
+                        store.isRunning(mGroup.now())
+                                && store.core().get().role() == LogRole.LEADER;
+                if (isLeading && mRandom.nextInt(3) == 0) {
+                    store.propose(mCalls++, mGroup.now());
+                }
+                if (isLeading && mRandom.nextInt(3) == 0) {
+                    store.read(mCalls++, mGroup.acknowledged(), mGroup.now());
+                }
+            }
+        }
+
+        private void disturb() {
+            restartSome();
+            if (mRandom.nextInt(40) == 0) {
+                mGroup.healNetwork();
+            }
+            for (Fault fault : mFaults) {
+                if (mRandom.nextInt(60) == 0) {
+                    cause(fault);
+                }
+            }
+        }
+
+        private void restartSome() {
+            for (SimulatedStore store : mGroup.stores()) {
+                boolean isStopped =
+                        store.core().filter(core -> core.role() == LogRole.STOPPED).isPresent();
+                if (isStopped && mRandom.nextInt(30) == 0) {
+                    store.kill();
+                }
+                if (store.core().isEmpty() && mRandom.nextInt(20) == 0) {
+                    mGroup.start(store.vm());
+                }
+            }
+        }
+
+        private void cause(Fault fault) {
+            SimulatedStore store = any();
+            switch (fault) {
+                case LOSS ->
+                        mGroup.disturb(
+                                mRandom.nextDouble() * 0.4,
+                                mRandom.nextDouble() * 0.3,
+                                1 + mRandom.nextInt(200));
+                case CUT -> {
+                    String other = any().vm();
+                    mGroup.cut(store.vm(), other);
+                    mGroup.cut(other, store.vm());
+                }
+                case ONE_WAY_CUT -> mGroup.cut(store.vm(), any().vm());
+                case FREEZE -> leaderOr(store).freeze(mGroup.now() + mRandom.nextInt(1_500));
+                case RESTART -> leaderOr(store).folder().crashAfterSyncs(mRandom.nextInt(4));
+                case FAILED_SYNC -> leaderOr(store).folder().failAfterSyncs(mRandom.nextInt(4));
+                case LOST_DISK -> loseDiskIfRepaired(leaderOr(store));
+                case MEMBERS -> changeMembers();
+                case HAND_OVER -> handOverTo(store.vm());
+                default -> throw new AssertionError(fault);
+            }
+        }
+
+        private void handOverTo(String vm) {
+            Optional<SimulatedStore> leader = mGroup.leader();
+            if (leader.isPresent()) {
+                leader.get().core().get().handOverTo(vm, leader.get().clock(mGroup.now()));
+            }
+        }
+
+        private SimulatedStore any() {
+            return mGroup.stores().get(mRandom.nextInt(mGroup.stores().size()));
+        }
+
+        private SimulatedStore leaderOr(SimulatedStore other) {
+            return mRandom.nextBoolean() ? mGroup.leader().orElse(other) : other;
+        }
+
+        /** Loses a disk as soon as every earlier loss is repaired. */
+        private void loseDiskIfRepaired(SimulatedStore store) {
+            Membership members = mGroup.members();
+            boolean isRepaired =
+                    members.voters().size() >= 3
+                            && mGroup.stores().stream().noneMatch(this::isChanging)
+                            && members.members().stream().allMatch(this::isVoterWithItsDisk);
+            if (isRepaired) {
+                store.loseDisk();
+            }
+        }
+
+        private boolean isChanging(SimulatedStore store) {
+            return store.core()
+                    .filter(core -> core.log().membersIndex() > core.log().commitIndex())
+                    .isPresent();
+        }
+
+        private boolean isVoterWithItsDisk(Member member) {
+            Optional<LogCore> core = mGroup.store(member.id().vm()).core();
+            return member.isVoter()
+                    && core.isPresent()
+                    && core.get().self().equals(member.id())
+                    && !core.get().log().isBlank();
+        }
+
+        private void changeMembers() {
+            Optional<SimulatedStore> leader = mGroup.leader();
+            if (leader.isEmpty()) {
+                return;
+            }
+            LogCore core = leader.get().core().get();
+            SimulatedStore store = any();
+            if (core.members().byVm(store.vm()).isPresent()) {
+                if (core.members().members().size() > 3) {
+                    core.removeMember(store.vm(), leader.get().clock(mGroup.now()));
+                }
+            } else if (mGroup.members().byVm(store.vm()).isEmpty()) {
+                core.addMember(store.vm(), "127.20.0.1:1", leader.get().clock(mGroup.now()));
+            }
+        }
+    }
+}
--- a/protocol/src/main/java/org/sequoiahill/protocol/gen/Log.java
+++ b/protocol/src/main/java/org/sequoiahill/protocol/gen/Log.java
@@ -9,15 +9,27 @@
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class Log {
 
+  /**
+   * Offered once for each group, under the name of the group.
+   */
   public interface Iface {
 
-    public AppendReply append(AppendRequest request) throws org.apache.thrift.TException;
+    public org.sequoiahill.protocol.gen.Sender deliver(LogDelivery delivery) throws org.apache.thrift.TException;
+
+    /**
+     * Lists or changes members; answered by the leader, to whom any store passes it on.
+     * 
+     * @param request
+     */
+    public MembersReply members(MembersRequest request) throws org.apache.thrift.TException;
 
   }
 
   public interface AsyncIface {
 
-    public void append(AppendRequest request, org.apache.thrift.async.AsyncMethodCallback<AppendReply> resultHandler) throws org.apache.thrift.TException;
+    public void deliver(LogDelivery delivery, org.apache.thrift.async.AsyncMethodCallback<org.sequoiahill.protocol.gen.Sender> resultHandler) throws org.apache.thrift.TException;
+
+    public void members(MembersRequest request, org.apache.thrift.async.AsyncMethodCallback<MembersReply> resultHandler) throws org.apache.thrift.TException;
 
   }
 
@@ -44,27 +56,51 @@
     }
 
     @Override
-    public AppendReply append(AppendRequest request) throws org.apache.thrift.TException
+    public org.sequoiahill.protocol.gen.Sender deliver(LogDelivery delivery) throws org.apache.thrift.TException
+    {
+      send_deliver(delivery);
+      return recv_deliver();
+    }
+
+    public void send_deliver(LogDelivery delivery) throws org.apache.thrift.TException
+    {
+      deliver_args args = new deliver_args();
+      args.setDelivery(delivery);
+      sendBase("deliver", args);
+    }
+
+    public org.sequoiahill.protocol.gen.Sender recv_deliver() throws org.apache.thrift.TException
+    {
+      deliver_result result = new deliver_result();
+      receiveBase(result, "deliver");
+      if (result.isSetSuccess()) {
+        return result.success;
+      }
+      throw new org.apache.thrift.TApplicationException(org.apache.thrift.TApplicationException.MISSING_RESULT, "deliver failed: unknown result");
+    }
+
+    @Override
+    public MembersReply members(MembersRequest request) throws org.apache.thrift.TException
     {
-      send_append(request);
-      return recv_append();
+      send_members(request);
+      return recv_members();
     }
 
-    public void send_append(AppendRequest request) throws org.apache.thrift.TException
+    public void send_members(MembersRequest request) throws org.apache.thrift.TException
     {
-      append_args args = new append_args();
+      members_args args = new members_args();
       args.setRequest(request);
-      sendBase("append", args);
+      sendBase("members", args);
     }
 
-    public AppendReply recv_append() throws org.apache.thrift.TException
+    public MembersReply recv_members() throws org.apache.thrift.TException
     {
-      append_result result = new append_result();
-      receiveBase(result, "append");
+      members_result result = new members_result();
+      receiveBase(result, "members");
       if (result.isSetSuccess()) {
         return result.success;
       }
-      throw new org.apache.thrift.TApplicationException(org.apache.thrift.TApplicationException.MISSING_RESULT, "append failed: unknown result");
+      throw new org.apache.thrift.TApplicationException(org.apache.thrift.TApplicationException.MISSING_RESULT, "members failed: unknown result");
     }
 
   }
@@ -87,37 +123,72 @@
     }
 
     @Override
-    public void append(AppendRequest request, org.apache.thrift.async.AsyncMethodCallback<AppendReply> resultHandler) throws org.apache.thrift.TException {
+    public void deliver(LogDelivery delivery, org.apache.thrift.async.AsyncMethodCallback<org.sequoiahill.protocol.gen.Sender> resultHandler) throws org.apache.thrift.TException {
+      checkReady();
+      deliver_call method_call = new deliver_call(delivery, resultHandler, this, ___protocolFactory, ___transport);
+      this.___currentMethod = method_call;
+      ___manager.call(method_call);
+    }
+
+    public static class deliver_call extends org.apache.thrift.async.TAsyncMethodCall<org.sequoiahill.protocol.gen.Sender> {
+      private LogDelivery delivery;
+      public deliver_call(LogDelivery delivery, org.apache.thrift.async.AsyncMethodCallback<org.sequoiahill.protocol.gen.Sender> resultHandler, org.apache.thrift.async.TAsyncClient client, org.apache.thrift.protocol.TProtocolFactory protocolFactory, org.apache.thrift.transport.TNonblockingTransport transport) throws org.apache.thrift.TException {
+        super(client, protocolFactory, transport, resultHandler, false);
+        this.delivery = delivery;
+      }
+
+      @Override
+      public void write_args(org.apache.thrift.protocol.TProtocol prot) throws org.apache.thrift.TException {
+        prot.writeMessageBegin(new org.apache.thrift.protocol.TMessage("deliver", org.apache.thrift.protocol.TMessageType.CALL, 0));
+        deliver_args args = new deliver_args();
+        args.setDelivery(delivery);
+        args.write(prot);
+        prot.writeMessageEnd();
+      }
+
+      @Override
+      public org.sequoiahill.protocol.gen.Sender getResult() throws org.apache.thrift.TException {
+        if (getState() != org.apache.thrift.async.TAsyncMethodCall.State.RESPONSE_READ) {
+          throw new java.lang.IllegalStateException("Method call not finished!");
+        }
+        org.apache.thrift.transport.TMemoryInputTransport memoryTransport = new org.apache.thrift.transport.TMemoryInputTransport(getFrameBuffer().array());
+        org.apache.thrift.protocol.TProtocol prot = client.getProtocolFactory().getProtocol(memoryTransport);
+        return (new Client(prot)).recv_deliver();
+      }
+    }
+
+    @Override
+    public void members(MembersRequest request, org.apache.thrift.async.AsyncMethodCallback<MembersReply> resultHandler) throws org.apache.thrift.TException {
       checkReady();
-      append_call method_call = new append_call(request, resultHandler, this, ___protocolFactory, ___transport);
+      members_call method_call = new members_call(request, resultHandler, this, ___protocolFactory, ___transport);
       this.___currentMethod = method_call;
       ___manager.call(method_call);
     }
 
-    public static class append_call extends org.apache.thrift.async.TAsyncMethodCall<AppendReply> {
-      private AppendRequest request;
-      public append_call(AppendRequest request, org.apache.thrift.async.AsyncMethodCallback<AppendReply> resultHandler, org.apache.thrift.async.TAsyncClient client, org.apache.thrift.protocol.TProtocolFactory protocolFactory, org.apache.thrift.transport.TNonblockingTransport transport) throws org.apache.thrift.TException {
+    public static class members_call extends org.apache.thrift.async.TAsyncMethodCall<MembersReply> {
+      private MembersRequest request;
+      public members_call(MembersRequest request, org.apache.thrift.async.AsyncMethodCallback<MembersReply> resultHandler, org.apache.thrift.async.TAsyncClient client, org.apache.thrift.protocol.TProtocolFactory protocolFactory, org.apache.thrift.transport.TNonblockingTransport transport) throws org.apache.thrift.TException {
         super(client, protocolFactory, transport, resultHandler, false);
         this.request = request;
       }
 
       @Override
       public void write_args(org.apache.thrift.protocol.TProtocol prot) throws org.apache.thrift.TException {
-        prot.writeMessageBegin(new org.apache.thrift.protocol.TMessage("append", org.apache.thrift.protocol.TMessageType.CALL, 0));
-        append_args args = new append_args();
+        prot.writeMessageBegin(new org.apache.thrift.protocol.TMessage("members", org.apache.thrift.protocol.TMessageType.CALL, 0));
+        members_args args = new members_args();
         args.setRequest(request);
         args.write(prot);
         prot.writeMessageEnd();
       }
 
       @Override
-      public AppendReply getResult() throws org.apache.thrift.TException {
+      public MembersReply getResult() throws org.apache.thrift.TException {
         if (getState() != org.apache.thrift.async.TAsyncMethodCall.State.RESPONSE_READ) {
           throw new java.lang.IllegalStateException("Method call not finished!");
         }
         org.apache.thrift.transport.TMemoryInputTransport memoryTransport = new org.apache.thrift.transport.TMemoryInputTransport(getFrameBuffer().array());
         org.apache.thrift.protocol.TProtocol prot = client.getProtocolFactory().getProtocol(memoryTransport);
-        return (new Client(prot)).recv_append();
+        return (new Client(prot)).recv_members();
       }
     }
 
@@ -134,18 +205,47 @@
     }
 
     private static <I extends Iface> java.util.Map<java.lang.String,  org.apache.thrift.ProcessFunction<I, ? extends org.apache.thrift.TBase>> getProcessMap(java.util.Map<java.lang.String, org.apache.thrift.ProcessFunction<I, ? extends  org.apache.thrift.TBase>> processMap) {
-      processMap.put("append", new append());
+      processMap.put("deliver", new deliver());
+      processMap.put("members", new members());
       return processMap;
     }
 
-    public static class append<I extends Iface> extends org.apache.thrift.ProcessFunction<I, append_args> {
-      public append() {
-        super("append");
+    public static class deliver<I extends Iface> extends org.apache.thrift.ProcessFunction<I, deliver_args> {
+      public deliver() {
+        super("deliver");
+      }
+
+      @Override
+      public deliver_args getEmptyArgsInstance() {
+        return new deliver_args();
+      }
+
+      @Override
+      protected boolean isOneway() {
+        return false;
+      }
+
+      @Override
+      protected boolean rethrowUnhandledExceptions() {
+        return false;
+      }
+
+      @Override
+      public deliver_result getResult(I iface, deliver_args args) throws org.apache.thrift.TException {
+        deliver_result result = new deliver_result();
+        result.success = iface.deliver(args.delivery);
+        return result;
+      }
+    }
+
+    public static class members<I extends Iface> extends org.apache.thrift.ProcessFunction<I, members_args> {
+      public members() {
+        super("members");
       }
 
       @Override
-      public append_args getEmptyArgsInstance() {
-        return new append_args();
+      public members_args getEmptyArgsInstance() {
+        return new members_args();
       }
 
       @Override
@@ -159,9 +259,9 @@
       }
 
       @Override
-      public append_result getResult(I iface, append_args args) throws org.apache.thrift.TException {
-        append_result result = new append_result();
-        result.success = iface.append(args.request);
+      public members_result getResult(I iface, members_args args) throws org.apache.thrift.TException {
+        members_result result = new members_result();
+        result.success = iface.members(args.request);
         return result;
       }
     }
@@ -179,27 +279,95 @@
     }
 
     private static <I extends AsyncIface> java.util.Map<java.lang.String,  org.apache.thrift.AsyncProcessFunction<I, ? extends  org.apache.thrift.TBase,?>> getProcessMap(java.util.Map<java.lang.String,  org.apache.thrift.AsyncProcessFunction<I, ? extends  org.apache.thrift.TBase, ?>> processMap) {
-      processMap.put("append", new append());
+      processMap.put("deliver", new deliver());
+      processMap.put("members", new members());
       return processMap;
     }
 
-    public static class append<I extends AsyncIface> extends org.apache.thrift.AsyncProcessFunction<I, append_args, AppendReply> {
-      public append() {
-        super("append");
+    public static class deliver<I extends AsyncIface> extends org.apache.thrift.AsyncProcessFunction<I, deliver_args, org.sequoiahill.protocol.gen.Sender> {
+      public deliver() {
+        super("deliver");
+      }
+
+      @Override
+      public deliver_args getEmptyArgsInstance() {
+        return new deliver_args();
+      }
+
+      @Override
+      public org.apache.thrift.async.AsyncMethodCallback<org.sequoiahill.protocol.gen.Sender> getResultHandler(final org.apache.thrift.server.AbstractNonblockingServer.AsyncFrameBuffer fb, final int seqid) {
+        final org.apache.thrift.AsyncProcessFunction fcall = this;
+        return new org.apache.thrift.async.AsyncMethodCallback<org.sequoiahill.protocol.gen.Sender>() { 
+          @Override
+          public void onComplete(org.sequoiahill.protocol.gen.Sender o) {
+            deliver_result result = new deliver_result();
+            result.success = o;
+            try {
+              fcall.sendResponse(fb, result, org.apache.thrift.protocol.TMessageType.REPLY,seqid);
+            } catch (org.apache.thrift.transport.TTransportException e) {
+              _LOGGER.error("TTransportException writing to internal frame buffer", e);
+              fb.close();
+            } catch (java.lang.Exception e) {
+              _LOGGER.error("Exception writing to internal frame buffer", e);
+              onError(e);
+            }
+          }
+          @Override
+          public void onError(java.lang.Exception e) {
+            byte msgType = org.apache.thrift.protocol.TMessageType.REPLY;
+            org.apache.thrift.TSerializable msg;
+            deliver_result result = new deliver_result();
+            if (e instanceof org.apache.thrift.transport.TTransportException) {
+              _LOGGER.error("TTransportException inside handler", e);
+              fb.close();
+              return;
+            } else if (e instanceof org.apache.thrift.TApplicationException) {
+              _LOGGER.error("TApplicationException inside handler", e);
+              msgType = org.apache.thrift.protocol.TMessageType.EXCEPTION;
+              msg = (org.apache.thrift.TApplicationException)e;
+            } else {
+              _LOGGER.error("Exception inside handler", e);
+              msgType = org.apache.thrift.protocol.TMessageType.EXCEPTION;
+              msg = new org.apache.thrift.TApplicationException(org.apache.thrift.TApplicationException.INTERNAL_ERROR, e.getMessage());
+            }
+            try {
+              fcall.sendResponse(fb,msg,msgType,seqid);
+            } catch (java.lang.Exception ex) {
+              _LOGGER.error("Exception writing to internal frame buffer", ex);
+              fb.close();
+            }
+          }
+        };
+      }
+
+      @Override
+      protected boolean isOneway() {
+        return false;
+      }
+
+      @Override
+      public void start(I iface, deliver_args args, org.apache.thrift.async.AsyncMethodCallback<org.sequoiahill.protocol.gen.Sender> resultHandler) throws org.apache.thrift.TException {
+        iface.deliver(args.delivery,resultHandler);
+      }
+    }
+
+    public static class members<I extends AsyncIface> extends org.apache.thrift.AsyncProcessFunction<I, members_args, MembersReply> {
+      public members() {
+        super("members");
       }
 
       @Override
-      public append_args getEmptyArgsInstance() {
-        return new append_args();
+      public members_args getEmptyArgsInstance() {
+        return new members_args();
       }
 
       @Override
-      public org.apache.thrift.async.AsyncMethodCallback<AppendReply> getResultHandler(final org.apache.thrift.server.AbstractNonblockingServer.AsyncFrameBuffer fb, final int seqid) {
+      public org.apache.thrift.async.AsyncMethodCallback<MembersReply> getResultHandler(final org.apache.thrift.server.AbstractNonblockingServer.AsyncFrameBuffer fb, final int seqid) {
         final org.apache.thrift.AsyncProcessFunction fcall = this;
-        return new org.apache.thrift.async.AsyncMethodCallback<AppendReply>() { 
+        return new org.apache.thrift.async.AsyncMethodCallback<MembersReply>() { 
           @Override
-          public void onComplete(AppendReply o) {
-            append_result result = new append_result();
+          public void onComplete(MembersReply o) {
+            members_result result = new members_result();
             result.success = o;
             try {
               fcall.sendResponse(fb, result, org.apache.thrift.protocol.TMessageType.REPLY,seqid);
@@ -215,7 +383,7 @@
           public void onError(java.lang.Exception e) {
             byte msgType = org.apache.thrift.protocol.TMessageType.REPLY;
             org.apache.thrift.TSerializable msg;
-            append_result result = new append_result();
+            members_result result = new members_result();
             if (e instanceof org.apache.thrift.transport.TTransportException) {
               _LOGGER.error("TTransportException inside handler", e);
               fb.close();
@@ -245,23 +413,790 @@
       }
 
       @Override
-      public void start(I iface, append_args args, org.apache.thrift.async.AsyncMethodCallback<AppendReply> resultHandler) throws org.apache.thrift.TException {
-        iface.append(args.request,resultHandler);
+      public void start(I iface, members_args args, org.apache.thrift.async.AsyncMethodCallback<MembersReply> resultHandler) throws org.apache.thrift.TException {
+        iface.members(args.request,resultHandler);
+      }
+    }
+
+  }
+
+  @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
+  public static class deliver_args implements org.apache.thrift.TBase<deliver_args, deliver_args._Fields>, java.io.Serializable, Cloneable, Comparable<deliver_args>   {
+    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("deliver_args");
+
+    private static final org.apache.thrift.protocol.TField DELIVERY_FIELD_DESC = new org.apache.thrift.protocol.TField("delivery", org.apache.thrift.protocol.TType.STRUCT, (short)1);
+
+    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new deliver_argsStandardSchemeFactory();
+    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new deliver_argsTupleSchemeFactory();
+
+    private @org.apache.thrift.annotation.Nullable LogDelivery delivery; // required
+
+    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+      DELIVERY((short)1, "delivery");
+
+      private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
+
+      static {
+        for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+          byName.put(field.getFieldName(), field);
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByThriftId(int fieldId) {
+        switch(fieldId) {
+          case 1: // DELIVERY
+            return DELIVERY;
+          default:
+            return null;
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, throwing an exception
+       * if it is not found.
+       */
+      public static _Fields findByThriftIdOrThrow(int fieldId) {
+        _Fields fields = findByThriftId(fieldId);
+        if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+        return fields;
+      }
+
+      /**
+       * Find the _Fields constant that matches name, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByName(java.lang.String name) {
+        return byName.get(name);
+      }
+
+      private final short _thriftId;
+      private final java.lang.String _fieldName;
+
+      _Fields(short thriftId, java.lang.String fieldName) {
+        _thriftId = thriftId;
+        _fieldName = fieldName;
+      }
+
+      @Override
+      public short getThriftFieldId() {
+        return _thriftId;
+      }
+
+      @Override
+      public java.lang.String getFieldName() {
+        return _fieldName;
+      }
+    }
+
+    // isset id assignments
+    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    static {
+      java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+      tmpMap.put(_Fields.DELIVERY, new org.apache.thrift.meta_data.FieldMetaData("delivery", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+          new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, LogDelivery.class)));
+      metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+      org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(deliver_args.class, metaDataMap);
+    }
+
+    public deliver_args() {
+    }
+
+    public deliver_args(
+      LogDelivery delivery)
+    {
+      this();
+      this.delivery = delivery;
+    }
+
+    /**
+     * Performs a deep copy on <i>other</i>.
+     */
+    public deliver_args(deliver_args other) {
+      if (other.isSetDelivery()) {
+        this.delivery = new LogDelivery(other.delivery);
+      }
+    }
+
+    @Override
+    public deliver_args deepCopy() {
+      return new deliver_args(this);
+    }
+
+    @Override
+    public void clear() {
+      this.delivery = null;
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    public LogDelivery getDelivery() {
+      return this.delivery;
+    }
+
+    public deliver_args setDelivery(@org.apache.thrift.annotation.Nullable LogDelivery delivery) {
+      this.delivery = delivery;
+      return this;
+    }
+
+    public void unsetDelivery() {
+      this.delivery = null;
+    }
+
+    /** Returns true if field delivery is set (has been assigned a value) and false otherwise */
+    public boolean isSetDelivery() {
+      return this.delivery != null;
+    }
+
+    public void setDeliveryIsSet(boolean value) {
+      if (!value) {
+        this.delivery = null;
+      }
+    }
+
+    @Override
+    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+      switch (field) {
+      case DELIVERY:
+        if (value == null) {
+          unsetDelivery();
+        } else {
+          setDelivery((LogDelivery)value);
+        }
+        break;
+
+      }
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public java.lang.Object getFieldValue(_Fields field) {
+      switch (field) {
+      case DELIVERY:
+        return getDelivery();
+
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+    @Override
+    public boolean isSet(_Fields field) {
+      if (field == null) {
+        throw new java.lang.IllegalArgumentException();
+      }
+
+      switch (field) {
+      case DELIVERY:
+        return isSetDelivery();
       }
+      throw new java.lang.IllegalStateException();
     }
 
+    @Override
+    public boolean equals(java.lang.Object that) {
+      if (that instanceof deliver_args)
+        return this.equals((deliver_args)that);
+      return false;
+    }
+
+    public boolean equals(deliver_args that) {
+      if (that == null)
+        return false;
+      if (this == that)
+        return true;
+
+      boolean this_present_delivery = true && this.isSetDelivery();
+      boolean that_present_delivery = true && that.isSetDelivery();
+      if (this_present_delivery || that_present_delivery) {
+        if (!(this_present_delivery && that_present_delivery))
+          return false;
+        if (!this.delivery.equals(that.delivery))
+          return false;
+      }
+
+      return true;
+    }
+
+    @Override
+    public int hashCode() {
+      int hashCode = 1;
+
+      hashCode = hashCode * 8191 + ((isSetDelivery()) ? 131071 : 524287);
+      if (isSetDelivery())
+        hashCode = hashCode * 8191 + delivery.hashCode();
+
+      return hashCode;
+    }
+
+    @Override
+    public int compareTo(deliver_args other) {
+      if (!getClass().equals(other.getClass())) {
+        return getClass().getName().compareTo(other.getClass().getName());
+      }
+
+      int lastComparison = 0;
+
+      lastComparison = java.lang.Boolean.compare(isSetDelivery(), other.isSetDelivery());
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+      if (isSetDelivery()) {
+        lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.delivery, other.delivery);
+        if (lastComparison != 0) {
+          return lastComparison;
+        }
+      }
+      return 0;
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public _Fields fieldForId(int fieldId) {
+      return _Fields.findByThriftId(fieldId);
+    }
+
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+      scheme(iprot).read(iprot, this);
+    }
+
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+      scheme(oprot).write(oprot, this);
+    }
+
+    @Override
+    public java.lang.String toString() {
+      java.lang.StringBuilder sb = new java.lang.StringBuilder("deliver_args(");
+      boolean first = true;
+
+      sb.append("delivery:");
+      if (this.delivery == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.delivery);
+      }
+      first = false;
+      sb.append(")");
+      return sb.toString();
+    }
+
+    public void validate() throws org.apache.thrift.TException {
+      // check for required fields
+      // check for sub-struct validity
+      if (delivery != null) {
+        delivery.validate();
+      }
+    }
+
+    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+      try {
+        write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+      try {
+        read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private static class deliver_argsStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public deliver_argsStandardScheme getScheme() {
+        return new deliver_argsStandardScheme();
+      }
+    }
+
+    private static class deliver_argsStandardScheme extends org.apache.thrift.scheme.StandardScheme<deliver_args> {
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol iprot, deliver_args struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TField schemeField;
+        iprot.readStructBegin();
+        while (true)
+        {
+          schemeField = iprot.readFieldBegin();
+          if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+            break;
+          }
+          switch (schemeField.id) {
+            case 1: // DELIVERY
+              if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+                struct.delivery = new LogDelivery();
+                struct.delivery.read(iprot);
+                struct.setDeliveryIsSet(true);
+              } else { 
+                org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+              }
+              break;
+            default:
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+          }
+          iprot.readFieldEnd();
+        }
+        iprot.readStructEnd();
+
+        // check for required fields of primitive type, which can't be checked in the validate method
+        struct.validate();
+      }
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol oprot, deliver_args struct) throws org.apache.thrift.TException {
+        struct.validate();
+
+        oprot.writeStructBegin(STRUCT_DESC);
+        if (struct.delivery != null) {
+          oprot.writeFieldBegin(DELIVERY_FIELD_DESC);
+          struct.delivery.write(oprot);
+          oprot.writeFieldEnd();
+        }
+        oprot.writeFieldStop();
+        oprot.writeStructEnd();
+      }
+
+    }
+
+    private static class deliver_argsTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public deliver_argsTupleScheme getScheme() {
+        return new deliver_argsTupleScheme();
+      }
+    }
+
+    private static class deliver_argsTupleScheme extends org.apache.thrift.scheme.TupleScheme<deliver_args> {
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol prot, deliver_args struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+        java.util.BitSet optionals = new java.util.BitSet();
+        if (struct.isSetDelivery()) {
+          optionals.set(0);
+        }
+        oprot.writeBitSet(optionals, 1);
+        if (struct.isSetDelivery()) {
+          struct.delivery.write(oprot);
+        }
+      }
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol prot, deliver_args struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+        java.util.BitSet incoming = iprot.readBitSet(1);
+        if (incoming.get(0)) {
+          struct.delivery = new LogDelivery();
+          struct.delivery.read(iprot);
+          struct.setDeliveryIsSet(true);
+        }
+      }
+    }
+
+    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+      return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+    }
+  }
+
+  @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
+  public static class deliver_result implements org.apache.thrift.TBase<deliver_result, deliver_result._Fields>, java.io.Serializable, Cloneable, Comparable<deliver_result>   {
+    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("deliver_result");
+
+    private static final org.apache.thrift.protocol.TField SUCCESS_FIELD_DESC = new org.apache.thrift.protocol.TField("success", org.apache.thrift.protocol.TType.STRUCT, (short)0);
+
+    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new deliver_resultStandardSchemeFactory();
+    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new deliver_resultTupleSchemeFactory();
+
+    private @org.apache.thrift.annotation.Nullable org.sequoiahill.protocol.gen.Sender success; // required
+
+    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+      SUCCESS((short)0, "success");
+
+      private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
+
+      static {
+        for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+          byName.put(field.getFieldName(), field);
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByThriftId(int fieldId) {
+        switch(fieldId) {
+          case 0: // SUCCESS
+            return SUCCESS;
+          default:
+            return null;
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, throwing an exception
+       * if it is not found.
+       */
+      public static _Fields findByThriftIdOrThrow(int fieldId) {
+        _Fields fields = findByThriftId(fieldId);
+        if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+        return fields;
+      }
+
+      /**
+       * Find the _Fields constant that matches name, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByName(java.lang.String name) {
+        return byName.get(name);
+      }
+
+      private final short _thriftId;
+      private final java.lang.String _fieldName;
+
+      _Fields(short thriftId, java.lang.String fieldName) {
+        _thriftId = thriftId;
+        _fieldName = fieldName;
+      }
+
+      @Override
+      public short getThriftFieldId() {
+        return _thriftId;
+      }
+
+      @Override
+      public java.lang.String getFieldName() {
+        return _fieldName;
+      }
+    }
+
+    // isset id assignments
+    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    static {
+      java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+      tmpMap.put(_Fields.SUCCESS, new org.apache.thrift.meta_data.FieldMetaData("success", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+          new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, org.sequoiahill.protocol.gen.Sender.class)));
+      metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+      org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(deliver_result.class, metaDataMap);
+    }
+
+    public deliver_result() {
+    }
+
+    public deliver_result(
+      org.sequoiahill.protocol.gen.Sender success)
+    {
+      this();
+      this.success = success;
+    }
+
+    /**
+     * Performs a deep copy on <i>other</i>.
+     */
+    public deliver_result(deliver_result other) {
+      if (other.isSetSuccess()) {
+        this.success = new org.sequoiahill.protocol.gen.Sender(other.success);
+      }
+    }
+
+    @Override
+    public deliver_result deepCopy() {
+      return new deliver_result(this);
+    }
+
+    @Override
+    public void clear() {
+      this.success = null;
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    public org.sequoiahill.protocol.gen.Sender getSuccess() {
+      return this.success;
+    }
+
+    public deliver_result setSuccess(@org.apache.thrift.annotation.Nullable org.sequoiahill.protocol.gen.Sender success) {
+      this.success = success;
+      return this;
+    }
+
+    public void unsetSuccess() {
+      this.success = null;
+    }
+
+    /** Returns true if field success is set (has been assigned a value) and false otherwise */
+    public boolean isSetSuccess() {
+      return this.success != null;
+    }
+
+    public void setSuccessIsSet(boolean value) {
+      if (!value) {
+        this.success = null;
+      }
+    }
+
+    @Override
+    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+      switch (field) {
+      case SUCCESS:
+        if (value == null) {
+          unsetSuccess();
+        } else {
+          setSuccess((org.sequoiahill.protocol.gen.Sender)value);
+        }
+        break;
+
+      }
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public java.lang.Object getFieldValue(_Fields field) {
+      switch (field) {
+      case SUCCESS:
+        return getSuccess();
+
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+    @Override
+    public boolean isSet(_Fields field) {
+      if (field == null) {
+        throw new java.lang.IllegalArgumentException();
+      }
+
+      switch (field) {
+      case SUCCESS:
+        return isSetSuccess();
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    @Override
+    public boolean equals(java.lang.Object that) {
+      if (that instanceof deliver_result)
+        return this.equals((deliver_result)that);
+      return false;
+    }
+
+    public boolean equals(deliver_result that) {
+      if (that == null)
+        return false;
+      if (this == that)
+        return true;
+
+      boolean this_present_success = true && this.isSetSuccess();
+      boolean that_present_success = true && that.isSetSuccess();
+      if (this_present_success || that_present_success) {
+        if (!(this_present_success && that_present_success))
+          return false;
+        if (!this.success.equals(that.success))
+          return false;
+      }
+
+      return true;
+    }
+
+    @Override
+    public int hashCode() {
+      int hashCode = 1;
+
+      hashCode = hashCode * 8191 + ((isSetSuccess()) ? 131071 : 524287);
+      if (isSetSuccess())
+        hashCode = hashCode * 8191 + success.hashCode();
+
+      return hashCode;
+    }
+
+    @Override
+    public int compareTo(deliver_result other) {
+      if (!getClass().equals(other.getClass())) {
+        return getClass().getName().compareTo(other.getClass().getName());
+      }
+
+      int lastComparison = 0;
+
+      lastComparison = java.lang.Boolean.compare(isSetSuccess(), other.isSetSuccess());
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+      if (isSetSuccess()) {
+        lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.success, other.success);
+        if (lastComparison != 0) {
+          return lastComparison;
+        }
+      }
+      return 0;
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public _Fields fieldForId(int fieldId) {
+      return _Fields.findByThriftId(fieldId);
+    }
+
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+      scheme(iprot).read(iprot, this);
+    }
+
+    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+      scheme(oprot).write(oprot, this);
+      }
+
+    @Override
+    public java.lang.String toString() {
+      java.lang.StringBuilder sb = new java.lang.StringBuilder("deliver_result(");
+      boolean first = true;
+
+      sb.append("success:");
+      if (this.success == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.success);
+      }
+      first = false;
+      sb.append(")");
+      return sb.toString();
+    }
+
+    public void validate() throws org.apache.thrift.TException {
+      // check for required fields
+      // check for sub-struct validity
+      if (success != null) {
+        success.validate();
+      }
+    }
+
+    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+      try {
+        write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+      try {
+        read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private static class deliver_resultStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public deliver_resultStandardScheme getScheme() {
+        return new deliver_resultStandardScheme();
+      }
+    }
+
+    private static class deliver_resultStandardScheme extends org.apache.thrift.scheme.StandardScheme<deliver_result> {
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol iprot, deliver_result struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TField schemeField;
+        iprot.readStructBegin();
+        while (true)
+        {
+          schemeField = iprot.readFieldBegin();
+          if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+            break;
+          }
+          switch (schemeField.id) {
+            case 0: // SUCCESS
+              if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+                struct.success = new org.sequoiahill.protocol.gen.Sender();
+                struct.success.read(iprot);
+                struct.setSuccessIsSet(true);
+              } else { 
+                org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+              }
+              break;
+            default:
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+          }
+          iprot.readFieldEnd();
+        }
+        iprot.readStructEnd();
+
+        // check for required fields of primitive type, which can't be checked in the validate method
+        struct.validate();
+      }
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol oprot, deliver_result struct) throws org.apache.thrift.TException {
+        struct.validate();
+
+        oprot.writeStructBegin(STRUCT_DESC);
+        if (struct.success != null) {
+          oprot.writeFieldBegin(SUCCESS_FIELD_DESC);
+          struct.success.write(oprot);
+          oprot.writeFieldEnd();
+        }
+        oprot.writeFieldStop();
+        oprot.writeStructEnd();
+      }
+
+    }
+
+    private static class deliver_resultTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public deliver_resultTupleScheme getScheme() {
+        return new deliver_resultTupleScheme();
+      }
+    }
+
+    private static class deliver_resultTupleScheme extends org.apache.thrift.scheme.TupleScheme<deliver_result> {
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol prot, deliver_result struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+        java.util.BitSet optionals = new java.util.BitSet();
+        if (struct.isSetSuccess()) {
+          optionals.set(0);
+        }
+        oprot.writeBitSet(optionals, 1);
+        if (struct.isSetSuccess()) {
+          struct.success.write(oprot);
+        }
+      }
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol prot, deliver_result struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+        java.util.BitSet incoming = iprot.readBitSet(1);
+        if (incoming.get(0)) {
+          struct.success = new org.sequoiahill.protocol.gen.Sender();
+          struct.success.read(iprot);
+          struct.setSuccessIsSet(true);
+        }
+      }
+    }
+
+    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+      return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+    }
   }
 
   @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-  public static class append_args implements org.apache.thrift.TBase<append_args, append_args._Fields>, java.io.Serializable, Cloneable, Comparable<append_args>   {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("append_args");
+  public static class members_args implements org.apache.thrift.TBase<members_args, members_args._Fields>, java.io.Serializable, Cloneable, Comparable<members_args>   {
+    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("members_args");
 
     private static final org.apache.thrift.protocol.TField REQUEST_FIELD_DESC = new org.apache.thrift.protocol.TField("request", org.apache.thrift.protocol.TType.STRUCT, (short)1);
 
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new append_argsStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new append_argsTupleSchemeFactory();
+    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new members_argsStandardSchemeFactory();
+    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new members_argsTupleSchemeFactory();
 
-    private @org.apache.thrift.annotation.Nullable AppendRequest request; // required
+    private @org.apache.thrift.annotation.Nullable MembersRequest request; // required
 
     /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
     public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -330,16 +1265,16 @@
     static {
       java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
       tmpMap.put(_Fields.REQUEST, new org.apache.thrift.meta_data.FieldMetaData("request", org.apache.thrift.TFieldRequirementType.DEFAULT, 
-          new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, AppendRequest.class)));
+          new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, MembersRequest.class)));
       metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-      org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(append_args.class, metaDataMap);
+      org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(members_args.class, metaDataMap);
     }
 
-    public append_args() {
+    public members_args() {
     }
 
-    public append_args(
-      AppendRequest request)
+    public members_args(
+      MembersRequest request)
     {
       this();
       this.request = request;
@@ -348,15 +1283,15 @@
     /**
      * Performs a deep copy on <i>other</i>.
      */
-    public append_args(append_args other) {
+    public members_args(members_args other) {
       if (other.isSetRequest()) {
-        this.request = new AppendRequest(other.request);
+        this.request = new MembersRequest(other.request);
       }
     }
 
     @Override
-    public append_args deepCopy() {
-      return new append_args(this);
+    public members_args deepCopy() {
+      return new members_args(this);
     }
 
     @Override
@@ -365,11 +1300,11 @@
     }
 
     @org.apache.thrift.annotation.Nullable
-    public AppendRequest getRequest() {
+    public MembersRequest getRequest() {
       return this.request;
     }
 
-    public append_args setRequest(@org.apache.thrift.annotation.Nullable AppendRequest request) {
+    public members_args setRequest(@org.apache.thrift.annotation.Nullable MembersRequest request) {
       this.request = request;
       return this;
     }
@@ -396,7 +1331,7 @@
         if (value == null) {
           unsetRequest();
         } else {
-          setRequest((AppendRequest)value);
+          setRequest((MembersRequest)value);
         }
         break;
 
@@ -430,12 +1365,12 @@
 
     @Override
     public boolean equals(java.lang.Object that) {
-      if (that instanceof append_args)
-        return this.equals((append_args)that);
+      if (that instanceof members_args)
+        return this.equals((members_args)that);
       return false;
     }
 
-    public boolean equals(append_args that) {
+    public boolean equals(members_args that) {
       if (that == null)
         return false;
       if (this == that)
@@ -465,7 +1400,7 @@
     }
 
     @Override
-    public int compareTo(append_args other) {
+    public int compareTo(members_args other) {
       if (!getClass().equals(other.getClass())) {
         return getClass().getName().compareTo(other.getClass().getName());
       }
@@ -503,7 +1438,7 @@
 
     @Override
     public java.lang.String toString() {
-      java.lang.StringBuilder sb = new java.lang.StringBuilder("append_args(");
+      java.lang.StringBuilder sb = new java.lang.StringBuilder("members_args(");
       boolean first = true;
 
       sb.append("request:");
@@ -541,17 +1476,17 @@
       }
     }
 
-    private static class append_argsStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+    private static class members_argsStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
       @Override
-      public append_argsStandardScheme getScheme() {
-        return new append_argsStandardScheme();
+      public members_argsStandardScheme getScheme() {
+        return new members_argsStandardScheme();
       }
     }
 
-    private static class append_argsStandardScheme extends org.apache.thrift.scheme.StandardScheme<append_args> {
+    private static class members_argsStandardScheme extends org.apache.thrift.scheme.StandardScheme<members_args> {
 
       @Override
-      public void read(org.apache.thrift.protocol.TProtocol iprot, append_args struct) throws org.apache.thrift.TException {
+      public void read(org.apache.thrift.protocol.TProtocol iprot, members_args struct) throws org.apache.thrift.TException {
         org.apache.thrift.protocol.TField schemeField;
         iprot.readStructBegin();
         while (true)
@@ -563,7 +1498,7 @@
           switch (schemeField.id) {
             case 1: // REQUEST
               if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
-                struct.request = new AppendRequest();
+                struct.request = new MembersRequest();
                 struct.request.read(iprot);
                 struct.setRequestIsSet(true);
               } else { 
@@ -582,7 +1517,7 @@
       }
 
       @Override
-      public void write(org.apache.thrift.protocol.TProtocol oprot, append_args struct) throws org.apache.thrift.TException {
+      public void write(org.apache.thrift.protocol.TProtocol oprot, members_args struct) throws org.apache.thrift.TException {
         struct.validate();
 
         oprot.writeStructBegin(STRUCT_DESC);
@@ -597,17 +1532,17 @@
 
     }
 
-    private static class append_argsTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+    private static class members_argsTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
       @Override
-      public append_argsTupleScheme getScheme() {
-        return new append_argsTupleScheme();
+      public members_argsTupleScheme getScheme() {
+        return new members_argsTupleScheme();
       }
     }
 
-    private static class append_argsTupleScheme extends org.apache.thrift.scheme.TupleScheme<append_args> {
+    private static class members_argsTupleScheme extends org.apache.thrift.scheme.TupleScheme<members_args> {
 
       @Override
-      public void write(org.apache.thrift.protocol.TProtocol prot, append_args struct) throws org.apache.thrift.TException {
+      public void write(org.apache.thrift.protocol.TProtocol prot, members_args struct) throws org.apache.thrift.TException {
         org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
         java.util.BitSet optionals = new java.util.BitSet();
         if (struct.isSetRequest()) {
@@ -620,11 +1555,11 @@
       }
 
       @Override
-      public void read(org.apache.thrift.protocol.TProtocol prot, append_args struct) throws org.apache.thrift.TException {
+      public void read(org.apache.thrift.protocol.TProtocol prot, members_args struct) throws org.apache.thrift.TException {
         org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
         java.util.BitSet incoming = iprot.readBitSet(1);
         if (incoming.get(0)) {
-          struct.request = new AppendRequest();
+          struct.request = new MembersRequest();
           struct.request.read(iprot);
           struct.setRequestIsSet(true);
         }
@@ -637,15 +1572,15 @@
   }
 
   @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-  public static class append_result implements org.apache.thrift.TBase<append_result, append_result._Fields>, java.io.Serializable, Cloneable, Comparable<append_result>   {
-    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("append_result");
+  public static class members_result implements org.apache.thrift.TBase<members_result, members_result._Fields>, java.io.Serializable, Cloneable, Comparable<members_result>   {
+    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("members_result");
 
     private static final org.apache.thrift.protocol.TField SUCCESS_FIELD_DESC = new org.apache.thrift.protocol.TField("success", org.apache.thrift.protocol.TType.STRUCT, (short)0);
 
-    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new append_resultStandardSchemeFactory();
-    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new append_resultTupleSchemeFactory();
+    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new members_resultStandardSchemeFactory();
+    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new members_resultTupleSchemeFactory();
 
-    private @org.apache.thrift.annotation.Nullable AppendReply success; // required
+    private @org.apache.thrift.annotation.Nullable MembersReply success; // required
 
     /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
     public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -714,16 +1649,16 @@
     static {
       java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
       tmpMap.put(_Fields.SUCCESS, new org.apache.thrift.meta_data.FieldMetaData("success", org.apache.thrift.TFieldRequirementType.DEFAULT, 
-          new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, AppendReply.class)));
+          new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, MembersReply.class)));
       metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-      org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(append_result.class, metaDataMap);
+      org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(members_result.class, metaDataMap);
     }
 
-    public append_result() {
+    public members_result() {
     }
 
-    public append_result(
-      AppendReply success)
+    public members_result(
+      MembersReply success)
     {
       this();
       this.success = success;
@@ -732,15 +1667,15 @@
     /**
      * Performs a deep copy on <i>other</i>.
      */
-    public append_result(append_result other) {
+    public members_result(members_result other) {
       if (other.isSetSuccess()) {
-        this.success = new AppendReply(other.success);
+        this.success = new MembersReply(other.success);
       }
     }
 
     @Override
-    public append_result deepCopy() {
-      return new append_result(this);
+    public members_result deepCopy() {
+      return new members_result(this);
     }
 
     @Override
@@ -749,11 +1684,11 @@
     }
 
     @org.apache.thrift.annotation.Nullable
-    public AppendReply getSuccess() {
+    public MembersReply getSuccess() {
       return this.success;
     }
 
-    public append_result setSuccess(@org.apache.thrift.annotation.Nullable AppendReply success) {
+    public members_result setSuccess(@org.apache.thrift.annotation.Nullable MembersReply success) {
       this.success = success;
       return this;
     }
@@ -780,7 +1715,7 @@
         if (value == null) {
           unsetSuccess();
         } else {
-          setSuccess((AppendReply)value);
+          setSuccess((MembersReply)value);
         }
         break;
 
@@ -814,12 +1749,12 @@
 
     @Override
     public boolean equals(java.lang.Object that) {
-      if (that instanceof append_result)
-        return this.equals((append_result)that);
+      if (that instanceof members_result)
+        return this.equals((members_result)that);
       return false;
     }
 
-    public boolean equals(append_result that) {
+    public boolean equals(members_result that) {
       if (that == null)
         return false;
       if (this == that)
@@ -849,7 +1784,7 @@
     }
 
     @Override
-    public int compareTo(append_result other) {
+    public int compareTo(members_result other) {
       if (!getClass().equals(other.getClass())) {
         return getClass().getName().compareTo(other.getClass().getName());
       }
@@ -886,7 +1821,7 @@
 
     @Override
     public java.lang.String toString() {
-      java.lang.StringBuilder sb = new java.lang.StringBuilder("append_result(");
+      java.lang.StringBuilder sb = new java.lang.StringBuilder("members_result(");
       boolean first = true;
 
       sb.append("success:");
@@ -924,17 +1859,17 @@
       }
     }
 
-    private static class append_resultStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+    private static class members_resultStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
       @Override
-      public append_resultStandardScheme getScheme() {
-        return new append_resultStandardScheme();
+      public members_resultStandardScheme getScheme() {
+        return new members_resultStandardScheme();
       }
     }
 
-    private static class append_resultStandardScheme extends org.apache.thrift.scheme.StandardScheme<append_result> {
+    private static class members_resultStandardScheme extends org.apache.thrift.scheme.StandardScheme<members_result> {
 
       @Override
-      public void read(org.apache.thrift.protocol.TProtocol iprot, append_result struct) throws org.apache.thrift.TException {
+      public void read(org.apache.thrift.protocol.TProtocol iprot, members_result struct) throws org.apache.thrift.TException {
         org.apache.thrift.protocol.TField schemeField;
         iprot.readStructBegin();
         while (true)
@@ -946,7 +1881,7 @@
           switch (schemeField.id) {
             case 0: // SUCCESS
               if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
-                struct.success = new AppendReply();
+                struct.success = new MembersReply();
                 struct.success.read(iprot);
                 struct.setSuccessIsSet(true);
               } else { 
@@ -965,7 +1900,7 @@
       }
 
       @Override
-      public void write(org.apache.thrift.protocol.TProtocol oprot, append_result struct) throws org.apache.thrift.TException {
+      public void write(org.apache.thrift.protocol.TProtocol oprot, members_result struct) throws org.apache.thrift.TException {
         struct.validate();
 
         oprot.writeStructBegin(STRUCT_DESC);
@@ -980,17 +1915,17 @@
 
     }
 
-    private static class append_resultTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+    private static class members_resultTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
       @Override
-      public append_resultTupleScheme getScheme() {
-        return new append_resultTupleScheme();
+      public members_resultTupleScheme getScheme() {
+        return new members_resultTupleScheme();
       }
     }
 
-    private static class append_resultTupleScheme extends org.apache.thrift.scheme.TupleScheme<append_result> {
+    private static class members_resultTupleScheme extends org.apache.thrift.scheme.TupleScheme<members_result> {
 
       @Override
-      public void write(org.apache.thrift.protocol.TProtocol prot, append_result struct) throws org.apache.thrift.TException {
+      public void write(org.apache.thrift.protocol.TProtocol prot, members_result struct) throws org.apache.thrift.TException {
         org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
         java.util.BitSet optionals = new java.util.BitSet();
         if (struct.isSetSuccess()) {
@@ -1003,11 +1938,11 @@
       }
 
       @Override
-      public void read(org.apache.thrift.protocol.TProtocol prot, append_result struct) throws org.apache.thrift.TException {
+      public void read(org.apache.thrift.protocol.TProtocol prot, members_result struct) throws org.apache.thrift.TException {
         org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
         java.util.BitSet incoming = iprot.readBitSet(1);
         if (incoming.get(0)) {
-          struct.success = new AppendReply();
+          struct.success = new MembersReply();
           struct.success.read(iprot);
           struct.setSuccessIsSet(true);
         }
--- a/protocol/src/main/java/org/sequoiahill/protocol/gen/AppendRequest.java
+++ b/protocol/src/main/java/org/sequoiahill/protocol/gen/LogAppend.java
@@ -7,37 +7,31 @@
 package org.sequoiahill.protocol.gen;
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class AppendRequest implements org.apache.thrift.TBase<AppendRequest, AppendRequest._Fields>, java.io.Serializable, Cloneable, Comparable<AppendRequest> {
-  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("AppendRequest");
-
-  private static final org.apache.thrift.protocol.TField SENDER_FIELD_DESC = new org.apache.thrift.protocol.TField("sender", org.apache.thrift.protocol.TType.STRUCT, (short)1);
-  private static final org.apache.thrift.protocol.TField GROUP_FIELD_DESC = new org.apache.thrift.protocol.TField("group", org.apache.thrift.protocol.TType.STRING, (short)2);
-  private static final org.apache.thrift.protocol.TField TERM_FIELD_DESC = new org.apache.thrift.protocol.TField("term", org.apache.thrift.protocol.TType.I64, (short)3);
-  private static final org.apache.thrift.protocol.TField PREVIOUS_INDEX_FIELD_DESC = new org.apache.thrift.protocol.TField("previousIndex", org.apache.thrift.protocol.TType.I64, (short)4);
-  private static final org.apache.thrift.protocol.TField PREVIOUS_TERM_FIELD_DESC = new org.apache.thrift.protocol.TField("previousTerm", org.apache.thrift.protocol.TType.I64, (short)5);
-  private static final org.apache.thrift.protocol.TField ENTRIES_FIELD_DESC = new org.apache.thrift.protocol.TField("entries", org.apache.thrift.protocol.TType.LIST, (short)6);
-  private static final org.apache.thrift.protocol.TField COMMIT_INDEX_FIELD_DESC = new org.apache.thrift.protocol.TField("commitIndex", org.apache.thrift.protocol.TType.I64, (short)7);
-
-  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new AppendRequestStandardSchemeFactory();
-  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new AppendRequestTupleSchemeFactory();
-
-  private @org.apache.thrift.annotation.Nullable org.sequoiahill.protocol.gen.Sender sender; // required
-  private @org.apache.thrift.annotation.Nullable java.lang.String group; // required
-  private long term; // required
+public class LogAppend implements org.apache.thrift.TBase<LogAppend, LogAppend._Fields>, java.io.Serializable, Cloneable, Comparable<LogAppend> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("LogAppend");
+
+  private static final org.apache.thrift.protocol.TField PREVIOUS_INDEX_FIELD_DESC = new org.apache.thrift.protocol.TField("previousIndex", org.apache.thrift.protocol.TType.I64, (short)1);
+  private static final org.apache.thrift.protocol.TField PREVIOUS_TERM_FIELD_DESC = new org.apache.thrift.protocol.TField("previousTerm", org.apache.thrift.protocol.TType.I64, (short)2);
+  private static final org.apache.thrift.protocol.TField COMMIT_INDEX_FIELD_DESC = new org.apache.thrift.protocol.TField("commitIndex", org.apache.thrift.protocol.TType.I64, (short)3);
+  private static final org.apache.thrift.protocol.TField SENT_AT_FIELD_DESC = new org.apache.thrift.protocol.TField("sentAt", org.apache.thrift.protocol.TType.I64, (short)4);
+  private static final org.apache.thrift.protocol.TField ENTRIES_FIELD_DESC = new org.apache.thrift.protocol.TField("entries", org.apache.thrift.protocol.TType.LIST, (short)5);
+
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new LogAppendStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new LogAppendTupleSchemeFactory();
+
   private long previousIndex; // required
   private long previousTerm; // required
-  private @org.apache.thrift.annotation.Nullable java.util.List<LogEntry> entries; // required
   private long commitIndex; // required
+  private long sentAt; // required
+  private @org.apache.thrift.annotation.Nullable java.util.List<LogEntry> entries; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-    SENDER((short)1, "sender"),
-    GROUP((short)2, "group"),
-    TERM((short)3, "term"),
-    PREVIOUS_INDEX((short)4, "previousIndex"),
-    PREVIOUS_TERM((short)5, "previousTerm"),
-    ENTRIES((short)6, "entries"),
-    COMMIT_INDEX((short)7, "commitIndex");
+    PREVIOUS_INDEX((short)1, "previousIndex"),
+    PREVIOUS_TERM((short)2, "previousTerm"),
+    COMMIT_INDEX((short)3, "commitIndex"),
+    SENT_AT((short)4, "sentAt"),
+    ENTRIES((short)5, "entries");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -53,20 +47,16 @@
     @org.apache.thrift.annotation.Nullable
     public static _Fields findByThriftId(int fieldId) {
       switch(fieldId) {
-        case 1: // SENDER
-          return SENDER;
-        case 2: // GROUP
-          return GROUP;
-        case 3: // TERM
-          return TERM;
-        case 4: // PREVIOUS_INDEX
+        case 1: // PREVIOUS_INDEX
           return PREVIOUS_INDEX;
-        case 5: // PREVIOUS_TERM
+        case 2: // PREVIOUS_TERM
           return PREVIOUS_TERM;
-        case 6: // ENTRIES
-          return ENTRIES;
-        case 7: // COMMIT_INDEX
+        case 3: // COMMIT_INDEX
           return COMMIT_INDEX;
+        case 4: // SENT_AT
+          return SENT_AT;
+        case 5: // ENTRIES
+          return ENTRIES;
         default:
           return null;
       }
@@ -110,73 +100,60 @@
   }
 
   // isset id assignments
-  private static final int __TERM_ISSET_ID = 0;
-  private static final int __PREVIOUSINDEX_ISSET_ID = 1;
-  private static final int __PREVIOUSTERM_ISSET_ID = 2;
-  private static final int __COMMITINDEX_ISSET_ID = 3;
+  private static final int __PREVIOUSINDEX_ISSET_ID = 0;
+  private static final int __PREVIOUSTERM_ISSET_ID = 1;
+  private static final int __COMMITINDEX_ISSET_ID = 2;
+  private static final int __SENTAT_ISSET_ID = 3;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-    tmpMap.put(_Fields.SENDER, new org.apache.thrift.meta_data.FieldMetaData("sender", org.apache.thrift.TFieldRequirementType.DEFAULT, 
-        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, org.sequoiahill.protocol.gen.Sender.class)));
-    tmpMap.put(_Fields.GROUP, new org.apache.thrift.meta_data.FieldMetaData("group", org.apache.thrift.TFieldRequirementType.DEFAULT, 
-        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-    tmpMap.put(_Fields.TERM, new org.apache.thrift.meta_data.FieldMetaData("term", org.apache.thrift.TFieldRequirementType.DEFAULT, 
-        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.PREVIOUS_INDEX, new org.apache.thrift.meta_data.FieldMetaData("previousIndex", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.PREVIOUS_TERM, new org.apache.thrift.meta_data.FieldMetaData("previousTerm", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.COMMIT_INDEX, new org.apache.thrift.meta_data.FieldMetaData("commitIndex", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.SENT_AT, new org.apache.thrift.meta_data.FieldMetaData("sentAt", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.ENTRIES, new org.apache.thrift.meta_data.FieldMetaData("entries", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, LogEntry.class))));
-    tmpMap.put(_Fields.COMMIT_INDEX, new org.apache.thrift.meta_data.FieldMetaData("commitIndex", org.apache.thrift.TFieldRequirementType.DEFAULT, 
-        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(AppendRequest.class, metaDataMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(LogAppend.class, metaDataMap);
   }
 
-  public AppendRequest() {
+  public LogAppend() {
   }
 
-  public AppendRequest(
-    org.sequoiahill.protocol.gen.Sender sender,
-    java.lang.String group,
-    long term,
+  public LogAppend(
     long previousIndex,
     long previousTerm,
-    java.util.List<LogEntry> entries,
-    long commitIndex)
+    long commitIndex,
+    long sentAt,
+    java.util.List<LogEntry> entries)
   {
     this();
-    this.sender = sender;
-    this.group = group;
-    this.term = term;
-    setTermIsSet(true);
     this.previousIndex = previousIndex;
     setPreviousIndexIsSet(true);
     this.previousTerm = previousTerm;
     setPreviousTermIsSet(true);
-    this.entries = entries;
     this.commitIndex = commitIndex;
     setCommitIndexIsSet(true);
+    this.sentAt = sentAt;
+    setSentAtIsSet(true);
+    this.entries = entries;
   }
 
   /**
    * Performs a deep copy on <i>other</i>.
    */
-  public AppendRequest(AppendRequest other) {
+  public LogAppend(LogAppend other) {
     __isset_bitfield = other.__isset_bitfield;
-    if (other.isSetSender()) {
-      this.sender = new org.sequoiahill.protocol.gen.Sender(other.sender);
-    }
-    if (other.isSetGroup()) {
-      this.group = other.group;
-    }
-    this.term = other.term;
     this.previousIndex = other.previousIndex;
     this.previousTerm = other.previousTerm;
+    this.commitIndex = other.commitIndex;
+    this.sentAt = other.sentAt;
     if (other.isSetEntries()) {
       java.util.List<LogEntry> __this__entries = new java.util.ArrayList<LogEntry>(other.entries.size());
       for (LogEntry other_element : other.entries) {
@@ -184,107 +161,31 @@
       }
       this.entries = __this__entries;
     }
-    this.commitIndex = other.commitIndex;
   }
 
   @Override
-  public AppendRequest deepCopy() {
-    return new AppendRequest(this);
+  public LogAppend deepCopy() {
+    return new LogAppend(this);
   }
 
   @Override
   public void clear() {
-    this.sender = null;
-    this.group = null;
-    setTermIsSet(false);
-    this.term = 0;
     setPreviousIndexIsSet(false);
     this.previousIndex = 0;
     setPreviousTermIsSet(false);
     this.previousTerm = 0;
-    this.entries = null;
     setCommitIndexIsSet(false);
     this.commitIndex = 0;
-  }
-
-  @org.apache.thrift.annotation.Nullable
-  public org.sequoiahill.protocol.gen.Sender getSender() {
-    return this.sender;
-  }
-
-  public AppendRequest setSender(@org.apache.thrift.annotation.Nullable org.sequoiahill.protocol.gen.Sender sender) {
-    this.sender = sender;
-    return this;
-  }
-
-  public void unsetSender() {
-    this.sender = null;
-  }
-
-  /** Returns true if field sender is set (has been assigned a value) and false otherwise */
-  public boolean isSetSender() {
-    return this.sender != null;
-  }
-
-  public void setSenderIsSet(boolean value) {
-    if (!value) {
-      this.sender = null;
-    }
-  }
-
-  @org.apache.thrift.annotation.Nullable
-  public java.lang.String getGroup() {
-    return this.group;
-  }
-
-  public AppendRequest setGroup(@org.apache.thrift.annotation.Nullable java.lang.String group) {
-    this.group = group;
-    return this;
-  }
-
-  public void unsetGroup() {
-    this.group = null;
-  }
-
-  /** Returns true if field group is set (has been assigned a value) and false otherwise */
-  public boolean isSetGroup() {
-    return this.group != null;
-  }
-
-  public void setGroupIsSet(boolean value) {
-    if (!value) {
-      this.group = null;
-    }
-  }
-
-  public long getTerm() {
-    return this.term;
-  }
-
-  public AppendRequest setTerm(long term) {
-    this.term = term;
-    setTermIsSet(true);
-    return this;
-  }
-
-  public void unsetTerm() {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __TERM_ISSET_ID);
-  }
-
-  /** Returns true if field term is set (has been assigned a value) and false otherwise */
-  public boolean isSetTerm() {
-    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __TERM_ISSET_ID);
-  }
-
-  public void setTermIsSet(boolean value) {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __TERM_ISSET_ID, value);
+    setSentAtIsSet(false);
+    this.sentAt = 0;
+    this.entries = null;
   }
 
   public long getPreviousIndex() {
     return this.previousIndex;
   }
 
-  public AppendRequest setPreviousIndex(long previousIndex) {
+  public LogAppend setPreviousIndex(long previousIndex) {
     this.previousIndex = previousIndex;
     setPreviousIndexIsSet(true);
     return this;
@@ -307,7 +208,7 @@
     return this.previousTerm;
   }
 
-  public AppendRequest setPreviousTerm(long previousTerm) {
+  public LogAppend setPreviousTerm(long previousTerm) {
     this.previousTerm = previousTerm;
     setPreviousTermIsSet(true);
     return this;
@@ -326,6 +227,52 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __PREVIOUSTERM_ISSET_ID, value);
   }
 
+  public long getCommitIndex() {
+    return this.commitIndex;
+  }
+
+  public LogAppend setCommitIndex(long commitIndex) {
+    this.commitIndex = commitIndex;
+    setCommitIndexIsSet(true);
+    return this;
+  }
+
+  public void unsetCommitIndex() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __COMMITINDEX_ISSET_ID);
+  }
+
+  /** Returns true if field commitIndex is set (has been assigned a value) and false otherwise */
+  public boolean isSetCommitIndex() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __COMMITINDEX_ISSET_ID);
+  }
+
+  public void setCommitIndexIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __COMMITINDEX_ISSET_ID, value);
+  }
+
+  public long getSentAt() {
+    return this.sentAt;
+  }
+
+  public LogAppend setSentAt(long sentAt) {
+    this.sentAt = sentAt;
+    setSentAtIsSet(true);
+    return this;
+  }
+
+  public void unsetSentAt() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SENTAT_ISSET_ID);
+  }
+
+  /** Returns true if field sentAt is set (has been assigned a value) and false otherwise */
+  public boolean isSetSentAt() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SENTAT_ISSET_ID);
+  }
+
+  public void setSentAtIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SENTAT_ISSET_ID, value);
+  }
+
   public int getEntriesSize() {
     return (this.entries == null) ? 0 : this.entries.size();
   }
@@ -347,7 +294,7 @@
     return this.entries;
   }
 
-  public AppendRequest setEntries(@org.apache.thrift.annotation.Nullable java.util.List<LogEntry> entries) {
+  public LogAppend setEntries(@org.apache.thrift.annotation.Nullable java.util.List<LogEntry> entries) {
     this.entries = entries;
     return this;
   }
@@ -367,69 +314,38 @@
     }
   }
 
-  public long getCommitIndex() {
-    return this.commitIndex;
-  }
-
-  public AppendRequest setCommitIndex(long commitIndex) {
-    this.commitIndex = commitIndex;
-    setCommitIndexIsSet(true);
-    return this;
-  }
-
-  public void unsetCommitIndex() {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __COMMITINDEX_ISSET_ID);
-  }
-
-  /** Returns true if field commitIndex is set (has been assigned a value) and false otherwise */
-  public boolean isSetCommitIndex() {
-    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __COMMITINDEX_ISSET_ID);
-  }
-
-  public void setCommitIndexIsSet(boolean value) {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __COMMITINDEX_ISSET_ID, value);
-  }
-
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
-    case SENDER:
-      if (value == null) {
-        unsetSender();
-      } else {
-        setSender((org.sequoiahill.protocol.gen.Sender)value);
-      }
-      break;
-
-    case GROUP:
+    case PREVIOUS_INDEX:
       if (value == null) {
-        unsetGroup();
+        unsetPreviousIndex();
       } else {
-        setGroup((java.lang.String)value);
+        setPreviousIndex((java.lang.Long)value);
       }
       break;
 
-    case TERM:
+    case PREVIOUS_TERM:
       if (value == null) {
-        unsetTerm();
+        unsetPreviousTerm();
       } else {
-        setTerm((java.lang.Long)value);
+        setPreviousTerm((java.lang.Long)value);
       }
       break;
 
-    case PREVIOUS_INDEX:
+    case COMMIT_INDEX:
       if (value == null) {
-        unsetPreviousIndex();
+        unsetCommitIndex();
       } else {
-        setPreviousIndex((java.lang.Long)value);
+        setCommitIndex((java.lang.Long)value);
       }
       break;
 
-    case PREVIOUS_TERM:
+    case SENT_AT:
       if (value == null) {
-        unsetPreviousTerm();
+        unsetSentAt();
       } else {
-        setPreviousTerm((java.lang.Long)value);
+        setSentAt((java.lang.Long)value);
       }
       break;
 
@@ -441,14 +357,6 @@
       }
       break;
 
-    case COMMIT_INDEX:
-      if (value == null) {
-        unsetCommitIndex();
-      } else {
-        setCommitIndex((java.lang.Long)value);
-      }
-      break;
-
     }
   }
 
@@ -456,27 +364,21 @@
   @Override
   public java.lang.Object getFieldValue(_Fields field) {
     switch (field) {
-    case SENDER:
-      return getSender();
-
-    case GROUP:
-      return getGroup();
-
-    case TERM:
-      return getTerm();
-
     case PREVIOUS_INDEX:
       return getPreviousIndex();
 
     case PREVIOUS_TERM:
       return getPreviousTerm();
 
-    case ENTRIES:
-      return getEntries();
-
     case COMMIT_INDEX:
       return getCommitIndex();
 
+    case SENT_AT:
+      return getSentAt();
+
+    case ENTRIES:
+      return getEntries();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -489,64 +391,33 @@
     }
 
     switch (field) {
-    case SENDER:
-      return isSetSender();
-    case GROUP:
-      return isSetGroup();
-    case TERM:
-      return isSetTerm();
     case PREVIOUS_INDEX:
       return isSetPreviousIndex();
     case PREVIOUS_TERM:
       return isSetPreviousTerm();
-    case ENTRIES:
-      return isSetEntries();
     case COMMIT_INDEX:
       return isSetCommitIndex();
+    case SENT_AT:
+      return isSetSentAt();
+    case ENTRIES:
+      return isSetEntries();
     }
     throw new java.lang.IllegalStateException();
   }
 
   @Override
   public boolean equals(java.lang.Object that) {
-    if (that instanceof AppendRequest)
-      return this.equals((AppendRequest)that);
+    if (that instanceof LogAppend)
+      return this.equals((LogAppend)that);
     return false;
   }
 
-  public boolean equals(AppendRequest that) {
+  public boolean equals(LogAppend that) {
     if (that == null)
       return false;
     if (this == that)
       return true;
 
-    boolean this_present_sender = true && this.isSetSender();
-    boolean that_present_sender = true && that.isSetSender();
-    if (this_present_sender || that_present_sender) {
-      if (!(this_present_sender && that_present_sender))
-        return false;
-      if (!this.sender.equals(that.sender))
-        return false;
-    }
-
-    boolean this_present_group = true && this.isSetGroup();
-    boolean that_present_group = true && that.isSetGroup();
-    if (this_present_group || that_present_group) {
-      if (!(this_present_group && that_present_group))
-        return false;
-      if (!this.group.equals(that.group))
-        return false;
-    }
-
-    boolean this_present_term = true;
-    boolean that_present_term = true;
-    if (this_present_term || that_present_term) {
-      if (!(this_present_term && that_present_term))
-        return false;
-      if (this.term != that.term)
-        return false;
-    }
-
     boolean this_present_previousIndex = true;
     boolean that_present_previousIndex = true;
     if (this_present_previousIndex || that_present_previousIndex) {
@@ -565,15 +436,6 @@
         return false;
     }
 
-    boolean this_present_entries = true && this.isSetEntries();
-    boolean that_present_entries = true && that.isSetEntries();
-    if (this_present_entries || that_present_entries) {
-      if (!(this_present_entries && that_present_entries))
-        return false;
-      if (!this.entries.equals(that.entries))
-        return false;
-    }
-
     boolean this_present_commitIndex = true;
     boolean that_present_commitIndex = true;
     if (this_present_commitIndex || that_present_commitIndex) {
@@ -583,6 +445,24 @@
         return false;
     }
 
+    boolean this_present_sentAt = true;
+    boolean that_present_sentAt = true;
+    if (this_present_sentAt || that_present_sentAt) {
+      if (!(this_present_sentAt && that_present_sentAt))
+        return false;
+      if (this.sentAt != that.sentAt)
+        return false;
+    }
+
+    boolean this_present_entries = true && this.isSetEntries();
+    boolean that_present_entries = true && that.isSetEntries();
+    if (this_present_entries || that_present_entries) {
+      if (!(this_present_entries && that_present_entries))
+        return false;
+      if (!this.entries.equals(that.entries))
+        return false;
+    }
+
     return true;
   }
 
@@ -590,83 +470,65 @@
   public int hashCode() {
     int hashCode = 1;
 
-    hashCode = hashCode * 8191 + ((isSetSender()) ? 131071 : 524287);
-    if (isSetSender())
-      hashCode = hashCode * 8191 + sender.hashCode();
-
-    hashCode = hashCode * 8191 + ((isSetGroup()) ? 131071 : 524287);
-    if (isSetGroup())
-      hashCode = hashCode * 8191 + group.hashCode();
-
-    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(term);
-
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(previousIndex);
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(previousTerm);
 
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(commitIndex);
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(sentAt);
+
     hashCode = hashCode * 8191 + ((isSetEntries()) ? 131071 : 524287);
     if (isSetEntries())
       hashCode = hashCode * 8191 + entries.hashCode();
 
-    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(commitIndex);
-
     return hashCode;
   }
 
   @Override
-  public int compareTo(AppendRequest other) {
+  public int compareTo(LogAppend other) {
     if (!getClass().equals(other.getClass())) {
       return getClass().getName().compareTo(other.getClass().getName());
     }
 
     int lastComparison = 0;
 
-    lastComparison = java.lang.Boolean.compare(isSetSender(), other.isSetSender());
-    if (lastComparison != 0) {
-      return lastComparison;
-    }
-    if (isSetSender()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.sender, other.sender);
-      if (lastComparison != 0) {
-        return lastComparison;
-      }
-    }
-    lastComparison = java.lang.Boolean.compare(isSetGroup(), other.isSetGroup());
+    lastComparison = java.lang.Boolean.compare(isSetPreviousIndex(), other.isSetPreviousIndex());
     if (lastComparison != 0) {
       return lastComparison;
     }
-    if (isSetGroup()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.group, other.group);
+    if (isSetPreviousIndex()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.previousIndex, other.previousIndex);
       if (lastComparison != 0) {
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetTerm(), other.isSetTerm());
+    lastComparison = java.lang.Boolean.compare(isSetPreviousTerm(), other.isSetPreviousTerm());
     if (lastComparison != 0) {
       return lastComparison;
     }
-    if (isSetTerm()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.term, other.term);
+    if (isSetPreviousTerm()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.previousTerm, other.previousTerm);
       if (lastComparison != 0) {
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetPreviousIndex(), other.isSetPreviousIndex());
+    lastComparison = java.lang.Boolean.compare(isSetCommitIndex(), other.isSetCommitIndex());
     if (lastComparison != 0) {
       return lastComparison;
     }
-    if (isSetPreviousIndex()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.previousIndex, other.previousIndex);
+    if (isSetCommitIndex()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.commitIndex, other.commitIndex);
       if (lastComparison != 0) {
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetPreviousTerm(), other.isSetPreviousTerm());
+    lastComparison = java.lang.Boolean.compare(isSetSentAt(), other.isSetSentAt());
     if (lastComparison != 0) {
       return lastComparison;
     }
-    if (isSetPreviousTerm()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.previousTerm, other.previousTerm);
+    if (isSetSentAt()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.sentAt, other.sentAt);
       if (lastComparison != 0) {
         return lastComparison;
       }
@@ -681,16 +543,6 @@
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetCommitIndex(), other.isSetCommitIndex());
-    if (lastComparison != 0) {
-      return lastComparison;
-    }
-    if (isSetCommitIndex()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.commitIndex, other.commitIndex);
-      if (lastComparison != 0) {
-        return lastComparison;
-      }
-    }
     return 0;
   }
 
@@ -712,29 +564,9 @@
 
   @Override
   public java.lang.String toString() {
-    java.lang.StringBuilder sb = new java.lang.StringBuilder("AppendRequest(");
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("LogAppend(");
     boolean first = true;
 
-    sb.append("sender:");
-    if (this.sender == null) {
-      sb.append("null");
-    } else {
-      sb.append(this.sender);
-    }
-    first = false;
-    if (!first) sb.append(", ");
-    sb.append("group:");
-    if (this.group == null) {
-      sb.append("null");
-    } else {
-      sb.append(this.group);
-    }
-    first = false;
-    if (!first) sb.append(", ");
-    sb.append("term:");
-    sb.append(this.term);
-    first = false;
-    if (!first) sb.append(", ");
     sb.append("previousIndex:");
     sb.append(this.previousIndex);
     first = false;
@@ -743,6 +575,14 @@
     sb.append(this.previousTerm);
     first = false;
     if (!first) sb.append(", ");
+    sb.append("commitIndex:");
+    sb.append(this.commitIndex);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("sentAt:");
+    sb.append(this.sentAt);
+    first = false;
+    if (!first) sb.append(", ");
     sb.append("entries:");
     if (this.entries == null) {
       sb.append("null");
@@ -750,10 +590,6 @@
       sb.append(this.entries);
     }
     first = false;
-    if (!first) sb.append(", ");
-    sb.append("commitIndex:");
-    sb.append(this.commitIndex);
-    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -761,9 +597,6 @@
   public void validate() throws org.apache.thrift.TException {
     // check for required fields
     // check for sub-struct validity
-    if (sender != null) {
-      sender.validate();
-    }
   }
 
   private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
@@ -784,17 +617,17 @@
     }
   }
 
-  private static class AppendRequestStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+  private static class LogAppendStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public AppendRequestStandardScheme getScheme() {
-      return new AppendRequestStandardScheme();
+    public LogAppendStandardScheme getScheme() {
+      return new LogAppendStandardScheme();
     }
   }
 
-  private static class AppendRequestStandardScheme extends org.apache.thrift.scheme.StandardScheme<AppendRequest> {
+  private static class LogAppendStandardScheme extends org.apache.thrift.scheme.StandardScheme<LogAppend> {
 
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot, AppendRequest struct) throws org.apache.thrift.TException {
+    public void read(org.apache.thrift.protocol.TProtocol iprot, LogAppend struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TField schemeField;
       iprot.readStructBegin();
       while (true)
@@ -804,58 +637,49 @@
           break;
         }
         switch (schemeField.id) {
-          case 1: // SENDER
-            if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
-              struct.sender = new org.sequoiahill.protocol.gen.Sender();
-              struct.sender.read(iprot);
-              struct.setSenderIsSet(true);
-            } else { 
-              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-            }
-            break;
-          case 2: // GROUP
-            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-              struct.group = iprot.readString();
-              struct.setGroupIsSet(true);
+          case 1: // PREVIOUS_INDEX
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.previousIndex = iprot.readI64();
+              struct.setPreviousIndexIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 3: // TERM
+          case 2: // PREVIOUS_TERM
             if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-              struct.term = iprot.readI64();
-              struct.setTermIsSet(true);
+              struct.previousTerm = iprot.readI64();
+              struct.setPreviousTermIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 4: // PREVIOUS_INDEX
+          case 3: // COMMIT_INDEX
             if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-              struct.previousIndex = iprot.readI64();
-              struct.setPreviousIndexIsSet(true);
+              struct.commitIndex = iprot.readI64();
+              struct.setCommitIndexIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 5: // PREVIOUS_TERM
+          case 4: // SENT_AT
             if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-              struct.previousTerm = iprot.readI64();
-              struct.setPreviousTermIsSet(true);
+              struct.sentAt = iprot.readI64();
+              struct.setSentAtIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 6: // ENTRIES
+          case 5: // ENTRIES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list0 = iprot.readListBegin();
-                struct.entries = new java.util.ArrayList<LogEntry>(_list0.size);
-                @org.apache.thrift.annotation.Nullable LogEntry _elem1;
-                for (int _i2 = 0; _i2 < _list0.size; ++_i2)
+                org.apache.thrift.protocol.TList _list8 = iprot.readListBegin();
+                struct.entries = new java.util.ArrayList<LogEntry>(_list8.size);
+                @org.apache.thrift.annotation.Nullable LogEntry _elem9;
+                for (int _i10 = 0; _i10 < _list8.size; ++_i10)
                 {
-                  _elem1 = new LogEntry();
-                  _elem1.read(iprot);
-                  struct.entries.add(_elem1);
+                  _elem9 = new LogEntry();
+                  _elem9.read(iprot);
+                  struct.entries.add(_elem9);
                 }
                 iprot.readListEnd();
               }
@@ -864,14 +688,6 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 7: // COMMIT_INDEX
-            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-              struct.commitIndex = iprot.readI64();
-              struct.setCommitIndexIsSet(true);
-            } else { 
-              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-            }
-            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -884,157 +700,126 @@
     }
 
     @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot, AppendRequest struct) throws org.apache.thrift.TException {
+    public void write(org.apache.thrift.protocol.TProtocol oprot, LogAppend struct) throws org.apache.thrift.TException {
       struct.validate();
 
       oprot.writeStructBegin(STRUCT_DESC);
-      if (struct.sender != null) {
-        oprot.writeFieldBegin(SENDER_FIELD_DESC);
-        struct.sender.write(oprot);
-        oprot.writeFieldEnd();
-      }
-      if (struct.group != null) {
-        oprot.writeFieldBegin(GROUP_FIELD_DESC);
-        oprot.writeString(struct.group);
-        oprot.writeFieldEnd();
-      }
-      oprot.writeFieldBegin(TERM_FIELD_DESC);
-      oprot.writeI64(struct.term);
-      oprot.writeFieldEnd();
       oprot.writeFieldBegin(PREVIOUS_INDEX_FIELD_DESC);
       oprot.writeI64(struct.previousIndex);
       oprot.writeFieldEnd();
       oprot.writeFieldBegin(PREVIOUS_TERM_FIELD_DESC);
       oprot.writeI64(struct.previousTerm);
       oprot.writeFieldEnd();
+      oprot.writeFieldBegin(COMMIT_INDEX_FIELD_DESC);
+      oprot.writeI64(struct.commitIndex);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(SENT_AT_FIELD_DESC);
+      oprot.writeI64(struct.sentAt);
+      oprot.writeFieldEnd();
       if (struct.entries != null) {
         oprot.writeFieldBegin(ENTRIES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.entries.size()));
-          for (LogEntry _iter3 : struct.entries)
+          for (LogEntry _iter11 : struct.entries)
           {
-            _iter3.write(oprot);
+            _iter11.write(oprot);
           }
           oprot.writeListEnd();
         }
         oprot.writeFieldEnd();
       }
-      oprot.writeFieldBegin(COMMIT_INDEX_FIELD_DESC);
-      oprot.writeI64(struct.commitIndex);
-      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
 
   }
 
-  private static class AppendRequestTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+  private static class LogAppendTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public AppendRequestTupleScheme getScheme() {
-      return new AppendRequestTupleScheme();
+    public LogAppendTupleScheme getScheme() {
+      return new LogAppendTupleScheme();
     }
   }
 
-  private static class AppendRequestTupleScheme extends org.apache.thrift.scheme.TupleScheme<AppendRequest> {
+  private static class LogAppendTupleScheme extends org.apache.thrift.scheme.TupleScheme<LogAppend> {
 
     @Override
-    public void write(org.apache.thrift.protocol.TProtocol prot, AppendRequest struct) throws org.apache.thrift.TException {
+    public void write(org.apache.thrift.protocol.TProtocol prot, LogAppend struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       java.util.BitSet optionals = new java.util.BitSet();
-      if (struct.isSetSender()) {
+      if (struct.isSetPreviousIndex()) {
         optionals.set(0);
       }
-      if (struct.isSetGroup()) {
+      if (struct.isSetPreviousTerm()) {
         optionals.set(1);
       }
-      if (struct.isSetTerm()) {
+      if (struct.isSetCommitIndex()) {
         optionals.set(2);
       }
-      if (struct.isSetPreviousIndex()) {
+      if (struct.isSetSentAt()) {
         optionals.set(3);
       }
-      if (struct.isSetPreviousTerm()) {
-        optionals.set(4);
-      }
       if (struct.isSetEntries()) {
-        optionals.set(5);
-      }
-      if (struct.isSetCommitIndex()) {
-        optionals.set(6);
-      }
-      oprot.writeBitSet(optionals, 7);
-      if (struct.isSetSender()) {
-        struct.sender.write(oprot);
-      }
-      if (struct.isSetGroup()) {
-        oprot.writeString(struct.group);
-      }
-      if (struct.isSetTerm()) {
-        oprot.writeI64(struct.term);
+        optionals.set(4);
       }
+      oprot.writeBitSet(optionals, 5);
       if (struct.isSetPreviousIndex()) {
         oprot.writeI64(struct.previousIndex);
       }
       if (struct.isSetPreviousTerm()) {
         oprot.writeI64(struct.previousTerm);
       }
+      if (struct.isSetCommitIndex()) {
+        oprot.writeI64(struct.commitIndex);
+      }
+      if (struct.isSetSentAt()) {
+        oprot.writeI64(struct.sentAt);
+      }
       if (struct.isSetEntries()) {
         {
           oprot.writeI32(struct.entries.size());
-          for (LogEntry _iter4 : struct.entries)
+          for (LogEntry _iter12 : struct.entries)
           {
-            _iter4.write(oprot);
+            _iter12.write(oprot);
           }
         }
       }
-      if (struct.isSetCommitIndex()) {
-        oprot.writeI64(struct.commitIndex);
-      }
     }
 
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol prot, AppendRequest struct) throws org.apache.thrift.TException {
+    public void read(org.apache.thrift.protocol.TProtocol prot, LogAppend struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(7);
+      java.util.BitSet incoming = iprot.readBitSet(5);
       if (incoming.get(0)) {
-        struct.sender = new org.sequoiahill.protocol.gen.Sender();
-        struct.sender.read(iprot);
-        struct.setSenderIsSet(true);
+        struct.previousIndex = iprot.readI64();
+        struct.setPreviousIndexIsSet(true);
       }
       if (incoming.get(1)) {
-        struct.group = iprot.readString();
-        struct.setGroupIsSet(true);
+        struct.previousTerm = iprot.readI64();
+        struct.setPreviousTermIsSet(true);
       }
       if (incoming.get(2)) {
-        struct.term = iprot.readI64();
-        struct.setTermIsSet(true);
+        struct.commitIndex = iprot.readI64();
+        struct.setCommitIndexIsSet(true);
       }
       if (incoming.get(3)) {
-        struct.previousIndex = iprot.readI64();
-        struct.setPreviousIndexIsSet(true);
+        struct.sentAt = iprot.readI64();
+        struct.setSentAtIsSet(true);
       }
       if (incoming.get(4)) {
-        struct.previousTerm = iprot.readI64();
-        struct.setPreviousTermIsSet(true);
-      }
-      if (incoming.get(5)) {
         {
-          org.apache.thrift.protocol.TList _list5 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.entries = new java.util.ArrayList<LogEntry>(_list5.size);
-          @org.apache.thrift.annotation.Nullable LogEntry _elem6;
-          for (int _i7 = 0; _i7 < _list5.size; ++_i7)
+          org.apache.thrift.protocol.TList _list13 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.entries = new java.util.ArrayList<LogEntry>(_list13.size);
+          @org.apache.thrift.annotation.Nullable LogEntry _elem14;
+          for (int _i15 = 0; _i15 < _list13.size; ++_i15)
           {
-            _elem6 = new LogEntry();
-            _elem6.read(iprot);
-            struct.entries.add(_elem6);
+            _elem14 = new LogEntry();
+            _elem14.read(iprot);
+            struct.entries.add(_elem14);
           }
         }
         struct.setEntriesIsSet(true);
       }
-      if (incoming.get(6)) {
-        struct.commitIndex = iprot.readI64();
-        struct.setCommitIndexIsSet(true);
-      }
     }
   }
 
