--- a/protocol/src/main/java/org/sequoiahill/protocol/gen/AppendReply.java
+++ b/protocol/src/main/java/org/sequoiahill/protocol/gen/LogAppendReply.java
@@ -7,28 +7,28 @@
 package org.sequoiahill.protocol.gen;
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class AppendReply implements org.apache.thrift.TBase<AppendReply, AppendReply._Fields>, java.io.Serializable, Cloneable, Comparable<AppendReply> {
-  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("AppendReply");
+public class LogAppendReply implements org.apache.thrift.TBase<LogAppendReply, LogAppendReply._Fields>, java.io.Serializable, Cloneable, Comparable<LogAppendReply> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("LogAppendReply");
 
-  private static final org.apache.thrift.protocol.TField SENDER_FIELD_DESC = new org.apache.thrift.protocol.TField("sender", org.apache.thrift.protocol.TType.STRUCT, (short)1);
-  private static final org.apache.thrift.protocol.TField TERM_FIELD_DESC = new org.apache.thrift.protocol.TField("term", org.apache.thrift.protocol.TType.I64, (short)2);
-  private static final org.apache.thrift.protocol.TField MATCHED_FIELD_DESC = new org.apache.thrift.protocol.TField("matched", org.apache.thrift.protocol.TType.BOOL, (short)3);
-  private static final org.apache.thrift.protocol.TField LAST_INDEX_FIELD_DESC = new org.apache.thrift.protocol.TField("lastIndex", org.apache.thrift.protocol.TType.I64, (short)4);
+  private static final org.apache.thrift.protocol.TField FOR_TERM_FIELD_DESC = new org.apache.thrift.protocol.TField("forTerm", org.apache.thrift.protocol.TType.I64, (short)1);
+  private static final org.apache.thrift.protocol.TField MATCHED_FIELD_DESC = new org.apache.thrift.protocol.TField("matched", org.apache.thrift.protocol.TType.BOOL, (short)2);
+  private static final org.apache.thrift.protocol.TField INDEX_FIELD_DESC = new org.apache.thrift.protocol.TField("index", org.apache.thrift.protocol.TType.I64, (short)3);
+  private static final org.apache.thrift.protocol.TField SENT_AT_FIELD_DESC = new org.apache.thrift.protocol.TField("sentAt", org.apache.thrift.protocol.TType.I64, (short)4);
 
-  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new AppendReplyStandardSchemeFactory();
-  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new AppendReplyTupleSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new LogAppendReplyStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new LogAppendReplyTupleSchemeFactory();
 
-  private @org.apache.thrift.annotation.Nullable org.sequoiahill.protocol.gen.Sender sender; // required
-  private long term; // required
+  private long forTerm; // required
   private boolean matched; // required
-  private long lastIndex; // required
+  private long index; // required
+  private long sentAt; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-    SENDER((short)1, "sender"),
-    TERM((short)2, "term"),
-    MATCHED((short)3, "matched"),
-    LAST_INDEX((short)4, "lastIndex");
+    FOR_TERM((short)1, "forTerm"),
+    MATCHED((short)2, "matched"),
+    INDEX((short)3, "index"),
+    SENT_AT((short)4, "sentAt");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -44,14 +44,14 @@
     @org.apache.thrift.annotation.Nullable
     public static _Fields findByThriftId(int fieldId) {
       switch(fieldId) {
-        case 1: // SENDER
-          return SENDER;
-        case 2: // TERM
-          return TERM;
-        case 3: // MATCHED
+        case 1: // FOR_TERM
+          return FOR_TERM;
+        case 2: // MATCHED
           return MATCHED;
-        case 4: // LAST_INDEX
-          return LAST_INDEX;
+        case 3: // INDEX
+          return INDEX;
+        case 4: // SENT_AT
+          return SENT_AT;
         default:
           return null;
       }
@@ -95,126 +95,102 @@
   }
 
   // isset id assignments
-  private static final int __TERM_ISSET_ID = 0;
+  private static final int __FORTERM_ISSET_ID = 0;
   private static final int __MATCHED_ISSET_ID = 1;
-  private static final int __LASTINDEX_ISSET_ID = 2;
+  private static final int __INDEX_ISSET_ID = 2;
+  private static final int __SENTAT_ISSET_ID = 3;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-    tmpMap.put(_Fields.SENDER, new org.apache.thrift.meta_data.FieldMetaData("sender", org.apache.thrift.TFieldRequirementType.DEFAULT, 
-        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, org.sequoiahill.protocol.gen.Sender.class)));
-    tmpMap.put(_Fields.TERM, new org.apache.thrift.meta_data.FieldMetaData("term", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+    tmpMap.put(_Fields.FOR_TERM, new org.apache.thrift.meta_data.FieldMetaData("forTerm", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.MATCHED, new org.apache.thrift.meta_data.FieldMetaData("matched", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
-    tmpMap.put(_Fields.LAST_INDEX, new org.apache.thrift.meta_data.FieldMetaData("lastIndex", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+    tmpMap.put(_Fields.INDEX, new org.apache.thrift.meta_data.FieldMetaData("index", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.SENT_AT, new org.apache.thrift.meta_data.FieldMetaData("sentAt", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(AppendReply.class, metaDataMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(LogAppendReply.class, metaDataMap);
   }
 
-  public AppendReply() {
+  public LogAppendReply() {
   }
 
-  public AppendReply(
-    org.sequoiahill.protocol.gen.Sender sender,
-    long term,
+  public LogAppendReply(
+    long forTerm,
     boolean matched,
-    long lastIndex)
+    long index,
+    long sentAt)
   {
     this();
-    this.sender = sender;
-    this.term = term;
-    setTermIsSet(true);
+    this.forTerm = forTerm;
+    setForTermIsSet(true);
     this.matched = matched;
     setMatchedIsSet(true);
-    this.lastIndex = lastIndex;
-    setLastIndexIsSet(true);
+    this.index = index;
+    setIndexIsSet(true);
+    this.sentAt = sentAt;
+    setSentAtIsSet(true);
   }
 
   /**
    * Performs a deep copy on <i>other</i>.
    */
-  public AppendReply(AppendReply other) {
+  public LogAppendReply(LogAppendReply other) {
     __isset_bitfield = other.__isset_bitfield;
-    if (other.isSetSender()) {
-      this.sender = new org.sequoiahill.protocol.gen.Sender(other.sender);
-    }
-    this.term = other.term;
+    this.forTerm = other.forTerm;
     this.matched = other.matched;
-    this.lastIndex = other.lastIndex;
+    this.index = other.index;
+    this.sentAt = other.sentAt;
   }
 
   @Override
-  public AppendReply deepCopy() {
-    return new AppendReply(this);
+  public LogAppendReply deepCopy() {
+    return new LogAppendReply(this);
   }
 
   @Override
   public void clear() {
-    this.sender = null;
-    setTermIsSet(false);
-    this.term = 0;
+    setForTermIsSet(false);
+    this.forTerm = 0;
     setMatchedIsSet(false);
     this.matched = false;
-    setLastIndexIsSet(false);
-    this.lastIndex = 0;
+    setIndexIsSet(false);
+    this.index = 0;
+    setSentAtIsSet(false);
+    this.sentAt = 0;
   }
 
-  @org.apache.thrift.annotation.Nullable
-  public org.sequoiahill.protocol.gen.Sender getSender() {
-    return this.sender;
+  public long getForTerm() {
+    return this.forTerm;
   }
 
-  public AppendReply setSender(@org.apache.thrift.annotation.Nullable org.sequoiahill.protocol.gen.Sender sender) {
-    this.sender = sender;
+  public LogAppendReply setForTerm(long forTerm) {
+    this.forTerm = forTerm;
+    setForTermIsSet(true);
     return this;
   }
 
-  public void unsetSender() {
-    this.sender = null;
-  }
-
-  /** Returns true if field sender is set (has been assigned a value) and false otherwise */
-  public boolean isSetSender() {
-    return this.sender != null;
+  public void unsetForTerm() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __FORTERM_ISSET_ID);
   }
 
-  public void setSenderIsSet(boolean value) {
-    if (!value) {
-      this.sender = null;
-    }
+  /** Returns true if field forTerm is set (has been assigned a value) and false otherwise */
+  public boolean isSetForTerm() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __FORTERM_ISSET_ID);
   }
 
-  public long getTerm() {
-    return this.term;
-  }
-
-  public AppendReply setTerm(long term) {
-    this.term = term;
-    setTermIsSet(true);
-    return this;
-  }
-
-  public void unsetTerm() {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __TERM_ISSET_ID);
-  }
-
-  /** Returns true if field term is set (has been assigned a value) and false otherwise */
-  public boolean isSetTerm() {
-    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __TERM_ISSET_ID);
-  }
-
-  public void setTermIsSet(boolean value) {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __TERM_ISSET_ID, value);
+  public void setForTermIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __FORTERM_ISSET_ID, value);
   }
 
   public boolean isMatched() {
     return this.matched;
   }
 
-  public AppendReply setMatched(boolean matched) {
+  public LogAppendReply setMatched(boolean matched) {
     this.matched = matched;
     setMatchedIsSet(true);
     return this;
@@ -233,61 +209,84 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __MATCHED_ISSET_ID, value);
   }
 
-  public long getLastIndex() {
-    return this.lastIndex;
+  public long getIndex() {
+    return this.index;
+  }
+
+  public LogAppendReply setIndex(long index) {
+    this.index = index;
+    setIndexIsSet(true);
+    return this;
+  }
+
+  public void unsetIndex() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __INDEX_ISSET_ID);
+  }
+
+  /** Returns true if field index is set (has been assigned a value) and false otherwise */
+  public boolean isSetIndex() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __INDEX_ISSET_ID);
+  }
+
+  public void setIndexIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __INDEX_ISSET_ID, value);
   }
 
-  public AppendReply setLastIndex(long lastIndex) {
-    this.lastIndex = lastIndex;
-    setLastIndexIsSet(true);
+  public long getSentAt() {
+    return this.sentAt;
+  }
+
+  public LogAppendReply setSentAt(long sentAt) {
+    this.sentAt = sentAt;
+    setSentAtIsSet(true);
     return this;
   }
 
-  public void unsetLastIndex() {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __LASTINDEX_ISSET_ID);
+  public void unsetSentAt() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SENTAT_ISSET_ID);
   }
 
-  /** Returns true if field lastIndex is set (has been assigned a value) and false otherwise */
-  public boolean isSetLastIndex() {
-    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __LASTINDEX_ISSET_ID);
+  /** Returns true if field sentAt is set (has been assigned a value) and false otherwise */
+  public boolean isSetSentAt() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SENTAT_ISSET_ID);
   }
 
-  public void setLastIndexIsSet(boolean value) {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __LASTINDEX_ISSET_ID, value);
+  public void setSentAtIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SENTAT_ISSET_ID, value);
   }
 
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
-    case SENDER:
+    case FOR_TERM:
       if (value == null) {
-        unsetSender();
+        unsetForTerm();
       } else {
-        setSender((org.sequoiahill.protocol.gen.Sender)value);
+        setForTerm((java.lang.Long)value);
       }
       break;
 
-    case TERM:
+    case MATCHED:
       if (value == null) {
-        unsetTerm();
+        unsetMatched();
       } else {
-        setTerm((java.lang.Long)value);
+        setMatched((java.lang.Boolean)value);
       }
       break;
 
-    case MATCHED:
+    case INDEX:
       if (value == null) {
-        unsetMatched();
+        unsetIndex();
       } else {
-        setMatched((java.lang.Boolean)value);
+        setIndex((java.lang.Long)value);
       }
       break;
 
-    case LAST_INDEX:
+    case SENT_AT:
       if (value == null) {
-        unsetLastIndex();
+        unsetSentAt();
       } else {
-        setLastIndex((java.lang.Long)value);
+        setSentAt((java.lang.Long)value);
       }
       break;
 
@@ -298,17 +297,17 @@
   @Override
   public java.lang.Object getFieldValue(_Fields field) {
     switch (field) {
-    case SENDER:
-      return getSender();
-
-    case TERM:
-      return getTerm();
+    case FOR_TERM:
+      return getForTerm();
 
     case MATCHED:
       return isMatched();
 
-    case LAST_INDEX:
-      return getLastIndex();
+    case INDEX:
+      return getIndex();
+
+    case SENT_AT:
+      return getSentAt();
 
     }
     throw new java.lang.IllegalStateException();
@@ -322,46 +321,37 @@
     }
 
     switch (field) {
-    case SENDER:
-      return isSetSender();
-    case TERM:
-      return isSetTerm();
+    case FOR_TERM:
+      return isSetForTerm();
     case MATCHED:
       return isSetMatched();
-    case LAST_INDEX:
-      return isSetLastIndex();
+    case INDEX:
+      return isSetIndex();
+    case SENT_AT:
+      return isSetSentAt();
     }
     throw new java.lang.IllegalStateException();
   }
 
   @Override
   public boolean equals(java.lang.Object that) {
-    if (that instanceof AppendReply)
-      return this.equals((AppendReply)that);
+    if (that instanceof LogAppendReply)
+      return this.equals((LogAppendReply)that);
     return false;
   }
 
-  public boolean equals(AppendReply that) {
+  public boolean equals(LogAppendReply that) {
     if (that == null)
       return false;
     if (this == that)
       return true;
 
-    boolean this_present_sender = true && this.isSetSender();
-    boolean that_present_sender = true && that.isSetSender();
-    if (this_present_sender || that_present_sender) {
-      if (!(this_present_sender && that_present_sender))
-        return false;
-      if (!this.sender.equals(that.sender))
-        return false;
-    }
-
-    boolean this_present_term = true;
-    boolean that_present_term = true;
-    if (this_present_term || that_present_term) {
-      if (!(this_present_term && that_present_term))
+    boolean this_present_forTerm = true;
+    boolean that_present_forTerm = true;
+    if (this_present_forTerm || that_present_forTerm) {
+      if (!(this_present_forTerm && that_present_forTerm))
         return false;
-      if (this.term != that.term)
+      if (this.forTerm != that.forTerm)
         return false;
     }
 
@@ -374,12 +364,21 @@
         return false;
     }
 
-    boolean this_present_lastIndex = true;
-    boolean that_present_lastIndex = true;
-    if (this_present_lastIndex || that_present_lastIndex) {
-      if (!(this_present_lastIndex && that_present_lastIndex))
+    boolean this_present_index = true;
+    boolean that_present_index = true;
+    if (this_present_index || that_present_index) {
+      if (!(this_present_index && that_present_index))
         return false;
-      if (this.lastIndex != that.lastIndex)
+      if (this.index != that.index)
+        return false;
+    }
+
+    boolean this_present_sentAt = true;
+    boolean that_present_sentAt = true;
+    if (this_present_sentAt || that_present_sentAt) {
+      if (!(this_present_sentAt && that_present_sentAt))
+        return false;
+      if (this.sentAt != that.sentAt)
         return false;
     }
 
@@ -390,63 +389,61 @@
   public int hashCode() {
     int hashCode = 1;
 
-    hashCode = hashCode * 8191 + ((isSetSender()) ? 131071 : 524287);
-    if (isSetSender())
-      hashCode = hashCode * 8191 + sender.hashCode();
-
-    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(term);
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(forTerm);
 
     hashCode = hashCode * 8191 + ((matched) ? 131071 : 524287);
 
-    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(lastIndex);
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(index);
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(sentAt);
 
     return hashCode;
   }
 
   @Override
-  public int compareTo(AppendReply other) {
+  public int compareTo(LogAppendReply other) {
     if (!getClass().equals(other.getClass())) {
       return getClass().getName().compareTo(other.getClass().getName());
     }
 
     int lastComparison = 0;
 
-    lastComparison = java.lang.Boolean.compare(isSetSender(), other.isSetSender());
+    lastComparison = java.lang.Boolean.compare(isSetForTerm(), other.isSetForTerm());
     if (lastComparison != 0) {
       return lastComparison;
     }
-    if (isSetSender()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.sender, other.sender);
+    if (isSetForTerm()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.forTerm, other.forTerm);
       if (lastComparison != 0) {
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetTerm(), other.isSetTerm());
+    lastComparison = java.lang.Boolean.compare(isSetMatched(), other.isSetMatched());
     if (lastComparison != 0) {
       return lastComparison;
     }
-    if (isSetTerm()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.term, other.term);
+    if (isSetMatched()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.matched, other.matched);
       if (lastComparison != 0) {
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetMatched(), other.isSetMatched());
+    lastComparison = java.lang.Boolean.compare(isSetIndex(), other.isSetIndex());
     if (lastComparison != 0) {
       return lastComparison;
     }
-    if (isSetMatched()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.matched, other.matched);
+    if (isSetIndex()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.index, other.index);
       if (lastComparison != 0) {
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetLastIndex(), other.isSetLastIndex());
+    lastComparison = java.lang.Boolean.compare(isSetSentAt(), other.isSetSentAt());
     if (lastComparison != 0) {
       return lastComparison;
     }
-    if (isSetLastIndex()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.lastIndex, other.lastIndex);
+    if (isSetSentAt()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.sentAt, other.sentAt);
       if (lastComparison != 0) {
         return lastComparison;
       }
@@ -472,27 +469,23 @@
 
   @Override
   public java.lang.String toString() {
-    java.lang.StringBuilder sb = new java.lang.StringBuilder("AppendReply(");
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("LogAppendReply(");
     boolean first = true;
 
-    sb.append("sender:");
-    if (this.sender == null) {
-      sb.append("null");
-    } else {
-      sb.append(this.sender);
-    }
-    first = false;
-    if (!first) sb.append(", ");
-    sb.append("term:");
-    sb.append(this.term);
+    sb.append("forTerm:");
+    sb.append(this.forTerm);
     first = false;
     if (!first) sb.append(", ");
     sb.append("matched:");
     sb.append(this.matched);
     first = false;
     if (!first) sb.append(", ");
-    sb.append("lastIndex:");
-    sb.append(this.lastIndex);
+    sb.append("index:");
+    sb.append(this.index);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("sentAt:");
+    sb.append(this.sentAt);
     first = false;
     sb.append(")");
     return sb.toString();
@@ -501,9 +494,6 @@
   public void validate() throws org.apache.thrift.TException {
     // check for required fields
     // check for sub-struct validity
-    if (sender != null) {
-      sender.validate();
-    }
   }
 
   private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
@@ -524,17 +514,17 @@
     }
   }
 
-  private static class AppendReplyStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+  private static class LogAppendReplyStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public AppendReplyStandardScheme getScheme() {
-      return new AppendReplyStandardScheme();
+    public LogAppendReplyStandardScheme getScheme() {
+      return new LogAppendReplyStandardScheme();
     }
   }
 
-  private static class AppendReplyStandardScheme extends org.apache.thrift.scheme.StandardScheme<AppendReply> {
+  private static class LogAppendReplyStandardScheme extends org.apache.thrift.scheme.StandardScheme<LogAppendReply> {
 
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot, AppendReply struct) throws org.apache.thrift.TException {
+    public void read(org.apache.thrift.protocol.TProtocol iprot, LogAppendReply struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TField schemeField;
       iprot.readStructBegin();
       while (true)
@@ -544,24 +534,15 @@
           break;
         }
         switch (schemeField.id) {
-          case 1: // SENDER
-            if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
-              struct.sender = new org.sequoiahill.protocol.gen.Sender();
-              struct.sender.read(iprot);
-              struct.setSenderIsSet(true);
-            } else { 
-              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-            }
-            break;
-          case 2: // TERM
+          case 1: // FOR_TERM
             if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-              struct.term = iprot.readI64();
-              struct.setTermIsSet(true);
+              struct.forTerm = iprot.readI64();
+              struct.setForTermIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 3: // MATCHED
+          case 2: // MATCHED
             if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
               struct.matched = iprot.readBool();
               struct.setMatchedIsSet(true);
@@ -569,10 +550,18 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 4: // LAST_INDEX
+          case 3: // INDEX
             if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-              struct.lastIndex = iprot.readI64();
-              struct.setLastIndexIsSet(true);
+              struct.index = iprot.readI64();
+              struct.setIndexIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 4: // SENT_AT
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.sentAt = iprot.readI64();
+              struct.setSentAtIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
@@ -589,23 +578,21 @@
     }
 
     @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot, AppendReply struct) throws org.apache.thrift.TException {
+    public void write(org.apache.thrift.protocol.TProtocol oprot, LogAppendReply struct) throws org.apache.thrift.TException {
       struct.validate();
 
       oprot.writeStructBegin(STRUCT_DESC);
-      if (struct.sender != null) {
-        oprot.writeFieldBegin(SENDER_FIELD_DESC);
-        struct.sender.write(oprot);
-        oprot.writeFieldEnd();
-      }
-      oprot.writeFieldBegin(TERM_FIELD_DESC);
-      oprot.writeI64(struct.term);
+      oprot.writeFieldBegin(FOR_TERM_FIELD_DESC);
+      oprot.writeI64(struct.forTerm);
       oprot.writeFieldEnd();
       oprot.writeFieldBegin(MATCHED_FIELD_DESC);
       oprot.writeBool(struct.matched);
       oprot.writeFieldEnd();
-      oprot.writeFieldBegin(LAST_INDEX_FIELD_DESC);
-      oprot.writeI64(struct.lastIndex);
+      oprot.writeFieldBegin(INDEX_FIELD_DESC);
+      oprot.writeI64(struct.index);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(SENT_AT_FIELD_DESC);
+      oprot.writeI64(struct.sentAt);
       oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
@@ -613,66 +600,65 @@
 
   }
 
-  private static class AppendReplyTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+  private static class LogAppendReplyTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public AppendReplyTupleScheme getScheme() {
-      return new AppendReplyTupleScheme();
+    public LogAppendReplyTupleScheme getScheme() {
+      return new LogAppendReplyTupleScheme();
     }
   }
 
-  private static class AppendReplyTupleScheme extends org.apache.thrift.scheme.TupleScheme<AppendReply> {
+  private static class LogAppendReplyTupleScheme extends org.apache.thrift.scheme.TupleScheme<LogAppendReply> {
 
     @Override
-    public void write(org.apache.thrift.protocol.TProtocol prot, AppendReply struct) throws org.apache.thrift.TException {
+    public void write(org.apache.thrift.protocol.TProtocol prot, LogAppendReply struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       java.util.BitSet optionals = new java.util.BitSet();
-      if (struct.isSetSender()) {
+      if (struct.isSetForTerm()) {
         optionals.set(0);
       }
-      if (struct.isSetTerm()) {
+      if (struct.isSetMatched()) {
         optionals.set(1);
       }
-      if (struct.isSetMatched()) {
+      if (struct.isSetIndex()) {
         optionals.set(2);
       }
-      if (struct.isSetLastIndex()) {
+      if (struct.isSetSentAt()) {
         optionals.set(3);
       }
       oprot.writeBitSet(optionals, 4);
-      if (struct.isSetSender()) {
-        struct.sender.write(oprot);
-      }
-      if (struct.isSetTerm()) {
-        oprot.writeI64(struct.term);
+      if (struct.isSetForTerm()) {
+        oprot.writeI64(struct.forTerm);
       }
       if (struct.isSetMatched()) {
         oprot.writeBool(struct.matched);
       }
-      if (struct.isSetLastIndex()) {
-        oprot.writeI64(struct.lastIndex);
+      if (struct.isSetIndex()) {
+        oprot.writeI64(struct.index);
+      }
+      if (struct.isSetSentAt()) {
+        oprot.writeI64(struct.sentAt);
       }
     }
 
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol prot, AppendReply struct) throws org.apache.thrift.TException {
+    public void read(org.apache.thrift.protocol.TProtocol prot, LogAppendReply struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       java.util.BitSet incoming = iprot.readBitSet(4);
       if (incoming.get(0)) {
-        struct.sender = new org.sequoiahill.protocol.gen.Sender();
-        struct.sender.read(iprot);
-        struct.setSenderIsSet(true);
+        struct.forTerm = iprot.readI64();
+        struct.setForTermIsSet(true);
       }
       if (incoming.get(1)) {
-        struct.term = iprot.readI64();
-        struct.setTermIsSet(true);
-      }
-      if (incoming.get(2)) {
         struct.matched = iprot.readBool();
         struct.setMatchedIsSet(true);
       }
+      if (incoming.get(2)) {
+        struct.index = iprot.readI64();
+        struct.setIndexIsSet(true);
+      }
       if (incoming.get(3)) {
-        struct.lastIndex = iprot.readI64();
-        struct.setLastIndexIsSet(true);
+        struct.sentAt = iprot.readI64();
+        struct.setSentAtIsSet(true);
       }
     }
   }
--- a/protocol/src/main/java/org/sequoiahill/protocol/gen/LogEntry.java
+++ b/protocol/src/main/java/org/sequoiahill/protocol/gen/LogEntry.java
@@ -12,20 +12,27 @@
 
   private static final org.apache.thrift.protocol.TField INDEX_FIELD_DESC = new org.apache.thrift.protocol.TField("index", org.apache.thrift.protocol.TType.I64, (short)1);
   private static final org.apache.thrift.protocol.TField TERM_FIELD_DESC = new org.apache.thrift.protocol.TField("term", org.apache.thrift.protocol.TType.I64, (short)2);
-  private static final org.apache.thrift.protocol.TField PAYLOAD_FIELD_DESC = new org.apache.thrift.protocol.TField("payload", org.apache.thrift.protocol.TType.STRING, (short)3);
+  private static final org.apache.thrift.protocol.TField KIND_FIELD_DESC = new org.apache.thrift.protocol.TField("kind", org.apache.thrift.protocol.TType.I32, (short)3);
+  private static final org.apache.thrift.protocol.TField PAYLOAD_FIELD_DESC = new org.apache.thrift.protocol.TField("payload", org.apache.thrift.protocol.TType.STRING, (short)4);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new LogEntryStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new LogEntryTupleSchemeFactory();
 
   private long index; // required
   private long term; // required
+  private @org.apache.thrift.annotation.Nullable LogEntryKind kind; // required
   private @org.apache.thrift.annotation.Nullable java.nio.ByteBuffer payload; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     INDEX((short)1, "index"),
     TERM((short)2, "term"),
-    PAYLOAD((short)3, "payload");
+    /**
+     * 
+     * @see LogEntryKind
+     */
+    KIND((short)3, "kind"),
+    PAYLOAD((short)4, "payload");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -45,7 +52,9 @@
           return INDEX;
         case 2: // TERM
           return TERM;
-        case 3: // PAYLOAD
+        case 3: // KIND
+          return KIND;
+        case 4: // PAYLOAD
           return PAYLOAD;
         default:
           return null;
@@ -100,6 +109,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.TERM, new org.apache.thrift.meta_data.FieldMetaData("term", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.KIND, new org.apache.thrift.meta_data.FieldMetaData("kind", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.EnumMetaData(org.apache.thrift.protocol.TType.ENUM, LogEntryKind.class)));
     tmpMap.put(_Fields.PAYLOAD, new org.apache.thrift.meta_data.FieldMetaData("payload", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING        , true)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
@@ -112,6 +123,7 @@
   public LogEntry(
     long index,
     long term,
+    LogEntryKind kind,
     java.nio.ByteBuffer payload)
   {
     this();
@@ -119,6 +131,7 @@
     setIndexIsSet(true);
     this.term = term;
     setTermIsSet(true);
+    this.kind = kind;
     this.payload = org.apache.thrift.TBaseHelper.copyBinary(payload);
   }
 
@@ -129,6 +142,9 @@
     __isset_bitfield = other.__isset_bitfield;
     this.index = other.index;
     this.term = other.term;
+    if (other.isSetKind()) {
+      this.kind = other.kind;
+    }
     if (other.isSetPayload()) {
       this.payload = org.apache.thrift.TBaseHelper.copyBinary(other.payload);
     }
@@ -145,6 +161,7 @@
     this.index = 0;
     setTermIsSet(false);
     this.term = 0;
+    this.kind = null;
     this.payload = null;
   }
 
@@ -194,6 +211,39 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __TERM_ISSET_ID, value);
   }
 
+  /**
+   * 
+   * @see LogEntryKind
+   */
+  @org.apache.thrift.annotation.Nullable
+  public LogEntryKind getKind() {
+    return this.kind;
+  }
+
+  /**
+   * 
+   * @see LogEntryKind
+   */
+  public LogEntry setKind(@org.apache.thrift.annotation.Nullable LogEntryKind kind) {
+    this.kind = kind;
+    return this;
+  }
+
+  public void unsetKind() {
+    this.kind = null;
+  }
+
+  /** Returns true if field kind is set (has been assigned a value) and false otherwise */
+  public boolean isSetKind() {
+    return this.kind != null;
+  }
+
+  public void setKindIsSet(boolean value) {
+    if (!value) {
+      this.kind = null;
+    }
+  }
+
   public byte[] getPayload() {
     setPayload(org.apache.thrift.TBaseHelper.rightSize(payload));
     return payload == null ? null : payload.array();
@@ -247,6 +297,14 @@
       }
       break;
 
+    case KIND:
+      if (value == null) {
+        unsetKind();
+      } else {
+        setKind((LogEntryKind)value);
+      }
+      break;
+
     case PAYLOAD:
       if (value == null) {
         unsetPayload();
@@ -272,6 +330,9 @@
     case TERM:
       return getTerm();
 
+    case KIND:
+      return getKind();
+
     case PAYLOAD:
       return getPayload();
 
@@ -291,6 +352,8 @@
       return isSetIndex();
     case TERM:
       return isSetTerm();
+    case KIND:
+      return isSetKind();
     case PAYLOAD:
       return isSetPayload();
     }
@@ -328,6 +391,15 @@
         return false;
     }
 
+    boolean this_present_kind = true && this.isSetKind();
+    boolean that_present_kind = true && that.isSetKind();
+    if (this_present_kind || that_present_kind) {
+      if (!(this_present_kind && that_present_kind))
+        return false;
+      if (!this.kind.equals(that.kind))
+        return false;
+    }
+
     boolean this_present_payload = true && this.isSetPayload();
     boolean that_present_payload = true && that.isSetPayload();
     if (this_present_payload || that_present_payload) {
@@ -348,6 +420,10 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(term);
 
+    hashCode = hashCode * 8191 + ((isSetKind()) ? 131071 : 524287);
+    if (isSetKind())
+      hashCode = hashCode * 8191 + kind.getValue();
+
     hashCode = hashCode * 8191 + ((isSetPayload()) ? 131071 : 524287);
     if (isSetPayload())
       hashCode = hashCode * 8191 + payload.hashCode();
@@ -383,6 +459,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetKind(), other.isSetKind());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetKind()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.kind, other.kind);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     lastComparison = java.lang.Boolean.compare(isSetPayload(), other.isSetPayload());
     if (lastComparison != 0) {
       return lastComparison;
@@ -425,6 +511,14 @@
     sb.append(this.term);
     first = false;
     if (!first) sb.append(", ");
+    sb.append("kind:");
+    if (this.kind == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.kind);
+    }
+    first = false;
+    if (!first) sb.append(", ");
     sb.append("payload:");
     if (this.payload == null) {
       sb.append("null");
@@ -495,7 +589,15 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 3: // PAYLOAD
+          case 3: // KIND
+            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
+              struct.kind = org.sequoiahill.protocol.gen.LogEntryKind.findByValue(iprot.readI32());
+              struct.setKindIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 4: // PAYLOAD
             if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
               struct.payload = iprot.readBinary();
               struct.setPayloadIsSet(true);
@@ -525,6 +627,11 @@
       oprot.writeFieldBegin(TERM_FIELD_DESC);
       oprot.writeI64(struct.term);
       oprot.writeFieldEnd();
+      if (struct.kind != null) {
+        oprot.writeFieldBegin(KIND_FIELD_DESC);
+        oprot.writeI32(struct.kind.getValue());
+        oprot.writeFieldEnd();
+      }
       if (struct.payload != null) {
         oprot.writeFieldBegin(PAYLOAD_FIELD_DESC);
         oprot.writeBinary(struct.payload);
@@ -555,16 +662,22 @@
       if (struct.isSetTerm()) {
         optionals.set(1);
       }
-      if (struct.isSetPayload()) {
+      if (struct.isSetKind()) {
         optionals.set(2);
       }
-      oprot.writeBitSet(optionals, 3);
+      if (struct.isSetPayload()) {
+        optionals.set(3);
+      }
+      oprot.writeBitSet(optionals, 4);
       if (struct.isSetIndex()) {
         oprot.writeI64(struct.index);
       }
       if (struct.isSetTerm()) {
         oprot.writeI64(struct.term);
       }
+      if (struct.isSetKind()) {
+        oprot.writeI32(struct.kind.getValue());
+      }
       if (struct.isSetPayload()) {
         oprot.writeBinary(struct.payload);
       }
@@ -573,7 +686,7 @@
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, LogEntry struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(3);
+      java.util.BitSet incoming = iprot.readBitSet(4);
       if (incoming.get(0)) {
         struct.index = iprot.readI64();
         struct.setIndexIsSet(true);
@@ -583,6 +696,10 @@
         struct.setTermIsSet(true);
       }
       if (incoming.get(2)) {
+        struct.kind = org.sequoiahill.protocol.gen.LogEntryKind.findByValue(iprot.readI32());
+        struct.setKindIsSet(true);
+      }
+      if (incoming.get(3)) {
         struct.payload = iprot.readBinary();
         struct.setPayloadIsSet(true);
       }
