List and change stores over the operators' address; test the log case by case

Change: GET /operators/stores tells members, votes and leader of both groups; PUT and DELETE /operators/stores/VM add and remove a member, for operators of all teams only. Any entry answers: it asks the stores of the settings in turn, and a store passes the request on to the leader once. A repeated request finds its change made. Addresses that the settings name go before those that members tell, so that a VM can be moved to another address by its name.

--- a/daemon/src/main/java/org/sequoiahill/daemon/process/Daemon.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/Daemon.java
@@ -18,6 +18,7 @@
 import org.sequoiahill.daemon.process.admin.DocumentCalls;
 import org.sequoiahill.daemon.process.admin.OperatorsHandler;
 import org.sequoiahill.daemon.process.admin.StatusCalls;
+import org.sequoiahill.daemon.process.admin.StoresCalls;
 import org.sequoiahill.daemon.process.config.ConfigurationHandler;
 import org.sequoiahill.daemon.process.config.ConfigurationSync;
 import org.sequoiahill.daemon.process.config.ConfigurationView;
@@ -101,6 +102,8 @@
                                         List.of(
                                                 AuditCalls.of(forwarder, identity),
                                                 StatusCalls.of(settings, view, directory, table),
+                                                StoresCalls.of(
+                                                        identity, controlClient, settings.stores()),
                                                 DocumentCalls.of(identity, view, forwarder)))));
     }
 
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/admin/StoresCalls.java
@@ -0,0 +1,128 @@
+package org.sequoiahill.daemon.process.admin;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.eclipse.jetty.http.HttpStatus;
+import org.sequoiahill.daemon.process.control.ControlClient;
+import org.sequoiahill.daemon.process.control.Identity;
+import org.sequoiahill.daemon.process.control.ServiceStub;
+import org.sequoiahill.daemon.process.settings.DaemonSettings.PeerVm;
+import org.sequoiahill.daemon.process.settings.HostPort;
+import org.sequoiahill.protocol.document.ServiceDocument;
+import org.sequoiahill.protocol.gen.Log;
+import org.sequoiahill.protocol.gen.LogMember;
+import org.sequoiahill.protocol.gen.MembersReply;
+import org.sequoiahill.protocol.gen.MembersRequest;
+
+/** Answers operators' calls about the members of the replicated logs. */
+public final class StoresCalls implements OperatorsCall {
+    private static final String ALL_TEAMS = "*";
+
+    private final Identity mIdentity;
+    private final ControlClient mClient;
+    private final List<PeerVm> mStores;
+    private final Map<String, ServiceStub<Log.Client>> mGroups = new LinkedHashMap<>();
+
+    private StoresCalls(Identity identity, ControlClient client, List<PeerVm> stores) {
+        mIdentity = identity;
+        mClient = client;
+        mStores = stores;
+        mGroups.put("config", ServiceStub.LOG_CONFIG);
+        mGroups.put("claims", ServiceStub.LOG_CLAIMS);
+    }
+
+    /** Returns calls that ask the stores of the settings, from any VM. */
+    public static StoresCalls of(Identity identity, ControlClient client, List<PeerVm> stores) {
+        return new StoresCalls(identity, client, List.copyOf(stores));
+    }
+
+    @Override
+    public boolean handle(Exchange exchange) {
+        if (exchange.isAt("stores") && exchange.isRead()) {
+            answer(exchange, new MembersRequest(mIdentity.sender(), false));
+            return true;
+        }
+        String method = exchange.request().getMethod();
+        boolean isChange = method.equals("PUT") || method.equals("DELETE");
+        if (!exchange.isAt("stores", "*") || !isChange) {
+            return false;
+        }
+        String vm = exchange.path().get(1);
+        String address = exchange.query("address");
+        boolean isAdd = method.equals("PUT");
+        if (!exchange.operator().team().equals(ALL_TEAMS)) {
+            exchange.answer()
+                    .error(HttpStatus.FORBIDDEN_403, "only operators of all teams change stores");
+        } else if (!ServiceDocument.NAME.matcher(vm).matches()) {
+            exchange.answer().error(HttpStatus.BAD_REQUEST_400, "not a name of a VM: " + vm);
+        } else if (isAdd && !HostPort.PATTERN.matcher(address).matches()) {
+            exchange.answer()
+                    .error(HttpStatus.BAD_REQUEST_400, "a new store needs ?address=HOST:PORT");
+        } else {
+            MembersRequest request = new MembersRequest(mIdentity.sender(), false).setVm(vm);
+            answer(exchange, isAdd ? request.setAddress(address) : request);
+        }
+        return true;
+    }
+
+    private void answer(Exchange exchange, MembersRequest request) {
+        ObjectNode body = JsonAnswer.object();
+        CompletableFuture<Boolean> done = CompletableFuture.completedFuture(true);
+        for (Map.Entry<String, ServiceStub<Log.Client>> group : mGroups.entrySet()) {
+            done =
+                    done.thenCompose(
+                            isOk ->
+                                    ask(0, group.getValue(), request)
+                                            .thenApply(reply -> isOk && add(body, group, reply)));
+        }
+        done.whenComplete(
+                (isOk, failure) -> {
+                    if (failure != null) {
+                        String message = "no store answers: " + failure.getMessage();
+                        exchange.answer().error(HttpStatus.SERVICE_UNAVAILABLE_503, message);
+                    } else {
+                        int status = isOk ? HttpStatus.OK_200 : HttpStatus.SERVICE_UNAVAILABLE_503;
+                        exchange.answer().write(status, body);
+                    }
+                });
+    }
+
+    private CompletableFuture<MembersReply> ask(
+            int store, ServiceStub<Log.Client> stub, MembersRequest request) {
+        if (store >= mStores.size()) {
+            return CompletableFuture.failedFuture(
+                    new IllegalStateException("all stores were asked"));
+        }
+        return mClient.call(mStores.get(store).control(), stub, client -> client.members(request))
+                .handle(
+                        (reply, failure) ->
+                                failure == null
+                                        ? CompletableFuture.completedFuture(reply)
+                                        : ask(store + 1, stub, request))
+                .thenCompose(reply -> reply);
+    }
+
+    private static boolean add(
+            ObjectNode body, Map.Entry<String, ServiceStub<Log.Client>> group, MembersReply reply) {
+        ObjectNode node = body.putObject(group.getKey());
+        if (reply.isSetLeaderVm()) {
+            node.put("leader", reply.getLeaderVm());
+        }
+        if (reply.isSetFailure()) {
+            node.put("failure", reply.getFailure());
+        }
+        ArrayNode members = node.putArray("members");
+        for (LogMember member : reply.getMembers().getMembers()) {
+            members.addObject()
+                    .put("vm", member.getVm())
+                    .put("incarnation", member.getIncarnation())
+                    .put("address", member.getAddress())
+                    .put("votes", member.isVoter());
+        }
+        return !reply.isSetFailure();
+    }
+}
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/log/GroupHandler.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/log/GroupHandler.java
@@ -59,7 +59,7 @@
             return forward(request);
         }
         try {
-            if (request.isSetVm()) {
+            if (request.isSetVm() && !isDone(request)) {
                 change(request).join();
             }
             return reply();
@@ -77,6 +77,14 @@
         mLog.receive(message);
     }
 
+    /** Returns whether a repeated request finds its change made. */
+    private boolean isDone(MembersRequest request) {
+        Optional<Member> member = mLog.members().byVm(request.getVm());
+        return request.isSetAddress()
+                ? member.map(Member::address).filter(request.getAddress()::equals).isPresent()
+                : member.isEmpty();
+    }
+
     private CompletableFuture<Long> change(MembersRequest request) {
         if (request.isSetAddress()) {
             return mLog.addMember(request.getVm(), request.getAddress());
@@ -87,10 +95,11 @@
     private MembersReply forward(MembersRequest request) {
         Optional<HostPort> leader = mLog.leaderVm().flatMap(mTransport::addressOf);
         boolean isSelf = mLog.leaderVm().filter(mIdentity.vm()::equals).isPresent();
-        if (leader.isEmpty() || isSelf || request.getSender().getVm().equals(mIdentity.vm())) {
+        if (leader.isEmpty() || isSelf || request.isForwarded()) {
             return reply().setFailure("no leader is known");
         }
-        MembersRequest forwarded = request.deepCopy().setSender(mIdentity.sender());
+        MembersRequest forwarded =
+                request.deepCopy().setSender(mIdentity.sender()).setForwarded(true);
         try {
             return mClient.call(leader.get(), mStub, client -> client.members(forwarded)).join();
         } catch (CompletionException e) {
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/log/GroupLog.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/log/GroupLog.java
@@ -187,6 +187,11 @@
         mRunner.interrupt();
     }
 
+    /** Waits until the runner has ended after {@link #close} or a failure. */
+    public void awaitEnd() throws InterruptedException {
+        mRunner.join();
+    }
+
     private CompletableFuture<Long> change(Function<LogCore, Proposal> change) {
         CompletableFuture<Long> done = new CompletableFuture<>();
         if (!mEvents.offer(new GroupEvent.Change(change, done))) {
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/log/StoreGroup.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/log/StoreGroup.java
@@ -5,17 +5,21 @@
 import java.nio.file.Path;
 import java.time.InstantSource;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.SynchronousQueue;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import org.sequoiahill.daemon.process.control.ControlClient;
 import org.sequoiahill.daemon.process.control.ControlServer;
 import org.sequoiahill.daemon.process.control.Identity;
 import org.sequoiahill.daemon.process.control.ServiceStub;
 import org.sequoiahill.daemon.process.settings.DaemonSettings;
+import org.sequoiahill.daemon.process.settings.DaemonSettings.PeerVm;
 import org.sequoiahill.daemon.process.settings.DaemonSettings.ReplicationSettings;
+import org.sequoiahill.daemon.process.settings.HostPort;
 import org.sequoiahill.daemon.process.time.MonotonicClock;
 import org.sequoiahill.protocol.gen.Log;
 
@@ -54,7 +58,8 @@
             RandomGenerator random,
             InstantSource wallClock) {
         ControlClient client = ControlClient.on(threads("log-" + group + "-call"));
-        ThriftTransport transport = ThriftTransport.over(identity, stub, client);
+        ThriftTransport transport =
+                ThriftTransport.over(identity, stub, client, addressesOf(settings));
         GroupLog log =
                 GroupLog.of(
                         optionsOf(group, settings),
@@ -82,6 +87,10 @@
         return mHandler;
     }
 
+    private static Map<String, HostPort> addressesOf(DaemonSettings settings) {
+        return settings.stores().stream().collect(Collectors.toMap(PeerVm::vm, PeerVm::control));
+    }
+
     private static LogStorage openStorage(
             String group, DaemonSettings settings, InstantSource wallClock) {
         Path folder = settings.dataFolder().resolve("log").resolve(group);
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/log/ThriftTransport.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/log/ThriftTransport.java
@@ -26,17 +26,32 @@
     private final ControlClient mClient;
     private final Map<String, Outbox> mOutboxes = new ConcurrentHashMap<>();
     private final Map<String, HostPort> mAddresses = new ConcurrentHashMap<>();
+    private final Map<String, HostPort> mSettingsAddresses;
 
-    private ThriftTransport(Identity identity, ServiceStub<Log.Client> stub, ControlClient client) {
+    private ThriftTransport(
+            Identity identity,
+            ServiceStub<Log.Client> stub,
+            ControlClient client,
+            Map<String, HostPort> settingsAddresses) {
         mIdentity = identity;
         mStub = stub;
         mClient = client;
+        mSettingsAddresses = settingsAddresses;
     }
 
-    /** Returns a transport over a client that no other group uses. */
+    /**
+     * Returns a transport.
+     *
+     * @param client client that no other group uses
+     * @param settingsAddresses addresses of stores that the settings name; they go before what
+     *     members say
+     */
     static ThriftTransport over(
-            Identity identity, ServiceStub<Log.Client> stub, ControlClient client) {
-        return new ThriftTransport(identity, stub, client);
+            Identity identity,
+            ServiceStub<Log.Client> stub,
+            ControlClient client,
+            Map<String, HostPort> settingsAddresses) {
+        return new ThriftTransport(identity, stub, client, Map.copyOf(settingsAddresses));
     }
 
     /** Notes where a store can be reached. */
@@ -51,7 +66,8 @@
 
     /** Returns where a store can be reached, where that is known. */
     Optional<HostPort> addressOf(String vm) {
-        return Optional.ofNullable(mAddresses.get(vm));
+        HostPort settled = mSettingsAddresses.get(vm);
+        return Optional.ofNullable(settled == null ? mAddresses.get(vm) : settled);
     }
 
     @Override
@@ -96,11 +112,11 @@
         }
 
         private synchronized void callNext() {
-            HostPort address = mAddresses.get(mVm);
+            Optional<HostPort> address = addressOf(mVm);
             if (mIsCalling || mQueue.isEmpty()) {
                 return;
             }
-            if (address == null) {
+            if (address.isEmpty()) {
                 mQueue.clear();
                 return;
             }
@@ -112,7 +128,7 @@
                 bytes += sizeOf(message);
                 delivery.addToMessages(MessageCodec.toThrift(message));
             }
-            mClient.call(address, mStub, client -> client.deliver(delivery))
+            mClient.call(address.get(), mStub, client -> client.deliver(delivery))
                     .whenComplete((reply, failure) -> ended(failure));
         }
 
--- /dev/null
+++ b/daemon/src/test/java/org/sequoiahill/daemon/process/log/GroupLogTest.java
@@ -0,0 +1,157 @@
+package org.sequoiahill.daemon.process.log;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.sequoiahill.daemon.process.time.MonotonicClock;
+
+/** A group of one store with real threads and files. */
+final class GroupLogTest {
+    private static final long WAIT_SECONDS = 30;
+    private static final LogTiming TIMING =
+            new LogTiming(Duration.ofMillis(20), Duration.ofMillis(50), Duration.ofMillis(100));
+
+    @TempDir private Path mFolder;
+
+    private final List<GroupLog> mOpened = new ArrayList<>();
+
+    /** Counts the payloads, and tells when the first leader is there. */
+    private static final class CountingMachine implements StateMachine {
+        private int mCount;
+
+        @Override
+        public synchronized void apply(long index, byte[] payload) {
+            mCount += payload[0];
+        }
+
+        @Override
+        public synchronized byte[] snapshot() {
+            return Integer.toString(mCount).getBytes(java.nio.charset.StandardCharsets.UTF_8);
+        }
+
+        @Override
+        public synchronized void restore(byte[] snapshot) {
+            mCount =
+                    Integer.parseInt(new String(snapshot, java.nio.charset.StandardCharsets.UTF_8));
+        }
+
+        synchronized int count() {
+            return mCount;
+        }
+    }
+
+    @AfterEach
+    void closeAll() {
+        mOpened.forEach(GroupLog::close);
+    }
+
+    @Test
+    void propose_manyThenRestart_appliesAllOnce() throws Exception {
+        CountingMachine machine = new CountingMachine();
+        GroupLog log = open(DiskFolder.open(mFolder), machine);
+        proposeWhenLeading(log);
+        List<CompletableFuture<Long>> done = new ArrayList<>();
+        for (int i = 0; i < 200; i++) {
+            done.add(log.propose(new byte[] {1}));
+        }
+        for (CompletableFuture<Long> future : done) {
+            future.get(WAIT_SECONDS, TimeUnit.SECONDS);
+        }
+        log.confirmLeadership().get(WAIT_SECONDS, TimeUnit.SECONDS);
+        assertThat(machine.count(), is(201));
+        log.close();
+        log.awaitEnd();
+
+        CountingMachine again = new CountingMachine();
+        GroupLog second = open(DiskFolder.open(mFolder), again);
+        proposeWhenLeading(second);
+
+        assertThat(again.count(), is(202));
+    }
+
+    @Test
+    void open_folderInUse_isRefused() throws Exception {
+        open(DiskFolder.open(mFolder), new CountingMachine());
+
+        assertThrows(IOException.class, () -> DiskFolder.open(mFolder));
+    }
+
+    @Test
+    void propose_syncFails_stopsWithATypedFailure() throws Exception {
+        MemoryFolder folder = new MemoryFolder(new Random(1));
+        GroupLog log = open(folder, new CountingMachine());
+        proposeWhenLeading(log);
+        folder.failAfterSyncs(0);
+
+        assertThat(failureOf(log.propose(new byte[] {1})), is(LogFailure.Kind.OUTCOME_UNKNOWN));
+        assertThat(failureOf(log.propose(new byte[] {1})), is(LogFailure.Kind.STOPPED));
+        assertThat(failureOf(log.confirmLeadership()), is(LogFailure.Kind.STOPPED));
+        assertThat(log.isLeader(), is(false));
+    }
+
+    @Test
+    void propose_tooLarge_failsAtOnce() throws Exception {
+        GroupLog log = open(DiskFolder.open(mFolder), new CountingMachine());
+
+        assertThat(
+                failureOf(log.propose(new byte[Leadership.MAX_PAYLOAD_BYTES + 1])),
+                is(LogFailure.Kind.TOO_LARGE));
+    }
+
+    private GroupLog open(LogFolder folder, StateMachine machine) throws IOException {
+        Member self = new Member(new StoreId("store-0", 0), "127.20.0.1:1", true);
+        GroupLog.Options options =
+                new GroupLog.Options("test", self.address(), List.of(self), TIMING, 64);
+        GroupLog log =
+                GroupLog.of(
+                        options,
+                        machine,
+                        LogStorage.open(folder, "store-0", "test", 1),
+                        messages -> {},
+                        MonotonicClock.system(),
+                        new Random(1),
+                        Runnable::run);
+        mOpened.add(log);
+        log.start();
+        return log;
+    }
+
+    private static void proposeWhenLeading(GroupLog log) throws Exception {
+        CountDownLatch committed = new CountDownLatch(1);
+        proposeUntilTaken(log, committed);
+        assertThat(committed.await(WAIT_SECONDS, TimeUnit.SECONDS), is(true));
+    }
+
+    private static void proposeUntilTaken(GroupLog log, CountDownLatch committed) {
+        log.propose(new byte[] {1})
+                .whenCompleteAsync(
+                        (index, failure) -> {
+                            if (failure == null) {
+                                committed.countDown();
+                            } else {
+                                proposeUntilTaken(log, committed);
+                            }
+                        });
+    }
+
+    private static LogFailure.Kind failureOf(CompletableFuture<?> future) {
+        CompletionException failure = assertThrows(CompletionException.class, future::join);
+        assertThat(failure.getCause(), instanceOf(LogFailure.class));
+        return ((LogFailure) failure.getCause()).kind();
+    }
+}
--- a/protocol/src/main/java/org/sequoiahill/protocol/gen/MembersRequest.java
+++ b/protocol/src/main/java/org/sequoiahill/protocol/gen/MembersRequest.java
@@ -11,27 +11,33 @@
   private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("MembersRequest");
 
   private static final org.apache.thrift.protocol.TField SENDER_FIELD_DESC = new org.apache.thrift.protocol.TField("sender", org.apache.thrift.protocol.TType.STRUCT, (short)1);
-  private static final org.apache.thrift.protocol.TField VM_FIELD_DESC = new org.apache.thrift.protocol.TField("vm", org.apache.thrift.protocol.TType.STRING, (short)2);
-  private static final org.apache.thrift.protocol.TField ADDRESS_FIELD_DESC = new org.apache.thrift.protocol.TField("address", org.apache.thrift.protocol.TType.STRING, (short)3);
+  private static final org.apache.thrift.protocol.TField FORWARDED_FIELD_DESC = new org.apache.thrift.protocol.TField("forwarded", org.apache.thrift.protocol.TType.BOOL, (short)2);
+  private static final org.apache.thrift.protocol.TField VM_FIELD_DESC = new org.apache.thrift.protocol.TField("vm", org.apache.thrift.protocol.TType.STRING, (short)3);
+  private static final org.apache.thrift.protocol.TField ADDRESS_FIELD_DESC = new org.apache.thrift.protocol.TField("address", org.apache.thrift.protocol.TType.STRING, (short)4);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new MembersRequestStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new MembersRequestTupleSchemeFactory();
 
   private @org.apache.thrift.annotation.Nullable org.sequoiahill.protocol.gen.Sender sender; // required
+  private boolean forwarded; // required
   private @org.apache.thrift.annotation.Nullable java.lang.String vm; // optional
   private @org.apache.thrift.annotation.Nullable java.lang.String address; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     SENDER((short)1, "sender"),
+    /**
+     * Whether a store has passed the request on, so that the receiver must not.
+     */
+    FORWARDED((short)2, "forwarded"),
     /**
      * VM to add or remove; absent where only the members are asked for.
      */
-    VM((short)2, "vm"),
+    VM((short)3, "vm"),
     /**
      * Control address of the VM to add; absent where it is to be removed.
      */
-    ADDRESS((short)3, "address");
+    ADDRESS((short)4, "address");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -49,9 +55,11 @@
       switch(fieldId) {
         case 1: // SENDER
           return SENDER;
-        case 2: // VM
+        case 2: // FORWARDED
+          return FORWARDED;
+        case 3: // VM
           return VM;
-        case 3: // ADDRESS
+        case 4: // ADDRESS
           return ADDRESS;
         default:
           return null;
@@ -96,12 +104,16 @@
   }
 
   // isset id assignments
+  private static final int __FORWARDED_ISSET_ID = 0;
+  private byte __isset_bitfield = 0;
   private static final _Fields optionals[] = {_Fields.VM,_Fields.ADDRESS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
     tmpMap.put(_Fields.SENDER, new org.apache.thrift.meta_data.FieldMetaData("sender", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, org.sequoiahill.protocol.gen.Sender.class)));
+    tmpMap.put(_Fields.FORWARDED, new org.apache.thrift.meta_data.FieldMetaData("forwarded", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
     tmpMap.put(_Fields.VM, new org.apache.thrift.meta_data.FieldMetaData("vm", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     tmpMap.put(_Fields.ADDRESS, new org.apache.thrift.meta_data.FieldMetaData("address", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
@@ -114,19 +126,24 @@
   }
 
   public MembersRequest(
-    org.sequoiahill.protocol.gen.Sender sender)
+    org.sequoiahill.protocol.gen.Sender sender,
+    boolean forwarded)
   {
     this();
     this.sender = sender;
+    this.forwarded = forwarded;
+    setForwardedIsSet(true);
   }
 
   /**
    * Performs a deep copy on <i>other</i>.
    */
   public MembersRequest(MembersRequest other) {
+    __isset_bitfield = other.__isset_bitfield;
     if (other.isSetSender()) {
       this.sender = new org.sequoiahill.protocol.gen.Sender(other.sender);
     }
+    this.forwarded = other.forwarded;
     if (other.isSetVm()) {
       this.vm = other.vm;
     }
@@ -143,6 +160,8 @@
   @Override
   public void clear() {
     this.sender = null;
+    setForwardedIsSet(false);
+    this.forwarded = false;
     this.vm = null;
     this.address = null;
   }
@@ -172,6 +191,35 @@
     }
   }
 
+  /**
+   * Whether a store has passed the request on, so that the receiver must not.
+   */
+  public boolean isForwarded() {
+    return this.forwarded;
+  }
+
+  /**
+   * Whether a store has passed the request on, so that the receiver must not.
+   */
+  public MembersRequest setForwarded(boolean forwarded) {
+    this.forwarded = forwarded;
+    setForwardedIsSet(true);
+    return this;
+  }
+
+  public void unsetForwarded() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __FORWARDED_ISSET_ID);
+  }
+
+  /** Returns true if field forwarded is set (has been assigned a value) and false otherwise */
+  public boolean isSetForwarded() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __FORWARDED_ISSET_ID);
+  }
+
+  public void setForwardedIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __FORWARDED_ISSET_ID, value);
+  }
+
   /**
    * VM to add or remove; absent where only the members are asked for.
    */
@@ -245,6 +293,14 @@
       }
       break;
 
+    case FORWARDED:
+      if (value == null) {
+        unsetForwarded();
+      } else {
+        setForwarded((java.lang.Boolean)value);
+      }
+      break;
+
     case VM:
       if (value == null) {
         unsetVm();
@@ -271,6 +327,9 @@
     case SENDER:
       return getSender();
 
+    case FORWARDED:
+      return isForwarded();
+
     case VM:
       return getVm();
 
@@ -291,6 +350,8 @@
     switch (field) {
     case SENDER:
       return isSetSender();
+    case FORWARDED:
+      return isSetForwarded();
     case VM:
       return isSetVm();
     case ADDRESS:
@@ -321,6 +382,15 @@
         return false;
     }
 
+    boolean this_present_forwarded = true;
+    boolean that_present_forwarded = true;
+    if (this_present_forwarded || that_present_forwarded) {
+      if (!(this_present_forwarded && that_present_forwarded))
+        return false;
+      if (this.forwarded != that.forwarded)
+        return false;
+    }
+
     boolean this_present_vm = true && this.isSetVm();
     boolean that_present_vm = true && that.isSetVm();
     if (this_present_vm || that_present_vm) {
@@ -350,6 +420,8 @@
     if (isSetSender())
       hashCode = hashCode * 8191 + sender.hashCode();
 
+    hashCode = hashCode * 8191 + ((forwarded) ? 131071 : 524287);
+
     hashCode = hashCode * 8191 + ((isSetVm()) ? 131071 : 524287);
     if (isSetVm())
       hashCode = hashCode * 8191 + vm.hashCode();
@@ -379,6 +451,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetForwarded(), other.isSetForwarded());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetForwarded()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.forwarded, other.forwarded);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     lastComparison = java.lang.Boolean.compare(isSetVm(), other.isSetVm());
     if (lastComparison != 0) {
       return lastComparison;
@@ -430,6 +512,10 @@
       sb.append(this.sender);
     }
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("forwarded:");
+    sb.append(this.forwarded);
+    first = false;
     if (isSetVm()) {
       if (!first) sb.append(", ");
       sb.append("vm:");
@@ -472,6 +558,8 @@
 
   private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
     try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
       read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
     } catch (org.apache.thrift.TException te) {
       throw new java.io.IOException(te);
@@ -507,7 +595,15 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 2: // VM
+          case 2: // FORWARDED
+            if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
+              struct.forwarded = iprot.readBool();
+              struct.setForwardedIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 3: // VM
             if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
               struct.vm = iprot.readString();
               struct.setVmIsSet(true);
@@ -515,7 +611,7 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 3: // ADDRESS
+          case 4: // ADDRESS
             if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
               struct.address = iprot.readString();
               struct.setAddressIsSet(true);
@@ -544,6 +640,9 @@
         struct.sender.write(oprot);
         oprot.writeFieldEnd();
       }
+      oprot.writeFieldBegin(FORWARDED_FIELD_DESC);
+      oprot.writeBool(struct.forwarded);
+      oprot.writeFieldEnd();
       if (struct.vm != null) {
         if (struct.isSetVm()) {
           oprot.writeFieldBegin(VM_FIELD_DESC);
@@ -580,16 +679,22 @@
       if (struct.isSetSender()) {
         optionals.set(0);
       }
-      if (struct.isSetVm()) {
+      if (struct.isSetForwarded()) {
         optionals.set(1);
       }
-      if (struct.isSetAddress()) {
+      if (struct.isSetVm()) {
         optionals.set(2);
       }
-      oprot.writeBitSet(optionals, 3);
+      if (struct.isSetAddress()) {
+        optionals.set(3);
+      }
+      oprot.writeBitSet(optionals, 4);
       if (struct.isSetSender()) {
         struct.sender.write(oprot);
       }
+      if (struct.isSetForwarded()) {
+        oprot.writeBool(struct.forwarded);
+      }
       if (struct.isSetVm()) {
         oprot.writeString(struct.vm);
       }
@@ -601,17 +706,21 @@
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, MembersRequest struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(3);
+      java.util.BitSet incoming = iprot.readBitSet(4);
       if (incoming.get(0)) {
         struct.sender = new org.sequoiahill.protocol.gen.Sender();
         struct.sender.read(iprot);
         struct.setSenderIsSet(true);
       }
       if (incoming.get(1)) {
+        struct.forwarded = iprot.readBool();
+        struct.setForwardedIsSet(true);
+      }
+      if (incoming.get(2)) {
         struct.vm = iprot.readString();
         struct.setVmIsSet(true);
       }
-      if (incoming.get(2)) {
+      if (incoming.get(3)) {
         struct.address = iprot.readString();
         struct.setAddressIsSet(true);
       }
--- a/protocol/src/main/thrift/log.thrift
+++ b/protocol/src/main/thrift/log.thrift
@@ -132,10 +132,12 @@
 
 struct MembersRequest {
   1: common.Sender sender
+  /** Whether a store has passed the request on, so that the receiver must not. */
+  2: bool forwarded
   /** VM to add or remove; absent where only the members are asked for. */
-  2: optional string vm
+  3: optional string vm
   /** Control address of the VM to add; absent where it is to be removed. */
-  3: optional string address
+  4: optional string address
 }
 
 /** Offered once for each group, under the name of the group. */
