--- a/daemon/src/main/java/org/sequoiahill/daemon/process/settings/DaemonSettings.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/settings/DaemonSettings.java
@@ -105,6 +105,17 @@
         return (int) entries.stream().map(PeerVm::dataCentre).distinct().count();
     }
 
+    /**
+     * How stores replicate their logs.
+     *
+     * @param heartbeat interval between messages of an idle leader
+     * @param electionMin least time without a leader before an election
+     * @param electionMax greatest time without a leader before an election
+     * @param snapshotEntries entries after which a snapshot is made
+     */
+    public record ReplicationSettings(
+            Duration heartbeat, Duration electionMin, Duration electionMax, int snapshotEntries) {}
+
     /** Returns whether the daemon has a role. */
     public boolean hasRole(Role role) {
         return roles.contains(role);
