--- a/bench/src/main/java/org/sequoiahill/bench/config/ConfigExperiment.java
+++ b/bench/src/main/java/org/sequoiahill/bench/config/ConfigExperiment.java
@@ -45,6 +45,8 @@
     @Parameter(names = "--prefix", description = "first two octets of the addresses used")
     private String mPrefix = "127.21";
 
+    private final ObjectNode mJson = JsonMapper.builder().build().createObjectNode();
+
     @Override
     public boolean run() throws Exception {
         Path folder = Files.createTempDirectory("config");
@@ -58,6 +60,7 @@
         Histogram inForce = new Histogram(3);
         try (Deployment deployment =
                 Deployment.start(folder, topology, Hosting.AGENTS_TOGETHER, settings -> {})) {
+            DocumentCost.measure(deployment.ledgerDocument(SERVICE), mJson);
             deployment.apply(SERVICE, deployment.ledgerDocument(SERVICE));
             try (Watch watch = Watch.of(deployment, topology, mAgents)) {
                 watch.await(1);
@@ -92,12 +95,11 @@
     }
 
     private boolean report(Histogram commit, Histogram inForce) {
-        ObjectNode json = JsonMapper.builder().build().createObjectNode();
-        json.put("entries", 3 * mEntries).put("agents", 3 * mAgents).put("changes", mChanges);
+        mJson.put("entries", 3 * mEntries).put("agents", 3 * mAgents).put("changes", mChanges);
         System.out.printf("%-22s %10s %10s %10s %10s%n", "ms", "p50", "p95", "p99", "max");
-        line("commit", commit, json);
-        line("in force everywhere", inForce, json);
-        System.out.println(json);
+        line("commit", commit, mJson);
+        line("in force everywhere", inForce, mJson);
+        System.out.println(mJson);
         return inForce.getMaxValue() <= IN_FORCE_BOUND.toNanos() / 1_000;
     }
 
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/config/ConfigurationMachine.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/config/ConfigurationMachine.java
@@ -115,6 +115,11 @@
                 .map(result -> new WriteResult(result).setSender(mIdentity.sender()));
     }
 
+    /** Returns the number of documents. */
+    public synchronized int documentCount() {
+        return mState.documentCount();
+    }
+
     /** Returns entries of the audit trail. */
     public synchronized AuditPage audit(AuditQuery query) {
         return mAudit.page(query, mIdentity.sender());
