--- a/daemon/src/main/java/org/sequoiahill/daemon/process/AgentRole.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/AgentRole.java
@@ -62,7 +62,8 @@
                 EndpointGate.closed(
                         clock, mAgent.capacityBytes(), policy.limitOf(mAgent.capacity()));
         mReporter = LoadReporter.of(mAgent.engine(), http, clock, mGate::report);
-        mAnnouncer = Announcer.of(entriesHere(), control, sync, this::announcement);
+        mAnnouncer =
+                Announcer.of(identity, entriesHere(), control, sync, clock, this::announcement);
         AgentWeights weights =
                 AgentWeights.of(
                         settings,
@@ -129,6 +130,10 @@
                 progress.servedDigest(),
                 mAgent.checksFencing(),
                 progress.chunksHeld(),
-                progress.chunksStated());
+                progress.chunksStated(),
+                mGate.load().limit(),
+                0,
+                0,
+                false);
     }
 }
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/EntryRole.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/EntryRole.java
@@ -1,5 +1,6 @@
 package org.sequoiahill.daemon.process;
 
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import jakarta.inject.Inject;
 import jakarta.inject.Singleton;
 import java.util.List;
@@ -16,17 +17,27 @@
 import org.sequoiahill.daemon.process.directory.DirectoryHandler;
 import org.sequoiahill.daemon.process.directory.EndpointDirectory;
 import org.sequoiahill.daemon.process.settings.DaemonSettings;
+import org.sequoiahill.daemon.process.time.MonotonicClock;
 import org.sequoiahill.daemon.request.EntryHandler;
 import org.sequoiahill.daemon.request.EntryHooks;
+import org.sequoiahill.daemon.request.EntryServices;
 import org.sequoiahill.daemon.request.HttpForwarder;
+import org.sequoiahill.daemon.request.RequestMetrics;
+import org.sequoiahill.daemon.request.RequestPolicy;
 import org.sequoiahill.daemon.request.Router;
+import org.sequoiahill.daemon.request.admission.Admission;
+import org.sequoiahill.daemon.request.retry.RetryBudget;
 import org.sequoiahill.protocol.gen.Directory;
 
 /** The role that answers callers. */
 @Singleton
 final class EntryRole implements DaemonRole {
+    private static final double RETRIES_PER_REQUEST = 0.1;
+    private static final double MAX_SAVED_RETRIES = 50;
+
     private final DirectoryHandler mDirectoryHandler;
     private final EntryHandler mEntryHandler;
+    private final Admission mAdmission;
     private final ConfigurationView mView;
     private final ScheduledExecutorService mScheduler;
 
@@ -40,16 +51,41 @@
             DataCentreTable table,
             ControlClient client,
             HttpForwarder forwarder,
+            MonotonicClock clock,
             RandomGenerator random,
+            RequestPolicy policy,
+            PrometheusMeterRegistry metrics,
             ScheduledExecutorService scheduler) {
         mDirectoryHandler =
-                DirectoryHandler.of(settings, identity, view, sync, directory, table, client);
+                DirectoryHandler.of(
+                        settings, identity, view, sync, directory, table, client, clock);
+        Router router =
+                Router.of(
+                        identity,
+                        view,
+                        directory,
+                        table,
+                        settings.entries(),
+                        clock,
+                        random,
+                        policy);
+        mAdmission = Admission.of(clock, router);
+        metrics.gauge("sequoia.admission.waiting", mAdmission, Admission::size);
         mEntryHandler =
                 EntryHandler.of(
                         view,
-                        Router.of(identity, view, directory, table, random),
-                        forwarder,
-                        EntryHooks.none());
+                        new EntryServices(
+                                router,
+                                mAdmission,
+                                policy.hasRetryBudget()
+                                        ? RetryBudget.of(RETRIES_PER_REQUEST, MAX_SAVED_RETRIES)
+                                        : RetryBudget.unbounded(),
+                                forwarder,
+                                EntryHooks.none(),
+                                RequestMetrics.on(metrics),
+                                clock,
+                                random,
+                                scheduler));
         mView = view;
         mScheduler = scheduler;
     }
@@ -67,6 +103,7 @@
     @Override
     public void start() {
         mDirectoryHandler.start(mScheduler);
+        mAdmission.start(mScheduler);
     }
 
     @Override
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/directory/Announcer.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/directory/Announcer.java
@@ -7,58 +7,81 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 import org.sequoiahill.daemon.process.config.ConfigurationSync;
 import org.sequoiahill.daemon.process.control.ControlClient;
+import org.sequoiahill.daemon.process.control.Identity;
 import org.sequoiahill.daemon.process.control.ServiceStub;
 import org.sequoiahill.daemon.process.settings.DaemonSettings.PeerVm;
+import org.sequoiahill.daemon.process.time.MonotonicClock;
 import org.sequoiahill.daemon.process.time.Periodic;
 import org.sequoiahill.protocol.gen.AnnounceReply;
 import org.sequoiahill.protocol.gen.Announcement;
+import org.sequoiahill.protocol.gen.Directory;
 import org.sequoiahill.protocol.gen.Peer;
+import org.sequoiahill.protocol.gen.RenewRequest;
+import org.sequoiahill.protocol.gen.Renewal;
 import org.tinylog.Logger;
 
-/** Announces the endpoint of this agent to the entries of its data centre. */
+/** Announces the endpoint of this agent to entries of its data centre. */
 public final class Announcer {
-    private static final Duration INTERVAL = Duration.ofMillis(500);
+    /** Time between two looks at what has changed. */
+    private static final Duration TICK = Duration.ofMillis(250);
 
-    private final List<PeerVm> mEntries;
+    private final Identity mIdentity;
+    private final Map<String, PeerVm> mEntries;
     private final ControlClient mClient;
     private final ConfigurationSync mSync;
+    private final MonotonicClock mClock;
     private final Supplier<Announcement> mAnnouncement;
     private final Map<String, Peer> mPeers = new ConcurrentHashMap<>();
     private volatile List<Peer> mElsewhere = List.of();
+    private final Object mLock = new Object();
+    private final AnnounceSchedule mSchedule;
+    private volatile long mPeersHash;
 
     private Announcer(
+            Identity identity,
             List<PeerVm> entries,
             ControlClient client,
             ConfigurationSync sync,
+            MonotonicClock clock,
             Supplier<Announcement> announcement) {
-        mEntries = entries;
+        mIdentity = identity;
+        mEntries = entries.stream().collect(Collectors.toMap(PeerVm::vm, entry -> entry));
         mClient = client;
         mSync = sync;
+        mClock = clock;
         mAnnouncement = announcement;
+        mSchedule = new AnnounceSchedule(identity.vm(), entries.stream().map(PeerVm::vm).toList());
     }
 
     /** Returns an announcer that asks the supplier for each announcement. */
     public static Announcer of(
+            Identity identity,
             List<PeerVm> entries,
             ControlClient client,
             ConfigurationSync sync,
+            MonotonicClock clock,
             Supplier<Announcement> announcement) {
-        return new Announcer(entries, client, sync, announcement);
+        return new Announcer(identity, entries, client, sync, clock, announcement);
     }
 
-    /** Starts to announce every interval. */
+    /** Starts to announce what has changed and to renew the rest. */
     public void start(ScheduledExecutorService scheduler) {
-        Periodic.every(scheduler, INTERVAL, "announce", this::announce);
+        Periodic.every(scheduler, TICK, "announce", this::announce);
     }
 
-    /** Announces now; completes once every entry has answered or failed. */
+    /** Tells what is due now; completes once every entry that is told has answered or failed. */
     public CompletableFuture<Void> announce() {
         Announcement announcement = mAnnouncement.get();
+        List<AnnounceSchedule.Message> messages;
+        synchronized (mLock) {
+            messages = mSchedule.due(announcement, mClock.now());
+        }
         return CompletableFuture.allOf(
-                mEntries.stream()
-                        .map(entry -> announceTo(entry, announcement))
+                messages.stream()
+                        .map(message -> tell(message, announcement))
                         .toArray(CompletableFuture[]::new));
     }
 
@@ -72,26 +95,68 @@
         return mElsewhere;
     }
 
-    private CompletableFuture<Void> announceTo(PeerVm entry, Announcement announcement) {
-        return mClient.call(
-                        entry.control(),
-                        ServiceStub.DIRECTORY,
-                        client -> client.announce(announcement))
+    private CompletableFuture<Void> tell(
+            AnnounceSchedule.Message message, Announcement announcement) {
+        ControlClient.ThriftCall<Directory.Client, AnnounceReply> call =
+                message.kind() == AnnounceSchedule.Kind.ANNOUNCE
+                        ? client -> client.announce(announcementOf(message, announcement))
+                        : client -> client.renew(renewalOf(message, announcement));
+        PeerVm entry = mEntries.get(message.entry());
+        if (entry == null) {
+            throw new IllegalStateException("no entry " + message.entry());
+        }
+        return mClient.call(entry.control(), ServiceStub.DIRECTORY, call)
                 .handle(
                         (reply, failure) -> {
-                            if (failure != null) {
-                                Logger.debug("entry {} failed: {}", entry.vm(), failure);
+                            if (failure == null) {
+                                take(message, reply);
                             } else {
-                                take(reply);
+                                Logger.debug("entry {} failed: {}", message.entry(), failure);
+                                synchronized (mLock) {
+                                    mSchedule.failed(message.entry(), mClock.now());
+                                }
                             }
                             return null;
                         });
     }
 
-    private void take(AnnounceReply reply) {
+    private Announcement announcementOf(
+            AnnounceSchedule.Message message, Announcement announcement) {
+        return new Announcement(announcement)
+                .setSequence(message.announced())
+                .setPeersHash(mPeersHash)
+                .setSpread(message.isSpread());
+    }
+
+    private RenewRequest renewalOf(AnnounceSchedule.Message message, Announcement announcement) {
+        Renewal renewal =
+                new Renewal(
+                        mIdentity.vm(),
+                        mIdentity.incarnation(),
+                        message.announced(),
+                        message.sequence(),
+                        announcement.getRunning(),
+                        announcement.getLimit());
+        return new RenewRequest(mIdentity.sender(), renewal, mPeersHash, message.isSpread());
+    }
+
+    private void take(AnnounceSchedule.Message message, AnnounceReply reply) {
         mSync.heardOf(reply.getSender());
-        mPeers.keySet().retainAll(reply.getPeers().stream().map(Peer::getVm).toList());
-        reply.getPeers().forEach(peer -> mPeers.put(peer.getVm(), peer));
-        mElsewhere = reply.isSetElsewhere() ? List.copyOf(reply.getElsewhere()) : List.of();
+        synchronized (mLock) {
+            if (reply.isUnknownAnnouncement()) {
+                mSchedule.missing(message.entry());
+            } else {
+                mSchedule.acknowledged(
+                        message.entry(),
+                        message.announced(),
+                        Duration.ofMillis(reply.getLeaseMillis()));
+            }
+        }
+        if (!reply.isPeersSame() && !reply.isUnknownAnnouncement()) {
+            mPeers.keySet().retainAll(reply.getPeers().stream().map(Peer::getVm).toList());
+            reply.getPeers().forEach(peer -> mPeers.put(peer.getVm(), peer));
+            mElsewhere = List.copyOf(reply.getElsewhere());
+            mPeersHash = reply.getPeersHash();
+        }
     }
 }
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/directory/DataCentreTable.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/directory/DataCentreTable.java
@@ -14,10 +14,9 @@
 
 /** Summaries of other data centres, as their entries tell them. */
 public final class DataCentreTable {
-    private static final Duration LEASE = Duration.ofSeconds(3);
-
     private final MonotonicClock mClock;
     private final Map<String, Held> mByVm = new ConcurrentHashMap<>();
+    private final Map<PlaceKey, DataCentrePlace> mPlaces = new ConcurrentHashMap<>();
 
     private DataCentreTable(MonotonicClock clock) {
         mClock = clock;
@@ -28,23 +27,49 @@
         return new DataCentreTable(clock);
     }
 
-    /** Takes a summary in. */
-    public void offer(DataCentreSummary summary) {
-        Held held = new Held(summary, mClock.now().plus(LEASE));
-        mByVm.put(summary.getSender().getVm(), held);
+    /**
+     * Takes a summary in; one from an earlier incarnation of the entry is dropped.
+     *
+     * @param lease time that the summary stays valid
+     */
+    public void offer(DataCentreSummary summary, Duration lease) {
+        Duration expiry = mClock.now().plus(lease);
+        mByVm.compute(
+                summary.getSender().getVm(),
+                (vm, held) -> {
+                    boolean isOlder = held != null && isOlder(summary, held.summary());
+                    return isOlder ? held : new Held(summary, expiry);
+                });
+        String dataCentre = summary.getSender().getDataCentre();
+        for (ServiceSummary service : summary.getServices()) {
+            totals(summary, service.getServiceName())
+                    .applyTo(placeOf(dataCentre, service.getServiceName()).load());
+        }
     }
 
-    /** Returns the entries elsewhere whose data centre has serving endpoints of a service. */
-    public List<DataCentreSummary> offering(String service) {
-        List<DataCentreSummary> result = new ArrayList<>();
+    /** Returns the data centres that take requests of a service, with room or without. */
+    public List<DataCentrePlace> offering(String service) {
+        List<DataCentrePlace> result = new ArrayList<>();
         for (DataCentreSummary summary : current()) {
-            if (!summary.isDraining() && hasEndpoints(summary, service)) {
-                result.add(summary);
+            if (summary.isDraining() || totals(summary, service).capacity() == 0) {
+                continue;
+            }
+            DataCentrePlace place = placeOf(summary.getSender().getDataCentre(), service);
+            if (!result.contains(place)) {
+                result.add(place);
             }
         }
         return result;
     }
 
+    /** Returns whether an entry has said that it takes nothing more. */
+    public boolean isDraining(String vm) {
+        Held held = mByVm.get(vm);
+        return held != null
+                && held.summary().isDraining()
+                && held.expiry().compareTo(mClock.now()) > 0;
+    }
+
     /** Returns all summaries whose lease is valid. */
     public Collection<DataCentreSummary> current() {
         Duration now = mClock.now();
@@ -67,13 +92,37 @@
         return List.copyOf(byVm.values());
     }
 
-    private static boolean hasEndpoints(DataCentreSummary summary, String service) {
+    private DataCentrePlace placeOf(String dataCentre, String service) {
+        return mPlaces.computeIfAbsent(
+                new PlaceKey(dataCentre, service),
+                key -> new DataCentrePlace(key.dataCentre(), PlaceLoad.idle(0)));
+    }
+
+    private static boolean isOlder(DataCentreSummary offered, DataCentreSummary held) {
+        return offered.getSender().getIncarnation() < held.getSender().getIncarnation();
+    }
+
+    private static Totals totals(DataCentreSummary summary, String service) {
+        int running = 0;
+        int capacity = 0;
         for (ServiceSummary entry : summary.getServices()) {
-            if (entry.getServiceName().equals(service) && entry.getEndpoints() > 0) {
-                return true;
+            if (entry.getServiceName().equals(service)) {
+                running += entry.getRunning();
+                capacity += entry.getCapacity();
             }
         }
-        return false;
+        return new Totals(running, capacity);
+    }
+
+    /** The endpoints of a service in another data centre, asked through its entries. */
+    public record DataCentrePlace(String name, PlaceLoad load) implements Place {}
+
+    private record PlaceKey(String dataCentre, String service) {}
+
+    private record Totals(int running, int capacity) {
+        void applyTo(PlaceLoad load) {
+            load.report(running, capacity);
+        }
     }
 
     private record Held(DataCentreSummary summary, Duration expiry) {}
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/directory/DirectoryHandler.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/directory/DirectoryHandler.java
@@ -1,7 +1,7 @@
 package org.sequoiahill.daemon.process.directory;
 
-import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -10,22 +10,24 @@
 import org.sequoiahill.daemon.process.config.ConfigurationView;
 import org.sequoiahill.daemon.process.control.ControlClient;
 import org.sequoiahill.daemon.process.control.Identity;
-import org.sequoiahill.daemon.process.control.ServiceStub;
 import org.sequoiahill.daemon.process.settings.DaemonSettings;
 import org.sequoiahill.daemon.process.settings.DaemonSettings.PeerVm;
-import org.sequoiahill.daemon.process.time.Periodic;
+import org.sequoiahill.daemon.process.time.MonotonicClock;
 import org.sequoiahill.protocol.gen.AnnounceReply;
 import org.sequoiahill.protocol.gen.Announcement;
 import org.sequoiahill.protocol.gen.DataCentreSummary;
 import org.sequoiahill.protocol.gen.Directory;
 import org.sequoiahill.protocol.gen.Peer;
+import org.sequoiahill.protocol.gen.RenewRequest;
+import org.sequoiahill.protocol.gen.Renewal;
 import org.sequoiahill.protocol.gen.ServiceSummary;
-import org.tinylog.Logger;
+import org.sequoiahill.protocol.gen.Spread;
+import org.sequoiahill.protocol.gen.SpreadReply;
 
-/** Takes announcements and exchanges summaries with entries of other data centres. */
+/** Takes announcements, spreads them in the data centre, and exchanges summaries with others. */
 public final class DirectoryHandler implements Directory.Iface {
-    private static final Duration EXCHANGE_INTERVAL = Duration.ofSeconds(1);
     private static final int MAX_AGENTS_TOLD = 3;
+    private static final int DIGEST_PREFIX = 16;
 
     private final DaemonSettings mSettings;
     private final Identity mIdentity;
@@ -33,7 +35,9 @@
     private final ConfigurationSync mSync;
     private final EndpointDirectory mDirectory;
     private final DataCentreTable mTable;
-    private final ControlClient mClient;
+    private final Spreader mSpreader;
+    private final SummaryExchange mExchange;
+    private final int mEntriesHere;
     private volatile boolean mIsDraining;
 
     private DirectoryHandler(
@@ -43,14 +47,26 @@
             ConfigurationSync sync,
             EndpointDirectory directory,
             DataCentreTable table,
-            ControlClient client) {
+            ControlClient client,
+            MonotonicClock clock) {
         mSettings = settings;
         mIdentity = identity;
         mView = view;
         mSync = sync;
         mDirectory = directory;
         mTable = table;
-        mClient = client;
+        List<PeerVm> others = new ArrayList<>();
+        List<PeerVm> peers = new ArrayList<>();
+        for (PeerVm entry : settings.entries()) {
+            if (!entry.dataCentre().equals(settings.dataCentre())) {
+                others.add(entry);
+            } else if (!entry.vm().equals(settings.vm())) {
+                peers.add(entry);
+            }
+        }
+        mEntriesHere = peers.size() + 1;
+        mSpreader = new Spreader(identity, directory, client, clock, peers);
+        mExchange = new SummaryExchange(others, client, clock, table, this::summary);
     }
 
     /** Returns a handler on an entry. */
@@ -61,48 +77,67 @@
             ConfigurationSync sync,
             EndpointDirectory directory,
             DataCentreTable table,
-            ControlClient client) {
-        return new DirectoryHandler(settings, identity, view, sync, directory, table, client);
+            ControlClient client,
+            MonotonicClock clock) {
+        return new DirectoryHandler(
+                settings, identity, view, sync, directory, table, client, clock);
     }
 
-    /** Starts to exchange summaries. */
+    /** Starts to spread and to exchange summaries. */
     public void start(ScheduledExecutorService scheduler) {
-        Periodic.every(scheduler, EXCHANGE_INTERVAL, "exchange", this::exchangeWithOthers);
+        mSpreader.start(scheduler);
+        mExchange.start(scheduler);
     }
 
     /** Tells other data centres to send nothing more here. */
     public void drain() {
         mIsDraining = true;
-        exchangeWithOthers();
+        mExchange.tellAll();
     }
 
     @Override
     public AnnounceReply announce(Announcement announcement) {
         mSync.heardOf(announcement.getSender());
         mDirectory.announce(announcement);
-        List<Peer> peers = new ArrayList<>();
-        for (Endpoint endpoint : mDirectory.all()) {
-            Announcement held = endpoint.announcement();
-            if (held.getServiceName().equals(announcement.getServiceName()) && !held.isLeaving()) {
-                peers.add(
-                        new Peer(
-                                endpoint.vm(),
-                                held.getSender().getDataCentre(),
-                                held.getDataAddress(),
-                                held.isServing()));
+        mDirectory.adaptTo(mEntriesHere);
+        if (announcement.isSpread() || announcement.isLeaving() || !announcement.isServing()) {
+            mSpreader.add(announcement);
+        }
+        return reply(announcement.getServiceName(), announcement.getPeersHash());
+    }
+
+    @Override
+    public AnnounceReply renew(RenewRequest request) {
+        mSync.heardOf(request.getSender());
+        Renewal renewal = request.getRenewal();
+        if (!mDirectory.renew(renewal)) {
+            return emptyReply().setUnknownAnnouncement(true);
+        }
+        if (request.isSpread()) {
+            mSpreader.add(renewal);
+        }
+        String service = mDirectory.serviceOf(renewal.getVm()).orElse("");
+        return reply(service, request.getPeersHash());
+    }
+
+    @Override
+    public SpreadReply spread(Spread spread) {
+        mSync.heardOf(spread.getSender());
+        spread.getAnnouncements().forEach(mDirectory::announce);
+        List<String> missing = new ArrayList<>();
+        for (Renewal renewal : spread.getRenewals()) {
+            if (!mDirectory.renew(renewal)) {
+                missing.add(renewal.getVm());
             }
         }
-        return new AnnounceReply(
-                mIdentity.sender(),
-                EndpointDirectory.LEASE.toMillis(),
-                peers,
-                mTable.agentsOf(announcement.getServiceName()));
+        mDirectory.adaptTo(mEntriesHere);
+        return new SpreadReply(mIdentity.sender(), missing);
     }
 
     @Override
     public DataCentreSummary exchange(DataCentreSummary summary) {
         mSync.heardOf(summary.getSender());
-        mTable.offer(summary);
+        mTable.offer(summary, mExchange.lease(summary));
         return summary();
     }
 
@@ -113,6 +148,44 @@
                 mIdentity.sender(), mSettings.data().toString(), summarise(), isOut);
     }
 
+    private AnnounceReply reply(String service, long knownHash) {
+        List<Peer> peers = peersOf(service);
+        List<Peer> elsewhere = mTable.agentsOf(service);
+        long hash = List.of(peers, elsewhere).hashCode();
+        AnnounceReply reply = emptyReply().setPeersHash(hash);
+        return hash == knownHash
+                ? reply.setPeersSame(true)
+                : reply.setPeers(peers).setElsewhere(elsewhere);
+    }
+
+    private AnnounceReply emptyReply() {
+        return new AnnounceReply(
+                mIdentity.sender(),
+                mDirectory.intervals().lease().toMillis(),
+                List.of(),
+                List.of(),
+                false,
+                0,
+                false);
+    }
+
+    private List<Peer> peersOf(String service) {
+        List<Peer> peers = new ArrayList<>();
+        for (Endpoint endpoint : mDirectory.all()) {
+            Announcement held = endpoint.announcement();
+            if (held.getServiceName().equals(service) && !held.isLeaving()) {
+                peers.add(
+                        new Peer(
+                                endpoint.vm(),
+                                held.getSender().getDataCentre(),
+                                held.getDataAddress(),
+                                held.isServing()));
+            }
+        }
+        peers.sort(Comparator.comparing(Peer::getVm));
+        return peers;
+    }
+
     private List<ServiceSummary> summarise() {
         Map<VersionKey, ServiceSummary> byVersion = new HashMap<>();
         for (Endpoint endpoint : mDirectory.all()) {
@@ -120,7 +193,11 @@
             if (!held.isServing() || held.isLeaving()) {
                 continue;
             }
-            VersionKey key = new VersionKey(held.getServiceName(), held.getVersionDigest());
+            String digest = held.getVersionDigest();
+            VersionKey key =
+                    new VersionKey(
+                            held.getServiceName(),
+                            digest.substring(0, Math.min(DIGEST_PREFIX, digest.length())));
             ServiceSummary summary =
                     byVersion.computeIfAbsent(
                             key,
@@ -136,30 +213,12 @@
                                 true));
             }
             summary.setEndpoints(summary.getEndpoints() + 1);
-            summary.setCapacity(summary.getCapacity() + held.getCapacity());
-            summary.setRunning(summary.getRunning() + held.getRunning());
+            summary.setCapacity(summary.getCapacity() + endpoint.load().limit());
+            summary.setRunning(summary.getRunning() + endpoint.load().running());
             ServiceProgress.add(summary, held);
         }
         return List.copyOf(byVersion.values());
     }
 
-    private void exchangeWithOthers() {
-        DataCentreSummary own = summary();
-        for (PeerVm entry : mSettings.entries()) {
-            if (entry.dataCentre().equals(mSettings.dataCentre())) {
-                continue;
-            }
-            mClient.call(entry.control(), ServiceStub.DIRECTORY, client -> client.exchange(own))
-                    .whenComplete(
-                            (summary, failure) -> {
-                                if (failure != null) {
-                                    Logger.debug("entry {} failed: {}", entry.vm(), failure);
-                                } else {
-                                    mTable.offer(summary);
-                                }
-                            });
-        }
-    }
-
     private record VersionKey(String service, String digest) {}
 }
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/directory/Endpoint.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/directory/Endpoint.java
@@ -1,20 +1,24 @@
 package org.sequoiahill.daemon.process.directory;
 
 import java.time.Duration;
-import java.util.concurrent.atomic.AtomicInteger;
 import org.sequoiahill.protocol.gen.Announcement;
+import org.sequoiahill.protocol.gen.Renewal;
 
-/** An endpoint as its agent announces it, with what this entry has sent to it. */
-public final class Endpoint {
+/** An endpoint as its agent announces it, with its load as this entry sees it. */
+public final class Endpoint implements Place {
     private final String mVm;
-    private final AtomicInteger mSent = new AtomicInteger();
+    private final PlaceLoad mLoad;
     private volatile Announcement mAnnouncement;
     private volatile Duration mExpiry;
+    private long mSequence;
 
     Endpoint(Announcement announcement, Duration expiry) {
         mVm = announcement.getSender().getVm();
         mAnnouncement = announcement;
         mExpiry = expiry;
+        mSequence = announcement.getSequence();
+        mLoad = PlaceLoad.idle(announcement.getLimit());
+        mLoad.report(announcement.getRunning(), announcement.getLimit());
     }
 
     /** Returns the VM of the endpoint. */
@@ -22,6 +26,16 @@
         return mVm;
     }
 
+    @Override
+    public String name() {
+        return mVm;
+    }
+
+    @Override
+    public PlaceLoad load() {
+        return mLoad;
+    }
+
     /** Returns the newest announcement. */
     public Announcement announcement() {
         return mAnnouncement;
@@ -29,17 +43,7 @@
 
     /** Returns the requests that this entry has running at the endpoint. */
     public int sent() {
-        return mSent.get();
-    }
-
-    /** Notes a request sent; {@link #ended} must follow. */
-    public void began() {
-        mSent.incrementAndGet();
-    }
-
-    /** Notes the end of a request. */
-    public void ended() {
-        mSent.decrementAndGet();
+        return mLoad.sent();
     }
 
     /** Returns whether the endpoint takes new work. */
@@ -53,8 +57,40 @@
         return mExpiry.compareTo(now) <= 0;
     }
 
-    void renew(Announcement announcement, Duration expiry) {
+    /** Takes an announcement in, unless it is older than what is held. */
+    synchronized void offer(Announcement announcement, Duration expiry) {
+        long incarnation = announcement.getSender().getIncarnation();
+        long held = mAnnouncement.getSender().getIncarnation();
+        boolean isOlder =
+                incarnation < held
+                        || (incarnation == held
+                                && announcement.getSequence() < mAnnouncement.getSequence());
+        if (isOlder) {
+            return;
+        }
+        if (incarnation > held) {
+            mLoad.open();
+        }
         mAnnouncement = announcement;
+        mSequence = Math.max(incarnation > held ? 0 : mSequence, announcement.getSequence());
         mExpiry = expiry;
+        mLoad.report(announcement.getRunning(), announcement.getLimit());
+    }
+
+    /** Renews the lease; returns whether the announcement that is renewed, or a newer, is held. */
+    synchronized boolean renew(Renewal renewal, Duration expiry) {
+        long held = mAnnouncement.getSender().getIncarnation();
+        if (renewal.getIncarnation() != held) {
+            return renewal.getIncarnation() < held;
+        }
+        if (renewal.getAnnounced() != mAnnouncement.getSequence()) {
+            return renewal.getAnnounced() < mAnnouncement.getSequence();
+        }
+        if (renewal.getSequence() > mSequence) {
+            mSequence = renewal.getSequence();
+            mExpiry = expiry;
+            mLoad.report(renewal.getRunning(), renewal.getLimit());
+        }
+        return true;
     }
 }
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/directory/EndpointDirectory.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/directory/EndpointDirectory.java
@@ -5,17 +5,17 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import org.sequoiahill.daemon.process.time.MonotonicClock;
 import org.sequoiahill.protocol.gen.Announcement;
+import org.sequoiahill.protocol.gen.Renewal;
 
 /** Endpoints of this data centre, each held for as long as its lease is renewed. */
 public final class EndpointDirectory {
-    /** Time that an announcement stays valid. */
-    public static final Duration LEASE = Duration.ofSeconds(3);
-
     private final MonotonicClock mClock;
     private final Map<String, Endpoint> mEndpoints = new ConcurrentHashMap<>();
+    private volatile DirectoryIntervals mIntervals = DirectoryIntervals.of(1, 1);
 
     private EndpointDirectory(MonotonicClock clock) {
         mClock = clock;
@@ -26,23 +26,43 @@
         return new EndpointDirectory(clock);
     }
 
-    /** Takes an announcement in; one from an earlier incarnation of the agent is dropped. */
+    /** Returns how often leases are renewed and how long they last. */
+    public DirectoryIntervals intervals() {
+        return mIntervals;
+    }
+
+    /** Computes the intervals anew from the endpoints held and the entries of the data centre. */
+    public void adaptTo(int entries) {
+        mIntervals = DirectoryIntervals.of(all().size(), entries);
+    }
+
+    /**
+     * Takes an announcement in; one from an earlier incarnation of the agent, or from before what
+     * is held, is dropped.
+     */
     public void announce(Announcement announcement) {
-        Duration expiry = mClock.now().plus(LEASE);
+        Duration expiry = expiry();
         mEndpoints.compute(
                 announcement.getSender().getVm(),
                 (vm, held) -> {
                     if (held == null) {
                         return new Endpoint(announcement, expiry);
                     }
-                    if (isOlder(announcement, held.announcement())) {
-                        return held;
-                    }
-                    held.renew(announcement, expiry);
+                    held.offer(announcement, expiry);
                     return held;
                 });
     }
 
+    /**
+     * Renews a lease; an old renewal changes nothing.
+     *
+     * @return whether the announcement that is renewed is held, or a newer one is
+     */
+    public boolean renew(Renewal renewal) {
+        Endpoint held = mEndpoints.get(renewal.getVm());
+        return held != null && held.renew(renewal, expiry());
+    }
+
     /** Returns the endpoints of a service that take new work. */
     public List<Endpoint> serving(String service) {
         Duration now = mClock.now();
@@ -56,6 +76,11 @@
         return result;
     }
 
+    /** Returns the service of the endpoint on a VM. */
+    public Optional<String> serviceOf(String vm) {
+        return Optional.ofNullable(mEndpoints.get(vm)).map(e -> e.announcement().getServiceName());
+    }
+
     /** Returns all endpoints whose lease is valid, serving or not. */
     public Collection<Endpoint> all() {
         Duration now = mClock.now();
@@ -63,7 +88,7 @@
         return List.copyOf(mEndpoints.values());
     }
 
-    private static boolean isOlder(Announcement offered, Announcement held) {
-        return offered.getSender().getIncarnation() < held.getSender().getIncarnation();
+    private Duration expiry() {
+        return mClock.now().plus(mIntervals.lease());
     }
 }
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/AgentHandler.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/AgentHandler.java
@@ -99,7 +99,7 @@
 
     private void tellLoad(org.eclipse.jetty.server.Response response) {
         EndpointGate.Load load = mGate.load();
-        response.getHeaders().put(RequestHeaders.LOAD, load.running() + "/" + load.limit());
+        response.getHeaders().put(RequestHeaders.LOAD, LoadHeader.format(load));
     }
 
     private static Refusal refusalOf(EndpointGate.Closed cause) {
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/EndpointChooser.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/EndpointChooser.java
@@ -1,34 +1,104 @@
 package org.sequoiahill.daemon.request;
 
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.random.RandomGenerator;
-import org.sequoiahill.daemon.process.directory.Endpoint;
+import org.sequoiahill.daemon.process.directory.Hashes;
+import org.sequoiahill.daemon.process.directory.Place;
 
-/** Chooses the less loaded of two endpoints drawn at random. */
+/**
+ * Chooses among places that have room: the one that probably caches the prompt's prefix, unless it
+ * has more than its part of the load, else the less loaded of two drawn at random.
+ */
 public final class EndpointChooser {
+    /** Load of the place with the prefix over the mean load, as a factor, that is borne. */
+    private static final double AFFINITY_BOUND = 1.25;
+
+    /** Places, in the order of their rank for a prefix, that are considered for it. */
+    private static final int AFFINITY_RANKS = 2;
+
     private final RandomGenerator mRandom;
+    private final RequestPolicy.Choice mChoice;
+    private final AtomicInteger mTurn = new AtomicInteger();
 
-    private EndpointChooser(RandomGenerator random) {
+    private EndpointChooser(RandomGenerator random, RequestPolicy.Choice choice) {
         mRandom = random;
+        mChoice = choice;
     }
 
     /** Returns a chooser that draws from {@code random}. */
-    public static EndpointChooser of(RandomGenerator random) {
-        return new EndpointChooser(random);
+    public static EndpointChooser of(RandomGenerator random, RequestPolicy.Choice choice) {
+        return new EndpointChooser(random, choice);
+    }
+
+    /**
+     * Returns the place to ask, if there is any.
+     *
+     * @param places places that have room
+     * @param prefix hash of the prompt's beginning, where it has one worth caching
+     */
+    public <P extends Place> Optional<P> choose(List<P> places, Optional<Long> prefix) {
+        if (places.isEmpty()) {
+            return Optional.empty();
+        }
+        return switch (mChoice) {
+            case ROUND_ROBIN ->
+                    Optional.of(places.get(Math.floorMod(mTurn.getAndIncrement(), places.size())));
+            case LEAST_CONNECTIONS ->
+                    places.stream().min(Comparator.comparingInt(p -> p.load().sent()));
+            case TWO_CHOICES -> {
+                Optional<P> cached = prefix.flatMap(hash -> byPrefix(places, hash));
+                yield cached.isPresent() ? cached : Optional.of(ofTwo(places));
+            }
+        };
     }
 
-    /** Returns the endpoint to ask, if there is any. */
-    public Optional<Endpoint> choose(List<Endpoint> endpoints) {
-        if (endpoints.isEmpty()) {
+    /** Returns a place drawn with the room that it has as its weight. */
+    public <P extends Place> Optional<P> chooseByRoom(List<P> places) {
+        long total = 0;
+        for (P place : places) {
+            total += roomOf(place);
+        }
+        if (total == 0) {
             return Optional.empty();
         }
-        Endpoint first = endpoints.get(mRandom.nextInt(endpoints.size()));
-        Endpoint second = endpoints.get(mRandom.nextInt(endpoints.size()));
-        return Optional.of(load(first) <= load(second) ? first : second);
+        long drawn = mRandom.nextLong(total);
+        for (P place : places) {
+            drawn -= roomOf(place);
+            if (drawn < 0) {
+                return Optional.of(place);
+            }
+        }
+        throw new IllegalStateException("the weights sum up to the total");
+    }
+
+    private static long roomOf(Place place) {
+        return Math.max(0, place.load().limit() - place.load().running());
+    }
+
+    private <P extends Place> P ofTwo(List<P> places) {
+        P first = places.get(mRandom.nextInt(places.size()));
+        P second = places.get(mRandom.nextInt(places.size()));
+        return first.load().share() <= second.load().share() ? first : second;
+    }
+
+    private static <P extends Place> Optional<P> byPrefix(List<P> places, long prefix) {
+        double mean = places.stream().mapToDouble(p -> p.load().share()).average().orElse(0);
+        return places.stream()
+                .sorted(Comparator.comparingLong((P p) -> rank(prefix, p.name())).reversed())
+                .limit(AFFINITY_RANKS)
+                .filter(p -> isWithinBound(p, mean))
+                .findFirst();
+    }
+
+    private static boolean isWithinBound(Place place, double mean) {
+        double one = 1.0 / Math.max(1, place.load().limit());
+        return place.load().share() <= AFFINITY_BOUND * mean + one;
     }
 
-    private static double load(Endpoint endpoint) {
-        return (double) endpoint.sent() / Math.max(1, endpoint.announcement().getCapacity());
+    private static long rank(long prefix, String name) {
+        return Hashes.mix(prefix ^ Hashes.of(name));
     }
 }
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/EntryHandler.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/EntryHandler.java
@@ -19,22 +19,16 @@
     private static final String BEARER = "Bearer ";
 
     private final ConfigurationView mView;
-    private final Router mRouter;
-    private final HttpForwarder mForwarder;
-    private final EntryHooks mHooks;
+    private final EntryServices mServices;
 
-    private EntryHandler(
-            ConfigurationView view, Router router, HttpForwarder forwarder, EntryHooks hooks) {
+    private EntryHandler(ConfigurationView view, EntryServices services) {
         mView = view;
-        mRouter = router;
-        mForwarder = forwarder;
-        mHooks = hooks;
+        mServices = services;
     }
 
     /** Returns the handler of an entry's data address. */
-    public static EntryHandler of(
-            ConfigurationView view, Router router, HttpForwarder forwarder, EntryHooks hooks) {
-        return new EntryHandler(view, router, forwarder, hooks);
+    public static EntryHandler of(ConfigurationView view, EntryServices services) {
+        return new EntryHandler(view, services);
     }
 
     @Override
@@ -67,6 +61,15 @@
                     response,
                     callback);
         }
+        if (hasFaultyDeadline(request)) {
+            return refuse(
+                    Refusal.invalid(
+                            400,
+                            "deadline_invalid",
+                            RequestHeaders.DEADLINE + " must be a positive number"),
+                    response,
+                    callback);
+        }
         readAndStart(
                 body ->
                         new RoutedRequest(
@@ -102,17 +105,15 @@
                                 return;
                             }
                             ByteBuffer body = ByteBuffer.wrap(bytes).asReadOnlyBuffer();
-                            new Exchange(
-                                            mRouter,
-                                            mForwarder,
-                                            mHooks,
-                                            route.apply(body),
-                                            response,
-                                            callback)
-                                    .start();
+                            new Exchange(mServices, route.apply(body), response, callback).start();
                         });
     }
 
+    private static boolean hasFaultyDeadline(Request request) {
+        String value = request.getHeaders().get(RequestHeaders.DEADLINE);
+        return value != null && RequestHeaders.positive(value) == 0;
+    }
+
     private static boolean refuse(Refusal refusal, Response response, Callback callback) {
         refusal.write(response, callback);
         return true;
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/Exchange.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/Exchange.java
@@ -2,93 +2,120 @@
 
 import java.net.URI;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.List;
+import java.util.HashSet;
+import java.util.Locale;
 import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.util.Callback;
 import org.sequoiahill.daemon.process.directory.Endpoint;
+import org.sequoiahill.daemon.request.admission.Ticket;
+import org.sequoiahill.daemon.request.retry.RetryDecision;
 
-/** One caller's request from its admission to its answer. */
-final class Exchange {
-    private static final int MAX_ATTEMPTS_HERE = 3;
+/** One caller's request from its admission to its answer; its steps follow one another. */
+final class Exchange implements Ticket {
+    /** Longest pause before a request that may have run is sent again. */
+    private static final Duration MAX_JITTER = Duration.ofMillis(50);
 
-    private final Router mRouter;
-    private final HttpForwarder mForwarder;
-    private final EntryHooks mHooks;
+    private final EntryServices mServices;
     private final RoutedRequest mRequest;
     private final org.eclipse.jetty.server.Response mResponse;
     private final Callback mCallback;
-    private final List<String> mTried = new ArrayList<>();
+    private final Duration mDeadline;
+    private final Set<String> mTried = new HashSet<>();
+    private volatile boolean mIsAbandoned;
+    private boolean mMayHaveRun;
+    private int mAttempts;
+    private int mBroken;
+    private Duration mSentAt = Duration.ZERO;
 
     Exchange(
-            Router router,
-            HttpForwarder forwarder,
-            EntryHooks hooks,
+            EntryServices services,
             RoutedRequest request,
             org.eclipse.jetty.server.Response response,
             Callback callback) {
-        mRouter = router;
-        mForwarder = forwarder;
-        mHooks = hooks;
+        mServices = services;
         mRequest = request;
         mResponse = response;
         mCallback = callback;
+        mDeadline = services.clock().now().plus(request.timeout());
     }
 
     /** Starts the exchange; the callback is completed at its end. */
     void start() {
-        Optional<Refusal> quarantined = mHooks.quarantine().check(mRequest);
+        Optional<Refusal> quarantined = mServices.hooks().quarantine().check(mRequest);
         if (quarantined.isPresent()) {
-            refuse(quarantined.get());
+            refused(quarantined.get());
             return;
         }
-        attempt();
+        mResponse.getRequest().addFailureListener(failure -> mIsAbandoned = true);
+        mServices.budget().deposit();
+        mServices.admission().submit(this);
     }
 
-    private void attempt() {
-        Optional<Attempt> attempt = next();
-        if (attempt.isEmpty()) {
-            refuse(Refusal.unavailable("no_endpoint", "no endpoint takes the request now"));
-            return;
-        }
-        mTried.add(attempt.get().endpoint().map(Endpoint::vm).orElse(attempt.get().address()));
-        claim(attempt.get());
+    @Override
+    public RoutedRequest request() {
+        return mRequest;
     }
 
-    private Optional<Attempt> next() {
-        String service = mRequest.service().service();
-        int number = mTried.size() + 1;
-        if (number <= MAX_ATTEMPTS_HERE) {
-            Optional<Attempt> here = mRouter.here(service, mTried, number);
-            if (here.isPresent()) {
-                return here;
-            }
-        }
-        return mRequest.isPassedOn() ? Optional.empty() : mRouter.elsewhere(service, number);
+    @Override
+    public Duration deadline() {
+        return mDeadline;
+    }
+
+    @Override
+    public Set<String> tried() {
+        return mTried;
+    }
+
+    @Override
+    public int attempts() {
+        return mAttempts;
     }
 
-    private void claim(Attempt attempt) {
-        mHooks.runOnce()
+    @Override
+    public boolean isAbandoned() {
+        return mIsAbandoned;
+    }
+
+    @Override
+    public void granted(Attempt attempt) {
+        mAttempts++;
+        mServices
+                .hooks()
+                .runOnce()
                 .claim(mRequest, attempt)
                 .whenComplete(
                         (decision, failure) -> {
                             if (failure != null) {
-                                refuse(Refusal.unavailable("claim_failed", "no claim was made"));
+                                attempt.place().ended();
+                                refused(Refusal.unavailable("claim_failed", "no claim was made"));
                                 return;
                             }
                             follow(attempt, decision);
                         });
     }
 
+    @Override
+    public void refused(Refusal refusal) {
+        Refusal truthful = mMayHaveRun ? refusal.mayHaveRun() : refusal;
+        mServices.metrics().refused(mRequest, truthful);
+        truthful.write(mResponse, mCallback);
+    }
+
     private void follow(Attempt attempt, RunOnce.Decision decision) {
         if (decision instanceof RunOnce.Decision.Send send) {
             send(attempt, send.headers(), outcome -> settle(attempt, outcome));
-        } else if (decision instanceof RunOnce.Decision.Refuse refuse) {
-            refuse(refuse.refusal());
+            return;
+        }
+        attempt.place().ended();
+        if (decision instanceof RunOnce.Decision.Refuse refuse) {
+            refused(refuse.refusal());
         } else if (decision instanceof RunOnce.Decision.Replay replay) {
             mResponse.setStatus(replay.status());
             replay.headers().forEach(mResponse.getHeaders()::add);
@@ -97,8 +124,10 @@
     }
 
     private void settle(Attempt attempt, Outcome outcome) {
-        mHooks.quarantine().ended(mRequest, attempt, outcome);
-        mHooks.runOnce()
+        mServices.hooks().quarantine().ended(mRequest, attempt, outcome);
+        mServices
+                .hooks()
+                .runOnce()
                 .settle(mRequest, attempt, outcome)
                 .whenComplete(
                         (settled, failure) ->
@@ -112,31 +141,65 @@
             relay(attempt, answered);
             return;
         }
-        attempt.endpoint().ifPresent(Endpoint::ended);
-        if (outcome instanceof Outcome.Unknown unknown && !mRequest.route().idempotent()) {
-            refuse(Refusal.outcomeUnknown("the endpoint was lost: " + unknown.cause()));
+        attempt.place().ended();
+        noteFailure(attempt, outcome);
+        Duration remaining = mDeadline.minus(mServices.clock().now());
+        RetryDecision.State state =
+                new RetryDecision.State(
+                        mRequest.route().idempotent(), mMayHaveRun, mBroken, remaining);
+        RetryDecision decision = RetryDecision.decide(outcome, state, mServices.budget());
+        mMayHaveRun = mMayHaveRun || outcome instanceof Outcome.Unknown;
+        mServices.metrics().decided(decision);
+        switch (decision) {
+            case WAIT_AGAIN -> mServices.admission().putBack(this);
+            case RETRY -> retry(attempt, outcome);
+            case REFUSE_NOT_RUN -> refused(Refusal.unavailable(codeOf(outcome), "gave up"));
+            default -> refused(Refusal.outcomeUnknown("the endpoint was lost"));
+        }
+    }
+
+    private void noteFailure(Attempt attempt, Outcome outcome) {
+        if (!(outcome instanceof Outcome.NotRun notRun)) {
+            mBroken++;
             return;
         }
-        if (attempt.isHop()) {
-            refuse(Refusal.unavailable("no_endpoint", "no data centre has room now"));
+        if (!RetryDecision.isWantOfRoom(notRun)) {
+            mBroken++;
+        }
+        if (notRun.code().equals("endpoint_full") || (attempt.isHop() && !notRun.isUnreachable())) {
+            mServices.router().noteFull(attempt.place());
+        } else {
+            mServices.router().noteUnreachable(attempt);
+        }
+    }
+
+    private void retry(Attempt attempt, Outcome outcome) {
+        attempt.endpoint().map(Endpoint::vm).ifPresent(mTried::add);
+        if (outcome instanceof Outcome.NotRun) {
+            mServices.admission().putBack(this);
             return;
         }
-        attempt();
+        long jitter = mServices.random().nextLong(MAX_JITTER.toNanos());
+        mServices
+                .scheduler()
+                .schedule(() -> mServices.admission().putBack(this), jitter, TimeUnit.NANOSECONDS);
     }
 
     private void relay(Attempt attempt, Outcome.Answered answered) {
         Callback end =
                 Callback.from(
                         () -> {
-                            attempt.endpoint().ifPresent(Endpoint::ended);
+                            ended(attempt);
                             mCallback.succeeded();
                         },
                         failure -> {
-                            attempt.endpoint().ifPresent(Endpoint::ended);
-                            mHooks.quarantine().broke(mRequest, attempt, failure);
+                            ended(attempt);
+                            mServices.hooks().quarantine().broke(mRequest, attempt, failure);
                             mCallback.failed(failure);
                         });
-        mHooks.relay()
+        mServices
+                .hooks()
+                .relay()
                 .relay(
                         mRequest,
                         attempt,
@@ -145,60 +208,86 @@
                         this::resume);
     }
 
+    private void ended(Attempt attempt) {
+        attempt.place().ended();
+        Duration time = mServices.clock().now().minus(mSentAt);
+        mServices.metrics().answered(mRequest, attempt, time);
+        mServices.admission().ended(mRequest.service().service(), time);
+    }
+
     private void resume(String digest, HttpFields headers, Consumer<Outcome> outcome) {
         Optional<Attempt> attempt =
-                mRouter.here(
-                        mRequest.service().service(),
-                        endpoint ->
-                                !mTried.contains(endpoint.vm())
-                                        && endpoint.announcement()
-                                                .getVersionDigest()
-                                                .equals(digest),
-                        mTried.size() + 1);
+                mServices
+                        .router()
+                        .here(
+                                mRequest,
+                                e -> e.announcement().getVersionDigest().equals(digest),
+                                mAttempts + 1);
         if (attempt.isEmpty()) {
             outcome.accept(new Outcome.NotRun("no_endpoint", Duration.ZERO));
             return;
         }
-        attempt.get().endpoint().map(Endpoint::vm).ifPresent(mTried::add);
-        send(attempt.get(), headers, outcome);
+        mAttempts++;
+        attempt.get().place().began();
+        send(
+                attempt.get(),
+                headers,
+                resumed -> {
+                    attempt.get().place().ended();
+                    outcome.accept(resumed);
+                });
     }
 
     private void send(Attempt attempt, HttpFields added, Consumer<Outcome> outcome) {
+        mSentAt = mServices.clock().now();
+        Duration remaining = mDeadline.minus(mSentAt);
+        long millis = Math.max(1, remaining.toMillis());
         HttpFields.Mutable headers = HttpFields.build(mRequest.headers());
-        added.forEach(headers::put);
-        headers.put(RequestHeaders.REQUEST_ID, attempt.requestId());
-        if (attempt.isHop()) {
-            headers.put(RequestHeaders.HOP, mRouter.dataCentre());
+        headers.put(RequestHeaders.DEADLINE, millis);
+        headers.put(
+                RequestHeaders.PRIORITY,
+                mRequest.route().priority().name().toLowerCase(Locale.ROOT));
+        headers.remove(RequestHeaders.PREFIX);
+        mRequest.prefix()
+                .ifPresent(hash -> headers.put(RequestHeaders.PREFIX, Long.toHexString(hash)));
+        if (!mRequest.isPassedOn()) {
+            headers.remove(RequestHeaders.ALONE);
         }
-        if (mHooks.quarantine().mustRunAlone(mRequest)) {
+        if (mServices.hooks().quarantine().mustRunAlone(mRequest)) {
             headers.put(RequestHeaders.ALONE, "true");
         }
-        attempt.endpoint().ifPresent(Endpoint::began);
+        if (attempt.isHop()) {
+            headers.put(RequestHeaders.HOP, mServices.router().dataCentre());
+        }
+        added.forEach(headers::put);
+        headers.put(RequestHeaders.REQUEST_ID, attempt.requestId());
         HttpForwarder.Call call =
                 new HttpForwarder.Call(
                         mRequest.method(),
                         URI.create("http://" + attempt.address() + mRequest.pathQuery()),
                         headers,
                         mRequest.body().slice(),
-                        mRequest.service().limits().deadline());
-        mForwarder.send(call, OutcomeListener.of(outcome));
+                        Duration.ofMillis(millis));
+        mServices.forwarder().send(call, new OutcomeListener(attempt, outcome));
     }
 
-    private void refuse(Refusal refusal) {
-        refusal.write(mResponse, mCallback);
+    private static String codeOf(Outcome outcome) {
+        return outcome instanceof Outcome.NotRun notRun ? notRun.code() : "unavailable";
     }
 
     /** Turns what the forwarder hears into an outcome. */
-    private record OutcomeListener(Consumer<Outcome> outcome) implements HttpForwarder.Listener {
-        static OutcomeListener of(Consumer<Outcome> outcome) {
-            return new OutcomeListener(outcome);
-        }
-
+    private record OutcomeListener(Attempt attempt, Consumer<Outcome> outcome)
+            implements HttpForwarder.Listener {
         @Override
         public void onAnswer(Response answer, Content.Source content) {
+            LoadHeader.parse(answer.getHeaders().get(RequestHeaders.LOAD))
+                    .ifPresent(load -> attempt.place().load().report(load.running(), load.limit()));
             if (answer.getHeaders().contains(RequestHeaders.NOT_RUN)) {
-                Outcome notRun = new Outcome.NotRun("refused", Duration.ZERO);
-                Content.Source.consumeAll(content, Callback.from(() -> outcome.accept(notRun)));
+                Outcome notRun = notRun(answer);
+                Content.Source.consumeAll(
+                        content,
+                        Callback.from(
+                                () -> outcome.accept(notRun), failure -> outcome.accept(notRun)));
                 return;
             }
             outcome.accept(new Outcome.Answered(answer, content));
@@ -208,8 +297,14 @@
         public void onFailure(Throwable failure, boolean isNotRun) {
             outcome.accept(
                     isNotRun
-                            ? new Outcome.NotRun("unreachable", Duration.ZERO)
+                            ? new Outcome.NotRun(Outcome.NotRun.UNREACHABLE, Duration.ZERO)
                             : new Outcome.Unknown(failure));
         }
+
+        private static Outcome notRun(Response answer) {
+            String code = answer.getHeaders().get(RequestHeaders.REFUSAL);
+            long seconds = RequestHeaders.positive(answer.getHeaders().get(HttpHeader.RETRY_AFTER));
+            return new Outcome.NotRun(code == null ? "refused" : code, Duration.ofSeconds(seconds));
+        }
     }
 }
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/Outcome.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/Outcome.java
@@ -20,7 +20,15 @@
      * @param code short name of the cause
      * @param retryAfter when the asked side wants to be asked again; zero where it has not said
      */
-    record NotRun(String code, Duration retryAfter) implements Outcome {}
+    record NotRun(String code, Duration retryAfter) implements Outcome {
+        /** Code where nothing listened at the address. */
+        public static final String UNREACHABLE = "unreachable";
+
+        /** Returns whether nothing listened at the address. */
+        public boolean isUnreachable() {
+            return code.equals(UNREACHABLE);
+        }
+    }
 
     /**
      * The request may have run.
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/Refusal.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/Refusal.java
@@ -33,15 +33,26 @@
         return new Refusal(503, code, message, true, DEFAULT_RETRY_AFTER);
     }
 
+    /** Returns a refusal for want of room, with the time in which there may be some. */
+    public static Refusal overloaded(String code, String message, Duration retryAfter) {
+        return new Refusal(503, code, message, true, retryAfter);
+    }
+
     /** Returns the answer to a request that may have run. */
     public static Refusal outcomeUnknown(String message) {
         return new Refusal(502, "outcome_unknown", message, false, Duration.ZERO);
     }
 
+    /** Returns this refusal for a request of which an earlier attempt may have run. */
+    public Refusal mayHaveRun() {
+        return new Refusal(status, code, message, false, retryAfter);
+    }
+
     /** Writes the refusal as the whole response. */
     public void write(Response response, Callback callback) {
         response.setStatus(status);
         response.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
+        response.getHeaders().put(RequestHeaders.REFUSAL, code);
         if (isNotRun) {
             response.getHeaders().put(RequestHeaders.NOT_RUN, "true");
         }
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/RequestHeaders.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/RequestHeaders.java
@@ -1,6 +1,8 @@
 package org.sequoiahill.daemon.request;
 
 import java.util.Set;
+import java.util.regex.Pattern;
+import org.jspecify.annotations.Nullable;
 
 /** Names of the headers that the system adds to requests and answers. */
 public final class RequestHeaders {
@@ -34,6 +36,9 @@
     /** Hash of a prompt's beginning, for engines that cache prefixes. */
     public static final String PREFIX = "Sequoia-Prefix";
 
+    /** Short name of the cause, on each answer that the system gives by itself. */
+    public static final String REFUSAL = "Sequoia-Refusal";
+
     /** Headers that belong to one connection and are never passed on. */
     static final Set<String> HOP_BY_HOP =
             Set.of(
@@ -51,5 +56,12 @@
                     "date",
                     "server");
 
+    private static final Pattern POSITIVE = Pattern.compile("[1-9][0-9]{0,9}");
+
     private RequestHeaders() {}
+
+    /** Returns the value of a header that holds a positive number; zero where it does not. */
+    static long positive(@Nullable String value) {
+        return value != null && POSITIVE.matcher(value).matches() ? Long.parseLong(value) : 0;
+    }
 }
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/RoutedRequest.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/RoutedRequest.java
@@ -1,7 +1,10 @@
 package org.sequoiahill.daemon.request;
 
 import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.Optional;
 import org.eclipse.jetty.http.HttpFields;
+import org.sequoiahill.daemon.process.directory.Hashes;
 import org.sequoiahill.protocol.document.ServiceDocument;
 
 /**
@@ -23,6 +26,24 @@
         String pathQuery,
         HttpFields headers,
         ByteBuffer body) {
+    /** Bytes of a body's beginning that engines may have cached. */
+    private static final int PREFIX_BYTES = 512;
+
+    /** Returns the time that the request is given: the caller's, but at most the service's. */
+    public Duration timeout() {
+        long named = RequestHeaders.positive(headers.get(RequestHeaders.DEADLINE));
+        Duration most = service.limits().deadline();
+        return named > 0 && named < most.toMillis() ? Duration.ofMillis(named) : most;
+    }
+
+    /** Returns the hash of the prompt's beginning, where it is long enough to be worth caching. */
+    public Optional<Long> prefix() {
+        if (body.remaining() < PREFIX_BYTES || service.kind() != ServiceDocument.Kind.MODEL) {
+            return Optional.empty();
+        }
+        return Optional.of(Hashes.of(body.slice(body.position(), PREFIX_BYTES)));
+    }
+
     /** Returns whether another data centre's entry has passed the request on. */
     public boolean isPassedOn() {
         return headers.contains(RequestHeaders.HOP);
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/admission/DrainRate.java
@@ -0,0 +1,54 @@
+package org.sequoiahill.daemon.request.admission;
+
+import java.time.Duration;
+
+/**
+ * Turns per second that a queue gives, averaged over the last seconds.
+ *
+ * <p>Not safe for several threads.
+ */
+final class DrainRate {
+    private static final int SLOTS = 10;
+    private static final Duration SLOT = Duration.ofMillis(500);
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    private final int[] mCounts = new int[SLOTS];
+    private long mSlot = -1;
+    private Duration mFirst = Duration.ZERO;
+
+    /** Notes one turn. */
+    void add(Duration now) {
+        advance(now);
+        mCounts[index(mSlot)]++;
+    }
+
+    /** Returns turns per second, zero where none was given lately. */
+    double perSecond(Duration now) {
+        advance(now);
+        int sum = 0;
+        for (int count : mCounts) {
+            sum += count;
+        }
+        Duration windowStart = SLOT.multipliedBy(Math.max(0, mSlot - SLOTS + 1));
+        Duration start = mFirst.compareTo(windowStart) > 0 ? mFirst : windowStart;
+        long nanos = Math.max(SLOT.toNanos(), now.minus(start).toNanos());
+        return sum / (nanos / NANOS_PER_SECOND);
+    }
+
+    private void advance(Duration now) {
+        long slot = now.toNanos() / SLOT.toNanos();
+        if (mSlot < 0) {
+            mFirst = now;
+            mSlot = slot;
+        }
+        long steps = Math.min(SLOTS, slot - mSlot);
+        for (long i = 1; i <= steps; i++) {
+            mCounts[index(slot - i + 1)] = 0;
+        }
+        mSlot = Math.max(mSlot, slot);
+    }
+
+    private static int index(long slot) {
+        return (int) (slot % SLOTS);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/admission/Ticket.java
@@ -0,0 +1,31 @@
+package org.sequoiahill.daemon.request.admission;
+
+import java.time.Duration;
+import java.util.Set;
+import org.sequoiahill.daemon.request.Attempt;
+import org.sequoiahill.daemon.request.Refusal;
+import org.sequoiahill.daemon.request.RoutedRequest;
+
+/** A request that asks for its turn; exactly one of granted and refused is called a submission. */
+public interface Ticket {
+    /** Returns the request. */
+    RoutedRequest request();
+
+    /** Returns the monotonic time at which the request is given up. */
+    Duration deadline();
+
+    /** Returns endpoints and data centres that must not be asked again. */
+    Set<String> tried();
+
+    /** Returns the attempts that were made. */
+    int attempts();
+
+    /** Returns whether the caller has gone. */
+    boolean isAbandoned();
+
+    /** Sends the request; its place at the endpoint is already counted. */
+    void granted(Attempt attempt);
+
+    /** Answers the caller. */
+    void refused(Refusal refusal);
+}
--- /dev/null
+++ b/daemon/src/test/java/org/sequoiahill/daemon/request/admission/ServiceQueueTest.java
@@ -0,0 +1,207 @@
+package org.sequoiahill.daemon.request.admission;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.eclipse.jetty.http.HttpFields;
+import org.junit.jupiter.api.Test;
+import org.sequoiahill.daemon.process.directory.DataCentreTable.DataCentrePlace;
+import org.sequoiahill.daemon.process.directory.PlaceLoad;
+import org.sequoiahill.daemon.request.Attempt;
+import org.sequoiahill.daemon.request.Refusal;
+import org.sequoiahill.daemon.request.RoutedRequest;
+import org.sequoiahill.protocol.document.ServiceDocument;
+
+final class ServiceQueueTest {
+    private static final ServiceDocument SERVICE =
+            ServiceDocument.parse(
+                            """
+                            {"service": "s", "owner": "o", "kind": "plain",
+                             "routes": [{"path": "/r"}],
+                             "organisations": [{"name": "a", "keyDigest": "%s"}]}
+                            """
+                                    .formatted("0".repeat(64)))
+                    .orElseThrow();
+
+    private final List<String> mEvents = new ArrayList<>();
+    private final PlaceLoad mLoad = PlaceLoad.idle(0);
+    private Duration mNow = Duration.ofSeconds(10);
+    private boolean mIsAnywhere = true;
+    private final ServiceQueue mQueue = new ServiceQueue(() -> mNow, this::place, 4, 1 << 20);
+
+    @Test
+    void submit_room_isGrantedAtOnce() {
+        mLoad.report(0, 1);
+        submit("a", 1_000);
+        assertThat(mEvents, contains("a granted"));
+    }
+
+    @Test
+    void submit_noRoom_isGrantedOnceThereIs() {
+        submit("a", 1_000);
+        assertThat(mEvents, empty());
+        mLoad.report(0, 1);
+        mQueue.pump();
+        assertThat(mEvents, contains("a granted"));
+    }
+
+    @Test
+    void submit_noEndpointAnywhere_isRefusedAtOnce() {
+        mIsAnywhere = false;
+        submit("a", 1_000);
+        assertThat(mEvents, contains("a no_endpoint not run, 1 s"));
+    }
+
+    @Test
+    void pump_endpointsVanish_refusesWhatWaits() {
+        submit("a", 1_000);
+        mIsAnywhere = false;
+        mQueue.pump();
+        assertThat(mEvents, contains("a no_endpoint not run, 1 s"));
+    }
+
+    @Test
+    void pump_deadlineNearerThanTheUsualTime_isRefusedBeforeIt() {
+        mQueue.noteServiceTime(Duration.ofMillis(400));
+        submit("a", 1_000);
+        mNow = mNow.plusMillis(599);
+        mQueue.pump();
+        assertThat(mEvents, empty());
+        mNow = mNow.plusMillis(2);
+        mQueue.pump();
+        assertThat(mEvents, contains("a deadline not run, 1 s"));
+    }
+
+    @Test
+    void submit_queueTooSlowForTheDeadline_isRefusedAtOnceWithTheQueuesOwnTime() {
+        grantOneEach(Duration.ofSeconds(1), 3);
+        submit("x", 60_000);
+        submit("y", 60_000);
+        mEvents.clear();
+        submit("z", 1_500);
+        assertThat(mEvents, contains("z deadline not run, 2 s"));
+    }
+
+    @Test
+    void submit_queueFull_isRefusedAtOnce() {
+        for (String name : List.of("a", "b", "c", "d")) {
+            submit(name, 60_000);
+        }
+        submit("e", 60_000);
+        assertThat(mEvents, contains("e queue_full not run, 1 s"));
+    }
+
+    @Test
+    void putBack_refusedByTheEndpoint_goesBeforeOthers() {
+        mLoad.report(0, 1);
+        TestTicket first = submit("a", 60_000);
+        submit("b", 60_000);
+        mLoad.report(9, 1);
+        mLoad.ended();
+        mQueue.putBack(first);
+        mLoad.report(0, 1);
+        mQueue.pump();
+        assertThat(mEvents, contains("a granted", "a granted"));
+    }
+
+    @Test
+    void pump_callerHasGone_isDropped() {
+        TestTicket gone = submit("a", 60_000);
+        gone.mIsAbandoned = true;
+        mQueue.pump();
+        assertThat(mQueue.size(), is(0));
+    }
+
+    private void grantOneEach(Duration interval, int turns) {
+        for (int i = 0; i < turns; i++) {
+            mLoad.report(0, 1);
+            submit("w", 60_000);
+            mLoad.ended();
+            mLoad.report(9, 1);
+            mNow = mNow.plus(interval);
+        }
+    }
+
+    private TestTicket submit(String name, long deadlineMillis) {
+        TestTicket ticket = new TestTicket(name, mNow.plusMillis(deadlineMillis));
+        mQueue.submit(ticket);
+        return ticket;
+    }
+
+    private Placement place(Ticket ticket) {
+        if (!mIsAnywhere) {
+            return new Placement.Nowhere();
+        }
+        if (!mLoad.hasRoom(mNow)) {
+            return new Placement.Full();
+        }
+        return new Placement.At(new Attempt(1, "1-1", "x:1", new DataCentrePlace("x", mLoad)));
+    }
+
+    private final class TestTicket implements Ticket {
+        private final String mName;
+        private final Duration mDeadline;
+        private boolean mIsAbandoned;
+
+        TestTicket(String name, Duration deadline) {
+            mName = name;
+            mDeadline = deadline;
+        }
+
+        @Override
+        public RoutedRequest request() {
+            return new RoutedRequest(
+                    SERVICE,
+                    SERVICE.routes().get(0),
+                    SERVICE.organisations().get(0),
+                    "POST",
+                    "/services/s/r",
+                    HttpFields.EMPTY,
+                    ByteBuffer.allocate(10));
+        }
+
+        @Override
+        public Duration deadline() {
+            return mDeadline;
+        }
+
+        @Override
+        public Set<String> tried() {
+            return Set.of();
+        }
+
+        @Override
+        public int attempts() {
+            return 0;
+        }
+
+        @Override
+        public boolean isAbandoned() {
+            return mIsAbandoned;
+        }
+
+        @Override
+        public void granted(Attempt attempt) {
+            mEvents.add(mName + " granted");
+        }
+
+        @Override
+        public void refused(Refusal refusal) {
+            String run = refusal.isNotRun() ? "not run" : "may have run";
+            mEvents.add(
+                    "%s %s %s, %d s"
+                            .formatted(
+                                    mName,
+                                    refusal.code(),
+                                    run,
+                                    refusal.retryAfter().plusMillis(999).toSeconds()));
+        }
+    }
+}
--- a/protocol/src/main/java/org/sequoiahill/protocol/gen/AnnounceReply.java
+++ b/protocol/src/main/java/org/sequoiahill/protocol/gen/AnnounceReply.java
@@ -14,6 +14,9 @@
   private static final org.apache.thrift.protocol.TField LEASE_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("leaseMillis", org.apache.thrift.protocol.TType.I64, (short)2);
   private static final org.apache.thrift.protocol.TField PEERS_FIELD_DESC = new org.apache.thrift.protocol.TField("peers", org.apache.thrift.protocol.TType.LIST, (short)3);
   private static final org.apache.thrift.protocol.TField ELSEWHERE_FIELD_DESC = new org.apache.thrift.protocol.TField("elsewhere", org.apache.thrift.protocol.TType.LIST, (short)4);
+  private static final org.apache.thrift.protocol.TField PEERS_SAME_FIELD_DESC = new org.apache.thrift.protocol.TField("peersSame", org.apache.thrift.protocol.TType.BOOL, (short)5);
+  private static final org.apache.thrift.protocol.TField PEERS_HASH_FIELD_DESC = new org.apache.thrift.protocol.TField("peersHash", org.apache.thrift.protocol.TType.I64, (short)6);
+  private static final org.apache.thrift.protocol.TField UNKNOWN_ANNOUNCEMENT_FIELD_DESC = new org.apache.thrift.protocol.TField("unknownAnnouncement", org.apache.thrift.protocol.TType.BOOL, (short)7);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new AnnounceReplyStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new AnnounceReplyTupleSchemeFactory();
@@ -22,19 +25,28 @@
   private long leaseMillis; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<Peer> peers; // required
   private @org.apache.thrift.annotation.Nullable java.util.List<Peer> elsewhere; // required
+  private boolean peersSame; // required
+  private long peersHash; // required
+  private boolean unknownAnnouncement; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     SENDER((short)1, "sender"),
     LEASE_MILLIS((short)2, "leaseMillis"),
     /**
-     * Agents of the same service in the same data centre.
+     * Agents of the same service in the same data centre; empty where peersSame is set.
      */
     PEERS((short)3, "peers"),
     /**
      * A few agents of the same service in other data centres.
      */
-    ELSEWHERE((short)4, "elsewhere");
+    ELSEWHERE((short)4, "elsewhere"),
+    PEERS_SAME((short)5, "peersSame"),
+    PEERS_HASH((short)6, "peersHash"),
+    /**
+     * Set where a renewal names an announcement that the entry does not hold.
+     */
+    UNKNOWN_ANNOUNCEMENT((short)7, "unknownAnnouncement");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -58,6 +70,12 @@
           return PEERS;
         case 4: // ELSEWHERE
           return ELSEWHERE;
+        case 5: // PEERS_SAME
+          return PEERS_SAME;
+        case 6: // PEERS_HASH
+          return PEERS_HASH;
+        case 7: // UNKNOWN_ANNOUNCEMENT
+          return UNKNOWN_ANNOUNCEMENT;
         default:
           return null;
       }
@@ -102,6 +120,9 @@
 
   // isset id assignments
   private static final int __LEASEMILLIS_ISSET_ID = 0;
+  private static final int __PEERSSAME_ISSET_ID = 1;
+  private static final int __PEERSHASH_ISSET_ID = 2;
+  private static final int __UNKNOWNANNOUNCEMENT_ISSET_ID = 3;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
@@ -116,6 +137,12 @@
     tmpMap.put(_Fields.ELSEWHERE, new org.apache.thrift.meta_data.FieldMetaData("elsewhere", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, Peer.class))));
+    tmpMap.put(_Fields.PEERS_SAME, new org.apache.thrift.meta_data.FieldMetaData("peersSame", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
+    tmpMap.put(_Fields.PEERS_HASH, new org.apache.thrift.meta_data.FieldMetaData("peersHash", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.UNKNOWN_ANNOUNCEMENT, new org.apache.thrift.meta_data.FieldMetaData("unknownAnnouncement", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(AnnounceReply.class, metaDataMap);
   }
@@ -127,7 +154,10 @@
     org.sequoiahill.protocol.gen.Sender sender,
     long leaseMillis,
     java.util.List<Peer> peers,
-    java.util.List<Peer> elsewhere)
+    java.util.List<Peer> elsewhere,
+    boolean peersSame,
+    long peersHash,
+    boolean unknownAnnouncement)
   {
     this();
     this.sender = sender;
@@ -135,6 +165,12 @@
     setLeaseMillisIsSet(true);
     this.peers = peers;
     this.elsewhere = elsewhere;
+    this.peersSame = peersSame;
+    setPeersSameIsSet(true);
+    this.peersHash = peersHash;
+    setPeersHashIsSet(true);
+    this.unknownAnnouncement = unknownAnnouncement;
+    setUnknownAnnouncementIsSet(true);
   }
 
   /**
@@ -160,6 +196,9 @@
       }
       this.elsewhere = __this__elsewhere;
     }
+    this.peersSame = other.peersSame;
+    this.peersHash = other.peersHash;
+    this.unknownAnnouncement = other.unknownAnnouncement;
   }
 
   @Override
@@ -174,6 +213,12 @@
     this.leaseMillis = 0;
     this.peers = null;
     this.elsewhere = null;
+    setPeersSameIsSet(false);
+    this.peersSame = false;
+    setPeersHashIsSet(false);
+    this.peersHash = 0;
+    setUnknownAnnouncementIsSet(false);
+    this.unknownAnnouncement = false;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -241,7 +286,7 @@
   }
 
   /**
-   * Agents of the same service in the same data centre.
+   * Agents of the same service in the same data centre; empty where peersSame is set.
    */
   @org.apache.thrift.annotation.Nullable
   public java.util.List<Peer> getPeers() {
@@ -249,7 +294,7 @@
   }
 
   /**
-   * Agents of the same service in the same data centre.
+   * Agents of the same service in the same data centre; empty where peersSame is set.
    */
   public AnnounceReply setPeers(@org.apache.thrift.annotation.Nullable java.util.List<Peer> peers) {
     this.peers = peers;
@@ -318,6 +363,81 @@
     }
   }
 
+  public boolean isPeersSame() {
+    return this.peersSame;
+  }
+
+  public AnnounceReply setPeersSame(boolean peersSame) {
+    this.peersSame = peersSame;
+    setPeersSameIsSet(true);
+    return this;
+  }
+
+  public void unsetPeersSame() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __PEERSSAME_ISSET_ID);
+  }
+
+  /** Returns true if field peersSame is set (has been assigned a value) and false otherwise */
+  public boolean isSetPeersSame() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __PEERSSAME_ISSET_ID);
+  }
+
+  public void setPeersSameIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __PEERSSAME_ISSET_ID, value);
+  }
+
+  public long getPeersHash() {
+    return this.peersHash;
+  }
+
+  public AnnounceReply setPeersHash(long peersHash) {
+    this.peersHash = peersHash;
+    setPeersHashIsSet(true);
+    return this;
+  }
+
+  public void unsetPeersHash() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __PEERSHASH_ISSET_ID);
+  }
+
+  /** Returns true if field peersHash is set (has been assigned a value) and false otherwise */
+  public boolean isSetPeersHash() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __PEERSHASH_ISSET_ID);
+  }
+
+  public void setPeersHashIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __PEERSHASH_ISSET_ID, value);
+  }
+
+  /**
+   * Set where a renewal names an announcement that the entry does not hold.
+   */
+  public boolean isUnknownAnnouncement() {
+    return this.unknownAnnouncement;
+  }
+
+  /**
+   * Set where a renewal names an announcement that the entry does not hold.
+   */
+  public AnnounceReply setUnknownAnnouncement(boolean unknownAnnouncement) {
+    this.unknownAnnouncement = unknownAnnouncement;
+    setUnknownAnnouncementIsSet(true);
+    return this;
+  }
+
+  public void unsetUnknownAnnouncement() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __UNKNOWNANNOUNCEMENT_ISSET_ID);
+  }
+
+  /** Returns true if field unknownAnnouncement is set (has been assigned a value) and false otherwise */
+  public boolean isSetUnknownAnnouncement() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __UNKNOWNANNOUNCEMENT_ISSET_ID);
+  }
+
+  public void setUnknownAnnouncementIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __UNKNOWNANNOUNCEMENT_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -353,6 +473,30 @@
       }
       break;
 
+    case PEERS_SAME:
+      if (value == null) {
+        unsetPeersSame();
+      } else {
+        setPeersSame((java.lang.Boolean)value);
+      }
+      break;
+
+    case PEERS_HASH:
+      if (value == null) {
+        unsetPeersHash();
+      } else {
+        setPeersHash((java.lang.Long)value);
+      }
+      break;
+
+    case UNKNOWN_ANNOUNCEMENT:
+      if (value == null) {
+        unsetUnknownAnnouncement();
+      } else {
+        setUnknownAnnouncement((java.lang.Boolean)value);
+      }
+      break;
+
     }
   }
 
@@ -372,6 +516,15 @@
     case ELSEWHERE:
       return getElsewhere();
 
+    case PEERS_SAME:
+      return isPeersSame();
+
+    case PEERS_HASH:
+      return getPeersHash();
+
+    case UNKNOWN_ANNOUNCEMENT:
+      return isUnknownAnnouncement();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -392,6 +545,12 @@
       return isSetPeers();
     case ELSEWHERE:
       return isSetElsewhere();
+    case PEERS_SAME:
+      return isSetPeersSame();
+    case PEERS_HASH:
+      return isSetPeersHash();
+    case UNKNOWN_ANNOUNCEMENT:
+      return isSetUnknownAnnouncement();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -445,6 +604,33 @@
         return false;
     }
 
+    boolean this_present_peersSame = true;
+    boolean that_present_peersSame = true;
+    if (this_present_peersSame || that_present_peersSame) {
+      if (!(this_present_peersSame && that_present_peersSame))
+        return false;
+      if (this.peersSame != that.peersSame)
+        return false;
+    }
+
+    boolean this_present_peersHash = true;
+    boolean that_present_peersHash = true;
+    if (this_present_peersHash || that_present_peersHash) {
+      if (!(this_present_peersHash && that_present_peersHash))
+        return false;
+      if (this.peersHash != that.peersHash)
+        return false;
+    }
+
+    boolean this_present_unknownAnnouncement = true;
+    boolean that_present_unknownAnnouncement = true;
+    if (this_present_unknownAnnouncement || that_present_unknownAnnouncement) {
+      if (!(this_present_unknownAnnouncement && that_present_unknownAnnouncement))
+        return false;
+      if (this.unknownAnnouncement != that.unknownAnnouncement)
+        return false;
+    }
+
     return true;
   }
 
@@ -466,6 +652,12 @@
     if (isSetElsewhere())
       hashCode = hashCode * 8191 + elsewhere.hashCode();
 
+    hashCode = hashCode * 8191 + ((peersSame) ? 131071 : 524287);
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(peersHash);
+
+    hashCode = hashCode * 8191 + ((unknownAnnouncement) ? 131071 : 524287);
+
     return hashCode;
   }
 
@@ -517,6 +709,36 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetPeersSame(), other.isSetPeersSame());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetPeersSame()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.peersSame, other.peersSame);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetPeersHash(), other.isSetPeersHash());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetPeersHash()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.peersHash, other.peersHash);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetUnknownAnnouncement(), other.isSetUnknownAnnouncement());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetUnknownAnnouncement()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.unknownAnnouncement, other.unknownAnnouncement);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -568,6 +790,18 @@
       sb.append(this.elsewhere);
     }
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("peersSame:");
+    sb.append(this.peersSame);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("peersHash:");
+    sb.append(this.peersHash);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("unknownAnnouncement:");
+    sb.append(this.unknownAnnouncement);
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -673,6 +907,30 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 5: // PEERS_SAME
+            if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
+              struct.peersSame = iprot.readBool();
+              struct.setPeersSameIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 6: // PEERS_HASH
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.peersHash = iprot.readI64();
+              struct.setPeersHashIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 7: // UNKNOWN_ANNOUNCEMENT
+            if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
+              struct.unknownAnnouncement = iprot.readBool();
+              struct.setUnknownAnnouncementIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -721,6 +979,15 @@
         }
         oprot.writeFieldEnd();
       }
+      oprot.writeFieldBegin(PEERS_SAME_FIELD_DESC);
+      oprot.writeBool(struct.peersSame);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(PEERS_HASH_FIELD_DESC);
+      oprot.writeI64(struct.peersHash);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(UNKNOWN_ANNOUNCEMENT_FIELD_DESC);
+      oprot.writeBool(struct.unknownAnnouncement);
+      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -752,7 +1019,16 @@
       if (struct.isSetElsewhere()) {
         optionals.set(3);
       }
-      oprot.writeBitSet(optionals, 4);
+      if (struct.isSetPeersSame()) {
+        optionals.set(4);
+      }
+      if (struct.isSetPeersHash()) {
+        optionals.set(5);
+      }
+      if (struct.isSetUnknownAnnouncement()) {
+        optionals.set(6);
+      }
+      oprot.writeBitSet(optionals, 7);
       if (struct.isSetSender()) {
         struct.sender.write(oprot);
       }
@@ -777,12 +1053,21 @@
           }
         }
       }
+      if (struct.isSetPeersSame()) {
+        oprot.writeBool(struct.peersSame);
+      }
+      if (struct.isSetPeersHash()) {
+        oprot.writeI64(struct.peersHash);
+      }
+      if (struct.isSetUnknownAnnouncement()) {
+        oprot.writeBool(struct.unknownAnnouncement);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, AnnounceReply struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(4);
+      java.util.BitSet incoming = iprot.readBitSet(7);
       if (incoming.get(0)) {
         struct.sender = new org.sequoiahill.protocol.gen.Sender();
         struct.sender.read(iprot);
@@ -820,6 +1105,18 @@
         }
         struct.setElsewhereIsSet(true);
       }
+      if (incoming.get(4)) {
+        struct.peersSame = iprot.readBool();
+        struct.setPeersSameIsSet(true);
+      }
+      if (incoming.get(5)) {
+        struct.peersHash = iprot.readI64();
+        struct.setPeersHashIsSet(true);
+      }
+      if (incoming.get(6)) {
+        struct.unknownAnnouncement = iprot.readBool();
+        struct.setUnknownAnnouncementIsSet(true);
+      }
     }
   }
 
--- a/protocol/src/main/java/org/sequoiahill/protocol/gen/Announcement.java
+++ b/protocol/src/main/java/org/sequoiahill/protocol/gen/Announcement.java
@@ -26,6 +26,10 @@
   private static final org.apache.thrift.protocol.TField CHECKS_FENCING_FIELD_DESC = new org.apache.thrift.protocol.TField("checksFencing", org.apache.thrift.protocol.TType.BOOL, (short)11);
   private static final org.apache.thrift.protocol.TField CHUNKS_HELD_FIELD_DESC = new org.apache.thrift.protocol.TField("chunksHeld", org.apache.thrift.protocol.TType.I32, (short)12);
   private static final org.apache.thrift.protocol.TField CHUNKS_STATED_FIELD_DESC = new org.apache.thrift.protocol.TField("chunksStated", org.apache.thrift.protocol.TType.I32, (short)13);
+  private static final org.apache.thrift.protocol.TField LIMIT_FIELD_DESC = new org.apache.thrift.protocol.TField("limit", org.apache.thrift.protocol.TType.I32, (short)14);
+  private static final org.apache.thrift.protocol.TField SEQUENCE_FIELD_DESC = new org.apache.thrift.protocol.TField("sequence", org.apache.thrift.protocol.TType.I64, (short)15);
+  private static final org.apache.thrift.protocol.TField PEERS_HASH_FIELD_DESC = new org.apache.thrift.protocol.TField("peersHash", org.apache.thrift.protocol.TType.I64, (short)16);
+  private static final org.apache.thrift.protocol.TField SPREAD_FIELD_DESC = new org.apache.thrift.protocol.TField("spread", org.apache.thrift.protocol.TType.BOOL, (short)17);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new AnnouncementStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new AnnouncementTupleSchemeFactory();
@@ -43,6 +47,10 @@
   private boolean checksFencing; // required
   private int chunksHeld; // required
   private int chunksStated; // required
+  private int limit; // required
+  private long sequence; // required
+  private long peersHash; // required
+  private boolean spread; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -67,7 +75,23 @@
      * Chunks held of the version stated by the configuration, and the number it has.
      */
     CHUNKS_HELD((short)12, "chunksHeld"),
-    CHUNKS_STATED((short)13, "chunksStated");
+    CHUNKS_STATED((short)13, "chunksStated"),
+    /**
+     * Requests that the endpoint bears now, 1 to its capacity.
+     */
+    LIMIT((short)14, "limit"),
+    /**
+     * Rises with each announcement of an incarnation.
+     */
+    SEQUENCE((short)15, "sequence"),
+    /**
+     * Hash of the peers that the agent knows; peers are sent only where they differ.
+     */
+    PEERS_HASH((short)16, "peersHash"),
+    /**
+     * Set for one of the entries that are told; it tells the others of the data centre.
+     */
+    SPREAD((short)17, "spread");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -109,6 +133,14 @@
           return CHUNKS_HELD;
         case 13: // CHUNKS_STATED
           return CHUNKS_STATED;
+        case 14: // LIMIT
+          return LIMIT;
+        case 15: // SEQUENCE
+          return SEQUENCE;
+        case 16: // PEERS_HASH
+          return PEERS_HASH;
+        case 17: // SPREAD
+          return SPREAD;
         default:
           return null;
       }
@@ -160,7 +192,11 @@
   private static final int __CHECKSFENCING_ISSET_ID = 5;
   private static final int __CHUNKSHELD_ISSET_ID = 6;
   private static final int __CHUNKSSTATED_ISSET_ID = 7;
-  private byte __isset_bitfield = 0;
+  private static final int __LIMIT_ISSET_ID = 8;
+  private static final int __SEQUENCE_ISSET_ID = 9;
+  private static final int __PEERSHASH_ISSET_ID = 10;
+  private static final int __SPREAD_ISSET_ID = 11;
+  private short __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -190,6 +226,14 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
     tmpMap.put(_Fields.CHUNKS_STATED, new org.apache.thrift.meta_data.FieldMetaData("chunksStated", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
+    tmpMap.put(_Fields.LIMIT, new org.apache.thrift.meta_data.FieldMetaData("limit", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
+    tmpMap.put(_Fields.SEQUENCE, new org.apache.thrift.meta_data.FieldMetaData("sequence", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.PEERS_HASH, new org.apache.thrift.meta_data.FieldMetaData("peersHash", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.SPREAD, new org.apache.thrift.meta_data.FieldMetaData("spread", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(Announcement.class, metaDataMap);
   }
@@ -210,7 +254,11 @@
     java.lang.String versionDigest,
     boolean checksFencing,
     int chunksHeld,
-    int chunksStated)
+    int chunksStated,
+    int limit,
+    long sequence,
+    long peersHash,
+    boolean spread)
   {
     this();
     this.sender = sender;
@@ -234,6 +282,14 @@
     setChunksHeldIsSet(true);
     this.chunksStated = chunksStated;
     setChunksStatedIsSet(true);
+    this.limit = limit;
+    setLimitIsSet(true);
+    this.sequence = sequence;
+    setSequenceIsSet(true);
+    this.peersHash = peersHash;
+    setPeersHashIsSet(true);
+    this.spread = spread;
+    setSpreadIsSet(true);
   }
 
   /**
@@ -264,6 +320,10 @@
     this.checksFencing = other.checksFencing;
     this.chunksHeld = other.chunksHeld;
     this.chunksStated = other.chunksStated;
+    this.limit = other.limit;
+    this.sequence = other.sequence;
+    this.peersHash = other.peersHash;
+    this.spread = other.spread;
   }
 
   @Override
@@ -294,6 +354,14 @@
     this.chunksHeld = 0;
     setChunksStatedIsSet(false);
     this.chunksStated = 0;
+    setLimitIsSet(false);
+    this.limit = 0;
+    setSequenceIsSet(false);
+    this.sequence = 0;
+    setPeersHashIsSet(false);
+    this.peersHash = 0;
+    setSpreadIsSet(false);
+    this.spread = false;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -623,6 +691,122 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __CHUNKSSTATED_ISSET_ID, value);
   }
 
+  /**
+   * Requests that the endpoint bears now, 1 to its capacity.
+   */
+  public int getLimit() {
+    return this.limit;
+  }
+
+  /**
+   * Requests that the endpoint bears now, 1 to its capacity.
+   */
+  public Announcement setLimit(int limit) {
+    this.limit = limit;
+    setLimitIsSet(true);
+    return this;
+  }
+
+  public void unsetLimit() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __LIMIT_ISSET_ID);
+  }
+
+  /** Returns true if field limit is set (has been assigned a value) and false otherwise */
+  public boolean isSetLimit() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __LIMIT_ISSET_ID);
+  }
+
+  public void setLimitIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __LIMIT_ISSET_ID, value);
+  }
+
+  /**
+   * Rises with each announcement of an incarnation.
+   */
+  public long getSequence() {
+    return this.sequence;
+  }
+
+  /**
+   * Rises with each announcement of an incarnation.
+   */
+  public Announcement setSequence(long sequence) {
+    this.sequence = sequence;
+    setSequenceIsSet(true);
+    return this;
+  }
+
+  public void unsetSequence() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SEQUENCE_ISSET_ID);
+  }
+
+  /** Returns true if field sequence is set (has been assigned a value) and false otherwise */
+  public boolean isSetSequence() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SEQUENCE_ISSET_ID);
+  }
+
+  public void setSequenceIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SEQUENCE_ISSET_ID, value);
+  }
+
+  /**
+   * Hash of the peers that the agent knows; peers are sent only where they differ.
+   */
+  public long getPeersHash() {
+    return this.peersHash;
+  }
+
+  /**
+   * Hash of the peers that the agent knows; peers are sent only where they differ.
+   */
+  public Announcement setPeersHash(long peersHash) {
+    this.peersHash = peersHash;
+    setPeersHashIsSet(true);
+    return this;
+  }
+
+  public void unsetPeersHash() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __PEERSHASH_ISSET_ID);
+  }
+
+  /** Returns true if field peersHash is set (has been assigned a value) and false otherwise */
+  public boolean isSetPeersHash() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __PEERSHASH_ISSET_ID);
+  }
+
+  public void setPeersHashIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __PEERSHASH_ISSET_ID, value);
+  }
+
+  /**
+   * Set for one of the entries that are told; it tells the others of the data centre.
+   */
+  public boolean isSpread() {
+    return this.spread;
+  }
+
+  /**
+   * Set for one of the entries that are told; it tells the others of the data centre.
+   */
+  public Announcement setSpread(boolean spread) {
+    this.spread = spread;
+    setSpreadIsSet(true);
+    return this;
+  }
+
+  public void unsetSpread() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SPREAD_ISSET_ID);
+  }
+
+  /** Returns true if field spread is set (has been assigned a value) and false otherwise */
+  public boolean isSetSpread() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SPREAD_ISSET_ID);
+  }
+
+  public void setSpreadIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SPREAD_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -730,6 +914,38 @@
       }
       break;
 
+    case LIMIT:
+      if (value == null) {
+        unsetLimit();
+      } else {
+        setLimit((java.lang.Integer)value);
+      }
+      break;
+
+    case SEQUENCE:
+      if (value == null) {
+        unsetSequence();
+      } else {
+        setSequence((java.lang.Long)value);
+      }
+      break;
+
+    case PEERS_HASH:
+      if (value == null) {
+        unsetPeersHash();
+      } else {
+        setPeersHash((java.lang.Long)value);
+      }
+      break;
+
+    case SPREAD:
+      if (value == null) {
+        unsetSpread();
+      } else {
+        setSpread((java.lang.Boolean)value);
+      }
+      break;
+
     }
   }
 
@@ -776,6 +992,18 @@
     case CHUNKS_STATED:
       return getChunksStated();
 
+    case LIMIT:
+      return getLimit();
+
+    case SEQUENCE:
+      return getSequence();
+
+    case PEERS_HASH:
+      return getPeersHash();
+
+    case SPREAD:
+      return isSpread();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -814,6 +1042,14 @@
       return isSetChunksHeld();
     case CHUNKS_STATED:
       return isSetChunksStated();
+    case LIMIT:
+      return isSetLimit();
+    case SEQUENCE:
+      return isSetSequence();
+    case PEERS_HASH:
+      return isSetPeersHash();
+    case SPREAD:
+      return isSetSpread();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -948,6 +1184,42 @@
         return false;
     }
 
+    boolean this_present_limit = true;
+    boolean that_present_limit = true;
+    if (this_present_limit || that_present_limit) {
+      if (!(this_present_limit && that_present_limit))
+        return false;
+      if (this.limit != that.limit)
+        return false;
+    }
+
+    boolean this_present_sequence = true;
+    boolean that_present_sequence = true;
+    if (this_present_sequence || that_present_sequence) {
+      if (!(this_present_sequence && that_present_sequence))
+        return false;
+      if (this.sequence != that.sequence)
+        return false;
+    }
+
+    boolean this_present_peersHash = true;
+    boolean that_present_peersHash = true;
+    if (this_present_peersHash || that_present_peersHash) {
+      if (!(this_present_peersHash && that_present_peersHash))
+        return false;
+      if (this.peersHash != that.peersHash)
+        return false;
+    }
+
+    boolean this_present_spread = true;
+    boolean that_present_spread = true;
+    if (this_present_spread || that_present_spread) {
+      if (!(this_present_spread && that_present_spread))
+        return false;
+      if (this.spread != that.spread)
+        return false;
+    }
+
     return true;
   }
 
@@ -991,6 +1263,14 @@
 
     hashCode = hashCode * 8191 + chunksStated;
 
+    hashCode = hashCode * 8191 + limit;
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(sequence);
+
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(peersHash);
+
+    hashCode = hashCode * 8191 + ((spread) ? 131071 : 524287);
+
     return hashCode;
   }
 
@@ -1132,6 +1412,46 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetLimit(), other.isSetLimit());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetLimit()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.limit, other.limit);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetSequence(), other.isSetSequence());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetSequence()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.sequence, other.sequence);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetPeersHash(), other.isSetPeersHash());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetPeersHash()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.peersHash, other.peersHash);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetSpread(), other.isSetSpread());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetSpread()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.spread, other.spread);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -1227,6 +1547,22 @@
     sb.append("chunksStated:");
     sb.append(this.chunksStated);
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("limit:");
+    sb.append(this.limit);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("sequence:");
+    sb.append(this.sequence);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("peersHash:");
+    sb.append(this.peersHash);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("spread:");
+    sb.append(this.spread);
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -1382,6 +1718,38 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 14: // LIMIT
+            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
+              struct.limit = iprot.readI32();
+              struct.setLimitIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 15: // SEQUENCE
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.sequence = iprot.readI64();
+              struct.setSequenceIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 16: // PEERS_HASH
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.peersHash = iprot.readI64();
+              struct.setPeersHashIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 17: // SPREAD
+            if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
+              struct.spread = iprot.readBool();
+              struct.setSpreadIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -1447,6 +1815,18 @@
       oprot.writeFieldBegin(CHUNKS_STATED_FIELD_DESC);
       oprot.writeI32(struct.chunksStated);
       oprot.writeFieldEnd();
+      oprot.writeFieldBegin(LIMIT_FIELD_DESC);
+      oprot.writeI32(struct.limit);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(SEQUENCE_FIELD_DESC);
+      oprot.writeI64(struct.sequence);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(PEERS_HASH_FIELD_DESC);
+      oprot.writeI64(struct.peersHash);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(SPREAD_FIELD_DESC);
+      oprot.writeBool(struct.spread);
+      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -1505,7 +1885,19 @@
       if (struct.isSetChunksStated()) {
         optionals.set(12);
       }
-      oprot.writeBitSet(optionals, 13);
+      if (struct.isSetLimit()) {
+        optionals.set(13);
+      }
+      if (struct.isSetSequence()) {
+        optionals.set(14);
+      }
+      if (struct.isSetPeersHash()) {
+        optionals.set(15);
+      }
+      if (struct.isSetSpread()) {
+        optionals.set(16);
+      }
+      oprot.writeBitSet(optionals, 17);
       if (struct.isSetSender()) {
         struct.sender.write(oprot);
       }
@@ -1545,12 +1937,24 @@
       if (struct.isSetChunksStated()) {
         oprot.writeI32(struct.chunksStated);
       }
+      if (struct.isSetLimit()) {
+        oprot.writeI32(struct.limit);
+      }
+      if (struct.isSetSequence()) {
+        oprot.writeI64(struct.sequence);
+      }
+      if (struct.isSetPeersHash()) {
+        oprot.writeI64(struct.peersHash);
+      }
+      if (struct.isSetSpread()) {
+        oprot.writeBool(struct.spread);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, Announcement struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(13);
+      java.util.BitSet incoming = iprot.readBitSet(17);
       if (incoming.get(0)) {
         struct.sender = new org.sequoiahill.protocol.gen.Sender();
         struct.sender.read(iprot);
@@ -1604,6 +2008,22 @@
         struct.chunksStated = iprot.readI32();
         struct.setChunksStatedIsSet(true);
       }
+      if (incoming.get(13)) {
+        struct.limit = iprot.readI32();
+        struct.setLimitIsSet(true);
+      }
+      if (incoming.get(14)) {
+        struct.sequence = iprot.readI64();
+        struct.setSequenceIsSet(true);
+      }
+      if (incoming.get(15)) {
+        struct.peersHash = iprot.readI64();
+        struct.setPeersHashIsSet(true);
+      }
+      if (incoming.get(16)) {
+        struct.spread = iprot.readBool();
+        struct.setSpreadIsSet(true);
+      }
     }
   }
 
--- a/protocol/src/main/java/org/sequoiahill/protocol/gen/DataCentreSummary.java
+++ b/protocol/src/main/java/org/sequoiahill/protocol/gen/DataCentreSummary.java
@@ -599,14 +599,14 @@
           case 3: // SERVICES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list24 = iprot.readListBegin();
-                struct.services = new java.util.ArrayList<ServiceSummary>(_list24.size);
-                @org.apache.thrift.annotation.Nullable ServiceSummary _elem25;
-                for (int _i26 = 0; _i26 < _list24.size; ++_i26)
+                org.apache.thrift.protocol.TList _list48 = iprot.readListBegin();
+                struct.services = new java.util.ArrayList<ServiceSummary>(_list48.size);
+                @org.apache.thrift.annotation.Nullable ServiceSummary _elem49;
+                for (int _i50 = 0; _i50 < _list48.size; ++_i50)
                 {
-                  _elem25 = new ServiceSummary();
-                  _elem25.read(iprot);
-                  struct.services.add(_elem25);
+                  _elem49 = new ServiceSummary();
+                  _elem49.read(iprot);
+                  struct.services.add(_elem49);
                 }
                 iprot.readListEnd();
               }
@@ -653,9 +653,9 @@
         oprot.writeFieldBegin(SERVICES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.services.size()));
-          for (ServiceSummary _iter27 : struct.services)
+          for (ServiceSummary _iter51 : struct.services)
           {
-            _iter27.write(oprot);
+            _iter51.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -705,9 +705,9 @@
       if (struct.isSetServices()) {
         {
           oprot.writeI32(struct.services.size());
-          for (ServiceSummary _iter28 : struct.services)
+          for (ServiceSummary _iter52 : struct.services)
           {
-            _iter28.write(oprot);
+            _iter52.write(oprot);
           }
         }
       }
@@ -731,14 +731,14 @@
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list29 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.services = new java.util.ArrayList<ServiceSummary>(_list29.size);
-          @org.apache.thrift.annotation.Nullable ServiceSummary _elem30;
-          for (int _i31 = 0; _i31 < _list29.size; ++_i31)
+          org.apache.thrift.protocol.TList _list53 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.services = new java.util.ArrayList<ServiceSummary>(_list53.size);
+          @org.apache.thrift.annotation.Nullable ServiceSummary _elem54;
+          for (int _i55 = 0; _i55 < _list53.size; ++_i55)
           {
-            _elem30 = new ServiceSummary();
-            _elem30.read(iprot);
-            struct.services.add(_elem30);
+            _elem54 = new ServiceSummary();
+            _elem54.read(iprot);
+            struct.services.add(_elem54);
           }
         }
         struct.setServicesIsSet(true);
--- a/protocol/src/main/java/org/sequoiahill/protocol/gen/Directory.java
+++ b/protocol/src/main/java/org/sequoiahill/protocol/gen/Directory.java
@@ -13,6 +13,10 @@
 
     public AnnounceReply announce(Announcement announcement) throws org.apache.thrift.TException;
 
+    public AnnounceReply renew(RenewRequest request) throws org.apache.thrift.TException;
+
+    public SpreadReply spread(Spread spread) throws org.apache.thrift.TException;
+
     public DataCentreSummary exchange(DataCentreSummary summary) throws org.apache.thrift.TException;
 
   }
@@ -21,6 +25,10 @@
 
     public void announce(Announcement announcement, org.apache.thrift.async.AsyncMethodCallback<AnnounceReply> resultHandler) throws org.apache.thrift.TException;
 
+    public void renew(RenewRequest request, org.apache.thrift.async.AsyncMethodCallback<AnnounceReply> resultHandler) throws org.apache.thrift.TException;
+
+    public void spread(Spread spread, org.apache.thrift.async.AsyncMethodCallback<SpreadReply> resultHandler) throws org.apache.thrift.TException;
+
     public void exchange(DataCentreSummary summary, org.apache.thrift.async.AsyncMethodCallback<DataCentreSummary> resultHandler) throws org.apache.thrift.TException;
 
   }
@@ -71,6 +79,54 @@
       throw new org.apache.thrift.TApplicationException(org.apache.thrift.TApplicationException.MISSING_RESULT, "announce failed: unknown result");
     }
 
+    @Override
+    public AnnounceReply renew(RenewRequest request) throws org.apache.thrift.TException
+    {
+      send_renew(request);
+      return recv_renew();
+    }
+
+    public void send_renew(RenewRequest request) throws org.apache.thrift.TException
+    {
+      renew_args args = new renew_args();
+      args.setRequest(request);
+      sendBase("renew", args);
+    }
+
+    public AnnounceReply recv_renew() throws org.apache.thrift.TException
+    {
+      renew_result result = new renew_result();
+      receiveBase(result, "renew");
+      if (result.isSetSuccess()) {
+        return result.success;
+      }
+      throw new org.apache.thrift.TApplicationException(org.apache.thrift.TApplicationException.MISSING_RESULT, "renew failed: unknown result");
+    }
+
+    @Override
+    public SpreadReply spread(Spread spread) throws org.apache.thrift.TException
+    {
+      send_spread(spread);
+      return recv_spread();
+    }
+
+    public void send_spread(Spread spread) throws org.apache.thrift.TException
+    {
+      spread_args args = new spread_args();
+      args.setSpread(spread);
+      sendBase("spread", args);
+    }
+
+    public SpreadReply recv_spread() throws org.apache.thrift.TException
+    {
+      spread_result result = new spread_result();
+      receiveBase(result, "spread");
+      if (result.isSetSuccess()) {
+        return result.success;
+      }
+      throw new org.apache.thrift.TApplicationException(org.apache.thrift.TApplicationException.MISSING_RESULT, "spread failed: unknown result");
+    }
+
     @Override
     public DataCentreSummary exchange(DataCentreSummary summary) throws org.apache.thrift.TException
     {
@@ -149,6 +205,76 @@
       }
     }
 
+    @Override
+    public void renew(RenewRequest request, org.apache.thrift.async.AsyncMethodCallback<AnnounceReply> resultHandler) throws org.apache.thrift.TException {
+      checkReady();
+      renew_call method_call = new renew_call(request, resultHandler, this, ___protocolFactory, ___transport);
+      this.___currentMethod = method_call;
+      ___manager.call(method_call);
+    }
+
+    public static class renew_call extends org.apache.thrift.async.TAsyncMethodCall<AnnounceReply> {
+      private RenewRequest request;
+      public renew_call(RenewRequest request, org.apache.thrift.async.AsyncMethodCallback<AnnounceReply> resultHandler, org.apache.thrift.async.TAsyncClient client, org.apache.thrift.protocol.TProtocolFactory protocolFactory, org.apache.thrift.transport.TNonblockingTransport transport) throws org.apache.thrift.TException {
+        super(client, protocolFactory, transport, resultHandler, false);
+        this.request = request;
+      }
+
+      @Override
+      public void write_args(org.apache.thrift.protocol.TProtocol prot) throws org.apache.thrift.TException {
+        prot.writeMessageBegin(new org.apache.thrift.protocol.TMessage("renew", org.apache.thrift.protocol.TMessageType.CALL, 0));
+        renew_args args = new renew_args();
+        args.setRequest(request);
+        args.write(prot);
+        prot.writeMessageEnd();
+      }
+
+      @Override
+      public AnnounceReply getResult() throws org.apache.thrift.TException {
+        if (getState() != org.apache.thrift.async.TAsyncMethodCall.State.RESPONSE_READ) {
+          throw new java.lang.IllegalStateException("Method call not finished!");
+        }
+        org.apache.thrift.transport.TMemoryInputTransport memoryTransport = new org.apache.thrift.transport.TMemoryInputTransport(getFrameBuffer().array());
+        org.apache.thrift.protocol.TProtocol prot = client.getProtocolFactory().getProtocol(memoryTransport);
+        return (new Client(prot)).recv_renew();
+      }
+    }
+
+    @Override
+    public void spread(Spread spread, org.apache.thrift.async.AsyncMethodCallback<SpreadReply> resultHandler) throws org.apache.thrift.TException {
+      checkReady();
+      spread_call method_call = new spread_call(spread, resultHandler, this, ___protocolFactory, ___transport);
+      this.___currentMethod = method_call;
+      ___manager.call(method_call);
+    }
+
+    public static class spread_call extends org.apache.thrift.async.TAsyncMethodCall<SpreadReply> {
+      private Spread spread;
+      public spread_call(Spread spread, org.apache.thrift.async.AsyncMethodCallback<SpreadReply> resultHandler, org.apache.thrift.async.TAsyncClient client, org.apache.thrift.protocol.TProtocolFactory protocolFactory, org.apache.thrift.transport.TNonblockingTransport transport) throws org.apache.thrift.TException {
+        super(client, protocolFactory, transport, resultHandler, false);
+        this.spread = spread;
+      }
+
+      @Override
+      public void write_args(org.apache.thrift.protocol.TProtocol prot) throws org.apache.thrift.TException {
+        prot.writeMessageBegin(new org.apache.thrift.protocol.TMessage("spread", org.apache.thrift.protocol.TMessageType.CALL, 0));
+        spread_args args = new spread_args();
+        args.setSpread(spread);
+        args.write(prot);
+        prot.writeMessageEnd();
+      }
+
+      @Override
+      public SpreadReply getResult() throws org.apache.thrift.TException {
+        if (getState() != org.apache.thrift.async.TAsyncMethodCall.State.RESPONSE_READ) {
+          throw new java.lang.IllegalStateException("Method call not finished!");
+        }
+        org.apache.thrift.transport.TMemoryInputTransport memoryTransport = new org.apache.thrift.transport.TMemoryInputTransport(getFrameBuffer().array());
+        org.apache.thrift.protocol.TProtocol prot = client.getProtocolFactory().getProtocol(memoryTransport);
+        return (new Client(prot)).recv_spread();
+      }
+    }
+
     @Override
     public void exchange(DataCentreSummary summary, org.apache.thrift.async.AsyncMethodCallback<DataCentreSummary> resultHandler) throws org.apache.thrift.TException {
       checkReady();
@@ -198,6 +324,8 @@
 
     private static <I extends Iface> java.util.Map<java.lang.String,  org.apache.thrift.ProcessFunction<I, ? extends org.apache.thrift.TBase>> getProcessMap(java.util.Map<java.lang.String, org.apache.thrift.ProcessFunction<I, ? extends  org.apache.thrift.TBase>> processMap) {
       processMap.put("announce", new announce());
+      processMap.put("renew", new renew());
+      processMap.put("spread", new spread());
       processMap.put("exchange", new exchange());
       return processMap;
     }
@@ -230,6 +358,62 @@
       }
     }
 
+    public static class renew<I extends Iface> extends org.apache.thrift.ProcessFunction<I, renew_args> {
+      public renew() {
+        super("renew");
+      }
+
+      @Override
+      public renew_args getEmptyArgsInstance() {
+        return new renew_args();
+      }
+
+      @Override
+      protected boolean isOneway() {
+        return false;
+      }
+
+      @Override
+      protected boolean rethrowUnhandledExceptions() {
+        return false;
+      }
+
+      @Override
+      public renew_result getResult(I iface, renew_args args) throws org.apache.thrift.TException {
+        renew_result result = new renew_result();
+        result.success = iface.renew(args.request);
+        return result;
+      }
+    }
+
+    public static class spread<I extends Iface> extends org.apache.thrift.ProcessFunction<I, spread_args> {
+      public spread() {
+        super("spread");
+      }
+
+      @Override
+      public spread_args getEmptyArgsInstance() {
+        return new spread_args();
+      }
+
+      @Override
+      protected boolean isOneway() {
+        return false;
+      }
+
+      @Override
+      protected boolean rethrowUnhandledExceptions() {
+        return false;
+      }
+
+      @Override
+      public spread_result getResult(I iface, spread_args args) throws org.apache.thrift.TException {
+        spread_result result = new spread_result();
+        result.success = iface.spread(args.spread);
+        return result;
+      }
+    }
+
     public static class exchange<I extends Iface> extends org.apache.thrift.ProcessFunction<I, exchange_args> {
       public exchange() {
         super("exchange");
@@ -272,6 +456,8 @@
 
     private static <I extends AsyncIface> java.util.Map<java.lang.String,  org.apache.thrift.AsyncProcessFunction<I, ? extends  org.apache.thrift.TBase,?>> getProcessMap(java.util.Map<java.lang.String,  org.apache.thrift.AsyncProcessFunction<I, ? extends  org.apache.thrift.TBase, ?>> processMap) {
       processMap.put("announce", new announce());
+      processMap.put("renew", new renew());
+      processMap.put("spread", new spread());
       processMap.put("exchange", new exchange());
       return processMap;
     }
@@ -343,6 +529,140 @@
       }
     }
 
+    public static class renew<I extends AsyncIface> extends org.apache.thrift.AsyncProcessFunction<I, renew_args, AnnounceReply> {
+      public renew() {
+        super("renew");
+      }
+
+      @Override
+      public renew_args getEmptyArgsInstance() {
+        return new renew_args();
+      }
+
+      @Override
+      public org.apache.thrift.async.AsyncMethodCallback<AnnounceReply> getResultHandler(final org.apache.thrift.server.AbstractNonblockingServer.AsyncFrameBuffer fb, final int seqid) {
+        final org.apache.thrift.AsyncProcessFunction fcall = this;
+        return new org.apache.thrift.async.AsyncMethodCallback<AnnounceReply>() { 
+          @Override
+          public void onComplete(AnnounceReply o) {
+            renew_result result = new renew_result();
+            result.success = o;
+            try {
+              fcall.sendResponse(fb, result, org.apache.thrift.protocol.TMessageType.REPLY,seqid);
+            } catch (org.apache.thrift.transport.TTransportException e) {
+              _LOGGER.error("TTransportException writing to internal frame buffer", e);
+              fb.close();
+            } catch (java.lang.Exception e) {
+              _LOGGER.error("Exception writing to internal frame buffer", e);
+              onError(e);
+            }
+          }
+          @Override
+          public void onError(java.lang.Exception e) {
+            byte msgType = org.apache.thrift.protocol.TMessageType.REPLY;
+            org.apache.thrift.TSerializable msg;
+            renew_result result = new renew_result();
+            if (e instanceof org.apache.thrift.transport.TTransportException) {
+              _LOGGER.error("TTransportException inside handler", e);
+              fb.close();
+              return;
+            } else if (e instanceof org.apache.thrift.TApplicationException) {
+              _LOGGER.error("TApplicationException inside handler", e);
+              msgType = org.apache.thrift.protocol.TMessageType.EXCEPTION;
+              msg = (org.apache.thrift.TApplicationException)e;
+            } else {
+              _LOGGER.error("Exception inside handler", e);
+              msgType = org.apache.thrift.protocol.TMessageType.EXCEPTION;
+              msg = new org.apache.thrift.TApplicationException(org.apache.thrift.TApplicationException.INTERNAL_ERROR, e.getMessage());
+            }
+            try {
+              fcall.sendResponse(fb,msg,msgType,seqid);
+            } catch (java.lang.Exception ex) {
+              _LOGGER.error("Exception writing to internal frame buffer", ex);
+              fb.close();
+            }
+          }
+        };
+      }
+
+      @Override
+      protected boolean isOneway() {
+        return false;
+      }
+
+      @Override
+      public void start(I iface, renew_args args, org.apache.thrift.async.AsyncMethodCallback<AnnounceReply> resultHandler) throws org.apache.thrift.TException {
+        iface.renew(args.request,resultHandler);
+      }
+    }
+
+    public static class spread<I extends AsyncIface> extends org.apache.thrift.AsyncProcessFunction<I, spread_args, SpreadReply> {
+      public spread() {
+        super("spread");
+      }
+
+      @Override
+      public spread_args getEmptyArgsInstance() {
+        return new spread_args();
+      }
+
+      @Override
+      public org.apache.thrift.async.AsyncMethodCallback<SpreadReply> getResultHandler(final org.apache.thrift.server.AbstractNonblockingServer.AsyncFrameBuffer fb, final int seqid) {
+        final org.apache.thrift.AsyncProcessFunction fcall = this;
+        return new org.apache.thrift.async.AsyncMethodCallback<SpreadReply>() { 
+          @Override
+          public void onComplete(SpreadReply o) {
+            spread_result result = new spread_result();
+            result.success = o;
+            try {
+              fcall.sendResponse(fb, result, org.apache.thrift.protocol.TMessageType.REPLY,seqid);
+            } catch (org.apache.thrift.transport.TTransportException e) {
+              _LOGGER.error("TTransportException writing to internal frame buffer", e);
+              fb.close();
+            } catch (java.lang.Exception e) {
+              _LOGGER.error("Exception writing to internal frame buffer", e);
+              onError(e);
+            }
+          }
+          @Override
+          public void onError(java.lang.Exception e) {
+            byte msgType = org.apache.thrift.protocol.TMessageType.REPLY;
+            org.apache.thrift.TSerializable msg;
+            spread_result result = new spread_result();
+            if (e instanceof org.apache.thrift.transport.TTransportException) {
+              _LOGGER.error("TTransportException inside handler", e);
+              fb.close();
+              return;
+            } else if (e instanceof org.apache.thrift.TApplicationException) {
+              _LOGGER.error("TApplicationException inside handler", e);
+              msgType = org.apache.thrift.protocol.TMessageType.EXCEPTION;
+              msg = (org.apache.thrift.TApplicationException)e;
+            } else {
+              _LOGGER.error("Exception inside handler", e);
+              msgType = org.apache.thrift.protocol.TMessageType.EXCEPTION;
+              msg = new org.apache.thrift.TApplicationException(org.apache.thrift.TApplicationException.INTERNAL_ERROR, e.getMessage());
+            }
+            try {
+              fcall.sendResponse(fb,msg,msgType,seqid);
+            } catch (java.lang.Exception ex) {
+              _LOGGER.error("Exception writing to internal frame buffer", ex);
+              fb.close();
+            }
+          }
+        };
+      }
+
+      @Override
+      protected boolean isOneway() {
+        return false;
+      }
+
+      @Override
+      public void start(I iface, spread_args args, org.apache.thrift.async.AsyncMethodCallback<SpreadReply> resultHandler) throws org.apache.thrift.TException {
+        iface.spread(args.spread,resultHandler);
+      }
+    }
+
     public static class exchange<I extends AsyncIface> extends org.apache.thrift.AsyncProcessFunction<I, exchange_args, DataCentreSummary> {
       public exchange() {
         super("exchange");
@@ -1179,6 +1499,1540 @@
     }
   }
 
+  @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
+  public static class renew_args implements org.apache.thrift.TBase<renew_args, renew_args._Fields>, java.io.Serializable, Cloneable, Comparable<renew_args>   {
+    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("renew_args");
+
+    private static final org.apache.thrift.protocol.TField REQUEST_FIELD_DESC = new org.apache.thrift.protocol.TField("request", org.apache.thrift.protocol.TType.STRUCT, (short)1);
+
+    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new renew_argsStandardSchemeFactory();
+    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new renew_argsTupleSchemeFactory();
+
+    private @org.apache.thrift.annotation.Nullable RenewRequest request; // required
+
+    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+      REQUEST((short)1, "request");
+
+      private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
+
+      static {
+        for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+          byName.put(field.getFieldName(), field);
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByThriftId(int fieldId) {
+        switch(fieldId) {
+          case 1: // REQUEST
+            return REQUEST;
+          default:
+            return null;
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, throwing an exception
+       * if it is not found.
+       */
+      public static _Fields findByThriftIdOrThrow(int fieldId) {
+        _Fields fields = findByThriftId(fieldId);
+        if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+        return fields;
+      }
+
+      /**
+       * Find the _Fields constant that matches name, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByName(java.lang.String name) {
+        return byName.get(name);
+      }
+
+      private final short _thriftId;
+      private final java.lang.String _fieldName;
+
+      _Fields(short thriftId, java.lang.String fieldName) {
+        _thriftId = thriftId;
+        _fieldName = fieldName;
+      }
+
+      @Override
+      public short getThriftFieldId() {
+        return _thriftId;
+      }
+
+      @Override
+      public java.lang.String getFieldName() {
+        return _fieldName;
+      }
+    }
+
+    // isset id assignments
+    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    static {
+      java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+      tmpMap.put(_Fields.REQUEST, new org.apache.thrift.meta_data.FieldMetaData("request", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+          new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, RenewRequest.class)));
+      metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+      org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(renew_args.class, metaDataMap);
+    }
+
+    public renew_args() {
+    }
+
+    public renew_args(
+      RenewRequest request)
+    {
+      this();
+      this.request = request;
+    }
+
+    /**
+     * Performs a deep copy on <i>other</i>.
+     */
+    public renew_args(renew_args other) {
+      if (other.isSetRequest()) {
+        this.request = new RenewRequest(other.request);
+      }
+    }
+
+    @Override
+    public renew_args deepCopy() {
+      return new renew_args(this);
+    }
+
+    @Override
+    public void clear() {
+      this.request = null;
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    public RenewRequest getRequest() {
+      return this.request;
+    }
+
+    public renew_args setRequest(@org.apache.thrift.annotation.Nullable RenewRequest request) {
+      this.request = request;
+      return this;
+    }
+
+    public void unsetRequest() {
+      this.request = null;
+    }
+
+    /** Returns true if field request is set (has been assigned a value) and false otherwise */
+    public boolean isSetRequest() {
+      return this.request != null;
+    }
+
+    public void setRequestIsSet(boolean value) {
+      if (!value) {
+        this.request = null;
+      }
+    }
+
+    @Override
+    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+      switch (field) {
+      case REQUEST:
+        if (value == null) {
+          unsetRequest();
+        } else {
+          setRequest((RenewRequest)value);
+        }
+        break;
+
+      }
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public java.lang.Object getFieldValue(_Fields field) {
+      switch (field) {
+      case REQUEST:
+        return getRequest();
+
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+    @Override
+    public boolean isSet(_Fields field) {
+      if (field == null) {
+        throw new java.lang.IllegalArgumentException();
+      }
+
+      switch (field) {
+      case REQUEST:
+        return isSetRequest();
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    @Override
+    public boolean equals(java.lang.Object that) {
+      if (that instanceof renew_args)
+        return this.equals((renew_args)that);
+      return false;
+    }
+
+    public boolean equals(renew_args that) {
+      if (that == null)
+        return false;
+      if (this == that)
+        return true;
+
+      boolean this_present_request = true && this.isSetRequest();
+      boolean that_present_request = true && that.isSetRequest();
+      if (this_present_request || that_present_request) {
+        if (!(this_present_request && that_present_request))
+          return false;
+        if (!this.request.equals(that.request))
+          return false;
+      }
+
+      return true;
+    }
+
+    @Override
+    public int hashCode() {
+      int hashCode = 1;
+
+      hashCode = hashCode * 8191 + ((isSetRequest()) ? 131071 : 524287);
+      if (isSetRequest())
+        hashCode = hashCode * 8191 + request.hashCode();
+
+      return hashCode;
+    }
+
+    @Override
+    public int compareTo(renew_args other) {
+      if (!getClass().equals(other.getClass())) {
+        return getClass().getName().compareTo(other.getClass().getName());
+      }
+
+      int lastComparison = 0;
+
+      lastComparison = java.lang.Boolean.compare(isSetRequest(), other.isSetRequest());
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+      if (isSetRequest()) {
+        lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.request, other.request);
+        if (lastComparison != 0) {
+          return lastComparison;
+        }
+      }
+      return 0;
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public _Fields fieldForId(int fieldId) {
+      return _Fields.findByThriftId(fieldId);
+    }
+
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+      scheme(iprot).read(iprot, this);
+    }
+
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+      scheme(oprot).write(oprot, this);
+    }
+
+    @Override
+    public java.lang.String toString() {
+      java.lang.StringBuilder sb = new java.lang.StringBuilder("renew_args(");
+      boolean first = true;
+
+      sb.append("request:");
+      if (this.request == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.request);
+      }
+      first = false;
+      sb.append(")");
+      return sb.toString();
+    }
+
+    public void validate() throws org.apache.thrift.TException {
+      // check for required fields
+      // check for sub-struct validity
+      if (request != null) {
+        request.validate();
+      }
+    }
+
+    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+      try {
+        write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+      try {
+        read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private static class renew_argsStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public renew_argsStandardScheme getScheme() {
+        return new renew_argsStandardScheme();
+      }
+    }
+
+    private static class renew_argsStandardScheme extends org.apache.thrift.scheme.StandardScheme<renew_args> {
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol iprot, renew_args struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TField schemeField;
+        iprot.readStructBegin();
+        while (true)
+        {
+          schemeField = iprot.readFieldBegin();
+          if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+            break;
+          }
+          switch (schemeField.id) {
+            case 1: // REQUEST
+              if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+                struct.request = new RenewRequest();
+                struct.request.read(iprot);
+                struct.setRequestIsSet(true);
+              } else { 
+                org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+              }
+              break;
+            default:
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+          }
+          iprot.readFieldEnd();
+        }
+        iprot.readStructEnd();
+
+        // check for required fields of primitive type, which can't be checked in the validate method
+        struct.validate();
+      }
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol oprot, renew_args struct) throws org.apache.thrift.TException {
+        struct.validate();
+
+        oprot.writeStructBegin(STRUCT_DESC);
+        if (struct.request != null) {
+          oprot.writeFieldBegin(REQUEST_FIELD_DESC);
+          struct.request.write(oprot);
+          oprot.writeFieldEnd();
+        }
+        oprot.writeFieldStop();
+        oprot.writeStructEnd();
+      }
+
+    }
+
+    private static class renew_argsTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public renew_argsTupleScheme getScheme() {
+        return new renew_argsTupleScheme();
+      }
+    }
+
+    private static class renew_argsTupleScheme extends org.apache.thrift.scheme.TupleScheme<renew_args> {
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol prot, renew_args struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+        java.util.BitSet optionals = new java.util.BitSet();
+        if (struct.isSetRequest()) {
+          optionals.set(0);
+        }
+        oprot.writeBitSet(optionals, 1);
+        if (struct.isSetRequest()) {
+          struct.request.write(oprot);
+        }
+      }
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol prot, renew_args struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+        java.util.BitSet incoming = iprot.readBitSet(1);
+        if (incoming.get(0)) {
+          struct.request = new RenewRequest();
+          struct.request.read(iprot);
+          struct.setRequestIsSet(true);
+        }
+      }
+    }
+
+    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+      return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+    }
+  }
+
+  @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
+  public static class renew_result implements org.apache.thrift.TBase<renew_result, renew_result._Fields>, java.io.Serializable, Cloneable, Comparable<renew_result>   {
+    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("renew_result");
+
+    private static final org.apache.thrift.protocol.TField SUCCESS_FIELD_DESC = new org.apache.thrift.protocol.TField("success", org.apache.thrift.protocol.TType.STRUCT, (short)0);
+
+    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new renew_resultStandardSchemeFactory();
+    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new renew_resultTupleSchemeFactory();
+
+    private @org.apache.thrift.annotation.Nullable AnnounceReply success; // required
+
+    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+      SUCCESS((short)0, "success");
+
+      private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
+
+      static {
+        for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+          byName.put(field.getFieldName(), field);
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByThriftId(int fieldId) {
+        switch(fieldId) {
+          case 0: // SUCCESS
+            return SUCCESS;
+          default:
+            return null;
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, throwing an exception
+       * if it is not found.
+       */
+      public static _Fields findByThriftIdOrThrow(int fieldId) {
+        _Fields fields = findByThriftId(fieldId);
+        if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+        return fields;
+      }
+
+      /**
+       * Find the _Fields constant that matches name, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByName(java.lang.String name) {
+        return byName.get(name);
+      }
+
+      private final short _thriftId;
+      private final java.lang.String _fieldName;
+
+      _Fields(short thriftId, java.lang.String fieldName) {
+        _thriftId = thriftId;
+        _fieldName = fieldName;
+      }
+
+      @Override
+      public short getThriftFieldId() {
+        return _thriftId;
+      }
+
+      @Override
+      public java.lang.String getFieldName() {
+        return _fieldName;
+      }
+    }
+
+    // isset id assignments
+    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    static {
+      java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+      tmpMap.put(_Fields.SUCCESS, new org.apache.thrift.meta_data.FieldMetaData("success", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+          new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, AnnounceReply.class)));
+      metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+      org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(renew_result.class, metaDataMap);
+    }
+
+    public renew_result() {
+    }
+
+    public renew_result(
+      AnnounceReply success)
+    {
+      this();
+      this.success = success;
+    }
+
+    /**
+     * Performs a deep copy on <i>other</i>.
+     */
+    public renew_result(renew_result other) {
+      if (other.isSetSuccess()) {
+        this.success = new AnnounceReply(other.success);
+      }
+    }
+
+    @Override
+    public renew_result deepCopy() {
+      return new renew_result(this);
+    }
+
+    @Override
+    public void clear() {
+      this.success = null;
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    public AnnounceReply getSuccess() {
+      return this.success;
+    }
+
+    public renew_result setSuccess(@org.apache.thrift.annotation.Nullable AnnounceReply success) {
+      this.success = success;
+      return this;
+    }
+
+    public void unsetSuccess() {
+      this.success = null;
+    }
+
+    /** Returns true if field success is set (has been assigned a value) and false otherwise */
+    public boolean isSetSuccess() {
+      return this.success != null;
+    }
+
+    public void setSuccessIsSet(boolean value) {
+      if (!value) {
+        this.success = null;
+      }
+    }
+
+    @Override
+    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+      switch (field) {
+      case SUCCESS:
+        if (value == null) {
+          unsetSuccess();
+        } else {
+          setSuccess((AnnounceReply)value);
+        }
+        break;
+
+      }
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public java.lang.Object getFieldValue(_Fields field) {
+      switch (field) {
+      case SUCCESS:
+        return getSuccess();
+
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+    @Override
+    public boolean isSet(_Fields field) {
+      if (field == null) {
+        throw new java.lang.IllegalArgumentException();
+      }
+
+      switch (field) {
+      case SUCCESS:
+        return isSetSuccess();
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    @Override
+    public boolean equals(java.lang.Object that) {
+      if (that instanceof renew_result)
+        return this.equals((renew_result)that);
+      return false;
+    }
+
+    public boolean equals(renew_result that) {
+      if (that == null)
+        return false;
+      if (this == that)
+        return true;
+
+      boolean this_present_success = true && this.isSetSuccess();
+      boolean that_present_success = true && that.isSetSuccess();
+      if (this_present_success || that_present_success) {
+        if (!(this_present_success && that_present_success))
+          return false;
+        if (!this.success.equals(that.success))
+          return false;
+      }
+
+      return true;
+    }
+
+    @Override
+    public int hashCode() {
+      int hashCode = 1;
+
+      hashCode = hashCode * 8191 + ((isSetSuccess()) ? 131071 : 524287);
+      if (isSetSuccess())
+        hashCode = hashCode * 8191 + success.hashCode();
+
+      return hashCode;
+    }
+
+    @Override
+    public int compareTo(renew_result other) {
+      if (!getClass().equals(other.getClass())) {
+        return getClass().getName().compareTo(other.getClass().getName());
+      }
+
+      int lastComparison = 0;
+
+      lastComparison = java.lang.Boolean.compare(isSetSuccess(), other.isSetSuccess());
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+      if (isSetSuccess()) {
+        lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.success, other.success);
+        if (lastComparison != 0) {
+          return lastComparison;
+        }
+      }
+      return 0;
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public _Fields fieldForId(int fieldId) {
+      return _Fields.findByThriftId(fieldId);
+    }
+
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+      scheme(iprot).read(iprot, this);
+    }
+
+    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+      scheme(oprot).write(oprot, this);
+      }
+
+    @Override
+    public java.lang.String toString() {
+      java.lang.StringBuilder sb = new java.lang.StringBuilder("renew_result(");
+      boolean first = true;
+
+      sb.append("success:");
+      if (this.success == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.success);
+      }
+      first = false;
+      sb.append(")");
+      return sb.toString();
+    }
+
+    public void validate() throws org.apache.thrift.TException {
+      // check for required fields
+      // check for sub-struct validity
+      if (success != null) {
+        success.validate();
+      }
+    }
+
+    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+      try {
+        write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+      try {
+        read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private static class renew_resultStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public renew_resultStandardScheme getScheme() {
+        return new renew_resultStandardScheme();
+      }
+    }
+
+    private static class renew_resultStandardScheme extends org.apache.thrift.scheme.StandardScheme<renew_result> {
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol iprot, renew_result struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TField schemeField;
+        iprot.readStructBegin();
+        while (true)
+        {
+          schemeField = iprot.readFieldBegin();
+          if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+            break;
+          }
+          switch (schemeField.id) {
+            case 0: // SUCCESS
+              if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+                struct.success = new AnnounceReply();
+                struct.success.read(iprot);
+                struct.setSuccessIsSet(true);
+              } else { 
+                org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+              }
+              break;
+            default:
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+          }
+          iprot.readFieldEnd();
+        }
+        iprot.readStructEnd();
+
+        // check for required fields of primitive type, which can't be checked in the validate method
+        struct.validate();
+      }
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol oprot, renew_result struct) throws org.apache.thrift.TException {
+        struct.validate();
+
+        oprot.writeStructBegin(STRUCT_DESC);
+        if (struct.success != null) {
+          oprot.writeFieldBegin(SUCCESS_FIELD_DESC);
+          struct.success.write(oprot);
+          oprot.writeFieldEnd();
+        }
+        oprot.writeFieldStop();
+        oprot.writeStructEnd();
+      }
+
+    }
+
+    private static class renew_resultTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public renew_resultTupleScheme getScheme() {
+        return new renew_resultTupleScheme();
+      }
+    }
+
+    private static class renew_resultTupleScheme extends org.apache.thrift.scheme.TupleScheme<renew_result> {
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol prot, renew_result struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+        java.util.BitSet optionals = new java.util.BitSet();
+        if (struct.isSetSuccess()) {
+          optionals.set(0);
+        }
+        oprot.writeBitSet(optionals, 1);
+        if (struct.isSetSuccess()) {
+          struct.success.write(oprot);
+        }
+      }
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol prot, renew_result struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+        java.util.BitSet incoming = iprot.readBitSet(1);
+        if (incoming.get(0)) {
+          struct.success = new AnnounceReply();
+          struct.success.read(iprot);
+          struct.setSuccessIsSet(true);
+        }
+      }
+    }
+
+    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+      return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+    }
+  }
+
+  @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
+  public static class spread_args implements org.apache.thrift.TBase<spread_args, spread_args._Fields>, java.io.Serializable, Cloneable, Comparable<spread_args>   {
+    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("spread_args");
+
+    private static final org.apache.thrift.protocol.TField SPREAD_FIELD_DESC = new org.apache.thrift.protocol.TField("spread", org.apache.thrift.protocol.TType.STRUCT, (short)1);
+
+    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new spread_argsStandardSchemeFactory();
+    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new spread_argsTupleSchemeFactory();
+
+    private @org.apache.thrift.annotation.Nullable Spread spread; // required
+
+    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+      SPREAD((short)1, "spread");
+
+      private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
+
+      static {
+        for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+          byName.put(field.getFieldName(), field);
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByThriftId(int fieldId) {
+        switch(fieldId) {
+          case 1: // SPREAD
+            return SPREAD;
+          default:
+            return null;
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, throwing an exception
+       * if it is not found.
+       */
+      public static _Fields findByThriftIdOrThrow(int fieldId) {
+        _Fields fields = findByThriftId(fieldId);
+        if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+        return fields;
+      }
+
+      /**
+       * Find the _Fields constant that matches name, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByName(java.lang.String name) {
+        return byName.get(name);
+      }
+
+      private final short _thriftId;
+      private final java.lang.String _fieldName;
+
+      _Fields(short thriftId, java.lang.String fieldName) {
+        _thriftId = thriftId;
+        _fieldName = fieldName;
+      }
+
+      @Override
+      public short getThriftFieldId() {
+        return _thriftId;
+      }
+
+      @Override
+      public java.lang.String getFieldName() {
+        return _fieldName;
+      }
+    }
+
+    // isset id assignments
+    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    static {
+      java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+      tmpMap.put(_Fields.SPREAD, new org.apache.thrift.meta_data.FieldMetaData("spread", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+          new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, Spread.class)));
+      metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+      org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(spread_args.class, metaDataMap);
+    }
+
+    public spread_args() {
+    }
+
+    public spread_args(
+      Spread spread)
+    {
+      this();
+      this.spread = spread;
+    }
+
+    /**
+     * Performs a deep copy on <i>other</i>.
+     */
+    public spread_args(spread_args other) {
+      if (other.isSetSpread()) {
+        this.spread = new Spread(other.spread);
+      }
+    }
+
+    @Override
+    public spread_args deepCopy() {
+      return new spread_args(this);
+    }
+
+    @Override
+    public void clear() {
+      this.spread = null;
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    public Spread getSpread() {
+      return this.spread;
+    }
+
+    public spread_args setSpread(@org.apache.thrift.annotation.Nullable Spread spread) {
+      this.spread = spread;
+      return this;
+    }
+
+    public void unsetSpread() {
+      this.spread = null;
+    }
+
+    /** Returns true if field spread is set (has been assigned a value) and false otherwise */
+    public boolean isSetSpread() {
+      return this.spread != null;
+    }
+
+    public void setSpreadIsSet(boolean value) {
+      if (!value) {
+        this.spread = null;
+      }
+    }
+
+    @Override
+    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+      switch (field) {
+      case SPREAD:
+        if (value == null) {
+          unsetSpread();
+        } else {
+          setSpread((Spread)value);
+        }
+        break;
+
+      }
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public java.lang.Object getFieldValue(_Fields field) {
+      switch (field) {
+      case SPREAD:
+        return getSpread();
+
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+    @Override
+    public boolean isSet(_Fields field) {
+      if (field == null) {
+        throw new java.lang.IllegalArgumentException();
+      }
+
+      switch (field) {
+      case SPREAD:
+        return isSetSpread();
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    @Override
+    public boolean equals(java.lang.Object that) {
+      if (that instanceof spread_args)
+        return this.equals((spread_args)that);
+      return false;
+    }
+
+    public boolean equals(spread_args that) {
+      if (that == null)
+        return false;
+      if (this == that)
+        return true;
+
+      boolean this_present_spread = true && this.isSetSpread();
+      boolean that_present_spread = true && that.isSetSpread();
+      if (this_present_spread || that_present_spread) {
+        if (!(this_present_spread && that_present_spread))
+          return false;
+        if (!this.spread.equals(that.spread))
+          return false;
+      }
+
+      return true;
+    }
+
+    @Override
+    public int hashCode() {
+      int hashCode = 1;
+
+      hashCode = hashCode * 8191 + ((isSetSpread()) ? 131071 : 524287);
+      if (isSetSpread())
+        hashCode = hashCode * 8191 + spread.hashCode();
+
+      return hashCode;
+    }
+
+    @Override
+    public int compareTo(spread_args other) {
+      if (!getClass().equals(other.getClass())) {
+        return getClass().getName().compareTo(other.getClass().getName());
+      }
+
+      int lastComparison = 0;
+
+      lastComparison = java.lang.Boolean.compare(isSetSpread(), other.isSetSpread());
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+      if (isSetSpread()) {
+        lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.spread, other.spread);
+        if (lastComparison != 0) {
+          return lastComparison;
+        }
+      }
+      return 0;
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public _Fields fieldForId(int fieldId) {
+      return _Fields.findByThriftId(fieldId);
+    }
+
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+      scheme(iprot).read(iprot, this);
+    }
+
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+      scheme(oprot).write(oprot, this);
+    }
+
+    @Override
+    public java.lang.String toString() {
+      java.lang.StringBuilder sb = new java.lang.StringBuilder("spread_args(");
+      boolean first = true;
+
+      sb.append("spread:");
+      if (this.spread == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.spread);
+      }
+      first = false;
+      sb.append(")");
+      return sb.toString();
+    }
+
+    public void validate() throws org.apache.thrift.TException {
+      // check for required fields
+      // check for sub-struct validity
+      if (spread != null) {
+        spread.validate();
+      }
+    }
+
+    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+      try {
+        write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+      try {
+        read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private static class spread_argsStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public spread_argsStandardScheme getScheme() {
+        return new spread_argsStandardScheme();
+      }
+    }
+
+    private static class spread_argsStandardScheme extends org.apache.thrift.scheme.StandardScheme<spread_args> {
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol iprot, spread_args struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TField schemeField;
+        iprot.readStructBegin();
+        while (true)
+        {
+          schemeField = iprot.readFieldBegin();
+          if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+            break;
+          }
+          switch (schemeField.id) {
+            case 1: // SPREAD
+              if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+                struct.spread = new Spread();
+                struct.spread.read(iprot);
+                struct.setSpreadIsSet(true);
+              } else { 
+                org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+              }
+              break;
+            default:
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+          }
+          iprot.readFieldEnd();
+        }
+        iprot.readStructEnd();
+
+        // check for required fields of primitive type, which can't be checked in the validate method
+        struct.validate();
+      }
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol oprot, spread_args struct) throws org.apache.thrift.TException {
+        struct.validate();
+
+        oprot.writeStructBegin(STRUCT_DESC);
+        if (struct.spread != null) {
+          oprot.writeFieldBegin(SPREAD_FIELD_DESC);
+          struct.spread.write(oprot);
+          oprot.writeFieldEnd();
+        }
+        oprot.writeFieldStop();
+        oprot.writeStructEnd();
+      }
+
+    }
+
+    private static class spread_argsTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public spread_argsTupleScheme getScheme() {
+        return new spread_argsTupleScheme();
+      }
+    }
+
+    private static class spread_argsTupleScheme extends org.apache.thrift.scheme.TupleScheme<spread_args> {
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol prot, spread_args struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+        java.util.BitSet optionals = new java.util.BitSet();
+        if (struct.isSetSpread()) {
+          optionals.set(0);
+        }
+        oprot.writeBitSet(optionals, 1);
+        if (struct.isSetSpread()) {
+          struct.spread.write(oprot);
+        }
+      }
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol prot, spread_args struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+        java.util.BitSet incoming = iprot.readBitSet(1);
+        if (incoming.get(0)) {
+          struct.spread = new Spread();
+          struct.spread.read(iprot);
+          struct.setSpreadIsSet(true);
+        }
+      }
+    }
+
+    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+      return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+    }
+  }
+
+  @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
+  public static class spread_result implements org.apache.thrift.TBase<spread_result, spread_result._Fields>, java.io.Serializable, Cloneable, Comparable<spread_result>   {
+    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("spread_result");
+
+    private static final org.apache.thrift.protocol.TField SUCCESS_FIELD_DESC = new org.apache.thrift.protocol.TField("success", org.apache.thrift.protocol.TType.STRUCT, (short)0);
+
+    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new spread_resultStandardSchemeFactory();
+    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new spread_resultTupleSchemeFactory();
+
+    private @org.apache.thrift.annotation.Nullable SpreadReply success; // required
+
+    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+      SUCCESS((short)0, "success");
+
+      private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
+
+      static {
+        for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+          byName.put(field.getFieldName(), field);
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByThriftId(int fieldId) {
+        switch(fieldId) {
+          case 0: // SUCCESS
+            return SUCCESS;
+          default:
+            return null;
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, throwing an exception
+       * if it is not found.
+       */
+      public static _Fields findByThriftIdOrThrow(int fieldId) {
+        _Fields fields = findByThriftId(fieldId);
+        if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+        return fields;
+      }
+
+      /**
+       * Find the _Fields constant that matches name, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByName(java.lang.String name) {
+        return byName.get(name);
+      }
+
+      private final short _thriftId;
+      private final java.lang.String _fieldName;
+
+      _Fields(short thriftId, java.lang.String fieldName) {
+        _thriftId = thriftId;
+        _fieldName = fieldName;
+      }
+
+      @Override
+      public short getThriftFieldId() {
+        return _thriftId;
+      }
+
+      @Override
+      public java.lang.String getFieldName() {
+        return _fieldName;
+      }
+    }
+
+    // isset id assignments
+    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    static {
+      java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+      tmpMap.put(_Fields.SUCCESS, new org.apache.thrift.meta_data.FieldMetaData("success", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+          new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, SpreadReply.class)));
+      metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+      org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(spread_result.class, metaDataMap);
+    }
+
+    public spread_result() {
+    }
+
+    public spread_result(
+      SpreadReply success)
+    {
+      this();
+      this.success = success;
+    }
+
+    /**
+     * Performs a deep copy on <i>other</i>.
+     */
+    public spread_result(spread_result other) {
+      if (other.isSetSuccess()) {
+        this.success = new SpreadReply(other.success);
+      }
+    }
+
+    @Override
+    public spread_result deepCopy() {
+      return new spread_result(this);
+    }
+
+    @Override
+    public void clear() {
+      this.success = null;
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    public SpreadReply getSuccess() {
+      return this.success;
+    }
+
+    public spread_result setSuccess(@org.apache.thrift.annotation.Nullable SpreadReply success) {
+      this.success = success;
+      return this;
+    }
+
+    public void unsetSuccess() {
+      this.success = null;
+    }
+
+    /** Returns true if field success is set (has been assigned a value) and false otherwise */
+    public boolean isSetSuccess() {
+      return this.success != null;
+    }
+
+    public void setSuccessIsSet(boolean value) {
+      if (!value) {
+        this.success = null;
+      }
+    }
+
+    @Override
+    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+      switch (field) {
+      case SUCCESS:
+        if (value == null) {
+          unsetSuccess();
+        } else {
+          setSuccess((SpreadReply)value);
+        }
+        break;
+
+      }
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public java.lang.Object getFieldValue(_Fields field) {
+      switch (field) {
+      case SUCCESS:
+        return getSuccess();
+
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+    @Override
+    public boolean isSet(_Fields field) {
+      if (field == null) {
+        throw new java.lang.IllegalArgumentException();
+      }
+
+      switch (field) {
+      case SUCCESS:
+        return isSetSuccess();
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    @Override
+    public boolean equals(java.lang.Object that) {
+      if (that instanceof spread_result)
+        return this.equals((spread_result)that);
+      return false;
+    }
+
+    public boolean equals(spread_result that) {
+      if (that == null)
+        return false;
+      if (this == that)
+        return true;
+
+      boolean this_present_success = true && this.isSetSuccess();
+      boolean that_present_success = true && that.isSetSuccess();
+      if (this_present_success || that_present_success) {
+        if (!(this_present_success && that_present_success))
+          return false;
+        if (!this.success.equals(that.success))
+          return false;
+      }
+
+      return true;
+    }
+
+    @Override
+    public int hashCode() {
+      int hashCode = 1;
+
+      hashCode = hashCode * 8191 + ((isSetSuccess()) ? 131071 : 524287);
+      if (isSetSuccess())
+        hashCode = hashCode * 8191 + success.hashCode();
+
+      return hashCode;
+    }
+
+    @Override
+    public int compareTo(spread_result other) {
+      if (!getClass().equals(other.getClass())) {
+        return getClass().getName().compareTo(other.getClass().getName());
+      }
+
+      int lastComparison = 0;
+
+      lastComparison = java.lang.Boolean.compare(isSetSuccess(), other.isSetSuccess());
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+      if (isSetSuccess()) {
+        lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.success, other.success);
+        if (lastComparison != 0) {
+          return lastComparison;
+        }
+      }
+      return 0;
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public _Fields fieldForId(int fieldId) {
+      return _Fields.findByThriftId(fieldId);
+    }
+
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+      scheme(iprot).read(iprot, this);
+    }
+
+    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+      scheme(oprot).write(oprot, this);
+      }
+
+    @Override
+    public java.lang.String toString() {
+      java.lang.StringBuilder sb = new java.lang.StringBuilder("spread_result(");
+      boolean first = true;
+
+      sb.append("success:");
+      if (this.success == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.success);
+      }
+      first = false;
+      sb.append(")");
+      return sb.toString();
+    }
+
+    public void validate() throws org.apache.thrift.TException {
+      // check for required fields
+      // check for sub-struct validity
+      if (success != null) {
+        success.validate();
+      }
+    }
+
+    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+      try {
+        write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+      try {
+        read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private static class spread_resultStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public spread_resultStandardScheme getScheme() {
+        return new spread_resultStandardScheme();
+      }
+    }
+
+    private static class spread_resultStandardScheme extends org.apache.thrift.scheme.StandardScheme<spread_result> {
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol iprot, spread_result struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TField schemeField;
+        iprot.readStructBegin();
+        while (true)
+        {
+          schemeField = iprot.readFieldBegin();
+          if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+            break;
+          }
+          switch (schemeField.id) {
+            case 0: // SUCCESS
+              if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+                struct.success = new SpreadReply();
+                struct.success.read(iprot);
+                struct.setSuccessIsSet(true);
+              } else { 
+                org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+              }
+              break;
+            default:
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+          }
+          iprot.readFieldEnd();
+        }
+        iprot.readStructEnd();
+
+        // check for required fields of primitive type, which can't be checked in the validate method
+        struct.validate();
+      }
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol oprot, spread_result struct) throws org.apache.thrift.TException {
+        struct.validate();
+
+        oprot.writeStructBegin(STRUCT_DESC);
+        if (struct.success != null) {
+          oprot.writeFieldBegin(SUCCESS_FIELD_DESC);
+          struct.success.write(oprot);
+          oprot.writeFieldEnd();
+        }
+        oprot.writeFieldStop();
+        oprot.writeStructEnd();
+      }
+
+    }
+
+    private static class spread_resultTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public spread_resultTupleScheme getScheme() {
+        return new spread_resultTupleScheme();
+      }
+    }
+
+    private static class spread_resultTupleScheme extends org.apache.thrift.scheme.TupleScheme<spread_result> {
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol prot, spread_result struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+        java.util.BitSet optionals = new java.util.BitSet();
+        if (struct.isSetSuccess()) {
+          optionals.set(0);
+        }
+        oprot.writeBitSet(optionals, 1);
+        if (struct.isSetSuccess()) {
+          struct.success.write(oprot);
+        }
+      }
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol prot, spread_result struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+        java.util.BitSet incoming = iprot.readBitSet(1);
+        if (incoming.get(0)) {
+          struct.success = new SpreadReply();
+          struct.success.read(iprot);
+          struct.setSuccessIsSet(true);
+        }
+      }
+    }
+
+    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+      return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+    }
+  }
+
   @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
   public static class exchange_args implements org.apache.thrift.TBase<exchange_args, exchange_args._Fields>, java.io.Serializable, Cloneable, Comparable<exchange_args>   {
     private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("exchange_args");
--- a/protocol/src/main/java/org/sequoiahill/protocol/gen/ServiceSummary.java
+++ b/protocol/src/main/java/org/sequoiahill/protocol/gen/ServiceSummary.java
@@ -1142,14 +1142,14 @@
           case 11: // AGENTS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list16 = iprot.readListBegin();
-                struct.agents = new java.util.ArrayList<Peer>(_list16.size);
-                @org.apache.thrift.annotation.Nullable Peer _elem17;
-                for (int _i18 = 0; _i18 < _list16.size; ++_i18)
+                org.apache.thrift.protocol.TList _list40 = iprot.readListBegin();
+                struct.agents = new java.util.ArrayList<Peer>(_list40.size);
+                @org.apache.thrift.annotation.Nullable Peer _elem41;
+                for (int _i42 = 0; _i42 < _list40.size; ++_i42)
                 {
-                  _elem17 = new Peer();
-                  _elem17.read(iprot);
-                  struct.agents.add(_elem17);
+                  _elem41 = new Peer();
+                  _elem41.read(iprot);
+                  struct.agents.add(_elem41);
                 }
                 iprot.readListEnd();
               }
@@ -1220,9 +1220,9 @@
           oprot.writeFieldBegin(AGENTS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.agents.size()));
-            for (Peer _iter19 : struct.agents)
+            for (Peer _iter43 : struct.agents)
             {
-              _iter19.write(oprot);
+              _iter43.write(oprot);
             }
             oprot.writeListEnd();
           }
@@ -1309,9 +1309,9 @@
       if (struct.isSetAgents()) {
         {
           oprot.writeI32(struct.agents.size());
-          for (Peer _iter20 : struct.agents)
+          for (Peer _iter44 : struct.agents)
           {
-            _iter20.write(oprot);
+            _iter44.write(oprot);
           }
         }
       }
@@ -1359,14 +1359,14 @@
       }
       if (incoming.get(9)) {
         {
-          org.apache.thrift.protocol.TList _list21 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.agents = new java.util.ArrayList<Peer>(_list21.size);
-          @org.apache.thrift.annotation.Nullable Peer _elem22;
-          for (int _i23 = 0; _i23 < _list21.size; ++_i23)
+          org.apache.thrift.protocol.TList _list45 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.agents = new java.util.ArrayList<Peer>(_list45.size);
+          @org.apache.thrift.annotation.Nullable Peer _elem46;
+          for (int _i47 = 0; _i47 < _list45.size; ++_i47)
           {
-            _elem22 = new Peer();
-            _elem22.read(iprot);
-            struct.agents.add(_elem22);
+            _elem46 = new Peer();
+            _elem46.read(iprot);
+            struct.agents.add(_elem46);
           }
         }
         struct.setAgentsIsSet(true);
