End a daemon without cutting a request

Jetty's graceful handler answered a request that came during the end with a bare 503, which says nothing of "not run"; an entry stopped taking requests at the moment it turned unready, before a balancer could know; a second signal was ignored, and what the bound cut was not logged.

DrainHandler knows the running requests: answers close their connections from the signal on, after drain.lingerMillis new requests are refused with "not run", and the daemon stops once none runs, at drain.boundMillis, or at a second signal; what is cut is logged. Signals hears of each SIGTERM and SIGINT. Endpoints of a data centre that is back start slowly.

--- /dev/null
+++ b/bench/src/test/java/org/sequoiahill/bench/drain/DrainTest.java
@@ -0,0 +1,202 @@
+package org.sequoiahill.bench.drain;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.sequoiahill.bench.load.LoadCounts;
+import org.sequoiahill.bench.load.LoadCounts.Verdict;
+import org.sequoiahill.bench.load.LoadGenerator;
+import org.sequoiahill.bench.processes.Await;
+import org.sequoiahill.bench.processes.Deployment;
+import org.sequoiahill.bench.processes.ManagedProcess;
+import org.sequoiahill.bench.processes.Topology;
+import org.sequoiahill.bench.processes.Topology.DataCentre;
+import org.sequoiahill.bench.processes.Topology.Endpoints;
+import org.sequoiahill.bench.processes.Topology.Kind;
+import org.sequoiahill.bench.processes.Topology.Vm;
+import org.sequoiahill.cli.OperatorsClient;
+import org.sequoiahill.protocol.weights.Manifest;
+
+class DrainTest {
+    private static final Duration BOUND = Duration.ofSeconds(60);
+    private static final Topology TOPOLOGY =
+            new Topology(
+                    "127.23",
+                    List.of(
+                            new DataCentre(
+                                    "ne-a", 2, List.of(new Endpoints("writer", Kind.ENGINE, 2, 8))),
+                            new DataCentre(
+                                    "ma-a",
+                                    2,
+                                    List.of(new Endpoints("writer", Kind.ENGINE, 2, 8)))),
+                    1);
+
+    @TempDir private static Path sFolder;
+
+    private static Deployment sDeployment;
+    private static Manifest sManifest;
+
+    @BeforeAll
+    static void startDeployment() throws Exception {
+        sDeployment = Deployment.start(sFolder.resolve("run"), TOPOLOGY, settings -> {});
+        sManifest = sDeployment.publish("writer", "v1", 1 << 20, 64 << 10, 7);
+        sDeployment.apply("writer", sDeployment.modelDocument("writer", sManifest));
+        sDeployment.awaitServing("writer", sManifest.digest(), 4, BOUND);
+    }
+
+    @AfterAll
+    static void stopDeployment() {
+        sDeployment.close();
+    }
+
+    @Test
+    void terminate_agentUnderLoad_cutsNothing() throws Exception {
+        ManagedProcess agent = sDeployment.process("ne-a-writer-1");
+        LoadGenerator load = startLoad(entries("ne-a"));
+        awaitRunning("ne-a-writer-1");
+
+        agent.terminate();
+        int exit = agent.awaitExit(BOUND);
+        LoadCounts counts = load.stop();
+        agent.restart();
+
+        assertThat(exit, is(0));
+        assertNothingLost(counts);
+        sDeployment.awaitServing("writer", sManifest.digest(), 4, BOUND);
+    }
+
+    @Test
+    void terminate_entryUnderLoad_cutsNothing() throws Exception {
+        ManagedProcess entry = sDeployment.process("ma-a-entry-2");
+        LoadGenerator load = startLoad(List.of(vm("ma-a-entry-2").data()));
+        awaitRunning("ma-a-writer-1");
+
+        entry.terminate();
+        Await.until("readiness off", BOUND, () -> !isReady(vm("ma-a-entry-2")));
+        LoadCounts counts = load.stop();
+        int exit = entry.awaitExit(BOUND);
+        entry.restart();
+
+        assertThat(exit, is(0));
+        assertNothingLost(counts);
+        Await.until("the entry", BOUND, () -> isReady(vm("ma-a-entry-2")));
+    }
+
+    @Test
+    void outAndIn_dataCentreUnderLoad_cutsNothingAndEndsNewWork() throws Exception {
+        LoadGenerator load = startLoad(entries("ma-a"));
+        awaitRunning("ma-a-writer-1");
+
+        sDeployment.setDataCentre(vm("ne-a-entry-1"), "ma-a", "out");
+        Await.until("ma-a without work", BOUND, () -> runningIn("ma-a") == 0);
+        Await.until("work in ne-a", BOUND, () -> runningIn("ne-a") > 0);
+        sDeployment.setDataCentre(vm("ne-a-entry-1"), "ma-a", "in");
+        Await.until("work in ma-a", BOUND, () -> runningIn("ma-a") > 0);
+        LoadCounts counts = load.stop();
+
+        assertNothingLost(counts);
+    }
+
+    @Test
+    void kill_agentUnderLoad_endsOnlyWhatItHadAndServiceGoesOn() throws Exception {
+        ManagedProcess agent = sDeployment.process("ne-a-writer-2");
+        LoadGenerator load = startLoad(entries("ne-a"));
+        awaitRunning("ne-a-writer-2");
+
+        agent.kill();
+        long atKill = TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+        Await.until(
+                "requests behind the kill",
+                BOUND,
+                () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()) - atKill > 3_000);
+        LoadCounts counts = load.stop();
+        agent.restart();
+
+        assertThat(counts.toJson().toString(), counts.of(Verdict.LOST), is(0L));
+        assertThat(counts.toJson().toString(), counts.of(Verdict.ANSWERED), greaterThan(0L));
+        long ended = counts.of(Verdict.CUT) + counts.of(Verdict.OUTCOME_UNKNOWN);
+        assertThat(counts.toJson().toString(), ended <= 8, is(true));
+        sDeployment.awaitServing("writer", sManifest.digest(), 4, BOUND);
+    }
+
+    private static void assertNothingLost(LoadCounts counts) {
+        assertThat(counts.toJson().toString(), counts.isClean(), is(true));
+        assertThat(counts.toJson().toString(), counts.of(Verdict.OUTCOME_UNKNOWN), is(0L));
+        assertThat(counts.of(Verdict.ANSWERED), greaterThan(0L));
+    }
+
+    private static void awaitRunning(String name) {
+        Await.until("work at " + name, BOUND, () -> endpoint(vm(name)).path("running").asInt() > 0);
+    }
+
+    private static int runningIn(String dataCentre) throws Exception {
+        int running = 0;
+        for (Vm vm : TOPOLOGY.endpointVms("writer")) {
+            if (vm.dataCentre().equals(dataCentre)) {
+                running += endpoint(vm).path("running").asInt();
+            }
+        }
+        return running;
+    }
+
+    private static JsonNode endpoint(Vm vm) throws Exception {
+        try (OperatorsClient client = sDeployment.operators(vm(vm.dataCentre() + "-entry-1"))) {
+            for (JsonNode endpoint : client.read("endpoints").body()) {
+                if (endpoint.path("vm").asText().equals(vm.name())) {
+                    return endpoint;
+                }
+            }
+        }
+        throw new IllegalStateException("no endpoint " + vm.name());
+    }
+
+    private static boolean isReady(Vm vm) throws Exception {
+        java.net.http.HttpResponse<String> response =
+                java.net.http.HttpClient.newHttpClient()
+                        .send(
+                                java.net.http.HttpRequest.newBuilder(
+                                                java.net.URI.create(
+                                                        "http://" + vm.admin() + "/health/ready"))
+                                        .build(),
+                                java.net.http.HttpResponse.BodyHandlers.ofString());
+        return response.statusCode() == 200;
+    }
+
+    private static Vm vm(String name) {
+        List<Vm> all = new java.util.ArrayList<>(TOPOLOGY.entryVms());
+        all.addAll(TOPOLOGY.endpointVms("writer"));
+        return all.stream().filter(vm -> vm.name().equals(name)).findFirst().orElseThrow();
+    }
+
+    private static List<String> entries(String dataCentre) {
+        return TOPOLOGY.entryVms().stream()
+                .filter(vm -> vm.dataCentre().equals(dataCentre))
+                .map(Vm::data)
+                .collect(Collectors.toList());
+    }
+
+    private static LoadGenerator startLoad(List<String> entries) {
+        return LoadGenerator.start(
+                "--entries",
+                String.join(",", entries),
+                "--service",
+                "writer",
+                "--token",
+                Deployment.CALLER_TOKEN,
+                "--digests",
+                sManifest.digest(),
+                "--workers",
+                "8");
+    }
+}
--- a/daemon/src/main/java/org/sequoiahill/daemon/SequoiahillDaemon.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/SequoiahillDaemon.java
@@ -9,6 +9,7 @@
 import org.jspecify.annotations.Nullable;
 import org.sequoiahill.daemon.process.Daemon;
 import org.sequoiahill.daemon.process.DaggerProcessComponent;
+import org.sequoiahill.daemon.process.Signals;
 import org.sequoiahill.daemon.process.logging.Logging;
 import org.sequoiahill.daemon.process.settings.DaemonSettings;
 import org.sequoiahill.daemon.process.settings.SettingsReader;
@@ -94,8 +95,7 @@
         Logging.configure(settings.log());
         try {
             Daemon daemon = DaggerProcessComponent.factory().create(settings).daemon();
-            Thread onSignal = new Thread(daemon::stop, "shutdown");
-            Runtime.getRuntime().addShutdownHook(onSignal);
+            Signals.onTerminate(daemon::stop);
             daemon.start();
             daemon.awaitStop();
             return EXIT_OK;
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/AgentRole.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/AgentRole.java
@@ -8,6 +8,7 @@
 import java.util.random.RandomGenerator;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.server.Handler;
+import org.sequoiahill.daemon.process.config.ConfigurationSnapshot;
 import org.sequoiahill.daemon.process.config.ConfigurationSync;
 import org.sequoiahill.daemon.process.config.ConfigurationView;
 import org.sequoiahill.daemon.process.control.ControlClient;
@@ -39,7 +40,9 @@
     private final Announcer mAnnouncer;
     private final VersionLoop mVersions;
     private final List<Handler> mHandlers;
+    private final ConfigurationView mView;
     private volatile boolean mIsLeaving;
+    private volatile boolean mIsOut;
 
     @Inject
     AgentRole(
@@ -58,6 +61,7 @@
         mAgent = settings.agent().orElseThrow();
         mIdentity = identity;
         mScheduler = scheduler;
+        mView = view;
         mGate =
                 EndpointGate.closed(
                         clock, mAgent.capacityBytes(), policy.limitOf(mAgent.capacity()));
@@ -91,6 +95,7 @@
 
     @Override
     public void start() {
+        mView.onChange(this::noteDataCentre);
         mAnnouncer.start(mScheduler);
         mReporter.start(mScheduler);
         mVersions.start(
@@ -109,6 +114,15 @@
         mAnnouncer.announce().join();
     }
 
+    /** Starts slowly again once the data centre is back, as caches have gone cold meanwhile. */
+    private void noteDataCentre(ConfigurationSnapshot snapshot) {
+        boolean isOut = snapshot.isOut(mIdentity.dataCentre());
+        if (mIsOut && !isOut) {
+            mGate.startSlowly();
+        }
+        mIsOut = isOut;
+    }
+
     private List<PeerVm> entriesHere() {
         return mSettings.entries().stream()
                 .filter(entry -> entry.dataCentre().equals(mSettings.dataCentre()))
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/Daemon.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/Daemon.java
@@ -4,15 +4,19 @@
 import jakarta.inject.Inject;
 import jakarta.inject.Provider;
 import jakarta.inject.Singleton;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Server;
+import org.jspecify.annotations.Nullable;
 import org.sequoiahill.daemon.process.admin.AdminHandler;
 import org.sequoiahill.daemon.process.admin.AuditCalls;
 import org.sequoiahill.daemon.process.admin.DocumentCalls;
@@ -45,9 +49,11 @@
     private final ControlClient mControlClient;
     private final ConfigurationSync mSync;
     private final List<DaemonRole> mRoles = new ArrayList<>();
+    private final DrainHandler mDrain;
     private final Server mDataServer;
     private final Server mAdminServer;
     private final CountDownLatch mStopped = new CountDownLatch(1);
+    private final CompletableFuture<@Nullable Void> mCut = new CompletableFuture<>();
     private volatile boolean mIsLeaving;
 
     @Inject
@@ -89,7 +95,8 @@
                 new Configuration.Processor<>(
                         ConfigurationHandler.of(identity, view, sync, writer, audit)));
         mRoles.forEach(role -> role.register(mControlServer));
-        mDataServer = HttpServers.create("data", settings.data(), dataHandler());
+        mDrain = new DrainHandler(dataHandler());
+        mDataServer = HttpServers.create("data", settings.data(), mDrain);
         mAdminServer =
                 HttpServers.create(
                         "admin",
@@ -119,17 +126,43 @@
         Logger.info("{} started with roles {}", mSettings.vm(), mSettings.roles());
     }
 
-    /** Ends the daemon once running requests have ended. */
+    /**
+     * Ends the daemon once running requests have ended or the drain bound has passed; what is cut
+     * is logged. A second call ends it at once.
+     */
     public void stop() {
+        if (mIsLeaving) {
+            Logger.warn("{} is told to end again and waits no longer", mSettings.vm());
+            mCut.complete(null);
+            return;
+        }
         mIsLeaving = true;
+        Thread thread = new Thread(this::drainAndStop, "shutdown");
+        thread.start();
+    }
+
+    private void drainAndStop() {
         Logger.info("{} is leaving", mSettings.vm());
+        mDrain.leave();
         mRoles.forEach(DaemonRole::leave);
+        await(mCut.copy(), mSettings.drain().linger());
+        CompletableFuture<?> ended = CompletableFuture.anyOf(mDrain.shut(), mCut);
+        await(ended, mSettings.drain().bound());
+        List<String> cut = mDrain.running();
+        if (!cut.isEmpty()) {
+            Logger.warn("{} cuts {} requests: {}", mSettings.vm(), cut.size(), cut);
+        }
         stopServer(mDataServer);
         stopServer(mAdminServer);
         mControlServer.close();
         mControlClient.close();
-        mStopped.countDown();
         Logger.info("{} stopped", mSettings.vm());
+        mStopped.countDown();
+    }
+
+    /** Waits for a future; its end, or the end of the time, is all that counts. */
+    private static void await(CompletableFuture<?> future, Duration time) {
+        future.completeOnTimeout(null, time.toMillis(), TimeUnit.MILLISECONDS).join();
     }
 
     /** Waits until {@link #stop} has ended. */
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/DrainHandler.java
@@ -0,0 +1,107 @@
+package org.sequoiahill.daemon.process;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpHeaderValue;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.jspecify.annotations.Nullable;
+import org.sequoiahill.daemon.request.Refusal;
+
+/**
+ * Knows the requests that run, and lets a server end without cutting one: first its answers close
+ * their connections, then new requests are refused, and once none is left the server can stop.
+ */
+final class DrainHandler extends Handler.Wrapper {
+    private final Object mLock = new Object();
+    private final Set<Request> mRunning = new LinkedHashSet<>();
+    private final CompletableFuture<@Nullable Void> mIdle = new CompletableFuture<>();
+    private volatile boolean mIsLeaving;
+    private boolean mIsShut;
+
+    DrainHandler(Handler handler) {
+        super(handler);
+    }
+
+    @Override
+    public boolean handle(Request request, Response response, Callback callback) throws Exception {
+        Response closing = new ClosingResponse(request, response);
+        if (!begin(request)) {
+            Refusal.unavailable("entry_leaving", "this process is stopping")
+                    .write(closing, callback);
+            return true;
+        }
+        Callback counted = Callback.from(callback, () -> end(request));
+        if (super.handle(request, closing, counted)) {
+            return true;
+        }
+        end(request);
+        return false;
+    }
+
+    /** Closes the connection of each answer that begins from now on. */
+    void leave() {
+        mIsLeaving = true;
+    }
+
+    /** Refuses new requests; completes once none is left. */
+    CompletableFuture<@Nullable Void> shut() {
+        synchronized (mLock) {
+            mIsShut = true;
+            if (mRunning.isEmpty()) {
+                mIdle.complete(null);
+            }
+        }
+        return mIdle;
+    }
+
+    /** Returns the requests that run, as method and path. */
+    List<String> running() {
+        List<String> running = new ArrayList<>();
+        synchronized (mLock) {
+            for (Request request : mRunning) {
+                running.add(request.getMethod() + " " + Request.getPathInContext(request));
+            }
+        }
+        return running;
+    }
+
+    private boolean begin(Request request) {
+        synchronized (mLock) {
+            return !mIsShut && mRunning.add(request);
+        }
+    }
+
+    private void end(Request request) {
+        boolean isIdle;
+        synchronized (mLock) {
+            mRunning.remove(request);
+            isIdle = mIsShut && mRunning.isEmpty();
+        }
+        if (isIdle) {
+            mIdle.complete(null);
+        }
+    }
+
+    /** A response that closes its connection where the server is leaving as it begins. */
+    private final class ClosingResponse extends Response.Wrapper {
+        ClosingResponse(Request request, Response wrapped) {
+            super(request, wrapped);
+        }
+
+        @Override
+        public void write(boolean isLast, ByteBuffer content, Callback callback) {
+            if (mIsLeaving && !isCommitted()) {
+                getHeaders().put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE.asString());
+            }
+            super.write(isLast, content, callback);
+        }
+    }
+}
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/HttpServers.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/HttpServers.java
@@ -6,15 +6,13 @@
 import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
-import org.eclipse.jetty.server.handler.GracefulHandler;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.sequoiahill.daemon.process.settings.HostPort;
 
-/** Makes HTTP servers that end running requests before they stop. */
+/** Makes HTTP servers. */
 final class HttpServers {
     private static final int MAX_THREADS = 32;
     private static final int MIN_THREADS = 2;
-    private static final Duration DRAIN_BOUND = Duration.ofSeconds(30);
     private static final Duration IDLE_TIMEOUT = Duration.ofMinutes(10);
 
     private HttpServers() {}
@@ -32,8 +30,7 @@
         connector.setPort(address.port());
         connector.setIdleTimeout(IDLE_TIMEOUT.toMillis());
         server.addConnector(connector);
-        server.setHandler(new GracefulHandler(handler));
-        server.setStopTimeout(DRAIN_BOUND.toMillis());
+        server.setHandler(handler);
         return server;
     }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/Signals.java
@@ -0,0 +1,45 @@
+package org.sequoiahill.daemon.process;
+
+import java.lang.reflect.InvocationHandler;
+import java.lang.reflect.Proxy;
+import org.tinylog.Logger;
+
+/**
+ * Handles SIGTERM and SIGINT.
+ *
+ * <p>A shutdown hook hears of the first signal only; the handler of the JDK's own signal class,
+ * reached by reflection as it has no public type, hears of each.
+ */
+public final class Signals {
+    private static final String SIGNAL = "sun.misc.Signal";
+    private static final String HANDLER = "sun.misc.SignalHandler";
+
+    private Signals() {}
+
+    /** Runs a task on each signal that asks the process to end. */
+    public static void onTerminate(Runnable task) {
+        try {
+            Class<?> signalType = Class.forName(SIGNAL);
+            Class<?> handlerType = Class.forName(HANDLER);
+            InvocationHandler invocation =
+                    (proxy, method, args) -> {
+                        if (method.getName().equals("handle")) {
+                            task.run();
+                        }
+                        return null;
+                    };
+            Object handler =
+                    Proxy.newProxyInstance(
+                            handlerType.getClassLoader(), new Class<?>[] {handlerType}, invocation);
+            for (String name : new String[] {"TERM", "INT"}) {
+                Object signal = signalType.getConstructor(String.class).newInstance(name);
+                signalType
+                        .getMethod("handle", signalType, handlerType)
+                        .invoke(null, signal, handler);
+            }
+        } catch (ReflectiveOperationException e) {
+            Logger.warn(e, "signals can't be handled; a second signal is ignored");
+            Runtime.getRuntime().addShutdownHook(new Thread(task, "shutdown"));
+        }
+    }
+}
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/admin/StatusCalls.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/admin/StatusCalls.java
@@ -118,7 +118,7 @@
             if (!summary.getServiceName().equals(service)) {
                 continue;
             }
-            boolean isStated = summary.getVersionDigest().equals(digest);
+            boolean isStated = isPrefix(summary.getVersionDigest(), digest);
             done += isStated ? summary.getEndpoints() : 0;
             serving += summary.getEndpoints();
             held += summary.getChunksHeld();
@@ -218,4 +218,9 @@
         }
         answer.ok(list);
     }
+
+    /** Returns whether a digest begins as a summary says; the summary's may be cut short. */
+    private static boolean isPrefix(String prefix, String digest) {
+        return digest.startsWith(prefix) && prefix.isEmpty() == digest.isEmpty();
+    }
 }
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/directory/DirectoryHandler.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/directory/DirectoryHandler.java
@@ -66,7 +66,9 @@
         }
         mEntriesHere = peers.size() + 1;
         mSpreader = new Spreader(identity, directory, client, clock, peers);
-        mExchange = new SummaryExchange(others, client, clock, table, this::summary);
+        mExchange =
+                new SummaryExchange(
+                        settings.dataCentre(), others, client, clock, table, this::summary);
     }
 
     /** Returns a handler on an entry. */
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/directory/Endpoint.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/directory/Endpoint.java
@@ -89,6 +89,10 @@
         if (renewal.getSequence() > mSequence) {
             mSequence = renewal.getSequence();
             mExpiry = expiry;
+            mAnnouncement =
+                    new Announcement(mAnnouncement)
+                            .setRunning(renewal.getRunning())
+                            .setLimit(renewal.getLimit());
             mLoad.report(renewal.getRunning(), renewal.getLimit());
         }
         return true;
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/directory/SummaryExchange.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/directory/SummaryExchange.java
@@ -15,7 +15,10 @@
 import org.sequoiahill.protocol.gen.DataCentreSummary;
 import org.tinylog.Logger;
 
-/** Exchanges summaries with one entry of each other data centre, another one each time. */
+/**
+ * Exchanges summaries with one entry of each other data centre, another one each time; of two data
+ * centres, the entries of the one whose name comes first begin.
+ */
 final class SummaryExchange {
     private static final Duration TICK = Duration.ofMillis(250);
     private static final Duration LEAST_INTERVAL = Duration.ofSeconds(1);
@@ -27,9 +30,10 @@
     /** Bytes of a summary without services, and of one service in it. */
     private static final int SUMMARY_BYTES = 80;
 
-    private static final int SERVICE_BYTES = 45;
+    private static final int SERVICE_BYTES = 65;
 
     private final Map<String, List<PeerVm>> mEntries = new TreeMap<>();
+    private final String mDataCentre;
     private final ControlClient mClient;
     private final MonotonicClock mClock;
     private final DataCentreTable mTable;
@@ -38,6 +42,7 @@
     private Duration mNext = Duration.ZERO;
 
     SummaryExchange(
+            String dataCentre,
             List<PeerVm> others,
             ControlClient client,
             MonotonicClock clock,
@@ -46,6 +51,7 @@
         for (PeerVm entry : others) {
             mEntries.computeIfAbsent(entry.dataCentre(), name -> new ArrayList<>()).add(entry);
         }
+        mDataCentre = dataCentre;
         mClient = client;
         mClock = clock;
         mTable = table;
@@ -64,7 +70,7 @@
 
     /** Returns the time between two exchanges at which the bytes stay in their bound. */
     static Duration interval(int dataCentres, int services) {
-        long bytes = 2L * dataCentres * (SUMMARY_BYTES + (long) SERVICE_BYTES * services);
+        long bytes = (long) dataCentres * (SUMMARY_BYTES + (long) SERVICE_BYTES * services);
         Duration interval = Duration.ofMillis(bytes * 1_000 / BYTES_PER_SECOND);
         if (interval.compareTo(LEAST_INTERVAL) < 0) {
             return LEAST_INTERVAL;
@@ -84,9 +90,12 @@
         DataCentreSummary own = mOwn.get();
         mNext = mClock.now().plus(interval(mEntries.size(), own.getServices().size()));
         mTurn++;
-        for (List<PeerVm> entries : mEntries.values()) {
-            tell(entries.get(Math.floorMod(mTurn, entries.size())), own);
-        }
+        mEntries.forEach(
+                (dataCentre, entries) -> {
+                    if (mDataCentre.compareTo(dataCentre) < 0) {
+                        tell(entries.get(Math.floorMod(mTurn, entries.size())), own);
+                    }
+                });
     }
 
     private void tell(PeerVm entry, DataCentreSummary own) {
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/settings/DaemonSettings.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/settings/DaemonSettings.java
@@ -2,6 +2,7 @@
 
 import java.net.URI;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -22,6 +23,7 @@
  * @param agent settings of the agent, where the daemon is one
  * @param operators who may call the operators' address
  * @param log where log lines go
+ * @param drain how the daemon ends
  */
 public record DaemonSettings(
         String vm,
@@ -36,7 +38,8 @@
         List<PeerVm> stores,
         Optional<AgentSettings> agent,
         List<Operator> operators,
-        LogSettings log) {
+        LogSettings log,
+        DrainSettings drain) {
     /**
      * Another VM of the system.
      *
@@ -91,6 +94,14 @@
         return (int) entries.stream().map(PeerVm::dataCentre).distinct().count();
     }
 
+    /**
+     * How the daemon ends.
+     *
+     * @param linger time for which it takes requests after it has said that it is not ready
+     * @param bound longest time that running requests are given after that
+     */
+    public record DrainSettings(Duration linger, Duration bound) {}
+
     /** Returns whether the daemon has a role. */
     public boolean hasRole(Role role) {
         return roles.contains(role);
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/settings/SettingsReader.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/settings/SettingsReader.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.regex.Pattern;
 import org.sequoiahill.daemon.process.settings.DaemonSettings.AgentSettings;
+import org.sequoiahill.daemon.process.settings.DaemonSettings.DrainSettings;
 import org.sequoiahill.daemon.process.settings.DaemonSettings.LogSettings;
 import org.sequoiahill.daemon.process.settings.DaemonSettings.Operator;
 import org.sequoiahill.daemon.process.settings.DaemonSettings.PeerVm;
@@ -28,6 +29,9 @@
     private static final Pattern TEAM = Pattern.compile("\\*|" + ServiceDocument.NAME.pattern());
     private static final HostPort NOWHERE = new HostPort("0.0.0.0", 0);
     private static final int MAX_CAPACITY = 100_000;
+    private static final long MAX_DRAIN_MILLIS = 600_000;
+    private static final long DEFAULT_LINGER_MILLIS = 2_000;
+    private static final long DEFAULT_DRAIN_MILLIS = 30_000;
     private static final long MAX_CAPACITY_BYTES = 1L << 30;
     private static final long DEFAULT_CAPACITY_BYTES = 64L << 20;
     private static final long MAX_CACHE_BYTES = 1L << 50;
@@ -70,7 +74,8 @@
                 reader.objects("stores", SettingsReader::readPeer),
                 agent,
                 reader.objects("operators", SettingsReader::readOperator),
-                reader.object("log", SettingsReader::readLog));
+                reader.object("log", SettingsReader::readLog),
+                reader.object("drain", SettingsReader::readDrain));
     }
 
     private static Set<Role> readRoles(ObjectReader reader) {
@@ -129,4 +134,10 @@
                 reader.string("level", LEVEL, "info"),
                 file.isEmpty() ? Optional.empty() : Optional.of(file));
     }
+
+    private static DrainSettings readDrain(ObjectReader reader) {
+        return new DrainSettings(
+                reader.millis("lingerMillis", 0, MAX_DRAIN_MILLIS, DEFAULT_LINGER_MILLIS),
+                reader.millis("boundMillis", 0, MAX_DRAIN_MILLIS, DEFAULT_DRAIN_MILLIS));
+    }
 }
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/EndpointGate.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/EndpointGate.java
@@ -184,6 +184,13 @@
         }
     }
 
+    /** Lets requests in from one on again. */
+    public void startSlowly() {
+        synchronized (mLock) {
+            mLimit.lost();
+        }
+    }
+
     /** Closes the gate; completes once no request is left. */
     public CompletableFuture<Void> close() {
         synchronized (mLock) {
