Grow a cold endpoint by rounds, and measure overload, draining and cold engines

A trial of the drain experiment with engines that are cold for their first 8 answers and bear 6 requests meanwhile saw three of six engines fall over: the limit grew by one a success, so the engine held seven requests after six cold answers.

bin/bench request, drain and cold run daemons before engines of the bench's own process that work on a batch, let the rest wait, are slow while cold and fall over when they then hold too much.

--- a/bench/src/main/java/org/sequoiahill/bench/Bench.java
+++ b/bench/src/main/java/org/sequoiahill/bench/Bench.java
@@ -9,6 +9,9 @@
 import org.sequoiahill.bench.claims.ClaimsExperiment;
 import org.sequoiahill.bench.config.ConfigExperiment;
 import org.sequoiahill.bench.faults.FaultExperiment;
+import org.sequoiahill.bench.request.ColdExperiment;
+import org.sequoiahill.bench.request.DrainExperiment;
+import org.sequoiahill.bench.request.RequestExperiment;
 import org.sequoiahill.bench.weights.FetchExperiment;
 
 /** The program {@code bench}: measures running daemons. */
@@ -35,6 +38,9 @@
         experiments.put("fetch", FetchExperiment.create());
         experiments.put("claims", new ClaimsExperiment());
         experiments.put("config", new ConfigExperiment());
+        experiments.put("request", new RequestExperiment());
+        experiments.put("drain", new DrainExperiment());
+        experiments.put("cold", new ColdExperiment());
         return experiments;
     }
 
--- /dev/null
+++ b/bench/src/main/java/org/sequoiahill/bench/request/ColdExperiment.java
@@ -0,0 +1,73 @@
+package org.sequoiahill.bench.request;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import java.time.Duration;
+import java.util.List;
+import org.sequoiahill.bench.Experiment;
+import org.sequoiahill.bench.processes.Await;
+import org.sequoiahill.bench.processes.Topology;
+import org.sequoiahill.bench.processes.Topology.DataCentre;
+import org.sequoiahill.bench.processes.Topology.Endpoints;
+import org.sequoiahill.bench.processes.Topology.Kind;
+
+/** Starts cold engines under full load, and turns one of them cold again without notice. */
+@Parameters(commandDescription = "engines that start cold and turn cold under load")
+public final class ColdExperiment implements Experiment {
+    private static final Duration DEADLINE = Duration.ofSeconds(10);
+    private static final int ENGINES = 3;
+
+    @Parameter(names = "--seconds", description = "time of each half")
+    private int mSeconds = 10;
+
+    @Parameter(names = "--prefix", description = "first two octets of the addresses")
+    private String mPrefix = "127.23";
+
+    @Override
+    public boolean run() throws Exception {
+        Topology topology =
+                new Topology(
+                        mPrefix,
+                        List.of(
+                                new DataCentre(
+                                        "ne-a",
+                                        1,
+                                        List.of(
+                                                new Endpoints(
+                                                        Scene.SERVICE, Kind.NONE, ENGINES, 8)))),
+                        1);
+        BatchEngine.Shape shape = new BatchEngine.Shape(8, 20, 12, 6, 5, 2_000);
+        double perSecond = 0.7 * ENGINES * 8 / (10 * 0.020);
+        try (Scene scene = Scene.start(topology, shape);
+                OpenLoad load = OpenLoad.create()) {
+            OpenLoad.Counts counts =
+                    load.start(
+                            OpenLoad.stream(scene.entries(""), "high", perSecond, 10, DEADLINE),
+                            Duration.ofSeconds(2L * mSeconds));
+            Await.until("the half", DEADLINE.multipliedBy(9), () -> load.second() >= mSeconds);
+            int fallsAtStart = falls(scene);
+            scene.engines().values().iterator().next().turnCold();
+            Await.until(
+                    "the end", DEADLINE.multipliedBy(9), () -> load.second() >= 2 * mSeconds + 2);
+            System.out.printf("offered a second           %.0f%n", perSecond);
+            System.out.printf("engines fallen, at start   %d%n", fallsAtStart);
+            System.out.printf("engines fallen, turned cold %d%n", falls(scene) - fallsAtStart);
+            System.out.printf(
+                    "goodput a second, 2nd half %.1f%n",
+                    counts.good(mSeconds, 2 * mSeconds) / (double) mSeconds);
+            System.out.printf(
+                    "worst second, 2nd half     %d%n", counts.worstSecond(mSeconds, 2 * mSeconds));
+            System.out.printf(
+                    "first byte p50/p95/p99     %.0f/%.0f/%.0f ms%n",
+                    counts.firstByteMillis(50),
+                    counts.firstByteMillis(95),
+                    counts.firstByteMillis(99));
+            System.out.println(counts.describe());
+            return falls(scene) == 0;
+        }
+    }
+
+    private static int falls(Scene scene) {
+        return scene.engines().values().stream().mapToInt(BatchEngine::falls).sum();
+    }
+}
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/gate/SlowStart.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/gate/SlowStart.java
@@ -3,8 +3,9 @@
 import java.time.Duration;
 
 /**
- * Limit on the requests that an endpoint has at once: it starts at one, grows with successes, and
- * halves when latency or errors show a cold or overloaded endpoint.
+ * Limit on the requests that an endpoint has at once: it starts at one, grows with each round of
+ * successes (as many as the limit), and halves when latency or errors show a cold or overloaded
+ * endpoint.
  *
  * <p>Not safe for several threads; the gate guards it.
  */
@@ -15,6 +16,9 @@
     /** Least first-byte time of an answer that counts as slow. */
     private static final Duration LEAST_SLOW = Duration.ofMillis(100);
 
+    /** Growth with a round of successes, as a factor, and at least by one. */
+    private static final double GROWTH = 1.5;
+
     private static final double FASTER_WEIGHT = 0.5;
     private static final double SLOWER_WEIGHT = 1.0 / 64;
 
@@ -27,6 +31,7 @@
     private int mSlowResults;
     private int mRoundSize = 1;
     private boolean mHasHalvedInRound;
+    private boolean mIsUsedInRound;
 
     private SlowStart(int capacity, boolean isEnabled) {
         mCapacity = capacity;
@@ -75,9 +80,8 @@
     public void answered(Duration firstByte, int running) {
         if (isSlow(firstByte)) {
             mSlowResults++;
-        } else {
-            grow(running);
         }
+        mIsUsedInRound |= running * 2 >= (int) mLimit;
         learn(firstByte.toNanos());
         if (mSlowResults * 2 > mRoundSize) {
             halve();
@@ -102,15 +106,6 @@
         return firstByte.toNanos() > SLOW_FACTOR * mUsualNanos;
     }
 
-    private void grow(int running) {
-        boolean isUsed = running * 2 >= (int) mLimit;
-        if (!isUsed || mHasHalvedInRound) {
-            return;
-        }
-        mLimit += mLimit < mThreshold ? 1 : 1 / mLimit;
-        mLimit = Math.min(mLimit, mCapacity);
-    }
-
     private void learn(long nanos) {
         if (mUsualNanos == 0) {
             mUsualNanos = nanos;
@@ -138,14 +133,25 @@
     private void endResult() {
         mResults++;
         if (mResults >= mRoundSize) {
+            grow();
             startRound();
         }
     }
 
+    /** Grows at the end of a round in which the room was used and most answers were not slow. */
+    private void grow() {
+        if (!mIsUsedInRound || mHasHalvedInRound) {
+            return;
+        }
+        double grown = mLimit < mThreshold ? Math.max(mLimit + 1, mLimit * GROWTH) : mLimit + 1;
+        mLimit = Math.min((int) grown, mCapacity);
+    }
+
     private void startRound() {
         mResults = 0;
         mSlowResults = 0;
         mHasHalvedInRound = false;
+        mIsUsedInRound = false;
         mRoundSize = (int) mLimit;
     }
 }
