--- a/bench/src/main/java/org/sequoiahill/bench/Bench.java
+++ b/bench/src/main/java/org/sequoiahill/bench/Bench.java
@@ -11,6 +11,9 @@
 import org.sequoiahill.bench.claims.ClaimsExperiment;
 import org.sequoiahill.bench.config.ConfigExperiment;
 import org.sequoiahill.bench.faults.FaultExperiment;
+import org.sequoiahill.bench.request.ColdExperiment;
+import org.sequoiahill.bench.request.DrainExperiment;
+import org.sequoiahill.bench.request.RequestExperiment;
 import org.sequoiahill.bench.weights.FetchExperiment;
 
 /** The program {@code bench}: measures running daemons. */
@@ -39,6 +42,9 @@
         experiments.put("config", new ConfigExperiment());
         experiments.put("once", new OnceExperiment());
         experiments.put("slow-readers", new SlowReadersExperiment());
+        experiments.put("request", new RequestExperiment());
+        experiments.put("drain", new DrainExperiment());
+        experiments.put("cold", new ColdExperiment());
         return experiments;
     }
 
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/HttpServers.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/HttpServers.java
@@ -8,7 +8,6 @@
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
-import org.eclipse.jetty.server.handler.GracefulHandler;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.sequoiahill.daemon.connection.ExchangeHandler;
 import org.sequoiahill.daemon.connection.ExchangeTable;
@@ -17,13 +16,12 @@
 import org.sequoiahill.daemon.request.Refusal;
 import org.sequoiahill.daemon.request.RequestHeaders;
 
-/** Makes HTTP servers that end running requests before they stop. */
+/** Makes HTTP servers. */
 final class HttpServers {
     private static final int SEND_BUFFER_BYTES = 64 << 10;
     private static final int MAX_PAST_EXCHANGES = 50_000;
     private static final int MAX_THREADS = 32;
     private static final int MIN_THREADS = 2;
-    private static final Duration DRAIN_BOUND = Duration.ofSeconds(30);
     private static final Duration IDLE_TIMEOUT = Duration.ofMinutes(10);
 
     private HttpServers() {}
@@ -60,8 +58,7 @@
         connector.setAcceptedSendBufferSize(SEND_BUFFER_BYTES);
         connector.setIdleTimeout(IDLE_TIMEOUT.toMillis());
         server.addConnector(connector);
-        server.setHandler(new GracefulHandler(handler));
-        server.setStopTimeout(DRAIN_BOUND.toMillis());
+        server.setHandler(handler);
         return server;
     }
 }
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/settings/DaemonSettings.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/settings/DaemonSettings.java
@@ -24,6 +24,7 @@
  * @param operators who may call the operators' address
  * @param log where log lines go
  * @param replication how stores replicate their logs
+ * @param drain how the daemon ends
  */
 public record DaemonSettings(
         String vm,
@@ -39,7 +40,8 @@
         Optional<AgentSettings> agent,
         List<Operator> operators,
         LogSettings log,
-        ReplicationSettings replication) {
+        ReplicationSettings replication,
+        DrainSettings drain) {
     /**
      * Another VM of the system.
      *
@@ -89,17 +91,6 @@
      */
     public record LogSettings(String level, Optional<String> file) {}
 
-    /**
-     * How stores replicate their logs.
-     *
-     * @param heartbeat interval between messages of an idle leader
-     * @param electionMin least time without a leader before an election
-     * @param electionMax greatest time without a leader before an election
-     * @param snapshotEntries entries after which a snapshot is made
-     */
-    public record ReplicationSettings(
-            Duration heartbeat, Duration electionMin, Duration electionMax, int snapshotEntries) {}
-
     /** Returns how many data centres have entries. */
     public int dataCentres() {
         return (int) entries.stream().map(PeerVm::dataCentre).distinct().count();
@@ -116,6 +107,14 @@
     public record ReplicationSettings(
             Duration heartbeat, Duration electionMin, Duration electionMax, int snapshotEntries) {}
 
+    /**
+     * How the daemon ends.
+     *
+     * @param linger time for which it takes requests after it has said that it is not ready
+     * @param bound longest time that running requests are given after that
+     */
+    public record DrainSettings(Duration linger, Duration bound) {}
+
     /** Returns whether the daemon has a role. */
     public boolean hasRole(Role role) {
         return roles.contains(role);
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/OutcomeListener.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/OutcomeListener.java
@@ -5,6 +5,7 @@
 import java.util.function.Consumer;
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.util.Callback;
@@ -37,8 +38,10 @@
             outcome.accept(new Outcome.Unknown(crossed));
             return;
         }
+        LoadHeader.parse(headers.get(RequestHeaders.LOAD))
+                .ifPresent(load -> attempt.place().load().report(load.running(), load.limit()));
         if (isRetryableRefusal(answer)) {
-            end(content, new Outcome.NotRun("refused", Duration.ZERO));
+            end(content, notRun(headers));
             return;
         }
         if (headers.contains(RequestHeaders.OUTCOME_UNKNOWN)) {
@@ -54,7 +57,7 @@
         watched.end();
         outcome.accept(
                 isNotRun
-                        ? new Outcome.NotRun("unreachable", Duration.ZERO)
+                        ? new Outcome.NotRun(Outcome.NotRun.UNREACHABLE, Duration.ZERO)
                         : new Outcome.Unknown(failure));
     }
 
@@ -64,8 +67,16 @@
                 && answer.getStatus() == HttpStatus.SERVICE_UNAVAILABLE_503;
     }
 
+    private static Outcome notRun(HttpFields headers) {
+        String code = headers.get(RequestHeaders.REFUSAL);
+        long seconds = RequestHeaders.positive(headers.get(HttpHeader.RETRY_AFTER));
+        return new Outcome.NotRun(code == null ? "refused" : code, Duration.ofSeconds(seconds));
+    }
+
     private void end(Content.Source content, Outcome known) {
         watched.end();
-        Content.Source.consumeAll(content, Callback.from(() -> outcome.accept(known)));
+        Content.Source.consumeAll(
+                content,
+                Callback.from(() -> outcome.accept(known), failure -> outcome.accept(known)));
     }
 }
