--- a/bench/src/main/java/org/sequoiahill/bench/Bench.java
+++ b/bench/src/main/java/org/sequoiahill/bench/Bench.java
@@ -9,6 +9,8 @@
 import org.sequoiahill.bench.claims.ClaimsExperiment;
 import org.sequoiahill.bench.config.ConfigExperiment;
 import org.sequoiahill.bench.faults.FaultExperiment;
+import org.sequoiahill.bench.stores.LogExperiment;
+import org.sequoiahill.bench.stores.StoreFaultsExperiment;
 import org.sequoiahill.bench.weights.FetchExperiment;
 
 /** The program {@code bench}: measures running daemons. */
@@ -35,6 +37,8 @@
         experiments.put("fetch", FetchExperiment.create());
         experiments.put("claims", new ClaimsExperiment());
         experiments.put("config", new ConfigExperiment());
+        experiments.put("log", new LogExperiment());
+        experiments.put("stores", new StoreFaultsExperiment());
         return experiments;
     }
 
--- /dev/null
+++ b/bench/src/main/java/org/sequoiahill/bench/stores/StoreFaultsExperiment.java
@@ -0,0 +1,118 @@
+package org.sequoiahill.bench.stores;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.concurrent.Callable;
+import java.util.concurrent.locks.LockSupport;
+import org.sequoiahill.bench.Experiment;
+import org.sequoiahill.bench.processes.ManagedProcess;
+import org.sequoiahill.bench.processes.Topology.Vm;
+
+/** Kills, freezes and empties real stores while changes are made, and checks what is left. */
+@Parameters(commandDescription = "kills, freezes and empties stores while changes are made")
+public final class StoreFaultsExperiment implements Experiment {
+    private static final int STORES = 3;
+    private static final int CHANGES_WHILE_AWAY = 10;
+
+    @Parameter(names = "--changes", description = "changes while each store is killed in turn")
+    private int mChanges = 300;
+
+    @Parameter(names = "--freeze-seconds", description = "time that the leader is frozen")
+    private int mFreezeSeconds = 8;
+
+    @Parameter(names = "--prefix", description = "first two octets of the addresses used")
+    private String mPrefix = "127.20";
+
+    private final PrintStream mOut = System.out;
+
+    @Override
+    public boolean run() throws Exception {
+        Path folder = Files.createTempDirectory("stores");
+        mOut.println("files in " + folder);
+        try (StoreFleet fleet = StoreFleet.start(folder, mPrefix, STORES, settings -> {})) {
+            fleet.change();
+            return check("kill -9 of each store in turn", () -> killInTurn(fleet))
+                    && check("freeze of the leader beyond its lease", () -> freeze(fleet))
+                    && check("a lost disk, then another right after", () -> loseDisks(fleet));
+        }
+    }
+
+    private boolean check(String name, Callable<Boolean> fault) throws Exception {
+        long start = System.nanoTime();
+        boolean isKept = fault.call();
+        Duration taken = Duration.ofNanos(System.nanoTime() - start);
+        mOut.printf("%-45s %s in %d ms%n", name, isKept ? "kept" : "BROKEN", taken.toMillis());
+        return isKept;
+    }
+
+    private boolean killInTurn(StoreFleet fleet) throws Exception {
+        int part = mChanges / STORES;
+        for (Vm store : fleet.stores()) {
+            ManagedProcess process = fleet.deployment().process(store.name());
+            for (int i = 0; i < part; i++) {
+                if (i == CHANGES_WHILE_AWAY) {
+                    process.kill();
+                } else if (i == 2 * CHANGES_WHILE_AWAY) {
+                    process.restart();
+                }
+                fleet.change();
+            }
+            fleet.awaitLastChangeAt(store);
+        }
+        return areEqual(fleet);
+    }
+
+    private boolean freeze(StoreFleet fleet) throws Exception {
+        Vm leader = fleet.awaitLeader();
+        ManagedProcess process = fleet.deployment().process(leader.name());
+        Vm other = otherThan(fleet, leader);
+        process.freeze();
+        try {
+            LockSupport.parkNanos(Duration.ofSeconds(mFreezeSeconds).toNanos());
+            try (var client = fleet.deployment().operators(other)) {
+                for (int i = 0; i < CHANGES_WHILE_AWAY; i++) {
+                    if (!fleet.changeAt(client)) {
+                        mOut.println("a change was not accepted while the leader was frozen");
+                        return false;
+                    }
+                }
+            }
+        } finally {
+            process.resume();
+        }
+        fleet.change();
+        fleet.awaitLastChangeAt(leader);
+        boolean isReplaced = !fleet.awaitLeader().name().equals(leader.name());
+        return isReplaced && areEqual(fleet);
+    }
+
+    private boolean loseDisks(StoreFleet fleet) throws Exception {
+        Vm first = fleet.awaitLeader();
+        Vm second = otherThan(fleet, first);
+        loseDisk(fleet, first, second);
+        loseDisk(fleet, second, first);
+        return areEqual(fleet);
+    }
+
+    private void loseDisk(StoreFleet fleet, Vm lost, Vm asked) throws Exception {
+        long incarnation = fleet.incarnationOf(lost, asked);
+        fleet.loseDisk(lost);
+        fleet.change();
+        fleet.deployment().process(lost.name()).restart();
+        fleet.awaitVoter(lost, asked, incarnation);
+        fleet.change();
+    }
+
+    private static boolean areEqual(StoreFleet fleet) {
+        fleet.stores().forEach(fleet::awaitLastChangeAt);
+        return true;
+    }
+
+    private static Vm otherThan(StoreFleet fleet, Vm vm) {
+        return fleet.stores().stream().filter(store -> !store.equals(vm)).findFirst().orElseThrow();
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/sequoiahill/bench/stores/StoreFleet.java
@@ -0,0 +1,205 @@
+package org.sequoiahill.bench.stores;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.UUID;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+import org.sequoiahill.bench.processes.Await;
+import org.sequoiahill.bench.processes.Deployment;
+import org.sequoiahill.bench.processes.Topology;
+import org.sequoiahill.bench.processes.Topology.DataCentre;
+import org.sequoiahill.bench.processes.Topology.Vm;
+import org.sequoiahill.cli.OperatorsClient;
+import org.sequoiahill.protocol.weights.Digests;
+
+/** Store VMs as processes, one a data centre, and an operator who changes one document. */
+final class StoreFleet implements AutoCloseable {
+    static final Duration BOUND = Duration.ofSeconds(90);
+    private static final String PATH = "services/ledger";
+    private static final String GROUP = "config";
+
+    private final Deployment mDeployment;
+    private int mChanges;
+    private long mRevision;
+    private String mBody = "";
+
+    private StoreFleet(Deployment deployment) {
+        mDeployment = deployment;
+    }
+
+    static StoreFleet start(
+            Path folder, String prefix, int stores, Consumer<ObjectNode> changeSettings)
+            throws IOException {
+        List<DataCentre> dataCentres = new ArrayList<>();
+        for (int i = 0; i < stores; i++) {
+            dataCentres.add(new DataCentre("dc-" + (char) ('a' + i), 1, List.of()));
+        }
+        Topology topology = new Topology(prefix, dataCentres, stores);
+        return new StoreFleet(Deployment.start(folder, topology, changeSettings));
+    }
+
+    Deployment deployment() {
+        return mDeployment;
+    }
+
+    List<Vm> stores() {
+        return mDeployment.topology().storeVms();
+    }
+
+    long revision() {
+        return mRevision;
+    }
+
+    /** Makes one change, and asks again with the same change id until it is accepted. */
+    void change() {
+        mChanges++;
+        String changeId = UUID.randomUUID().toString();
+        String body = document(mChanges);
+        long before = mRevision;
+        Await.until("change " + mChanges, BOUND, () -> changeAtAny(changeId, body));
+        if (mRevision <= before) {
+            throw new IllegalStateException("revision " + mRevision + " follows " + before);
+        }
+        mBody = body;
+    }
+
+    /** Makes one change through one VM; returns whether it was accepted. */
+    boolean changeAt(OperatorsClient client) throws IOException, InterruptedException {
+        mChanges++;
+        String body = document(mChanges);
+        return accept(client.change(PATH, mRevision, UUID.randomUUID().toString(), body), body);
+    }
+
+    /** Waits until a VM serves the last accepted change, and nothing else. */
+    void awaitLastChangeAt(Vm vm) {
+        Await.until(
+                "revision " + mRevision + " at " + vm.name(),
+                BOUND,
+                () -> {
+                    try (OperatorsClient client = mDeployment.operators(vm)) {
+                        JsonNode held = client.read(PATH).body();
+                        return held.path("revision").asLong() == mRevision
+                                && held.path("document").asText().equals(mBody);
+                    }
+                });
+    }
+
+    /** Returns the VM that leads the configuration, as a VM knows it; empty text where none. */
+    String leaderAsKnownAt(Vm vm) throws Exception {
+        try (OperatorsClient client = mDeployment.operators(vm)) {
+            return client.read("stores").body().path(GROUP).path("leader").asText();
+        }
+    }
+
+    Vm awaitLeader() {
+        List<Vm> found = new ArrayList<>();
+        Await.until(
+                "a leader",
+                BOUND,
+                () -> {
+                    for (Vm vm : stores()) {
+                        String leader = leaderAsKnownAt(vm);
+                        stores().stream()
+                                .filter(store -> store.name().equals(leader))
+                                .forEach(found::add);
+                        if (!found.isEmpty()) {
+                            return true;
+                        }
+                    }
+                    return false;
+                });
+        return found.get(0);
+    }
+
+    /** Waits until a VM votes in both groups, as another VM knows. */
+    void awaitVoter(Vm vm, Vm asked, long aboveIncarnation) {
+        Await.until(
+                vm.name() + " as a voter",
+                BOUND,
+                () -> {
+                    try (OperatorsClient client = mDeployment.operators(asked)) {
+                        JsonNode groups = client.read("stores").body();
+                        return votes(groups.path("config"), vm, aboveIncarnation)
+                                && votes(groups.path("claims"), vm, aboveIncarnation);
+                    }
+                });
+    }
+
+    long incarnationOf(Vm vm, Vm asked) throws Exception {
+        try (OperatorsClient client = mDeployment.operators(asked)) {
+            for (JsonNode member : client.read("stores").body().path(GROUP).path("members")) {
+                if (member.path("vm").asText().equals(vm.name())) {
+                    return member.path("incarnation").asLong();
+                }
+            }
+        }
+        return 0;
+    }
+
+    /** Kills a store and takes away all its files. */
+    void loseDisk(Vm vm) throws IOException, InterruptedException {
+        mDeployment.process(vm.name()).kill();
+        Path folder = mDeployment.folder().resolve(vm.name());
+        try (Stream<Path> files = Files.walk(folder)) {
+            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.delete(file);
+            }
+        }
+    }
+
+    @Override
+    public void close() {
+        mDeployment.close();
+    }
+
+    private static boolean votes(JsonNode group, Vm vm, long aboveIncarnation) {
+        for (JsonNode member : group.path("members")) {
+            if (member.path("vm").asText().equals(vm.name())) {
+                return member.path("votes").asBoolean()
+                        && member.path("incarnation").asLong() > aboveIncarnation;
+            }
+        }
+        return false;
+    }
+
+    private boolean changeAtAny(String changeId, String body) {
+        return stores().stream()
+                .filter(vm -> mDeployment.process(vm.name()).isAlive())
+                .anyMatch(vm -> isChangedAt(vm, changeId, body));
+    }
+
+    private boolean isChangedAt(Vm vm, String changeId, String body) {
+        try (OperatorsClient client = mDeployment.operators(vm)) {
+            return accept(client.change(PATH, mRevision, changeId, body), body);
+        } catch (Exception e) {
+            // The next store is asked, with the same change id.
+            return false;
+        }
+    }
+
+    private boolean accept(OperatorsClient.Answer answer, String body) {
+        if (!answer.isOk()) {
+            return false;
+        }
+        mRevision = answer.body().path("revision").asLong();
+        mBody = body;
+        return true;
+    }
+
+    private static String document(int change) {
+        return """
+        {"service": "ledger", "owner": "bench", "kind": "plain",
+         "routes": [{"path": "/entries-%d", "idempotent": false}],
+         "organisations": [{"name": "callers", "keyDigest": "%s"}]}
+        """
+                .formatted(change, Digests.of(Deployment.CALLER_TOKEN));
+    }
+}
