--- a/bench/src/main/java/org/sequoiahill/bench/Bench.java
+++ b/bench/src/main/java/org/sequoiahill/bench/Bench.java
@@ -14,6 +14,8 @@
 import org.sequoiahill.bench.request.ColdExperiment;
 import org.sequoiahill.bench.request.DrainExperiment;
 import org.sequoiahill.bench.request.RequestExperiment;
+import org.sequoiahill.bench.stores.LogExperiment;
+import org.sequoiahill.bench.stores.StoreFaultsExperiment;
 import org.sequoiahill.bench.weights.FetchExperiment;
 
 /** The program {@code bench}: measures running daemons. */
@@ -45,6 +47,8 @@
         experiments.put("request", new RequestExperiment());
         experiments.put("drain", new DrainExperiment());
         experiments.put("cold", new ColdExperiment());
+        experiments.put("log", new LogExperiment());
+        experiments.put("stores", new StoreFaultsExperiment());
         return experiments;
     }
 
