Hold readers open in the slow-readers experiment until each is accepted

The first form sent a thousand requests at once, most of which the gates refused, so that it measured few open streams. Each reader now asks until its answer begins and reads no more from then on; refusals of readers are counted. This form compiles and has not been run yet; no figure rests on it.

--- a/bench/src/main/java/org/sequoiahill/bench/calls/SlowReadersExperiment.java
+++ b/bench/src/main/java/org/sequoiahill/bench/calls/SlowReadersExperiment.java
@@ -19,6 +19,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import org.HdrHistogram.Histogram;
 import org.sequoiahill.bench.Experiment;
 import org.sequoiahill.bench.capacity.ProcessUsage;
@@ -38,15 +39,18 @@
     private static final int RECEIVE_BUFFER_BYTES = 4 << 10;
     private static final int OTHER_TOKENS = 8;
     private static final int OK = 200;
+    private static final int MAX_ATTEMPTS = 2_000;
+    private static final int STATUS_LINE_BYTES = "HTTP/1.1 200".length();
+    private static final Duration PAUSE = Duration.ofMillis(20);
 
     @Parameter(names = "--readers", description = "readers that stand still")
     private int mReaders = 1_000;
 
     @Parameter(names = "--tokens", description = "tokens of a stopped reader's stream")
-    private int mTokens = 400;
+    private int mTokens = 100;
 
     @Parameter(names = "--token-bytes", description = "size of a prompt, which each token repeats")
-    private int mTokenBytes = 1_000;
+    private int mTokenBytes = 4_000;
 
     @Parameter(names = "--others", description = "requests of readers that go on, each phase")
     private int mOthers = 60;
@@ -56,6 +60,7 @@
 
     private final HttpClient mClient = HttpClient.newHttpClient();
     private int mRefused;
+    private int mReaderRefusals;
 
     @Override
     public boolean run() throws Exception {
@@ -67,7 +72,7 @@
                                 new DataCentre(
                                         "ne-a",
                                         1,
-                                        List.of(new Endpoints("writer", Kind.ENGINE, 2, 32)))),
+                                        List.of(new Endpoints("writer", Kind.ENGINE, 2, 256)))),
                         1);
         List<Socket> stopped = new ArrayList<>();
         try (Deployment deployment = Deployment.start(folder, topology, settings -> {})) {
@@ -78,7 +83,7 @@
             Histogram before = others(entry);
             long idle = resident(deployment, entry);
             for (int i = 0; i < mReaders; i++) {
-                stopped.add(stop(entry, i));
+                stopped.add(stopOnceAccepted(entry, i));
             }
             Histogram during = others(entry);
             return report(deployment, topology, idle, before, during);
@@ -89,6 +94,21 @@
         }
     }
 
+    /** Asks until the answer begins, and then reads no more. */
+    private Socket stopOnceAccepted(Vm entry, int number) throws IOException {
+        for (int attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
+            Socket socket = stop(entry, number);
+            byte[] status = socket.getInputStream().readNBytes(STATUS_LINE_BYTES);
+            if (new String(status, StandardCharsets.US_ASCII).endsWith(" 200")) {
+                return socket;
+            }
+            socket.close();
+            mReaderRefusals++;
+            LockSupport.parkNanos(PAUSE.toNanos());
+        }
+        throw new IOException("reader " + number + " was refused " + MAX_ATTEMPTS + " times");
+    }
+
     private Socket stop(Vm entry, int number) throws IOException {
         Socket socket = new Socket();
         socket.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
@@ -138,9 +158,10 @@
             agent = Math.max(agent, resident(deployment, vm));
         }
         System.out.printf(
-                "{\"readers\": %d, \"entry_idle_mb\": %d, \"entry_mb\": %d, \"agent_mb\": %d,"
-                        + " \"kb_a_stream\": %.1f, \"others_not_whole\": %d}%n",
+                "{\"readers\": %d, \"reader_refusals\": %d, \"entry_idle_mb\": %d, \"entry_mb\":"
+                    + " %d, \"agent_mb\": %d, \"kb_a_stream\": %.1f, \"others_not_whole\": %d}%n",
                 mReaders,
+                mReaderRefusals,
                 idle >> 20,
                 entry >> 20,
                 agent >> 20,
