Isolate leaders in the fault table, so that an unconfirmed read is caught

Cause: with the confirmation of reads off, no row failed: cuts between pairs of stores seldom leave an old leader alone while another commits.

Change: a row that cuts a store off from all others, both ways or one way. The row of all faults keeps its faults under the name MIXED.

--- a/daemon/src/test/java/org/sequoiahill/daemon/process/log/LogFaultTableTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/process/log/LogFaultTableTest.java
@@ -25,6 +25,7 @@
         LOSS,
         CUT,
         ONE_WAY_CUT,
+        ISOLATE,
         FREEZE,
         RESTART,
         FAILED_SYNC,
@@ -36,6 +37,7 @@
     private enum Row {
         LOSS_REPEAT_DELAY(Fault.LOSS),
         CUTS(Fault.CUT, Fault.ONE_WAY_CUT, Fault.LOSS),
+        ISOLATED_LEADERS(Fault.ISOLATE, Fault.RESTART),
         FREEZES(Fault.FREEZE, Fault.ONE_WAY_CUT),
         RESTARTS(Fault.RESTART, Fault.LOSS),
         FAILED_SYNCS(Fault.FAILED_SYNC, Fault.RESTART),
@@ -43,7 +45,16 @@
         LOST_DISKS_AND_CUTS(Fault.LOST_DISK, Fault.CUT, Fault.FREEZE),
         MEMBERS_DURING_ELECTIONS(Fault.MEMBERS, Fault.CUT, Fault.HAND_OVER),
         HAND_OVERS(Fault.HAND_OVER, Fault.FREEZE, Fault.LOSS),
-        ALL(Fault.values());
+        MIXED(
+                Fault.LOSS,
+                Fault.CUT,
+                Fault.ONE_WAY_CUT,
+                Fault.FREEZE,
+                Fault.RESTART,
+                Fault.FAILED_SYNC,
+                Fault.LOST_DISK,
+                Fault.MEMBERS,
+                Fault.HAND_OVER);
 
         private final Set<Fault> mFaults;
 
@@ -158,6 +169,7 @@
                     mGroup.cut(other, store.vm());
                 }
                 case ONE_WAY_CUT -> mGroup.cut(store.vm(), any().vm());
+                case ISOLATE -> isolate(leaderOr(store));
                 case FREEZE -> leaderOr(store).freeze(mGroup.now() + mRandom.nextInt(1_500));
                 case RESTART -> leaderOr(store).folder().crashAfterSyncs(mRandom.nextInt(4));
                 case FAILED_SYNC -> leaderOr(store).folder().failAfterSyncs(mRandom.nextInt(4));
@@ -168,6 +180,19 @@
             }
         }
 
+        /** Cuts a store off from all others, both ways or only what it sends or hears. */
+        private void isolate(SimulatedStore store) {
+            int ways = 1 + mRandom.nextInt(3);
+            for (SimulatedStore other : mGroup.stores()) {
+                if ((ways & 1) != 0) {
+                    mGroup.cut(store.vm(), other.vm());
+                }
+                if ((ways & 2) != 0) {
+                    mGroup.cut(other.vm(), store.vm());
+                }
+            }
+        }
+
         private void handOverTo(String vm) {
             Optional<SimulatedStore> leader = mGroup.leader();
             if (leader.isPresent()) {
