Grow from half of the old limit behind a loss; tell how requests are admitted

An endpoint that was lost now grows by one a round from half of the limit at which it fell; SlowStartTest has the steps.

--- a/daemon/src/main/java/org/sequoiahill/daemon/request/gate/SlowStart.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/gate/SlowStart.java
@@ -60,9 +60,14 @@
         mUsualNanos = 0;
     }
 
-    /** Starts again from one request at an endpoint that was lost; its usual speed is kept. */
+    /**
+     * Starts again from one request at an endpoint that was lost; its usual speed is kept, and it
+     * grows by one a round from half of what it had, as it may not bear more while cold.
+     */
     public void lost() {
+        double threshold = mLimit > 1 ? Math.max(1, mLimit / 2) : mThreshold;
         fallToOne();
+        mThreshold = threshold;
     }
 
     /** Notes an error of the endpoint itself; halves the limit at most once a round. */
--- a/daemon/src/test/java/org/sequoiahill/daemon/request/gate/SlowStartTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/request/gate/SlowStartTest.java
@@ -27,6 +27,8 @@
         "two errors of a round halve once, 16*20 error error, 4",
         "a lost endpoint starts from one, 16*20 lost, 1",
         "a lost endpoint grows again, 16*20 lost 3*20, 3",
+        "a lost endpoint grows by one from half on, 16*20 lost 10*20, 5",
+        "losses of one fall count once, 16*20 lost lost lost 10*20, 5",
         "a version starts from one, 16*20 restart, 1",
         "a long wait halves without an answer, 16*20 wait*900, 4",
         "a short wait does not halve, 16*20 wait*60, 8",
