Echo a request's identity on the refusal of a process that is stopping

Since answers are checked for the identity of their request, the refusal of a process that has shut its door counted as another request's answer: "not run" became "outcome unknown". DrainHandler now echoes the identity.

--- a/daemon/src/main/java/org/sequoiahill/daemon/process/DrainHandler.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/DrainHandler.java
@@ -14,6 +14,7 @@
 import org.eclipse.jetty.util.Callback;
 import org.jspecify.annotations.Nullable;
 import org.sequoiahill.daemon.request.Refusal;
+import org.sequoiahill.daemon.request.RequestHeaders;
 
 /**
  * Knows the requests that run, and lets a server end without cutting one: first its answers close
@@ -34,6 +35,10 @@
     public boolean handle(Request request, Response response, Callback callback) throws Exception {
         Response closing = new ClosingResponse(request, response);
         if (!begin(request)) {
+            String id = request.getHeaders().get(RequestHeaders.REQUEST_ID);
+            if (id != null) {
+                response.getHeaders().put(RequestHeaders.REQUEST_ID, id);
+            }
             Refusal.unavailable("entry_leaving", "this process is stopping")
                     .write(closing, callback);
             return true;
