--- a/daemon/src/main/java/org/sequoiahill/daemon/process/AgentWeights.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/AgentWeights.java
@@ -20,6 +20,7 @@
 import org.sequoiahill.daemon.process.settings.DaemonSettings;
 import org.sequoiahill.daemon.process.settings.DaemonSettings.AgentSettings;
 import org.sequoiahill.daemon.process.time.MonotonicClock;
+import org.sequoiahill.daemon.process.time.Periodic;
 import org.sequoiahill.daemon.request.EndpointGate;
 import org.sequoiahill.daemon.version.cache.ChunkStore;
 import org.sequoiahill.daemon.version.fetch.ChunkClient;
@@ -28,6 +29,8 @@
 import org.sequoiahill.daemon.version.fetch.ChunkSender;
 import org.sequoiahill.daemon.version.fetch.FetchLimits;
 import org.sequoiahill.daemon.version.fetch.HolderTable;
+import org.sequoiahill.daemon.version.fetch.LinkGovernor;
+import org.sequoiahill.daemon.version.fetch.LinkRate;
 import org.sequoiahill.daemon.version.fetch.ManifestClient;
 import org.sequoiahill.daemon.version.fetch.ManifestHandler;
 import org.sequoiahill.daemon.version.fetch.Member;
@@ -53,6 +56,7 @@
 record AgentWeights(VersionLoop versions, Handler chunks, Handler manifests) {
     private static final int CHUNK_THREADS = 4;
     private static final Duration BURST = Duration.ofMillis(50);
+    private static final Duration GOVERN_INTERVAL = Duration.ofMillis(500);
     private static final Duration SETTLE = Duration.ofMillis(1_500);
 
     /** What lives as long as the process. */
@@ -73,6 +77,9 @@
         ScheduledExecutorService chunkThreads =
                 Executors.newScheduledThreadPool(
                         CHUNK_THREADS, ProcessModule.daemonThreads("chunks"));
+        TokenBucket receive = bucket(agent, shared);
+        TokenBucket send = bucket(agent, shared);
+        govern(agent, List.of(receive, send), counts, gate, chunkThreads);
         URI atOrigin = URI.create(agent.origin() + "/" + agent.service());
         VersionFetch.Context context =
                 new VersionFetch.Context(
@@ -82,7 +89,7 @@
                                 shared.http(),
                                 atOrigin,
                                 settings.data().toString(),
-                                bucket(agent, shared),
+                                receive,
                                 counts,
                                 chunkThreads),
                         () -> members(settings, announcer),
@@ -103,7 +110,7 @@
                 ChunkHandler.over(
                         store,
                         HolderTable.standard(),
-                        ChunkSender.of(bucket(agent, shared), counts, chunkThreads),
+                        ChunkSender.of(send, counts, chunkThreads),
                         chunkThreads);
         return new AgentWeights(versions, chunks, ManifestHandler.over(store));
     }
@@ -152,6 +159,19 @@
         return TokenBucket.of(shared.clock(), (double) agent.linkBytesPerSecond(), BURST);
     }
 
+    /** Chunks give way to requests on this agent's link. */
+    private static void govern(
+            AgentSettings agent,
+            List<TokenBucket> buckets,
+            TransferCounts counts,
+            EndpointGate gate,
+            ScheduledExecutorService scheduler) {
+        LinkGovernor governor =
+                LinkGovernor.of(LinkRate.of((double) agent.linkBytesPerSecond()), buckets, counts);
+        gate.observeFirstBytes(governor::answered);
+        Periodic.every(scheduler, GOVERN_INTERVAL, "link-rate", governor::step);
+    }
+
     private static int serving(Announcer announcer) {
         return (int) announcer.peers().stream().filter(Peer::isServing).count();
     }
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/EndpointGate.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/EndpointGate.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import org.sequoiahill.daemon.process.time.MonotonicClock;
 import org.sequoiahill.daemon.request.gate.EngineLoad;
 import org.sequoiahill.daemon.request.gate.SlowStart;
@@ -28,6 +29,7 @@
     private final EngineLoad mLoad = EngineLoad.unknown();
     private final Object mLock = new Object();
     private final Set<Permit> mUnanswered = new LinkedHashSet<>();
+    private volatile Consumer<Duration> mObserver = firstByte -> {};
     private Optional<String> mDigest = Optional.empty();
     private int mRunning;
     private long mBytes;
@@ -124,13 +126,21 @@
         }
     }
 
+    /** Calls the observer with the time to each first byte from now on. */
+    public void observeFirstBytes(Consumer<Duration> observer) {
+        mObserver = observer;
+    }
+
     /** Notes the first byte of an answer that is no error of the endpoint. */
     public void answered(Permit permit) {
+        Duration firstByte = mClock.now().minus(permit.mStart);
         synchronized (mLock) {
-            if (mUnanswered.remove(permit)) {
-                mLimit.answered(mClock.now().minus(permit.mStart), permit.mRunningAtStart);
+            if (!mUnanswered.remove(permit)) {
+                return;
             }
+            mLimit.answered(firstByte, permit.mRunningAtStart);
         }
+        mObserver.accept(firstByte);
     }
 
     /** Notes an answer that is an error of the endpoint. */
--- a/daemon/src/main/java/org/sequoiahill/daemon/version/fetch/AttemptFailure.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/fetch/AttemptFailure.java
@@ -2,8 +2,6 @@
 
 /** Why an attempt brought no chunk. */
 public enum AttemptFailure {
-    /** The peer is alive and does not hold the chunk yet. */
-    PENDING,
     /** The peer can't be reached or broke off. */
     UNREACHABLE,
     /** No byte came in time. */
--- a/daemon/src/main/java/org/sequoiahill/daemon/version/fetch/ChunkClient.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/fetch/ChunkClient.java
@@ -23,9 +23,10 @@
 /** Draws single chunks over HTTP straight into their place on disk. */
 public final class ChunkClient {
     private static final Duration WAIT = Duration.ofSeconds(2);
-    private static final Duration IDLE = Duration.ofSeconds(4);
+    private static final Duration IDLE = Duration.ofSeconds(10);
     private static final Duration WHOLE = Duration.ofMinutes(2);
     private static final Pattern SECONDS = Pattern.compile("[0-9]{1,4}");
+    private static final Pattern PROGRESS = Pattern.compile("[0-9]{1,18}");
     private static final int MAX_HOLDERS = 16;
 
     private final HttpClient mClient;
@@ -74,6 +75,9 @@
         /** The peer names other holders. */
         record SentOn(List<String> addresses) implements Drawn {}
 
+        /** The peer is alive and holds nothing yet; its progress rises while it fetches. */
+        record Pending(long progress) implements Drawn {}
+
         /** The attempt failed; {@code retryAfter} is zero where the source names no pause. */
         record Failed(AttemptFailure failure, Duration retryAfter) implements Drawn {}
 
@@ -89,7 +93,8 @@
                         ? askPeer(peer, chunk, attempt.redirects())
                         : askOrigin(manifest, chunk);
         Drawing drawing = new Drawing(attempt.source(), chunk, writer);
-        request.idleTimeout(IDLE.toMillis(), TimeUnit.MILLISECONDS)
+        request.followRedirects(false)
+                .idleTimeout(IDLE.toMillis(), TimeUnit.MILLISECONDS)
                 .timeout(WHOLE.toMillis(), TimeUnit.MILLISECONDS)
                 .onResponseContentAsync(drawing::onContent)
                 .send(drawing::onEnd);
@@ -176,10 +181,9 @@
                 case HttpStatus.TOO_MANY_REQUESTS_429, HttpStatus.SERVICE_UNAVAILABLE_503 ->
                         new Drawn.Failed(AttemptFailure.THROTTLED, retryAfter(response));
                 case HttpStatus.NOT_FOUND_404 ->
-                        failed(
-                                mSource instanceof Source.Peer
-                                        ? AttemptFailure.PENDING
-                                        : AttemptFailure.UNREACHABLE);
+                        mSource instanceof Source.Peer
+                                ? new Drawn.Pending(progress(response))
+                                : failed(AttemptFailure.UNREACHABLE);
                 default -> failed(AttemptFailure.UNREACHABLE);
             };
         }
@@ -208,6 +212,11 @@
         return List.of(text.split(",", MAX_HOLDERS));
     }
 
+    private static long progress(Response response) {
+        String text = String.valueOf(response.getHeaders().get(ChunkHeaders.PROGRESS));
+        return PROGRESS.matcher(text).matches() ? Long.parseLong(text) : 0;
+    }
+
     private static Duration retryAfter(Response response) {
         String text = String.valueOf(response.getHeaders().get(HttpHeader.RETRY_AFTER));
         return SECONDS.matcher(text).matches()
--- a/daemon/src/main/java/org/sequoiahill/daemon/version/fetch/ChunkHandler.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/fetch/ChunkHandler.java
@@ -35,6 +35,7 @@
     private final ChunkSender mSender;
     private final ScheduledExecutorService mScheduler;
     private final Map<String, Queue<Asker>> mWaiting = new ConcurrentHashMap<>();
+    private final Queue<Asker> mWaitingForTurn = new ConcurrentLinkedQueue<>();
 
     private ChunkHandler(
             ChunkStore store,
@@ -95,6 +96,8 @@
             send(asker);
         } else if (decision instanceof HolderTable.Decision.SendOn sendOn) {
             asker.sendOn(String.join(",", sendOn.addresses()));
+        } else if (decision instanceof HolderTable.Decision.WaitForTurn) {
+            mWaitingForTurn.add(asker);
         } else {
             mWaiting.computeIfAbsent(asker.mDigest, key -> new ConcurrentLinkedQueue<>())
                     .add(asker);
@@ -124,7 +127,14 @@
             mHolders.broken(asker.mDigest);
             asker.mCallback.failed(failure);
         }
-        mWaiting.keySet().forEach(this::decideWaiting);
+        decideWaiting(asker.mDigest);
+        Asker next = mWaitingForTurn.poll();
+        while (next != null && next.isEnded()) {
+            next = mWaitingForTurn.poll();
+        }
+        if (next != null) {
+            decide(next);
+        }
     }
 
     private void decideWaiting(String digest) {
@@ -144,7 +154,6 @@
         private final String mDigest;
         private final String mAddress;
         private final int mRedirects;
-        private final Request mRequest;
         private final Response mResponse;
         private final Callback mCallback;
         private final AtomicBoolean mIsEnded = new AtomicBoolean();
@@ -154,7 +163,6 @@
             String address = String.valueOf(request.getHeaders().get(ChunkHeaders.ASKER));
             mAddress = ADDRESS.matcher(address).matches() ? address : "";
             mRedirects = Math.min(MAX_REDIRECTS, number(request, ChunkHeaders.REDIRECTS));
-            mRequest = request;
             mResponse = response;
             mCallback = callback;
         }
@@ -176,7 +184,9 @@
 
         void end(int status) {
             if (begin()) {
-                Response.writeError(mRequest, mResponse, mCallback, status);
+                mResponse.getHeaders().put(ChunkHeaders.PROGRESS, mSender.received());
+                mResponse.setStatus(status);
+                mCallback.succeeded();
             }
         }
 
--- a/daemon/src/main/java/org/sequoiahill/daemon/version/fetch/ChunkHeaders.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/fetch/ChunkHeaders.java
@@ -14,5 +14,10 @@
     /** Milliseconds that the asker waits for a chunk that is not held yet. */
     static final String WAIT = "Sequoia-Chunk-Wait-Millis";
 
+    /**
+     * Rises with the bytes that the answering agent receives, on an answer that it holds nothing.
+     */
+    static final String PROGRESS = "Sequoia-Chunk-Progress";
+
     private ChunkHeaders() {}
 }
--- a/daemon/src/main/java/org/sequoiahill/daemon/version/fetch/ChunkSender.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/fetch/ChunkSender.java
@@ -34,6 +34,11 @@
         return new ChunkSender(bucket, counts, scheduler);
     }
 
+    /** Returns the bytes that this agent has received. */
+    long received() {
+        return mCounts.fromOrigin() + mCounts.fromPeers();
+    }
+
     /** Sends a chunk; the result fails where the disk or the connection does. */
     CompletableFuture<Void> send(Location location, Response response) {
         CompletableFuture<Void> whole = new CompletableFuture<>();
--- a/daemon/src/main/java/org/sequoiahill/daemon/version/fetch/ChunkState.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/fetch/ChunkState.java
@@ -19,6 +19,7 @@
     private Duration mNotBefore = Duration.ZERO;
     private @Nullable Duration mPendingSince;
     private boolean mIsProbed;
+    private long mProgress;
     private int mDraws;
     private int mFailures;
     private int mRedirects;
@@ -75,10 +76,11 @@
         mNotBefore = notBefore;
     }
 
-    /** Returns for how long live sources have had nothing to give. */
-    Duration pendingFor(Duration now) {
-        if (mPendingSince == null) {
+    /** Returns for how long a live source has had nothing to give and received nothing. */
+    Duration pendingFor(long progress, Duration now) {
+        if (mPendingSince == null || progress != mProgress) {
             mPendingSince = now;
+            mProgress = progress;
         }
         return now.minus(mPendingSince);
     }
--- a/daemon/src/main/java/org/sequoiahill/daemon/version/fetch/FetchLimits.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/fetch/FetchLimits.java
@@ -24,7 +24,7 @@
     /** Returns the bounds that a daemon uses. */
     public static FetchLimits standard() {
         return new FetchLimits(
-                64,
+                32,
                 8,
                 Duration.ofSeconds(20),
                 Duration.ofSeconds(15),
--- a/daemon/src/main/java/org/sequoiahill/daemon/version/fetch/FetchPlanner.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/fetch/FetchPlanner.java
@@ -22,8 +22,7 @@
     private static final String ORIGIN = "";
     private static final int MAX_LEASE_CHUNKS = 16;
     private static final int MAX_BACKOFF_DOUBLINGS = 6;
-    private static final int MAX_DRAWS_IN_FLIGHT = 4;
-    private static final int LEAST_ASKS_PER_OWNER = 2;
+    private static final int LEAST_ASKS_PER_OWNER = 1;
     private static final Duration LEASE_PAUSE = Duration.ofSeconds(2);
 
     private final List<String> mDigests;
@@ -40,6 +39,7 @@
     private List<Member> mNear = List.of();
     private List<Member> mFar = List.of();
     private int mDrawsInFlight;
+    private int mDrawLimit;
     private int mAsksInFlight;
     private Duration mOriginPausedUntil = Duration.ZERO;
     private Duration mLeaseNotBefore = Duration.ZERO;
@@ -122,6 +122,7 @@
     public List<Step> next(Duration now) {
         List<Step> steps = new ArrayList<>();
         mLeaseWanted = 0;
+        mDrawLimit = drawLimit();
         int chunk = mHeld.nextClearBit(0);
         while (chunk < mDigests.size() && hasRoom(now)) {
             begin(chunk, now, steps);
@@ -154,6 +155,28 @@
         stateOf(attempt.chunk()).hint(holders);
     }
 
+    /**
+     * Notes that a live peer holds nothing yet.
+     *
+     * @param progress rises with the bytes that the peer receives
+     */
+    public void pending(Attempt attempt, long progress, Duration now) {
+        end(attempt);
+        if (mHeld.get(attempt.chunk()) || !(attempt.source() instanceof Source.Peer peer)) {
+            return;
+        }
+        ChunkState state = stateOf(attempt.chunk());
+        String vm = peer.member().vm();
+        if (!peer.canWait()) {
+            state.passOver(vm, now.plus(mLimits.patience()));
+        } else if (state.pendingFor(progress, now).compareTo(mLimits.patience()) >= 0) {
+            state.clearPending();
+            state.passOver(vm, now.plus(mLimits.passOver()));
+        } else {
+            state.waitUntil(now.plus(jittered(mLimits.retryDelay().dividedBy(4))));
+        }
+    }
+
     /**
      * Notes that an attempt failed.
      *
@@ -165,7 +188,7 @@
             return;
         }
         if (attempt.source() instanceof Source.Peer peer) {
-            peerFailed(attempt.chunk(), peer, failure, now);
+            peerFailed(peer, failure, now);
         } else {
             originFailed(attempt.chunk(), failure, retryAfter, now);
         }
@@ -182,14 +205,17 @@
     }
 
     private boolean hasRoom(Duration now) {
-        boolean canDraw = mDrawsInFlight < drawLimit() && mOriginPausedUntil.compareTo(now) <= 0;
+        boolean canDraw = mDrawsInFlight < mDrawLimit && mOriginPausedUntil.compareTo(now) <= 0;
         return mAsksInFlight < mLimits.asksInFlight() || canDraw;
     }
 
+    /** The agent's part of the region's draws is its part of what the region still misses. */
     private int drawLimit() {
-        int agents = Math.max(1, mNear.size());
-        int share = (mLimits.regionDrawsInFlight() + agents - 1) / agents;
-        return Math.min(MAX_DRAWS_IN_FLIGHT, Math.max(1, share));
+        BitSet own = (BitSet) mOwnedAtStart.clone();
+        own.andNot(mHeld);
+        int missing = Math.max(1, mDigests.size() - mHeld.cardinality());
+        int part = (mLimits.regionDrawsInFlight() * own.cardinality() + missing - 1) / missing;
+        return Math.max(1, part);
     }
 
     private int asksPerOwner() {
@@ -252,7 +278,7 @@
     }
 
     private Optional<Source> draw(int chunk, ChunkState state, Duration now) {
-        if (mOriginPausedUntil.compareTo(now) > 0 || mDrawsInFlight >= drawLimit()) {
+        if (mOriginPausedUntil.compareTo(now) > 0 || mDrawsInFlight >= mDrawLimit) {
             return Optional.empty();
         }
         if (mOwnedAtStart.get(chunk) && state.draws() == 0) {
@@ -293,23 +319,10 @@
                 && !state.isTrying(member.vm());
     }
 
-    private void peerFailed(int chunk, Source.Peer peer, AttemptFailure failure, Duration now) {
-        ChunkState state = stateOf(chunk);
-        String vm = peer.member().vm();
-        switch (failure) {
-            case PENDING -> {
-                if (!peer.canWait()) {
-                    state.passOver(vm, now.plus(mLimits.patience()));
-                } else if (state.pendingFor(now).compareTo(mLimits.patience()) >= 0) {
-                    state.clearPending();
-                    state.passOver(vm, now.plus(mLimits.passOver()));
-                } else {
-                    state.waitUntil(now.plus(jittered(mLimits.retryDelay().dividedBy(4))));
-                }
-            }
-            case WRONG -> mSuspects.put(vm, now.plus(mLimits.wrongPassOver()));
-            default -> mSuspects.put(vm, now.plus(mLimits.passOver()));
-        }
+    private void peerFailed(Source.Peer peer, AttemptFailure failure, Duration now) {
+        boolean isWrong = failure == AttemptFailure.WRONG;
+        Duration pause = isWrong ? mLimits.wrongPassOver() : mLimits.passOver();
+        mSuspects.put(peer.member().vm(), now.plus(pause));
     }
 
     private void originFailed(
--- a/daemon/src/main/java/org/sequoiahill/daemon/version/fetch/HolderTable.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/fetch/HolderTable.java
@@ -58,8 +58,11 @@
         /** Name other holders. */
         record SendOn(List<String> addresses) implements Decision {}
 
-        /** Decide again once a send has ended. */
-        record Wait() implements Decision {}
+        /** Decide again once a send of the chunk has ended. */
+        record WaitForCopy() implements Decision {}
+
+        /** Decide again once any send has ended. */
+        record WaitForTurn() implements Decision {}
     }
 
     /** Decides on one asker of a chunk that is held. */
@@ -67,13 +70,20 @@
         Entry entry = mEntries.computeIfAbsent(digest, key -> new Entry());
         boolean mustServe = redirects >= mMaxRedirects || asker.isEmpty();
         boolean hasCopiesLeft = entry.mHolders.size() + entry.mSending < mCopiesPerChunk;
-        if (mSending < mSendsAtOnce && (mustServe || hasCopiesLeft)) {
-            entry.mSending++;
-            mSending++;
-            return new Decision.Send();
+        if (mustServe || hasCopiesLeft) {
+            return begin(entry);
         }
         List<String> others = entry.name(asker);
-        return mustServe || others.isEmpty() ? new Decision.Wait() : new Decision.SendOn(others);
+        return others.isEmpty() ? new Decision.WaitForCopy() : new Decision.SendOn(others);
+    }
+
+    private Decision begin(Entry entry) {
+        if (mSending >= mSendsAtOnce) {
+            return new Decision.WaitForTurn();
+        }
+        entry.mSending++;
+        mSending++;
+        return new Decision.Send();
     }
 
     /** Notes a chunk that went out whole. */
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/fetch/LinkGovernor.java
@@ -0,0 +1,77 @@
+package org.sequoiahill.daemon.version.fetch;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Sets the rate of chunks on an agent's link from the latency of the endpoint's requests. */
+public final class LinkGovernor {
+    private static final int MAX_SAMPLES = 1_000;
+    private static final double PERCENTILE = 0.95;
+    private static final int BASE_WEIGHT = 4;
+
+    private final LinkRate mRule;
+    private final List<TokenBucket> mBuckets;
+    private final TransferCounts mCounts;
+    private final List<Duration> mSamples = new ArrayList<>();
+    private Duration mBase = Duration.ZERO;
+    private double mRate;
+    private long mMoved;
+
+    private LinkGovernor(LinkRate rule, List<TokenBucket> buckets, TransferCounts counts) {
+        mRule = rule;
+        mBuckets = List.copyOf(buckets);
+        mCounts = counts;
+        mRate = rule.fullRate();
+    }
+
+    /** Returns a governor of the buckets that all chunks of an agent pass. */
+    public static LinkGovernor of(LinkRate rule, List<TokenBucket> buckets, TransferCounts counts) {
+        return new LinkGovernor(rule, buckets, counts);
+    }
+
+    /** Notes the time to the first byte of a request's answer. */
+    public synchronized void answered(Duration firstByte) {
+        if (mSamples.size() < MAX_SAMPLES) {
+            mSamples.add(firstByte);
+        }
+    }
+
+    /** Sets the rate of the next interval; to be called once an interval. */
+    public synchronized void step() {
+        Duration latency = takePercentile();
+        long moved = mCounts.fromOrigin() + mCounts.fromPeers() + mCounts.toPeers();
+        if (moved == mMoved) {
+            learn(latency);
+        }
+        mMoved = moved;
+        mRate = mRule.next(mRate, mBase, latency);
+        mBuckets.forEach(bucket -> bucket.changeRate(mRate));
+    }
+
+    /** Returns the rate in bytes per second. */
+    public synchronized double rate() {
+        return mRate;
+    }
+
+    /** The base follows the latency of intervals in which no chunk moved. */
+    private void learn(Duration latency) {
+        if (latency.isZero()) {
+            return;
+        }
+        mBase =
+                mBase.isZero()
+                        ? latency
+                        : mBase.multipliedBy(BASE_WEIGHT - 1L).plus(latency).dividedBy(BASE_WEIGHT);
+    }
+
+    private Duration takePercentile() {
+        if (mSamples.isEmpty()) {
+            return Duration.ZERO;
+        }
+        mSamples.sort(null);
+        Duration result = mSamples.get((int) ((mSamples.size() - 1) * PERCENTILE));
+        mSamples.clear();
+        return result;
+    }
+}
--- a/daemon/src/main/java/org/sequoiahill/daemon/version/fetch/VersionFetch.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/fetch/VersionFetch.java
@@ -166,6 +166,8 @@
                 mPlanner.arrived(attempt);
             } else if (drawn instanceof ChunkClient.Drawn.SentOn sentOn) {
                 mPlanner.redirected(attempt, sentOn.addresses());
+            } else if (drawn instanceof ChunkClient.Drawn.Pending pending) {
+                mPlanner.pending(attempt, pending.progress(), now);
             } else if (drawn instanceof ChunkClient.Drawn.Failed failed) {
                 Logger.debug("{} of chunk {}: {}", failed, attempt.chunk(), attempt.source());
                 mPlanner.failed(attempt, failed.failure(), failed.retryAfter(), now);
--- /dev/null
+++ b/daemon/src/test/java/org/sequoiahill/daemon/version/fetch/LinkRateTest.java
@@ -0,0 +1,68 @@
+package org.sequoiahill.daemon.version.fetch;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicReference;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class LinkRateTest {
+    private static final LinkRate RULE = LinkRate.of(1_000);
+
+    @ParameterizedTest
+    @CsvSource({
+        "1000, 20, 20, 1000",
+        "1000, 20, 25, 1000",
+        "1000, 20, 26, 500",
+        "500, 20, 26, 250",
+        "30, 20, 26, 20",
+        "20, 20, 100, 20",
+        "500, 20, 20, 550",
+        "990, 20, 20, 1000",
+        "500, 20, 0, 550",
+        "500, 0, 100, 550",
+    })
+    void next_latency_halvesOrRises(double rate, long base, long latency, double expected) {
+        double next = RULE.next(rate, Duration.ofMillis(base), Duration.ofMillis(latency));
+        assertThat(next, is(expected));
+    }
+
+    @Test
+    void step_requestsSlowWhileChunksMove_yieldsAndComesBack() {
+        TransferCounts counts = TransferCounts.create();
+        TokenBucket bucket = TokenBucket.of(() -> Duration.ZERO, 1_000, Duration.ofMillis(50));
+        LinkGovernor governor = LinkGovernor.of(RULE, List.of(bucket), counts);
+        governor.answered(Duration.ofMillis(20));
+        governor.step();
+        for (int i = 0; i < 3; i++) {
+            counts.sent(1);
+            governor.answered(Duration.ofMillis(60));
+            governor.step();
+        }
+        assertThat(bucket.rate(), is(125.0));
+        for (int i = 0; i < 20; i++) {
+            counts.sent(1);
+            governor.answered(Duration.ofMillis(20));
+            governor.step();
+        }
+        assertThat(bucket.rate(), is(1_000.0));
+    }
+
+    @Test
+    void reserve_overAnyTime_keepsToRateAndBurst() {
+        AtomicReference<Duration> now = new AtomicReference<>(Duration.ZERO);
+        TokenBucket bucket = TokenBucket.of(now::get, 1_000, Duration.ofMillis(100));
+        long moved = 0;
+        for (int i = 0; i < 200; i++) {
+            Duration wait = bucket.reserve(37);
+            moved += 37;
+            now.set(now.get().plus(wait));
+        }
+        assertThat(moved, lessThanOrEqualTo(now.get().toMillis() + 100));
+    }
+}
