Count control bytes by message at both ends

Cause: the budget of 3 KB a second for control could be neither read in production nor measured. Ruled out: counting in each caller; a count at the socket, which can't tell messages apart. Change: a counting transport below the frames and the message's name from the protocol, in client and server; sequoia_control_bytes_total{message, direction}. The capacity bench settles for 10 s, as start-up work is no control work. Figures: both ends count the same bytes in the contract test.

--- a/bench/src/main/java/org/sequoiahill/bench/capacity/CapacitySeries.java
+++ b/bench/src/main/java/org/sequoiahill/bench/capacity/CapacitySeries.java
@@ -20,7 +20,7 @@
 /** Runs deployments of several sizes and samples what each role uses. */
 final class CapacitySeries {
     private static final Duration START_BOUND = Duration.ofMinutes(2);
-    private static final Duration SETTLE = Duration.ofSeconds(5);
+    private static final Duration SETTLE = Duration.ofSeconds(10);
     private static final String SERVICE = "desk";
     private static final int ENTRIES_PER_DATA_CENTRE_AT_MOST = 10;
     private static final int DATA_CENTRES = 5;
--- a/bench/src/main/java/org/sequoiahill/bench/capacity/UsageWindow.java
+++ b/bench/src/main/java/org/sequoiahill/bench/capacity/UsageWindow.java
@@ -7,7 +7,7 @@
 /** Measures what a process uses over a window of time. */
 final class UsageWindow {
     /** Prefix of the counters of control bytes, sent and received. */
-    static final String CONTROL_BYTES = "sequoiahill_control_bytes_total";
+    static final String CONTROL_BYTES = "sequoia_control_bytes_total";
 
     private UsageWindow() {}
 
--- a/bench/src/main/java/org/sequoiahill/bench/claims/ClaimsExperiment.java
+++ b/bench/src/main/java/org/sequoiahill/bench/claims/ClaimsExperiment.java
@@ -4,6 +4,7 @@
 import com.beust.jcommander.Parameters;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.nio.ByteBuffer;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -27,6 +28,7 @@
 import org.sequoiahill.daemon.process.claims.ClaimRegistry;
 import org.sequoiahill.daemon.process.claims.ClaimsMachine;
 import org.sequoiahill.daemon.process.control.ControlClient;
+import org.sequoiahill.daemon.process.control.ControlTraffic;
 import org.sequoiahill.daemon.process.control.Identity;
 import org.sequoiahill.daemon.process.control.ThriftBytes;
 import org.sequoiahill.daemon.process.settings.DaemonSettings.PeerVm;
@@ -111,7 +113,8 @@
         Topology topology = new Topology(mPrefix, dataCentres, 3);
         ExecutorService executor = Executors.newFixedThreadPool(64);
         try (Deployment deployment = Deployment.start(folder, topology, settings -> {});
-                ControlClient control = ControlClient.on(executor)) {
+                ControlClient control =
+                        ControlClient.on(executor, ControlTraffic.on(new SimpleMeterRegistry()))) {
             List<PeerVm> stores = topology.storeVms().stream().map(ClaimsExperiment::peer).toList();
             ClaimClient claims = ClaimClient.of(mIdentity, control, stores);
             Await.until(
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/Daemon.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/Daemon.java
@@ -30,6 +30,7 @@
 import org.sequoiahill.daemon.process.config.StoreForwarder;
 import org.sequoiahill.daemon.process.control.ControlClient;
 import org.sequoiahill.daemon.process.control.ControlServer;
+import org.sequoiahill.daemon.process.control.ControlTraffic;
 import org.sequoiahill.daemon.process.control.Identity;
 import org.sequoiahill.daemon.process.control.ServiceStub;
 import org.sequoiahill.daemon.process.directory.DataCentreTable;
@@ -67,6 +68,7 @@
             DataCentreTable table,
             ControlClient controlClient,
             ExecutorService controlExecutor,
+            ControlTraffic controlTraffic,
             HttpClient httpClient,
             PrometheusMeterRegistry metrics,
             Provider<EntryRole> entry,
@@ -76,7 +78,7 @@
         mHttpClient = httpClient;
         mControlClient = controlClient;
         mSync = sync;
-        mControlServer = ControlServer.bind(settings.control(), controlExecutor);
+        mControlServer = ControlServer.bind(settings.control(), controlExecutor, controlTraffic);
         StoreForwarder forwarder = StoreForwarder.of(controlClient, settings.stores());
         ConfigurationWriter writer = forwarder;
         Optional<Function<AuditQuery, AuditPage>> audit = Optional.empty();
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/ProcessModule.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/ProcessModule.java
@@ -28,6 +28,7 @@
 import org.sequoiahill.daemon.process.config.ConfigurationView;
 import org.sequoiahill.daemon.process.config.SpreadPlan;
 import org.sequoiahill.daemon.process.control.ControlClient;
+import org.sequoiahill.daemon.process.control.ControlTraffic;
 import org.sequoiahill.daemon.process.control.Identity;
 import org.sequoiahill.daemon.process.directory.DataCentreTable;
 import org.sequoiahill.daemon.process.directory.EndpointDirectory;
@@ -99,12 +100,19 @@
 
     @Provides
     @Singleton
-    static ControlClient controlClient() {
+    static ControlTraffic controlTraffic(PrometheusMeterRegistry metrics) {
+        return ControlTraffic.on(metrics);
+    }
+
+    @Provides
+    @Singleton
+    static ControlClient controlClient(ControlTraffic traffic) {
         return ControlClient.on(
                 boundedThreads(
                         "control-call",
                         CONTROL_CALL_THREADS,
-                        new ThreadPoolExecutor.CallerRunsPolicy()));
+                        new ThreadPoolExecutor.CallerRunsPolicy()),
+                traffic);
     }
 
     @Provides
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/StoreRole.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/StoreRole.java
@@ -16,6 +16,7 @@
 import org.sequoiahill.daemon.process.config.LeaderWriter;
 import org.sequoiahill.daemon.process.control.ControlClient;
 import org.sequoiahill.daemon.process.control.ControlServer;
+import org.sequoiahill.daemon.process.control.ControlTraffic;
 import org.sequoiahill.daemon.process.control.Identity;
 import org.sequoiahill.daemon.process.control.ServiceStub;
 import org.sequoiahill.daemon.process.controller.OriginBudget;
@@ -36,6 +37,7 @@
     private final MonotonicClock mClock;
     private final RandomGenerator mRandom;
     private final InstantSource mTime;
+    private final ControlTraffic mTraffic;
     private final ConfigurationMachine mMachine;
     private final StoreGroup mConfigGroup;
     private final StoreGroup mClaimsGroup;
@@ -51,12 +53,14 @@
             ControlClient client,
             MonotonicClock clock,
             InstantSource time,
-            RandomGenerator random) {
+            RandomGenerator random,
+            ControlTraffic traffic) {
         mSettings = settings;
         mIdentity = identity;
         mClock = clock;
         mRandom = random;
         mTime = time;
+        mTraffic = traffic;
         mMachine = ConfigurationMachine.of(identity, view, ConfigurationBounds.standard());
         ClaimsMachine claims = ClaimsMachine.of(ClaimBounds.standard());
         mConfigGroup = openGroup("config", ServiceStub.LOG_CONFIG, mMachine);
@@ -114,6 +118,7 @@
     }
 
     private StoreGroup openGroup(String name, ServiceStub<Log.Client> stub, StateMachine machine) {
-        return StoreGroup.open(name, stub, machine, mSettings, mIdentity, mClock, mRandom, mTime);
+        return StoreGroup.open(
+                name, stub, machine, mSettings, mIdentity, mClock, mRandom, mTime, mTraffic);
     }
 }
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/control/ControlClient.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/control/ControlClient.java
@@ -10,11 +10,8 @@
 import org.apache.thrift.TServiceClient;
 import org.apache.thrift.protocol.TCompactProtocol;
 import org.apache.thrift.protocol.TMultiplexedProtocol;
-import org.apache.thrift.protocol.TProtocol;
 import org.apache.thrift.transport.TSocket;
-import org.apache.thrift.transport.TTransport;
 import org.apache.thrift.transport.TTransportException;
-import org.apache.thrift.transport.layered.TFramedTransport;
 import org.jspecify.annotations.Nullable;
 import org.sequoiahill.daemon.process.settings.HostPort;
 
@@ -27,15 +24,17 @@
     private static final Duration READ_TIMEOUT = Duration.ofSeconds(2);
 
     private final Executor mExecutor;
+    private final ControlTraffic mTraffic;
     private final Map<ConnectionKey, Connection> mConnections = new ConcurrentHashMap<>();
 
-    private ControlClient(Executor executor) {
+    private ControlClient(Executor executor, ControlTraffic traffic) {
         mExecutor = executor;
+        mTraffic = traffic;
     }
 
     /** Returns a client whose calls run on the executor. */
-    public static ControlClient on(Executor executor) {
-        return new ControlClient(executor);
+    public static ControlClient on(Executor executor, ControlTraffic traffic) {
+        return new ControlClient(executor, traffic);
     }
 
     /**
@@ -59,7 +58,7 @@
     public <C extends TServiceClient, R> CompletableFuture<R> call(
             HostPort peer, ServiceStub<C> stub, int lane, ThriftCall<C, R> call) {
         ConnectionKey key = new ConnectionKey(peer, stub.name(), lane);
-        Connection connection = mConnections.computeIfAbsent(key, Connection::new);
+        Connection connection = mConnections.computeIfAbsent(key, k -> new Connection(k, mTraffic));
         return CompletableFuture.supplyAsync(() -> connection.call(stub, call), mExecutor);
     }
 
@@ -85,18 +84,26 @@
     /** One connection; calls on it follow one another. */
     private static final class Connection {
         private final ConnectionKey mKey;
-        private @Nullable TTransport mTransport;
+        private final ControlTraffic mTraffic;
+        private @Nullable CountingFramedTransport mTransport;
 
-        Connection(ConnectionKey key) {
+        Connection(ConnectionKey key, ControlTraffic traffic) {
             mKey = key;
+            mTraffic = traffic;
         }
 
         synchronized <C extends TServiceClient, R> R call(
                 ServiceStub<C> stub, ThriftCall<C, R> call) {
             try {
-                TProtocol protocol = new TCompactProtocol(openTransport());
-                return call.apply(
-                        stub.create().apply(new TMultiplexedProtocol(protocol, stub.name())));
+                CountingFramedTransport transport = openTransport();
+                NamingProtocol protocol = new NamingProtocol(new TCompactProtocol(transport));
+                R result =
+                        call.apply(
+                                stub.create()
+                                        .apply(new TMultiplexedProtocol(protocol, stub.name())));
+                mTraffic.sent(protocol.message(), transport.takeWritten());
+                mTraffic.received(protocol.message(), transport.takeRead());
+                return result;
             } catch (TException e) {
                 close();
                 throw new CompletionException(e);
@@ -110,7 +117,7 @@
             }
         }
 
-        private TTransport openTransport() throws TTransportException {
+        private CountingFramedTransport openTransport() throws TTransportException {
             if (mTransport != null && mTransport.isOpen()) {
                 return mTransport;
             }
@@ -118,7 +125,7 @@
                     new TSocket(
                             mKey.peer().host(), mKey.peer().port(), (int) READ_TIMEOUT.toMillis());
             socket.setConnectTimeout((int) CONNECT_TIMEOUT.toMillis());
-            TTransport transport = new TFramedTransport(socket, MAX_FRAME_BYTES);
+            CountingFramedTransport transport = CountingFramedTransport.over(socket);
             transport.open();
             mTransport = transport;
             return transport;
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/control/ControlServer.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/control/ControlServer.java
@@ -10,7 +10,6 @@
 import org.apache.thrift.server.TThreadedSelectorServer;
 import org.apache.thrift.transport.TNonblockingServerSocket;
 import org.apache.thrift.transport.TTransportException;
-import org.apache.thrift.transport.layered.TFramedTransport;
 import org.sequoiahill.daemon.process.settings.HostPort;
 
 /** Offers Thrift services to other processes of the system. */
@@ -21,7 +20,8 @@
     private final TMultiplexedProcessor mProcessor = new TMultiplexedProcessor();
     private final TThreadedSelectorServer mServer;
 
-    private ControlServer(HostPort address, ExecutorService executor) throws TTransportException {
+    private ControlServer(HostPort address, ExecutorService executor, ControlTraffic traffic)
+            throws TTransportException {
         InetSocketAddress socketAddress = new InetSocketAddress(address.host(), address.port());
         mServer =
                 new TThreadedSelectorServer(
@@ -30,10 +30,9 @@
                                                 socketAddress,
                                                 CLIENT_TIMEOUT_MILLIS,
                                                 ControlClient.MAX_FRAME_BYTES))
-                                .processor(mProcessor)
+                                .processor(new CountingProcessor(mProcessor, traffic))
                                 .protocolFactory(new TCompactProtocol.Factory())
-                                .transportFactory(
-                                        new TFramedTransport.Factory(ControlClient.MAX_FRAME_BYTES))
+                                .transportFactory(CountingFramedTransport.factory())
                                 .selectorThreads(SELECTOR_THREADS)
                                 .executorService(executor));
     }
@@ -43,9 +42,10 @@
      *
      * @throws UncheckedIOException where the address can't be listened at
      */
-    public static ControlServer bind(HostPort address, ExecutorService executor) {
+    public static ControlServer bind(
+            HostPort address, ExecutorService executor, ControlTraffic traffic) {
         try {
-            return new ControlServer(address, executor);
+            return new ControlServer(address, executor, traffic);
         } catch (TTransportException e) {
             throw new UncheckedIOException(new IOException("can't listen at " + address, e));
         }
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/control/CountingTransport.java
@@ -0,0 +1,62 @@
+package org.sequoiahill.daemon.process.control;
+
+import org.apache.thrift.transport.TTransport;
+import org.apache.thrift.transport.TTransportException;
+import org.apache.thrift.transport.layered.TLayeredTransport;
+
+/** Counts what passes through a transport; used by one thread at a time. */
+final class CountingTransport extends TLayeredTransport {
+    private long mRead;
+    private long mWritten;
+
+    CountingTransport(TTransport inner) throws TTransportException {
+        super(inner);
+    }
+
+    /** Returns the bytes read since the last call. */
+    long takeRead() {
+        long read = mRead;
+        mRead = 0;
+        return read;
+    }
+
+    /** Returns the bytes written since the last call. */
+    long takeWritten() {
+        long written = mWritten;
+        mWritten = 0;
+        return written;
+    }
+
+    @Override
+    public boolean isOpen() {
+        return getInnerTransport().isOpen();
+    }
+
+    @Override
+    public void open() throws TTransportException {
+        getInnerTransport().open();
+    }
+
+    @Override
+    public void close() {
+        getInnerTransport().close();
+    }
+
+    @Override
+    public int read(byte[] buffer, int offset, int length) throws TTransportException {
+        int read = getInnerTransport().read(buffer, offset, length);
+        mRead += Math.max(0, read);
+        return read;
+    }
+
+    @Override
+    public void write(byte[] buffer, int offset, int length) throws TTransportException {
+        getInnerTransport().write(buffer, offset, length);
+        mWritten += length;
+    }
+
+    @Override
+    public void flush() throws TTransportException {
+        getInnerTransport().flush();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/control/NamingProtocol.java
@@ -0,0 +1,35 @@
+package org.sequoiahill.daemon.process.control;
+
+import org.apache.thrift.TException;
+import org.apache.thrift.protocol.TMessage;
+import org.apache.thrift.protocol.TProtocol;
+import org.apache.thrift.protocol.TProtocolDecorator;
+
+/** Remembers the name of the message that passes. */
+final class NamingProtocol extends TProtocolDecorator {
+    private String mMessage = "none";
+
+    NamingProtocol(TProtocol protocol) {
+        super(protocol);
+    }
+
+    /** Returns the name of the last call that was written or read, as {@code service:method}. */
+    String message() {
+        return mMessage;
+    }
+
+    @Override
+    public void writeMessageBegin(TMessage message) throws TException {
+        mMessage = message.name;
+        super.writeMessageBegin(message);
+    }
+
+    @Override
+    public TMessage readMessageBegin() throws TException {
+        TMessage message = super.readMessageBegin();
+        if (message.name.indexOf(':') >= 0) {
+            mMessage = message.name;
+        }
+        return message;
+    }
+}
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/log/StoreGroup.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/log/StoreGroup.java
@@ -14,6 +14,7 @@
 import java.util.stream.Collectors;
 import org.sequoiahill.daemon.process.control.ControlClient;
 import org.sequoiahill.daemon.process.control.ControlServer;
+import org.sequoiahill.daemon.process.control.ControlTraffic;
 import org.sequoiahill.daemon.process.control.Identity;
 import org.sequoiahill.daemon.process.control.ServiceStub;
 import org.sequoiahill.daemon.process.settings.DaemonSettings;
@@ -56,8 +57,9 @@
             Identity identity,
             MonotonicClock clock,
             RandomGenerator random,
-            InstantSource wallClock) {
-        ControlClient client = ControlClient.on(threads("log-" + group + "-call"));
+            InstantSource wallClock,
+            ControlTraffic traffic) {
+        ControlClient client = ControlClient.on(threads("log-" + group + "-call"), traffic);
         ThriftTransport transport =
                 ThriftTransport.over(identity, stub, client, addressesOf(settings));
         GroupLog log =
--- a/daemon/src/test/java/org/sequoiahill/daemon/process/control/ControlServerTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/process/control/ControlServerTest.java
@@ -1,10 +1,12 @@
 package org.sequoiahill.daemon.process.control;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
@@ -19,6 +21,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.sequoiahill.daemon.process.settings.HostPort;
 import org.sequoiahill.protocol.gen.OriginLeaseReply;
@@ -31,6 +34,8 @@
     private static final String HOST = "127.0.0.1";
 
     private final ExecutorService mExecutor = Executors.newCachedThreadPool();
+    private final SimpleMeterRegistry mServed = new SimpleMeterRegistry();
+    private final SimpleMeterRegistry mAsked = new SimpleMeterRegistry();
     private HostPort mAddress;
     private ControlServer mServer;
     private ControlClient mClient;
@@ -38,10 +43,10 @@
     @BeforeEach
     void start() throws IOException {
         mAddress = new HostPort(HOST, freePort());
-        mServer = ControlServer.bind(mAddress, mExecutor);
+        mServer = ControlServer.bind(mAddress, mExecutor, ControlTraffic.on(mServed));
         mServer.register(ServiceStub.TURNS, new Turns.Processor<>(new GrantingTurns()));
         mServer.start();
-        mClient = ControlClient.on(mExecutor);
+        mClient = ControlClient.on(mExecutor, ControlTraffic.on(mAsked));
     }
 
     @AfterEach
@@ -56,6 +61,22 @@
         assertThat(ask().isGranted(), is(true));
     }
 
+    @ParameterizedTest
+    @CsvSource({"sent, received", "received, sent"})
+    void call_answered_isCountedAlikeAtBothEnds(String here, String there) {
+        ask();
+
+        assertThat(bytes(mAsked, here), greaterThan(0.0));
+        assertThat(bytes(mAsked, here), is(bytes(mServed, there)));
+    }
+
+    private static double bytes(SimpleMeterRegistry registry, String direction) {
+        return registry.get("sequoia.control.bytes")
+                .tags("message", "turns:request", "direction", direction)
+                .counter()
+                .count();
+    }
+
     @Test
     void call_unknownService_fails() {
         CompletionException failure =
