Free the slot of a sending whose response throws

Cause: a write that throws inside the scheduler's task was dropped by the scheduler, and the sending never ended: its slot at the agent was held for good. Ruled out: a time limit for each sending, which would hide the leak and cut slow links. Change: an exception of the write ends the sending as failed. Conclusion: every sending ends.

--- a/daemon/src/main/java/org/sequoiahill/daemon/version/fetch/ChunkSender.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/fetch/ChunkSender.java
@@ -73,18 +73,24 @@
         private void write(ByteBuffer slice, int next) {
             mCounts.sent(slice.remaining());
             boolean isLast = next == mLocation.bytes();
-            mResponse.write(
-                    isLast,
-                    slice,
-                    Callback.from(
-                            () -> {
-                                if (isLast) {
-                                    mWhole.complete(null);
-                                } else {
-                                    step(next);
-                                }
-                            },
-                            mWhole::completeExceptionally));
+            try {
+                mResponse.write(isLast, slice, afterWrite(isLast, next));
+            } catch (RuntimeException e) {
+                // The scheduler would drop the exception, and the slot of this sending with it.
+                mWhole.completeExceptionally(e);
+            }
+        }
+
+        private Callback afterWrite(boolean isLast, int next) {
+            return Callback.from(
+                    () -> {
+                        if (isLast) {
+                            mWhole.complete(null);
+                        } else {
+                            step(next);
+                        }
+                    },
+                    mWhole::completeExceptionally);
         }
 
         private ByteBuffer read(int sent) throws IOException {
