Replace files whole in one place, synced

Cause: the record of the last order was renamed without a sync, so that a crash of the VM could leave it empty; the configuration's file did the same work by itself. Ruled out: a second copy of the synced way in OrderRecord. Change: SyncedFiles, used by both. Conclusion: files count only once synced.

--- a/daemon/src/main/java/org/sequoiahill/daemon/process/config/ConfigurationFile.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/config/ConfigurationFile.java
@@ -2,14 +2,13 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.nio.channels.FileChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
-import java.nio.file.StandardOpenOption;
 import java.util.Optional;
 import java.util.zip.CRC32C;
 import org.sequoiahill.daemon.process.control.ThriftBytes;
+import org.sequoiahill.daemon.process.files.SyncedFiles;
 import org.sequoiahill.protocol.gen.ConfigurationDelta;
 import org.tinylog.Logger;
 
@@ -58,21 +57,7 @@
         ByteBuffer buffer = ByteBuffer.allocate(HEADER_BYTES + content.length);
         buffer.putInt(MAGIC).putInt(FORMAT_VERSION).putInt(content.length).putInt(crcOf(content));
         buffer.put(content).flip();
-        Files.createDirectories(mFolder);
-        Path next = mFolder.resolve(NAME + ".next");
-        try (FileChannel channel =
-                FileChannel.open(
-                        next,
-                        StandardOpenOption.CREATE,
-                        StandardOpenOption.TRUNCATE_EXISTING,
-                        StandardOpenOption.WRITE)) {
-            while (buffer.hasRemaining()) {
-                channel.write(buffer);
-            }
-            channel.force(true);
-        }
-        Files.move(next, mFile, StandardCopyOption.ATOMIC_MOVE);
-        syncFolder();
+        SyncedFiles.replace(mFile, buffer);
     }
 
     private ConfigurationDelta read() throws IOException {
@@ -100,12 +85,6 @@
         return ThriftBytes.read(new ConfigurationDelta(), content);
     }
 
-    private void syncFolder() throws IOException {
-        try (FileChannel channel = FileChannel.open(mFolder, StandardOpenOption.READ)) {
-            channel.force(true);
-        }
-    }
-
     private DamagedFileException damaged(String fault) {
         return new DamagedFileException(mFile + " " + fault);
     }
--- a/daemon/src/main/java/org/sequoiahill/daemon/version/swap/OrderRecord.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/swap/OrderRecord.java
@@ -3,10 +3,12 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
 import java.util.Optional;
+import org.sequoiahill.daemon.process.files.SyncedFiles;
 import org.tinylog.Logger;
 
 /** The last order of this VM's agent, kept over restarts of the agent. */
@@ -46,12 +48,6 @@
                         .put("version", order.version())
                         .put("fence", order.fence())
                         .toString();
-        Path parent = mFile.toAbsolutePath().getParent();
-        if (parent != null) {
-            Files.createDirectories(parent);
-        }
-        Path next = mFile.resolveSibling(mFile.getFileName() + ".new");
-        Files.writeString(next, text);
-        Files.move(next, mFile, StandardCopyOption.ATOMIC_MOVE);
+        SyncedFiles.replace(mFile, ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)));
     }
 }
