Hold a cold endpoint to what it bears before it is warm

Ruled out: growth by one a round for all (64 requests would take 2,080 answers); finding the bound by probing, which fells each engine once. Conclusion: the operator's knowledge of the engine is the bound, growth by successes stays below it.

--- a/bench/src/main/java/org/sequoiahill/bench/Bench.java
+++ b/bench/src/main/java/org/sequoiahill/bench/Bench.java
@@ -8,6 +8,7 @@
 import org.sequoiahill.bench.calls.OnceExperiment;
 import org.sequoiahill.bench.calls.SlowReadersExperiment;
 import org.sequoiahill.bench.capacity.CapacityExperiment;
+import org.sequoiahill.bench.capacity.CapacityPageExperiment;
 import org.sequoiahill.bench.claims.ClaimsExperiment;
 import org.sequoiahill.bench.config.ConfigExperiment;
 import org.sequoiahill.bench.faults.FaultExperiment;
@@ -38,6 +39,7 @@
     private static Map<String, Experiment> experiments() {
         Map<String, Experiment> experiments = new TreeMap<>();
         experiments.put("capacity", new CapacityExperiment());
+        experiments.put("capacity-page", new CapacityPageExperiment());
         experiments.put("faults", new FaultExperiment());
         experiments.put("fetch", FetchExperiment.create());
         experiments.put("claims", new ClaimsExperiment());
--- /dev/null
+++ b/bench/src/main/java/org/sequoiahill/bench/capacity/CapacityModel.java
@@ -0,0 +1,119 @@
+package org.sequoiahill.bench.capacity;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+
+/** Works out what each role uses at the target size from measured lines. */
+public final class CapacityModel {
+    private static final double BYTES_PER_MEGABYTE = 1 << 20;
+
+    private final Map<String, LinearFit> mFits;
+    private final TargetSize mTarget;
+
+    private CapacityModel(Map<String, LinearFit> fits, TargetSize target) {
+        mFits = fits;
+        mTarget = target;
+    }
+
+    /** Returns a model of measured lines, by the names that the capacity bench gives them. */
+    public static CapacityModel of(Map<String, LinearFit> fits, TargetSize target) {
+        return new CapacityModel(Map.copyOf(fits), target);
+    }
+
+    /**
+     * Returns the rows of the page.
+     *
+     * @throws IllegalArgumentException where a line is missing
+     */
+    public List<CapacityRow> rows() {
+        List<CapacityRow> rows = new ArrayList<>();
+        for (String role : List.of("entry", "store", "agent")) {
+            rows.add(controlCores(role));
+            rows.add(controlBytes(role));
+            if (!role.equals("agent")) {
+                rows.add(memory(role));
+            }
+        }
+        rows.add(requests("entry", mTarget.entries()));
+        rows.add(requests("agent", mTarget.endpointsPerDataCentre() * 7));
+        return List.copyOf(rows);
+    }
+
+    private CapacityRow controlCores(String role) {
+        double cores = atTarget(role, "cores");
+        return new CapacityRow(
+                role, "control, cores", mTarget.maxControlCores(), cores, slopes(role, "cores"));
+    }
+
+    private CapacityRow controlBytes(String role) {
+        return new CapacityRow(
+                role,
+                "control, B/s",
+                mTarget.maxControlBytesPerSecond(),
+                atTarget(role, "bytes_per_second"),
+                slopes(role, "bytes_per_second"));
+    }
+
+    private CapacityRow memory(String role) {
+        LinearFit fit = fit(role + ".resident_bytes.endpoint");
+        return new CapacityRow(
+                role,
+                "memory, MiB",
+                mTarget.maxResidentBytes() / BYTES_PER_MEGABYTE,
+                fit.at(mTarget.endpointsPerDataCentre()) / BYTES_PER_MEGABYTE,
+                describe("endpoint", fit));
+    }
+
+    private CapacityRow requests(String role, double daemons) {
+        LinearFit request = fit(role + ".cores.request");
+        LinearFit token = fit(role + ".cpu_seconds_per_request.token");
+        double cores =
+                mTarget.requestsPerSecond() / daemons * request.slope()
+                        + mTarget.tokensPerSecond() / daemons * token.slope();
+        return new CapacityRow(
+                role,
+                "requests and tokens, cores",
+                Double.POSITIVE_INFINITY,
+                cores,
+                describe("request", request) + "; " + describe("token", token));
+    }
+
+    /** Other entries cost what they cost beyond the few that the first line was measured with. */
+    private double atTarget(String role, String quantity) {
+        double here = fit(role + "." + quantity + ".endpoint").at(mTarget.endpointsPerDataCentre());
+        return isEntry(role)
+                ? here + fit("entry." + quantity + ".entry").slope() * mTarget.entries()
+                : here;
+    }
+
+    private String slopes(String role, String quantity) {
+        String endpoints = describe("endpoint", fit(role + "." + quantity + ".endpoint"));
+        return isEntry(role)
+                ? endpoints + "; " + describe("entry", fit("entry." + quantity + ".entry"))
+                : endpoints;
+    }
+
+    private static boolean isEntry(String role) {
+        return role.equals("entry") || role.equals("store");
+    }
+
+    private static String describe(String unit, LinearFit fit) {
+        return String.format(
+                Locale.ROOT,
+                "%.3g ± %.1g a %s, %.3g at zero",
+                fit.slope(),
+                fit.slopeError(),
+                unit,
+                fit.intercept());
+    }
+
+    private LinearFit fit(String name) {
+        LinearFit fit = mFits.get(name);
+        if (fit == null) {
+            throw new IllegalArgumentException("no measured line " + name);
+        }
+        return fit;
+    }
+}
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/AgentRole.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/AgentRole.java
@@ -71,7 +71,9 @@
         mView = view;
         mGate =
                 EndpointGate.closed(
-                        clock, mAgent.capacityBytes(), policy.limitOf(mAgent.capacity()));
+                        clock,
+                        mAgent.capacityBytes(),
+                        policy.limitOf(mAgent.capacity(), mAgent.warmUp()));
         mReporter = LoadReporter.of(mAgent.engine(), http, clock, mGate::report);
         mAnnouncer =
                 Announcer.of(identity, entriesHere(), control, sync, clock, this::announcement);
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/settings/DaemonSettings.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/settings/DaemonSettings.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import org.sequoiahill.daemon.request.gate.SlowStart;
 
 /**
  * Settings of one daemon.
@@ -59,6 +60,7 @@
      * @param engine address of the endpoint
      * @param origin address of the origin of weights
      * @param capacity requests that the endpoint bears at once
+     * @param warmUp what the endpoint bears before it is warm
      * @param capacityBytes bytes of request bodies that the endpoint bears at once
      * @param checksFencing whether the endpoint refuses an order with an old fencing number
      * @param cacheBytes bytes of weights that may be kept on disk
@@ -69,6 +71,7 @@
             URI engine,
             URI origin,
             int capacity,
+            SlowStart.WarmUp warmUp,
             long capacityBytes,
             boolean checksFencing,
             long cacheBytes,
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/settings/SettingsReader.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/settings/SettingsReader.java
@@ -16,6 +16,7 @@
 import org.sequoiahill.daemon.process.settings.DaemonSettings.Operator;
 import org.sequoiahill.daemon.process.settings.DaemonSettings.PeerVm;
 import org.sequoiahill.daemon.process.settings.DaemonSettings.ReplicationSettings;
+import org.sequoiahill.daemon.request.gate.SlowStart;
 import org.sequoiahill.protocol.document.ServiceDocument;
 import org.sequoiahill.protocol.json.Checked;
 import org.sequoiahill.protocol.json.Fault;
@@ -113,17 +114,34 @@
     }
 
     private static AgentSettings readAgent(ObjectReader reader) {
+        int capacity = (int) reader.integer("capacity", 1, MAX_CAPACITY);
         return new AgentSettings(
                 reader.string("service", ServiceDocument.NAME),
                 URI.create(reader.string("engine", HTTP)),
                 URI.create(reader.string("origin", HTTP, "")),
-                (int) reader.integer("capacity", 1, MAX_CAPACITY),
+                capacity,
+                readWarmUp(reader, capacity),
                 reader.integer("capacityBytes", 1, MAX_CAPACITY_BYTES, DEFAULT_CAPACITY_BYTES),
                 reader.bool("checksFencing", false),
                 reader.integer("cacheBytes", 1, MAX_CACHE_BYTES, DEFAULT_CACHE_BYTES),
                 reader.integer("linkBytesPerSecond", 1, MAX_LINK_RATE, DEFAULT_LINK_RATE));
     }
 
+    /**
+     * Half of the capacity, for twice as many answers as the capacity, unless it is known better.
+     */
+    private static SlowStart.WarmUp readWarmUp(ObjectReader reader, int capacity) {
+        int half = Math.max(1, capacity / 2);
+        return new SlowStart.WarmUp(
+                (int) reader.integer("coldCapacity", 1, MAX_CAPACITY, half),
+                (int)
+                        reader.integer(
+                                "coldAnswers",
+                                0,
+                                MAX_CAPACITY,
+                                Math.min(2 * capacity, MAX_CAPACITY)));
+    }
+
     private static Operator readOperator(ObjectReader reader) {
         return new Operator(
                 reader.string("name", ServiceDocument.NAME),
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/RequestPolicy.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/RequestPolicy.java
@@ -41,7 +41,7 @@
     }
 
     /** Returns the limit of an endpoint that has just started. */
-    public SlowStart limitOf(int capacity) {
-        return hasSlowStart ? SlowStart.cold(capacity) : SlowStart.disabled(capacity);
+    public SlowStart limitOf(int capacity, SlowStart.WarmUp warmUp) {
+        return hasSlowStart ? SlowStart.cold(capacity, warmUp) : SlowStart.disabled(capacity);
     }
 }
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/gate/SlowStart.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/gate/SlowStart.java
@@ -23,6 +23,7 @@
     private static final double SLOWER_WEIGHT = 1.0 / 64;
 
     private final int mCapacity;
+    private final WarmUp mWarmUp;
     private final boolean mIsEnabled;
     private double mLimit = 1;
     private double mThreshold;
@@ -32,21 +33,39 @@
     private int mRoundSize = 1;
     private boolean mHasHalvedInRound;
     private boolean mIsUsedInRound;
+    private int mColdAnswersLeft;
 
-    private SlowStart(int capacity, boolean isEnabled) {
+    private SlowStart(int capacity, WarmUp warmUp, boolean isEnabled) {
         mCapacity = capacity;
+        mWarmUp = warmUp;
+        mColdAnswersLeft = warmUp.answers();
         mIsEnabled = isEnabled;
         mThreshold = capacity;
     }
 
+    /**
+     * What an endpoint bears before it is warm.
+     *
+     * @param capacity requests at once
+     * @param answers answers after a start until it is warm
+     */
+    public record WarmUp(int capacity, int answers) {
+        /**
+         * Returns the warm-up of an endpoint of which nothing is known but the growth of answers.
+         */
+        public static WarmUp none() {
+            return new WarmUp(Integer.MAX_VALUE, 0);
+        }
+    }
+
     /** Returns the limit of a cold endpoint that bears {@code capacity} requests once warm. */
-    public static SlowStart cold(int capacity) {
-        return new SlowStart(capacity, true);
+    public static SlowStart cold(int capacity, WarmUp warmUp) {
+        return new SlowStart(capacity, warmUp, true);
     }
 
     /** Returns a limit that always is the capacity, to measure against. */
     public static SlowStart disabled(int capacity) {
-        return new SlowStart(capacity, false);
+        return new SlowStart(capacity, WarmUp.none(), false);
     }
 
     /** Returns the requests that the endpoint may have at once, 1 to its capacity. */
@@ -83,6 +102,7 @@
      * @param running requests that ran when this one was sent, itself included
      */
     public void answered(Duration firstByte, int running) {
+        mColdAnswersLeft = Math.max(0, mColdAnswersLeft - 1);
         if (isSlow(firstByte)) {
             mSlowResults++;
         }
@@ -131,6 +151,7 @@
 
     private void fallToOne() {
         mLimit = 1;
+        mColdAnswersLeft = mWarmUp.answers();
         mThreshold = mCapacity;
         startRound();
     }
@@ -149,7 +170,11 @@
             return;
         }
         double grown = mLimit < mThreshold ? Math.max(mLimit + 1, mLimit * GROWTH) : mLimit + 1;
-        mLimit = Math.min((int) grown, mCapacity);
+        mLimit = Math.min((int) grown, most());
+    }
+
+    private int most() {
+        return mColdAnswersLeft > 0 ? Math.min(mWarmUp.capacity(), mCapacity) : mCapacity;
     }
 
     private void startRound() {
--- a/daemon/src/test/java/org/sequoiahill/daemon/request/EndpointGateTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/request/EndpointGateTest.java
@@ -43,7 +43,8 @@
                 + " f",
     })
     void enter_afterSteps_isAsExpected(String what, String steps, String expected) {
-        EndpointGate gate = EndpointGate.closed(() -> mNow, 100, SlowStart.cold(8));
+        EndpointGate gate =
+                EndpointGate.closed(() -> mNow, 100, SlowStart.cold(8, SlowStart.WarmUp.none()));
         Deque<EndpointGate.Permit> inside = new ArrayDeque<>();
         StringBuilder results = new StringBuilder();
         for (String step : steps.split(" ")) {
--- a/daemon/src/test/java/org/sequoiahill/daemon/request/gate/SlowStartTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/request/gate/SlowStartTest.java
@@ -37,14 +37,29 @@
         "cold answers first are the usual ones, 16*900, 8",
     })
     void limit_afterSteps_isAsExpected(String what, String steps, int expected) {
-        SlowStart limit = SlowStart.cold(8);
+        SlowStart limit = SlowStart.cold(8, SlowStart.WarmUp.none());
+        apply(limit, steps);
+        assertThat(what, limit.limit(), is(expected));
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "never over what a cold endpoint bears, 11*20, 3",
+        "still cold at the last answer but one, 11*20, 3",
+        "warm at the last answer, 12*20, 4",
+        "grows on once it is warm, 60*20, 8",
+        "a lost endpoint is cold again, 60*20 lost 11*20, 3",
+        "a restarted endpoint is cold again, 60*20 restart 11*20, 3",
+    })
+    void limit_coldEndpointBearsLess_staysWithinIt(String what, String steps, int expected) {
+        SlowStart limit = SlowStart.cold(8, new SlowStart.WarmUp(3, 12));
         apply(limit, steps);
         assertThat(what, limit.limit(), is(expected));
     }
 
     @Test
     void limit_endpointStaysSlow_growsAgain() {
-        SlowStart limit = SlowStart.cold(8);
+        SlowStart limit = SlowStart.cold(8, SlowStart.WarmUp.none());
         apply(limit, "16*20 16*400");
         int cold = limit.limit();
         apply(limit, "400*400");
