--- a/bench/src/main/java/org/sequoiahill/bench/processes/Topology.java
+++ b/bench/src/main/java/org/sequoiahill/bench/processes/Topology.java
@@ -11,7 +11,9 @@
  * @param stores how many stores there are, one a data centre in turn
  */
 public record Topology(String prefix, List<DataCentre> dataCentres, int stores) {
-    private static final int FIRST_ENDPOINT = 11;
+    private static final int FIRST_ENDPOINT = 10;
+    private static final int ENDPOINTS_AN_OCTET = 240;
+    private static final int OCTETS_BETWEEN = 20;
 
     /**
      * One data centre.
@@ -86,6 +88,13 @@
         return List.copyOf(vms);
     }
 
+    /** Data centres lie in the third octet; one that is full goes on in a higher one. */
+    private String endpointIp(int dataCentre, int number) {
+        int third = dataCentre + OCTETS_BETWEEN * (number / ENDPOINTS_AN_OCTET);
+        int fourth = 1 + number % ENDPOINTS_AN_OCTET;
+        return prefix + "." + third + "." + fourth;
+    }
+
     /** Returns the stores: the first entries of the data centres, in turn. */
     public List<Vm> storeVms() {
         List<Vm> stores = new ArrayList<>();
@@ -109,7 +118,7 @@
             for (Endpoints endpoints : dataCentre.endpoints()) {
                 for (int n = 1; n <= endpoints.count(); n++) {
                     String name = dataCentre.name() + "-" + endpoints.service() + "-" + n;
-                    String ip = prefix + "." + (i + 1) + "." + next++;
+                    String ip = endpointIp(i + 1, next++);
                     if (endpoints.service().equals(service)) {
                         vms.add(new Vm(name, dataCentre.name(), ip));
                     }
