--- a/bench/src/main/java/org/sequoiahill/bench/capacity/CapacityExperiment.java
+++ b/bench/src/main/java/org/sequoiahill/bench/capacity/CapacityExperiment.java
@@ -33,6 +33,12 @@
     @Parameter(names = "--tokens", description = "tokens of a request, at eight requests at once")
     private List<Integer> mTokens = List.of(4, 16, 64);
 
+    @Parameter(names = "--series", description = "endpoints, entries, requests")
+    private List<String> mSeries = List.of("endpoints", "entries", "requests");
+
+    @Parameter(names = "--settle-seconds", description = "time before the first measurement")
+    private int mSettleSeconds = 10;
+
     @Parameter(names = "--window-seconds", description = "time of each measurement")
     private int mWindowSeconds = 10;
 
@@ -51,10 +57,20 @@
         try (MetricsReader metrics = MetricsReader.start()) {
             CapacitySeries series =
                     new CapacitySeries(
-                            folder, mPrefix, Duration.ofSeconds(mWindowSeconds), metrics);
-            measureEndpoints(series);
-            measureEntries(series);
-            measureRequests(series);
+                            folder,
+                            mPrefix,
+                            Duration.ofSeconds(mSettleSeconds),
+                            Duration.ofSeconds(mWindowSeconds),
+                            metrics);
+            if (mSeries.contains("endpoints")) {
+                measureEndpoints(series);
+            }
+            if (mSeries.contains("entries")) {
+                measureEntries(series);
+            }
+            if (mSeries.contains("requests")) {
+                measureRequests(series);
+            }
         }
         mFits.forEach(
                 (name, fit) ->
--- a/bench/src/main/java/org/sequoiahill/bench/capacity/CapacitySeries.java
+++ b/bench/src/main/java/org/sequoiahill/bench/capacity/CapacitySeries.java
@@ -20,7 +20,6 @@
 /** Runs deployments of several sizes and samples what each role uses. */
 final class CapacitySeries {
     private static final Duration START_BOUND = Duration.ofMinutes(2);
-    private static final Duration SETTLE = Duration.ofSeconds(10);
     private static final String SERVICE = "desk";
     private static final int ENTRIES_PER_DATA_CENTRE_AT_MOST = 10;
     private static final int DATA_CENTRES = 5;
@@ -29,12 +28,15 @@
 
     private final Path mFolder;
     private final String mPrefix;
+    private final Duration mSettle;
     private final Duration mWindow;
     private final MetricsReader mMetrics;
 
-    CapacitySeries(Path folder, String prefix, Duration window, MetricsReader metrics) {
+    CapacitySeries(
+            Path folder, String prefix, Duration settle, Duration window, MetricsReader metrics) {
         mFolder = folder;
         mPrefix = prefix;
+        mSettle = settle;
         mWindow = window;
         mMetrics = metrics;
     }
@@ -169,7 +171,7 @@
         return UsageWindow.measure(mMetrics, size, pid, daemons, vm, mWindow);
     }
 
-    private static void settle() {
-        UsageWindow.waitFor(SETTLE);
+    private void settle() {
+        UsageWindow.waitFor(mSettle);
     }
 }
