Take the common options before or behind a command, and refuse unknown ones

Found by asking a running deployment by hand. Ruled out: telling users to put options first. Change: the common options belong to each command too; a word that begins with a dash is refused. Conclusion: a command line is understood or refused, never half read.

--- a/cli/src/main/java/org/sequoiahill/cli/DataCentreCommand.java
+++ b/cli/src/main/java/org/sequoiahill/cli/DataCentreCommand.java
@@ -11,7 +11,7 @@
 /** Takes data centres out and in. */
 @Parameters(commandDescription = "in|out|list: data centres")
 final class DataCentreCommand implements Command {
-    @Parameter(description = "in NAME | out NAME | list")
+    @Parameter(description = "in NAME | out NAME | list", validateWith = WordValidator.class)
     private List<String> mWords = new ArrayList<>();
 
     @Parameter(names = "--change-id", description = "resend with the same id after a lost answer")
--- a/cli/src/main/java/org/sequoiahill/cli/EndpointCommand.java
+++ b/cli/src/main/java/org/sequoiahill/cli/EndpointCommand.java
@@ -9,7 +9,7 @@
 /** Lists endpoints. */
 @Parameters(commandDescription = "list: endpoints that the asked entry knows")
 final class EndpointCommand implements Command {
-    @Parameter(description = "list")
+    @Parameter(description = "list", validateWith = WordValidator.class)
     private List<String> mWords = new ArrayList<>();
 
     @Override
--- a/cli/src/main/java/org/sequoiahill/cli/SequoiaCli.java
+++ b/cli/src/main/java/org/sequoiahill/cli/SequoiaCli.java
@@ -4,37 +4,26 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
 import java.io.IOException;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
-import org.jspecify.annotations.Nullable;
 
 /** The program {@code sequoia}. */
 public final class SequoiaCli {
-    @Parameter(
-            names = "--server",
-            description = "operators' addresses of entries or stores, by comma, tried in turn")
-    private String mServer = System.getenv().getOrDefault("SEQUOIA_SERVER", "");
-
-    @Parameter(names = "--token-file", description = "file with the operator's bearer token")
-    private @Nullable String mTokenFile;
-
-    @Parameter(names = "--output", description = "json or table")
-    private String mOutput = "json";
+    private final CommonOptions mCommon = new CommonOptions();
 
     @Parameter(names = "--help", help = true, description = "print this text and exit")
     private boolean mHelp;
 
-    private SequoiaCli() {}
+    SequoiaCli() {}
 
     /** Runs one command. */
     public static void main(String[] args) {
         System.exit(new SequoiaCli().run(args).status());
     }
 
-    private ExitCode run(String[] args) {
+    ExitCode run(String... args) {
         try {
             return parseAndRun(args);
         } catch (ParameterException e) {
@@ -55,25 +44,27 @@
     private ExitCode parseAndRun(String[] args) throws Exception {
         Map<String, Command> commands = commands();
         JCommander commander =
-                JCommander.newBuilder().programName("sequoia").addObject(this).build();
-        commands.forEach(commander::addCommand);
+                JCommander.newBuilder()
+                        .programName("sequoia")
+                        .addObject(this)
+                        .addObject(mCommon)
+                        .build();
+        commands.forEach((name, command) -> commander.addCommand(name, List.of(command, mCommon)));
         commander.parse(args);
         Command command = commands.get(String.valueOf(commander.getParsedCommand()));
         if (mHelp || command == null) {
             commander.usage();
             return mHelp ? ExitCode.OK : ExitCode.USAGE;
         }
-        if (!mOutput.equals("json") && !mOutput.equals("table")) {
-            throw new ParameterException("--output is " + mOutput + "; it must be json or table");
-        }
-        if (mServer.isEmpty() && !(command instanceof WeightsCommand)) {
+        boolean isTable = mCommon.isTable();
+        if (mCommon.server().isEmpty() && !(command instanceof WeightsCommand)) {
             throw new ParameterException("--server or SEQUOIA_SERVER must name a server");
         }
-        try (OperatorsClient client = OperatorsClient.connect(mServer, token())) {
+        try (OperatorsClient client = OperatorsClient.connect(mCommon.server(), mCommon.token())) {
             return command.run(
                     new CommandContext(
                             client,
-                            mOutput.equals("table"),
+                            isTable,
                             System.out,
                             System.err,
                             () -> TimeUnit.SECONDS.sleep(1)));
@@ -90,10 +81,4 @@
         commands.put("store", new StoreCommand());
         return commands;
     }
-
-    private String token() throws IOException {
-        return mTokenFile == null
-                ? System.getenv().getOrDefault("SEQUOIA_TOKEN", "")
-                : Files.readString(Path.of(mTokenFile)).strip();
-    }
 }
--- a/cli/src/main/java/org/sequoiahill/cli/ServiceCommand.java
+++ b/cli/src/main/java/org/sequoiahill/cli/ServiceCommand.java
@@ -18,7 +18,9 @@
 final class ServiceCommand implements Command {
     private static final int DEFAULT_WAIT_SECONDS = 600;
 
-    @Parameter(description = "apply FILE | get NAME | list | status NAME | history NAME")
+    @Parameter(
+            description = "apply FILE | get NAME | list | status NAME | history NAME",
+            validateWith = WordValidator.class)
     private List<String> mWords = new ArrayList<>();
 
     @Parameter(names = "--replaces", description = "revision that the change replaces")
--- a/cli/src/main/java/org/sequoiahill/cli/StoreCommand.java
+++ b/cli/src/main/java/org/sequoiahill/cli/StoreCommand.java
@@ -10,7 +10,7 @@
 /** Members of the replicated log. */
 @Parameters(commandDescription = "members|add|remove: stores of the replicated log")
 final class StoreCommand implements Command {
-    @Parameter(description = "members | add VM | remove VM")
+    @Parameter(description = "members | add VM | remove VM", validateWith = WordValidator.class)
     private List<String> mWords = new ArrayList<>();
 
     @Override
--- a/cli/src/main/java/org/sequoiahill/cli/WeightsCommand.java
+++ b/cli/src/main/java/org/sequoiahill/cli/WeightsCommand.java
@@ -12,7 +12,7 @@
 final class WeightsCommand implements Command {
     private static final int DEFAULT_CHUNK_BYTES = 8 << 20;
 
-    @Parameter(description = "manifest FOLDER")
+    @Parameter(description = "manifest FOLDER", validateWith = WordValidator.class)
     private List<String> mWords = new ArrayList<>();
 
     @Parameter(names = "--name", description = "name of the version")
--- a/cli/src/test/java/org/sequoiahill/cli/CommandTest.java
+++ b/cli/src/test/java/org/sequoiahill/cli/CommandTest.java
@@ -41,6 +41,28 @@
         assertThat(ExitCode.ofHttp(status), is(expected));
     }
 
+    /** Nothing listens at the address, so that a command line that is understood is unavailable. */
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "--server 127.0.0.1:1 --output table service list|UNAVAILABLE",
+                "service list --server 127.0.0.1:1 --output table|UNAVAILABLE",
+                "audit --server 127.0.0.1:1 --output json|UNAVAILABLE",
+                "store members --server 127.0.0.1:1|UNAVAILABLE",
+                "service list --server 127.0.0.1:1 --output xml|USAGE",
+                "service wash --server 127.0.0.1:1|USAGE",
+                "service get --server 127.0.0.1:1|USAGE",
+                "service list --server 127.0.0.1:1 --bogus|USAGE",
+                "laundry|USAGE",
+                "--help|OK",
+            })
+    void run_commandLine_isUnderstoodOrRefused(String line, ExitCode expected) {
+        String[] words = line.split(" ", -1);
+
+        assertThat(new SequoiaCli().run(words), is(expected));
+    }
+
     @Test
     void print_rows_alignsColumns() throws Exception {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
