--- a/bench/src/main/java/org/sequoiahill/bench/capacity/CapacityModel.java
+++ b/bench/src/main/java/org/sequoiahill/bench/capacity/CapacityModel.java
@@ -62,7 +62,7 @@
                 role,
                 "memory, MiB",
                 mTarget.maxResidentBytes() / BYTES_PER_MEGABYTE,
-                fit.at(mTarget.endpointsPerDataCentre()) / BYTES_PER_MEGABYTE,
+                rising(fit) / BYTES_PER_MEGABYTE,
                 describe("endpoint", fit));
     }
 
@@ -82,10 +82,18 @@
 
     /** Other entries cost what they cost beyond the few that the first line was measured with. */
     private double atTarget(String role, String quantity) {
-        double here = fit(role + "." + quantity + ".endpoint").at(mTarget.endpointsPerDataCentre());
-        return isEntry(role)
-                ? here + fit("entry." + quantity + ".entry").slope() * mTarget.entries()
-                : here;
+        double here = rising(fit(role + "." + quantity + ".endpoint"));
+        if (!isEntry(role)) {
+            return here;
+        }
+        // A cost that falls with the size is noise, and must not make room for another.
+        double others = Math.max(0, fit("entry." + quantity + ".entry").slope());
+        return here + others * mTarget.entries();
+    }
+
+    private double rising(LinearFit fit) {
+        double endpoints = mTarget.endpointsPerDataCentre();
+        return fit.intercept() + Math.max(0, fit.slope()) * endpoints;
     }
 
     private String slopes(String role, String quantity) {
@@ -102,7 +110,7 @@
     private static String describe(String unit, LinearFit fit) {
         return String.format(
                 Locale.ROOT,
-                "%.3g ± %.1g a %s, %.3g at zero",
+                "%.3g ± %.1g for each %s, %.3g at zero",
                 fit.slope(),
                 fit.slopeError(),
                 unit,
--- a/bench/src/test/java/org/sequoiahill/bench/capacity/CapacityModelTest.java
+++ b/bench/src/test/java/org/sequoiahill/bench/capacity/CapacityModelTest.java
@@ -31,6 +31,14 @@
         assertThat(row.isMet(), is(true));
     }
 
+    @Test
+    void rows_slopeBelowZero_countsAsNone() {
+        Map<String, LinearFit> fits = fits();
+        fits.put("entry.cores.entry", new LinearFit(5, -2, 1));
+
+        assertThat(row(fits, "entry", "control, cores").figure(), closeTo(5 + 40 * 2, 1e-9));
+    }
+
     @Test
     void rows_requests_areSharedByAllEntries() {
         CapacityRow row = row(fits(), "entry", "requests and tokens, cores");
