--- a/bench/src/test/java/org/sequoiahill/bench/calls/SilentConnectionTest.java
+++ b/bench/src/test/java/org/sequoiahill/bench/calls/SilentConnectionTest.java
@@ -126,7 +126,7 @@
         CompletableFuture<String> result = new CompletableFuture<>();
         String address = RELAY.getHostString() + ":" + RELAY.getPort();
         HttpForwarder.Call call =
-                new HttpForwarder.Call(
+                HttpForwarder.Call.of(
                         "POST",
                         URI.create("http://" + address + "/slow?" + delayMillis),
                         HttpFields.build().put(RequestHeaders.REQUEST_ID, id),
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/FleetAgent.java
@@ -0,0 +1,120 @@
+package org.sequoiahill.daemon.process;
+
+import jakarta.inject.Inject;
+import jakarta.inject.Singleton;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.server.Handler;
+import org.sequoiahill.daemon.process.control.ControlClient;
+import org.sequoiahill.daemon.process.control.ControlServer;
+import org.sequoiahill.daemon.process.control.Identity;
+import org.sequoiahill.daemon.process.control.ServiceStub;
+import org.sequoiahill.daemon.process.fleet.FleetView;
+import org.sequoiahill.daemon.process.fleet.StoreWatcher;
+import org.sequoiahill.daemon.process.settings.FleetSettings;
+import org.sequoiahill.daemon.process.time.MonotonicClock;
+import org.sequoiahill.daemon.version.staging.AgentState;
+import org.sequoiahill.daemon.version.staging.PieceFetcher;
+import org.sequoiahill.daemon.version.staging.PieceHandler;
+import org.sequoiahill.daemon.version.staging.PieceStore;
+import org.sequoiahill.daemon.version.staging.StagingAgent;
+import org.sequoiahill.daemon.version.staging.StagingEngine;
+import org.sequoiahill.daemon.version.staging.WeightsOrigin;
+import org.sequoiahill.protocol.gen.Participant;
+import org.sequoiahill.protocol.gen.Pieces;
+
+/** The role that keeps the engine on its VM at the newest version. */
+@Singleton
+final class FleetAgent implements FleetRoleParts {
+    private static final int FETCH_THREADS = 6;
+
+    /** Part of the version bound after which a load waits for no other engine. */
+    private static final double LAST_CALL_PART = 0.72;
+
+    private final FleetSettings mSettings;
+    private final AgentState mState;
+    private final PieceHandler mPieces;
+    private final StagingAgent mAgent;
+    private volatile Runnable mAnnounce = () -> {};
+
+    @Inject
+    FleetAgent(
+            FleetSettings settings,
+            FleetAdapter adapter,
+            Identity identity,
+            FleetView view,
+            ControlClient client,
+            HttpClient http,
+            MonotonicClock clock) {
+        mSettings = settings;
+        mState = AgentState.of(Participants.of(settings, identity));
+        PieceStore store = new PieceStore();
+        StagingEngine engine = adapter.engine(http, settings.engine().orElseThrow());
+        WeightsOrigin origin = adapter.origin(http);
+        mPieces = PieceHandler.of(identity, store, engine);
+        ExecutorService workers =
+                Executors.newFixedThreadPool(FETCH_THREADS, ProcessModule.daemonThreads("fetch"));
+        mAgent =
+                StagingAgent.of(
+                        new StagingAgent.Services(
+                                view::picture,
+                                engine,
+                                origin,
+                                store,
+                                PieceFetcher.of(identity, origin, store, client, workers),
+                                mState,
+                                () -> mAnnounce.run(),
+                                clock),
+                        settings.service(),
+                        lastCall(settings));
+        view.addListener(picture -> mAgent.wake());
+    }
+
+    /** Sets how all stores are told what the agent says of itself. */
+    void announceBy(StoreWatcher watcher) {
+        mAnnounce = watcher::announce;
+    }
+
+    @Override
+    public List<HttpServers.Listener> listeners() {
+        return List.of();
+    }
+
+    @Override
+    public Handler handler() {
+        return new Handler.Sequence();
+    }
+
+    @Override
+    public void register(ControlServer server) {
+        server.register(ServiceStub.PIECES, new Pieces.Processor<>(mPieces));
+    }
+
+    @Override
+    public Participant participant() {
+        return mState.participant();
+    }
+
+    @Override
+    public void start() {
+        Thread thread = ProcessModule.daemonThreads("agent").newThread(mAgent);
+        thread.start();
+    }
+
+    @Override
+    public void leave() {
+        // The engine goes on serving without its agent.
+    }
+
+    @Override
+    public void awaitIdle() {
+        // Nothing is cut: an order that has begun is carried out by the engine.
+    }
+
+    private static Duration lastCall(FleetSettings settings) {
+        return Duration.ofMillis((long) (settings.bounds().version().toMillis() * LAST_CALL_PART));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/FleetDaemon.java
@@ -0,0 +1,153 @@
+package org.sequoiahill.daemon.process;
+
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import jakarta.inject.Inject;
+import jakarta.inject.Provider;
+import jakarta.inject.Singleton;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ScheduledExecutorService;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.sequoiahill.daemon.process.admin.AdminHandler;
+import org.sequoiahill.daemon.process.control.ControlClient;
+import org.sequoiahill.daemon.process.control.ControlServer;
+import org.sequoiahill.daemon.process.fleet.FleetView;
+import org.sequoiahill.daemon.process.fleet.StoreWatcher;
+import org.sequoiahill.daemon.process.settings.FleetSettings;
+import org.sequoiahill.daemon.process.settings.FleetSettings.FleetRole;
+import org.sequoiahill.daemon.process.time.MonotonicClock;
+import org.tinylog.Logger;
+
+/** One daemon that finds the others by seeds: starts its role, serves, and ends in order. */
+@Singleton
+public final class FleetDaemon {
+    private static final String METRICS = "metrics";
+
+    private final FleetSettings mSettings;
+    private final HttpClient mHttpClient;
+    private final ControlServer mControlServer;
+    private final FleetRoleParts mRole;
+    private final StoreWatcher mWatcher;
+    private final Server mServer;
+    private final CountDownLatch mStopped = new CountDownLatch(1);
+    private volatile boolean mIsLeaving;
+
+    @Inject
+    FleetDaemon(
+            FleetSettings settings,
+            SeedSource seeds,
+            FleetView view,
+            ControlServer controlServer,
+            ControlClient controlClient,
+            HttpClient httpClient,
+            QueuedThreadPool threads,
+            MonotonicClock clock,
+            ScheduledExecutorService scheduler,
+            PrometheusMeterRegistry metrics,
+            Provider<FleetEntry> entry,
+            Provider<FleetStoreRole> store,
+            Provider<FleetAgent> agent) {
+        mSettings = settings;
+        mHttpClient = httpClient;
+        mControlServer = controlServer;
+        mRole =
+                switch (settings.role()) {
+                    case ENTRY -> entry.get();
+                    case STORE -> store.get();
+                    case AGENT -> agent.get();
+                };
+        mRole.register(controlServer);
+        mWatcher =
+                StoreWatcher.of(
+                        view,
+                        controlClient,
+                        clock,
+                        scheduler,
+                        mRole::participant,
+                        seeds::seeds,
+                        settings.dataCentre());
+        if (settings.role() == FleetRole.AGENT) {
+            agent.get().announceBy(mWatcher);
+        }
+        List<HttpServers.Listener> listeners = new ArrayList<>(mRole.listeners());
+        listeners.add(new HttpServers.Listener(METRICS, settings.metrics()));
+        AdminHandler admin = AdminHandler.of(metrics, () -> !mIsLeaving);
+        mServer =
+                HttpServers.shared(
+                        threads,
+                        listeners,
+                        new Handler.Sequence(new MetricsOnly(admin), mRole.handler()));
+    }
+
+    /**
+     * Starts to serve.
+     *
+     * @throws Exception where an address can't be listened at
+     */
+    public void start() throws Exception {
+        mControlServer.start();
+        mServer.start();
+        mHttpClient.start();
+        mHttpClient.getProtocolHandlers().clear();
+        if (mSettings.role() != FleetRole.STORE) {
+            mWatcher.start();
+        }
+        mRole.start();
+        Logger.info(
+                "{} started as {} at {}", mSettings.name(), mSettings.role(), mSettings.control());
+    }
+
+    /** Ends the daemon once running requests have ended or the drain bound has passed. */
+    public void stop() {
+        if (mIsLeaving) {
+            Logger.warn("{} is told again to end", mSettings.name());
+            return;
+        }
+        mIsLeaving = true;
+        Logger.info("{} is leaving", mSettings.name());
+        mRole.leave();
+        Thread thread = ProcessModule.daemonThreads("shutdown").newThread(this::endRole);
+        thread.start();
+    }
+
+    /** Waits until {@link #stop} has ended. */
+    public void awaitStop() throws InterruptedException {
+        mStopped.await();
+        Logger.info("{} stopped", mSettings.name());
+    }
+
+    private void endRole() {
+        try {
+            mRole.awaitIdle();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        mStopped.countDown();
+    }
+
+    /** Answers at the metrics address only, and nothing else there. */
+    private static final class MetricsOnly extends Handler.Wrapper {
+        MetricsOnly(Handler handler) {
+            super(handler);
+        }
+
+        @Override
+        public boolean handle(Request request, Response response, Callback callback)
+                throws Exception {
+            if (!HttpServers.listenerOf(request).equals(METRICS)) {
+                return false;
+            }
+            if (!super.handle(request, response, callback)) {
+                Response.writeError(request, response, callback, 404);
+            }
+            return true;
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/FleetEntry.java
@@ -0,0 +1,153 @@
+package org.sequoiahill.daemon.process;
+
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import jakarta.inject.Inject;
+import jakarta.inject.Singleton;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.sequoiahill.daemon.process.control.ControlServer;
+import org.sequoiahill.daemon.process.control.Identity;
+import org.sequoiahill.daemon.process.fleet.FleetView;
+import org.sequoiahill.daemon.process.settings.FleetSettings;
+import org.sequoiahill.daemon.process.time.MonotonicClock;
+import org.sequoiahill.daemon.request.HttpForwarder;
+import org.sequoiahill.daemon.request.direct.DirectHandler;
+import org.sequoiahill.daemon.request.direct.DirectServices;
+import org.sequoiahill.daemon.request.direct.DirectSettings;
+import org.sequoiahill.daemon.request.direct.Dispatcher;
+import org.sequoiahill.daemon.request.direct.RunningExchanges;
+import org.sequoiahill.protocol.gen.Participant;
+
+/** The role that answers callers and sends straight to endpoints. */
+@Singleton
+final class FleetEntry implements FleetRoleParts {
+    private static final String CALLERS = "callers";
+    private static final String READY = "ready";
+
+    /** Time in which a balancer that asks every second has noticed that an entry leaves. */
+    private static final Duration LINGER = Duration.ofMillis(2_500);
+
+    /** Part of the drain bound that is left for the end of the process. */
+    private static final Duration END_MARGIN = Duration.ofMillis(700);
+
+    /** Part of the version bound after which requests insist on the new version. */
+    private static final double VERSION_PART = 0.85;
+
+    private final FleetSettings mSettings;
+    private final FleetAdapter mAdapter;
+    private final Identity mIdentity;
+    private final FleetView mView;
+    private final DrainHandler mDrain;
+    private volatile boolean mIsLeaving;
+
+    @Inject
+    FleetEntry(
+            FleetSettings settings,
+            FleetAdapter adapter,
+            Identity identity,
+            FleetView view,
+            HttpForwarder forwarder,
+            MonotonicClock clock,
+            RandomGenerator random,
+            ScheduledExecutorService scheduler,
+            PrometheusMeterRegistry metrics) {
+        mSettings = settings;
+        mAdapter = adapter;
+        mIdentity = identity;
+        mView = view;
+        FleetSettings.FleetBounds bounds = settings.bounds();
+        DirectSettings direct =
+                new DirectSettings(
+                        settings.regions(),
+                        settings.regions().getOrDefault(settings.dataCentre(), ""),
+                        bounds.repeatRatio(),
+                        bounds.repeatWindow(),
+                        bounds.repeatSlack(),
+                        Duration.ofMillis((long) (bounds.version().toMillis() * VERSION_PART)));
+        Dispatcher dispatcher = Dispatcher.of(view::picture, direct, clock, random, scheduler);
+        RunningExchanges exchanges = RunningExchanges.on(scheduler);
+        metrics.gauge("sequoia.entry.running", exchanges, RunningExchanges::size);
+        metrics.gauge("sequoia.entry.waiting", dispatcher, Dispatcher::waiting);
+        DirectServices services =
+                new DirectServices(
+                        adapter.callers(),
+                        dispatcher,
+                        forwarder,
+                        exchanges,
+                        BoundedRequestLog.of(metrics, clock),
+                        clock);
+        mDrain = new DrainHandler(DirectHandler.of(services, view::picture, random));
+        view.addListener(picture -> dispatcher.refresh());
+    }
+
+    @Override
+    public List<HttpServers.Listener> listeners() {
+        return List.of(
+                new HttpServers.Listener(CALLERS, mSettings.callers().orElseThrow()),
+                new HttpServers.Listener(READY, mSettings.ready().orElseThrow()));
+    }
+
+    @Override
+    public Handler handler() {
+        return new Handler.Sequence(new ReadyHandler(), mDrain);
+    }
+
+    @Override
+    public void register(ControlServer server) {
+        // Entries are not called by other daemons.
+    }
+
+    @Override
+    public Participant participant() {
+        return Participants.of(mSettings, mIdentity);
+    }
+
+    @Override
+    public void start() {
+        // Callers are answered as soon as the servers listen.
+    }
+
+    @Override
+    public void leave() {
+        mIsLeaving = true;
+        mDrain.leave();
+    }
+
+    @Override
+    public void awaitIdle() throws InterruptedException {
+        TimeUnit.NANOSECONDS.sleep(LINGER.toNanos());
+        Duration bound = mSettings.bounds().drain().minus(LINGER).minus(END_MARGIN);
+        mDrain.shut()
+                .completeOnTimeout(null, Math.max(0, bound.toMillis()), TimeUnit.MILLISECONDS)
+                .join();
+    }
+
+    /** Says whether the entry takes callers. */
+    private final class ReadyHandler extends Handler.Abstract.NonBlocking {
+        @Override
+        public boolean handle(Request request, Response response, Callback callback) {
+            if (!HttpServers.listenerOf(request).equals(READY)) {
+                return false;
+            }
+            boolean isAsked = Request.getPathInContext(request).equals(mAdapter.readyPath());
+            boolean isReady = !mIsLeaving && mView.picture().table().isPresent();
+            if (!isAsked) {
+                response.setStatus(HttpStatus.NOT_FOUND_404);
+            } else if (!isReady) {
+                response.setStatus(HttpStatus.SERVICE_UNAVAILABLE_503);
+            } else {
+                response.setStatus(HttpStatus.OK_200);
+            }
+            callback.succeeded();
+            return true;
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/FleetModule.java
@@ -0,0 +1,178 @@
+package org.sequoiahill.daemon.process;
+
+import dagger.Module;
+import dagger.Provides;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import jakarta.inject.Singleton;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.RejectedExecutionHandler;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.SynchronousQueue;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
+import org.eclipse.jetty.http.HttpCookieStore;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.sequoiahill.daemon.process.control.ControlClient;
+import org.sequoiahill.daemon.process.control.ControlServer;
+import org.sequoiahill.daemon.process.control.ControlTraffic;
+import org.sequoiahill.daemon.process.control.Identity;
+import org.sequoiahill.daemon.process.fleet.FleetView;
+import org.sequoiahill.daemon.process.settings.FleetSettings;
+import org.sequoiahill.daemon.process.time.MonotonicClock;
+import org.sequoiahill.daemon.request.HttpForwarder;
+
+/** Provides what lives as long as a process whose VM has one small core. */
+@Module
+final class FleetModule {
+    private static final int HTTP_THREADS = 24;
+    private static final int HTTP_IDLE_THREADS = 4;
+    private static final int CONTROL_THREADS = 512;
+    private static final int CONTROL_CALL_THREADS = 128;
+    private static final long IDLE_THREAD_SECONDS = 20;
+    private static final int SCHEDULER_THREADS = 1;
+
+    /** Connections to one endpoint that an entry may have; endpoints bound their sum. */
+    private static final int MAX_CONNECTIONS_PER_ENDPOINT = 48;
+
+    private static final int MAX_QUEUED_PER_ENDPOINT = 256;
+
+    /** Time for a connection; the next endpoint is tried after it. */
+    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(400);
+
+    /** Idle time after which a connection to an endpoint is closed from here. */
+    private static final Duration ENDPOINT_IDLE_TIMEOUT = Duration.ofSeconds(2);
+
+    private static final int MAX_RESPONSE_HEADER_BYTES = 32 << 10;
+
+    /** Timeouts of control calls; a waiting call of {@code StoreWatcher} lasts 900 ms. */
+    private static final ControlClient.Timeouts CONTROL_TIMEOUTS =
+            new ControlClient.Timeouts(Duration.ofMillis(500), Duration.ofMillis(1_400));
+
+    private FleetModule() {}
+
+    @Provides
+    @Singleton
+    static MonotonicClock clock() {
+        return MonotonicClock.system();
+    }
+
+    @Provides
+    @Singleton
+    static InstantSource time() {
+        return InstantSource.system();
+    }
+
+    @Provides
+    @Singleton
+    static RandomGenerator random() {
+        return RandomGenerator.getDefault();
+    }
+
+    @Provides
+    @Singleton
+    static Identity identity(FleetSettings settings, InstantSource time) {
+        return Identity.of(settings.vm(), settings.dataCentre(), time.millis());
+    }
+
+    @Provides
+    @Singleton
+    static PrometheusMeterRegistry metrics() {
+        return new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    }
+
+    @Provides
+    @Singleton
+    static ControlTraffic traffic(PrometheusMeterRegistry metrics) {
+        return ControlTraffic.on(metrics);
+    }
+
+    @Provides
+    @Singleton
+    static ScheduledExecutorService scheduler() {
+        ScheduledThreadPoolExecutor scheduler =
+                new ScheduledThreadPoolExecutor(
+                        SCHEDULER_THREADS, ProcessModule.daemonThreads("scheduler"));
+        scheduler.setRemoveOnCancelPolicy(true);
+        return scheduler;
+    }
+
+    @Provides
+    @Singleton
+    static ControlServer controlServer(FleetSettings settings, ControlTraffic traffic) {
+        // Each watching daemon keeps one call waiting, and with it a thread.
+        return ControlServer.bind(
+                settings.control(),
+                threads("control", CONTROL_THREADS, new ThreadPoolExecutor.AbortPolicy()),
+                traffic);
+    }
+
+    @Provides
+    @Singleton
+    static ControlClient controlClient(ControlTraffic traffic) {
+        return ControlClient.on(
+                threads(
+                        "control-call",
+                        CONTROL_CALL_THREADS,
+                        new ThreadPoolExecutor.CallerRunsPolicy()),
+                traffic,
+                CONTROL_TIMEOUTS);
+    }
+
+    @Provides
+    @Singleton
+    static QueuedThreadPool httpThreads() {
+        QueuedThreadPool threads = new QueuedThreadPool(HTTP_THREADS, HTTP_IDLE_THREADS);
+        threads.setName("http");
+        threads.setDaemon(true);
+        threads.setReservedThreads(0);
+        return threads;
+    }
+
+    @Provides
+    @Singleton
+    static HttpClient httpClient(QueuedThreadPool threads) {
+        HttpClient client = new HttpClient(new HttpClientTransportOverHTTP(1));
+        client.setExecutor(threads);
+        client.setFollowRedirects(false);
+        client.setUserAgentField(null);
+        client.setHttpCookieStore(new HttpCookieStore.Empty());
+        client.setConnectTimeout(CONNECT_TIMEOUT.toMillis());
+        client.setIdleTimeout(ENDPOINT_IDLE_TIMEOUT.toMillis());
+        client.setMaxConnectionsPerDestination(MAX_CONNECTIONS_PER_ENDPOINT);
+        client.setMaxRequestsQueuedPerDestination(MAX_QUEUED_PER_ENDPOINT);
+        client.setMaxResponseHeadersSize(MAX_RESPONSE_HEADER_BYTES);
+        client.setRequestBufferSize(MAX_RESPONSE_HEADER_BYTES);
+        client.getContentDecoderFactories().clear();
+        return client;
+    }
+
+    @Provides
+    @Singleton
+    static HttpForwarder forwarder(HttpClient client) {
+        return HttpForwarder.over(client);
+    }
+
+    @Provides
+    @Singleton
+    static FleetView view(MonotonicClock clock, FleetAdapter adapter) {
+        return FleetView.of(clock, adapter.tables());
+    }
+
+    static ExecutorService threads(String name, int most, RejectedExecutionHandler whenFull) {
+        return new ThreadPoolExecutor(
+                0,
+                most,
+                IDLE_THREAD_SECONDS,
+                TimeUnit.SECONDS,
+                new SynchronousQueue<>(),
+                ProcessModule.daemonThreads(name),
+                whenFull);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/FleetStoreRole.java
@@ -0,0 +1,186 @@
+package org.sequoiahill.daemon.process;
+
+import jakarta.inject.Inject;
+import jakarta.inject.Singleton;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.eclipse.jetty.server.Handler;
+import org.sequoiahill.daemon.process.control.ControlClient;
+import org.sequoiahill.daemon.process.control.ControlServer;
+import org.sequoiahill.daemon.process.control.ControlTraffic;
+import org.sequoiahill.daemon.process.control.Identity;
+import org.sequoiahill.daemon.process.control.ServiceStub;
+import org.sequoiahill.daemon.process.endpoints.EndpointRegistry;
+import org.sequoiahill.daemon.process.fleet.EndpointReports;
+import org.sequoiahill.daemon.process.fleet.FleetHandler;
+import org.sequoiahill.daemon.process.fleet.FleetLog;
+import org.sequoiahill.daemon.process.fleet.FleetLogHandler;
+import org.sequoiahill.daemon.process.fleet.FleetMachine;
+import org.sequoiahill.daemon.process.fleet.FleetStore;
+import org.sequoiahill.daemon.process.log.GroupLog;
+import org.sequoiahill.daemon.process.log.LogTiming;
+import org.sequoiahill.daemon.process.log.Member;
+import org.sequoiahill.daemon.process.log.SeatPolicy;
+import org.sequoiahill.daemon.process.log.StoreGroup;
+import org.sequoiahill.daemon.process.log.StoreId;
+import org.sequoiahill.daemon.process.log.StoreRuntime;
+import org.sequoiahill.daemon.process.settings.FleetSettings;
+import org.sequoiahill.daemon.process.time.MonotonicClock;
+import org.sequoiahill.daemon.process.time.Periodic;
+import org.sequoiahill.protocol.gen.Fleet;
+import org.sequoiahill.protocol.gen.Log;
+import org.sequoiahill.protocol.gen.Participant;
+
+/** The role that keeps the fleet's state and hears endpoints. */
+@Singleton
+final class FleetStoreRole implements FleetRoleParts {
+    private static final String OPERATORS = "operators";
+    private static final String GROUP = "fleet";
+
+    /** Times of the log; a leader that is lost is replaced within about a second. */
+    private static final LogTiming TIMING =
+            new LogTiming(Duration.ofMillis(150), Duration.ofMillis(700), Duration.ofMillis(1_300));
+
+    private static final int SNAPSHOT_ENTRIES = 64;
+
+    /** Silence after which a voter's seat may be given to another store. */
+    private static final Duration SEAT_PATIENCE = Duration.ofMillis(1_500);
+
+    /** Timeouts between stores; a connection that went silent is replaced within one election. */
+    private static final ControlClient.Timeouts STORE_TIMEOUTS =
+            new ControlClient.Timeouts(Duration.ofMillis(300), Duration.ofMillis(600));
+
+    /** Heartbeats that an endpoint may miss before it is dropped. */
+    private static final int MISSED_HEARTBEATS = 5;
+
+    private static final Duration PARTICIPANT_LEASE = Duration.ofSeconds(4);
+    private static final Duration EXPIRY_INTERVAL = Duration.ofMillis(500);
+    private static final Duration HAND_OVER_BOUND = Duration.ofMillis(800);
+    private static final long HAND_OVER_CHECK_MILLIS = 20;
+
+    private final FleetSettings mSettings;
+    private final Identity mIdentity;
+    private final ScheduledExecutorService mScheduler;
+    private final EndpointRegistry mRegistry;
+    private final FleetLog mLog;
+    private final FleetStore mStore;
+    private final Handler mHandler;
+    private final MonotonicClock mClock;
+
+    @Inject
+    FleetStoreRole(
+            FleetSettings settings,
+            FleetAdapter adapter,
+            Identity identity,
+            ControlClient client,
+            ControlTraffic traffic,
+            MonotonicClock clock,
+            InstantSource time,
+            RandomGenerator random,
+            ScheduledExecutorService scheduler) {
+        mSettings = settings;
+        mIdentity = identity;
+        mScheduler = scheduler;
+        mClock = clock;
+        mRegistry =
+                EndpointRegistry.of(
+                        clock,
+                        settings.bounds().heartbeat().multipliedBy(MISSED_HEARTBEATS),
+                        PARTICIPANT_LEASE,
+                        random.nextLong(1, Long.MAX_VALUE));
+        FleetMachine machine = FleetMachine.of(state -> mRegistry.wake());
+        StoreRuntime runtime = new StoreRuntime(clock, time, random, traffic, STORE_TIMEOUTS);
+        Path folder = settings.dataFolder().orElseThrow().resolve("log").resolve(GROUP);
+        try {
+            mLog =
+                    FleetLog.open(
+                            () ->
+                                    StoreGroup.open(
+                                            options(settings),
+                                            ServiceStub.LOG_CONFIG,
+                                            machine,
+                                            settings.vm(),
+                                            folder,
+                                            identity,
+                                            runtime));
+        } catch (IOException e) {
+            throw new UncheckedIOException("the log in " + folder + " can't be opened", e);
+        }
+        mStore = FleetStore.of(identity, mLog, machine, client);
+        EndpointReports reports =
+                EndpointReports.of(identity, settings.control(), mRegistry, mStore, client);
+        mHandler = adapter.operators(mStore, reports, settings.regions().keySet());
+    }
+
+    @Override
+    public List<HttpServers.Listener> listeners() {
+        return List.of(new HttpServers.Listener(OPERATORS, mSettings.operators().orElseThrow()));
+    }
+
+    @Override
+    public Handler handler() {
+        return mHandler;
+    }
+
+    @Override
+    public void register(ControlServer server) {
+        server.register(ServiceStub.LOG_CONFIG, new Log.Processor<>(FleetLogHandler.of(mLog)));
+        server.register(
+                ServiceStub.FLEET,
+                new Fleet.Processor<>(FleetHandler.of(mIdentity, mStore, mRegistry)));
+    }
+
+    @Override
+    public Participant participant() {
+        return Participants.of(mSettings, mIdentity);
+    }
+
+    @Override
+    public void start() {
+        mLog.start(mScheduler);
+        Periodic.every(mScheduler, EXPIRY_INTERVAL, "expiry", mRegistry::expire);
+    }
+
+    @Override
+    public void leave() {
+        GroupLog log = mLog.log();
+        if (!log.isLeader()) {
+            return;
+        }
+        log.members().voters().stream()
+                .filter(voter -> !voter.id().vm().equals(mSettings.vm()))
+                .findFirst()
+                .ifPresent(voter -> log.handOverTo(voter.id().vm()));
+    }
+
+    @Override
+    public void awaitIdle() throws InterruptedException {
+        Duration bound = mClock.now().plus(HAND_OVER_BOUND);
+        while (mLog.log().isLeader() && mClock.now().compareTo(bound) < 0) {
+            TimeUnit.MILLISECONDS.sleep(HAND_OVER_CHECK_MILLIS);
+        }
+    }
+
+    private static GroupLog.Options options(FleetSettings settings) {
+        List<Member> seeds =
+                settings.seeds().stream()
+                        .map(seed -> new Member(new StoreId(seed.host(), 0), seed.toString(), true))
+                        .toList();
+        int seats = 2 * Math.max(1, settings.bounds().lostStores()) + 1;
+        return new GroupLog.Options(
+                GROUP,
+                settings.control().toString(),
+                seeds,
+                TIMING,
+                SNAPSHOT_ENTRIES,
+                settings.mayFound(),
+                new SeatPolicy(seats, SEAT_PATIENCE));
+    }
+}
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/HttpServers.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/HttpServers.java
@@ -1,7 +1,9 @@
 package org.sequoiahill.daemon.process;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.function.Predicate;
+import org.eclipse.jetty.http.UriCompliance;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
@@ -24,6 +26,15 @@
     private static final int MIN_THREADS = 2;
     private static final Duration IDLE_TIMEOUT = Duration.ofMinutes(10);
 
+    /** Largest head of a request or an answer, in bytes; callers send heads up to 16 KiB. */
+    private static final int MAX_HEADER_BYTES = 32 << 10;
+
+    /** Connections that may wait to be accepted while the process is busy. */
+    private static final int ACCEPT_QUEUE = 256;
+
+    /** Idle time after which a connection is closed; longer than callers leave one idle. */
+    private static final Duration SHARED_IDLE_TIMEOUT = Duration.ofSeconds(30);
+
     private HttpServers() {}
 
     /**
@@ -44,6 +55,45 @@
                 handler);
     }
 
+    /**
+     * An address that a shared server listens at.
+     *
+     * @param name name by which handlers tell the addresses apart
+     */
+    record Listener(String name, HostPort address) {}
+
+    /**
+     * Returns a server at several addresses, not yet started; small, since its VM has one core.
+     *
+     * @param threads threads that the process shares
+     */
+    static Server shared(QueuedThreadPool threads, List<Listener> listeners, Handler handler) {
+        Server server = new Server(threads);
+        HttpConfiguration configuration = new HttpConfiguration();
+        configuration.setSendServerVersion(false);
+        configuration.setSendDateHeader(false);
+        configuration.setRequestHeaderSize(MAX_HEADER_BYTES);
+        configuration.setResponseHeaderSize(MAX_HEADER_BYTES);
+        configuration.setUriCompliance(UriCompliance.UNSAFE);
+        for (Listener listener : listeners) {
+            ServerConnector connector =
+                    new ServerConnector(server, 1, 1, new HttpConnectionFactory(configuration));
+            connector.setName(listener.name());
+            connector.setHost(listener.address().host());
+            connector.setPort(listener.address().port());
+            connector.setAcceptQueueSize(ACCEPT_QUEUE);
+            connector.setIdleTimeout(SHARED_IDLE_TIMEOUT.toMillis());
+            server.addConnector(connector);
+        }
+        server.setHandler(handler);
+        return server;
+    }
+
+    /** Returns the name of the address at which a request came in. */
+    static String listenerOf(Request request) {
+        return String.valueOf(request.getConnectionMetaData().getConnector().getName());
+    }
+
     /** Returns a server at an address, not yet started. */
     static Server create(String name, HostPort address, Handler handler) {
         QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, MIN_THREADS);
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/Participants.java
@@ -0,0 +1,36 @@
+package org.sequoiahill.daemon.process;
+
+import java.util.Map;
+import org.sequoiahill.daemon.process.control.Identity;
+import org.sequoiahill.daemon.process.settings.FleetSettings;
+import org.sequoiahill.daemon.process.settings.HostPort;
+import org.sequoiahill.protocol.gen.Participant;
+import org.sequoiahill.protocol.gen.ParticipantRole;
+
+/** Makes what daemons say of themselves. */
+final class Participants {
+    private Participants() {}
+
+    static Participant of(FleetSettings settings, Identity identity) {
+        return new Participant(
+                settings.vm(),
+                settings.name(),
+                roleOf(settings),
+                settings.dataCentre(),
+                settings.control().toString(),
+                identity.incarnation(),
+                0,
+                settings.engine().map(HostPort::toString).orElse(""),
+                settings.service(),
+                false,
+                Map.of());
+    }
+
+    private static ParticipantRole roleOf(FleetSettings settings) {
+        return switch (settings.role()) {
+            case ENTRY -> ParticipantRole.ENTRY;
+            case STORE -> ParticipantRole.STORE;
+            case AGENT -> ParticipantRole.AGENT;
+        };
+    }
+}
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/Signals.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/Signals.java
@@ -5,7 +5,7 @@
 import org.tinylog.Logger;
 
 /**
- * Handles SIGTERM and SIGINT.
+ * Handles SIGTERM, SIGINT and SIGHUP.
  *
  * <p>A shutdown hook hears of the first signal only; the handler of the JDK's own signal class,
  * reached by reflection as it has no public type, hears of each.
@@ -18,6 +18,17 @@
 
     /** Runs a task on each signal that asks the process to end. */
     public static void onTerminate(Runnable task) {
+        if (!handle(task, "TERM", "INT")) {
+            Runtime.getRuntime().addShutdownHook(new Thread(task, "shutdown"));
+        }
+    }
+
+    /** Runs a task on each signal that says that the settings have changed. */
+    public static void onReload(Runnable task) {
+        handle(task, "HUP");
+    }
+
+    private static boolean handle(Runnable task, String... signals) {
         try {
             Class<?> signalType = Class.forName(SIGNAL);
             Class<?> handlerType = Class.forName(HANDLER);
@@ -31,15 +42,16 @@
             Object handler =
                     Proxy.newProxyInstance(
                             handlerType.getClassLoader(), new Class<?>[] {handlerType}, invocation);
-            for (String name : new String[] {"TERM", "INT"}) {
+            for (String name : signals) {
                 Object signal = signalType.getConstructor(String.class).newInstance(name);
                 signalType
                         .getMethod("handle", signalType, handlerType)
                         .invoke(null, signal, handler);
             }
+            return true;
         } catch (ReflectiveOperationException e) {
-            Logger.warn(e, "signals can't be handled; a second signal is ignored");
-            Runtime.getRuntime().addShutdownHook(new Thread(task, "shutdown"));
+            Logger.warn(e, "signals {} can't be handled", String.join(", ", signals));
+            return false;
         }
     }
 }
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/control/ControlClient.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/control/ControlClient.java
@@ -20,23 +20,39 @@
     /** Largest frame that is sent or taken, in bytes. */
     public static final int MAX_FRAME_BYTES = 16 << 20;
 
-    private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
-    private static final Duration READ_TIMEOUT = Duration.ofSeconds(2);
+    private static final Timeouts STANDARD_TIMEOUTS =
+            new Timeouts(Duration.ofSeconds(1), Duration.ofSeconds(2));
 
     private final Executor mExecutor;
     private final ControlTraffic mTraffic;
+    private final Timeouts mTimeouts;
     private final Map<ConnectionKey, Connection> mConnections = new ConcurrentHashMap<>();
 
-    private ControlClient(Executor executor, ControlTraffic traffic) {
+    private ControlClient(Executor executor, ControlTraffic traffic, Timeouts timeouts) {
         mExecutor = executor;
         mTraffic = traffic;
+        mTimeouts = timeouts;
     }
 
     /** Returns a client whose calls run on the executor. */
     public static ControlClient on(Executor executor, ControlTraffic traffic) {
-        return new ControlClient(executor, traffic);
+        return on(executor, traffic, STANDARD_TIMEOUTS);
     }
 
+    /** Returns a client with timeouts of its own. */
+    public static ControlClient on(Executor executor, ControlTraffic traffic, Timeouts timeouts) {
+        return new ControlClient(executor, traffic, timeouts);
+    }
+
+    /**
+     * Times after which a peer counts as unreachable and its connection is replaced; a connection
+     * that went silent shows only so.
+     *
+     * @param connect longest time until a connection stands
+     * @param read longest time without a byte of an awaited answer
+     */
+    public record Timeouts(Duration connect, Duration read) {}
+
     /**
      * Calls a peer; the result fails with {@link TException} where the peer can't be reached.
      *
@@ -58,7 +74,8 @@
     public <C extends TServiceClient, R> CompletableFuture<R> call(
             HostPort peer, ServiceStub<C> stub, int lane, ThriftCall<C, R> call) {
         ConnectionKey key = new ConnectionKey(peer, stub.name(), lane);
-        Connection connection = mConnections.computeIfAbsent(key, k -> new Connection(k, mTraffic));
+        Connection connection =
+                mConnections.computeIfAbsent(key, k -> new Connection(k, mTraffic, mTimeouts));
         return CompletableFuture.supplyAsync(() -> connection.call(stub, call), mExecutor);
     }
 
@@ -85,11 +102,13 @@
     private static final class Connection {
         private final ConnectionKey mKey;
         private final ControlTraffic mTraffic;
+        private final Timeouts mTimeouts;
         private @Nullable CountingFramedTransport mTransport;
 
-        Connection(ConnectionKey key, ControlTraffic traffic) {
+        Connection(ConnectionKey key, ControlTraffic traffic, Timeouts timeouts) {
             mKey = key;
             mTraffic = traffic;
+            mTimeouts = timeouts;
         }
 
         synchronized <C extends TServiceClient, R> R call(
@@ -123,8 +142,10 @@
             }
             TSocket socket =
                     new TSocket(
-                            mKey.peer().host(), mKey.peer().port(), (int) READ_TIMEOUT.toMillis());
-            socket.setConnectTimeout((int) CONNECT_TIMEOUT.toMillis());
+                            mKey.peer().host(),
+                            mKey.peer().port(),
+                            (int) mTimeouts.read().toMillis());
+            socket.setConnectTimeout((int) mTimeouts.connect().toMillis());
             CountingFramedTransport transport = CountingFramedTransport.over(socket);
             transport.open();
             mTransport = transport;
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/control/ServiceStub.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/control/ServiceStub.java
@@ -6,7 +6,9 @@
 import org.sequoiahill.protocol.gen.Claims;
 import org.sequoiahill.protocol.gen.Configuration;
 import org.sequoiahill.protocol.gen.Directory;
+import org.sequoiahill.protocol.gen.Fleet;
 import org.sequoiahill.protocol.gen.Log;
+import org.sequoiahill.protocol.gen.Pieces;
 import org.sequoiahill.protocol.gen.Suspects;
 import org.sequoiahill.protocol.gen.Turns;
 
@@ -45,4 +47,12 @@
     /** Claims of calls that may run once. */
     public static final ServiceStub<Claims.Client> CLAIMS =
             new ServiceStub<>("claims", Claims.Client::new);
+
+    /** State of the fleet and what is heard of endpoints and daemons. */
+    public static final ServiceStub<Fleet.Client> FLEET =
+            new ServiceStub<>("fleet", Fleet.Client::new);
+
+    /** Pieces of weights that an agent holds. */
+    public static final ServiceStub<Pieces.Client> PIECES =
+            new ServiceStub<>("pieces", Pieces.Client::new);
 }
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/endpoints/FeedKeys.java
@@ -0,0 +1,17 @@
+package org.sequoiahill.daemon.process.endpoints;
+
+/** Keys of a feed's items: endpoints and daemons share one feed. */
+final class FeedKeys {
+    private static final String ENDPOINT = "e/";
+    private static final String PARTICIPANT = "p/";
+
+    private FeedKeys() {}
+
+    static String endpoint(String id) {
+        return ENDPOINT + id;
+    }
+
+    static String participant(String vm) {
+        return PARTICIPANT + vm;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/fleet/EndpointReports.java
@@ -0,0 +1,104 @@
+package org.sequoiahill.daemon.process.fleet;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.sequoiahill.daemon.process.control.ControlClient;
+import org.sequoiahill.daemon.process.control.Identity;
+import org.sequoiahill.daemon.process.control.ServiceStub;
+import org.sequoiahill.daemon.process.endpoints.EndpointRegistry;
+import org.sequoiahill.daemon.process.settings.HostPort;
+import org.sequoiahill.protocol.gen.EndpointReport;
+import org.sequoiahill.protocol.gen.ReportRelay;
+import org.tinylog.Logger;
+
+/**
+ * Takes what endpoints say of themselves at one store.
+ *
+ * <p>An endpoint that leaves is told to the other stores before it gets its acknowledgement, so
+ * that the loss of this store right after it can't bring the endpoint back.
+ */
+public final class EndpointReports {
+    /** Longest wait for other stores; endpoints wait a second for their acknowledgement. */
+    private static final Duration RELAY_TIMEOUT = Duration.ofMillis(400);
+
+    private final Identity mIdentity;
+    private final HostPort mSelf;
+    private final EndpointRegistry mRegistry;
+    private final FleetStore mStore;
+    private final ControlClient mClient;
+
+    private EndpointReports(
+            Identity identity,
+            HostPort self,
+            EndpointRegistry registry,
+            FleetStore store,
+            ControlClient client) {
+        mIdentity = identity;
+        mSelf = self;
+        mRegistry = registry;
+        mStore = store;
+        mClient = client;
+    }
+
+    /**
+     * Returns the way in for reports.
+     *
+     * @param self control address of this store
+     */
+    public static EndpointReports of(
+            Identity identity,
+            HostPort self,
+            EndpointRegistry registry,
+            FleetStore store,
+            ControlClient client) {
+        return new EndpointReports(identity, self, registry, store, client);
+    }
+
+    /** Takes a report; completes once it may be acknowledged. */
+    public CompletableFuture<@Nullable Void> take(EndpointReport report) {
+        if (!mRegistry.report(report)) {
+            return CompletableFuture.completedFuture(null);
+        }
+        return relay(report);
+    }
+
+    /** Takes the farewell of an endpoint; completes once it may be acknowledged. */
+    public CompletableFuture<@Nullable Void> gone(String id) {
+        EndpointReport report = mRegistry.gone(id);
+        mRegistry.report(report);
+        return relay(report);
+    }
+
+    private CompletableFuture<@Nullable Void> relay(EndpointReport report) {
+        ReportRelay relay = new ReportRelay(mIdentity.sender(), report);
+        List<CompletableFuture<?>> calls = new ArrayList<>();
+        for (String address : mStore.addresses()) {
+            HostPort store = HostPort.parse(address);
+            if (!store.equals(mSelf)) {
+                calls.add(
+                        mClient.call(store, ServiceStub.FLEET, client -> client.relay(relay))
+                                .whenComplete(
+                                        (reply, failure) -> logFailure(report, address, failure)));
+            }
+        }
+        CompletableFuture<@Nullable Void> all =
+                CompletableFuture.allOf(calls.toArray(CompletableFuture[]::new));
+        return all.exceptionally(failure -> null)
+                .completeOnTimeout(null, RELAY_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    private static void logFailure(
+            EndpointReport report, String address, @Nullable Throwable failure) {
+        if (failure != null) {
+            Logger.warn(
+                    "store {} did not hear that endpoint {} leaves: {}",
+                    address,
+                    report.getId(),
+                    failure.toString());
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/fleet/FleetHandler.java
@@ -0,0 +1,99 @@
+package org.sequoiahill.daemon.process.fleet;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import org.apache.thrift.TException;
+import org.sequoiahill.daemon.process.control.Identity;
+import org.sequoiahill.daemon.process.endpoints.EndpointRegistry;
+import org.sequoiahill.protocol.gen.ChangeOutcome;
+import org.sequoiahill.protocol.gen.ChangeReply;
+import org.sequoiahill.protocol.gen.ChangeRequest;
+import org.sequoiahill.protocol.gen.ContentReply;
+import org.sequoiahill.protocol.gen.ContentRequest;
+import org.sequoiahill.protocol.gen.Fleet;
+import org.sequoiahill.protocol.gen.Participant;
+import org.sequoiahill.protocol.gen.RelayReply;
+import org.sequoiahill.protocol.gen.ReportRelay;
+import org.sequoiahill.protocol.gen.WatchReply;
+import org.sequoiahill.protocol.gen.WatchRequest;
+
+/** Answers daemons at a store: what changed, and changes that are meant for the leader. */
+public final class FleetHandler implements Fleet.Iface {
+    private static final Duration MAX_WAIT = Duration.ofSeconds(5);
+
+    private final Identity mIdentity;
+    private final FleetStore mStore;
+    private final EndpointRegistry mRegistry;
+
+    private FleetHandler(Identity identity, FleetStore store, EndpointRegistry registry) {
+        mIdentity = identity;
+        mStore = store;
+        mRegistry = registry;
+    }
+
+    /** Returns the handler of one store. */
+    public static FleetHandler of(Identity identity, FleetStore store, EndpointRegistry registry) {
+        return new FleetHandler(identity, store, registry);
+    }
+
+    @Override
+    public WatchReply watch(WatchRequest request) {
+        mRegistry.heard(request.getWatcher());
+        Duration wait = Duration.ofMillis(Math.max(0, request.getWaitMillis()));
+        BooleanSupplier hasContent =
+                () -> {
+                    FleetState state = mStore.applied();
+                    return state.index() > request.getIndex() || isRoutingWanted(request, state);
+                };
+        WatchReply reply = new WatchReply().setItems(new ArrayList<>());
+        mRegistry.await(
+                reply,
+                request.getFeed(),
+                request.getChange(),
+                wait.compareTo(MAX_WAIT) > 0 ? MAX_WAIT : wait,
+                hasContent);
+        if (hasContent.getAsBoolean()) {
+            FleetState state = mStore.applied();
+            reply.setContent(state.toThrift(isRoutingWanted(request, state)));
+        }
+        reply.setCurrent(mStore.isCurrent());
+        reply.setStores(mStore.addresses());
+        reply.setDataCentre(mIdentity.dataCentre());
+        return reply;
+    }
+
+    @Override
+    public ChangeReply change(ChangeRequest request) throws TException {
+        return FleetStore.await(
+                mStore.changeHere(request.getChange()),
+                new ChangeReply(
+                        mIdentity.sender(), ChangeOutcome.UNAVAILABLE, "the commit takes long"));
+    }
+
+    @Override
+    public ContentReply content(ContentRequest request) throws TException {
+        Optional<FleetState> newest =
+                FleetStore.await(mStore.newestHere(), Optional.<FleetState>empty());
+        ContentReply reply = new ContentReply().setSender(mIdentity.sender());
+        newest.ifPresent(state -> reply.setContent(state.toThrift(true)));
+        return reply;
+    }
+
+    @Override
+    public RelayReply relay(ReportRelay relay) {
+        mRegistry.report(relay.getReport());
+        return new RelayReply(mIdentity.sender());
+    }
+
+    @Override
+    public RelayReply announce(Participant participant) {
+        mRegistry.heard(participant);
+        return new RelayReply(mIdentity.sender());
+    }
+
+    private static boolean isRoutingWanted(WatchRequest request, FleetState state) {
+        return request.isWantsRouting() && state.routingNumber() > request.getRoutingNumber();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/fleet/FleetLogHandler.java
@@ -0,0 +1,32 @@
+package org.sequoiahill.daemon.process.fleet;
+
+import org.apache.thrift.TException;
+import org.sequoiahill.protocol.gen.Log;
+import org.sequoiahill.protocol.gen.LogDelivery;
+import org.sequoiahill.protocol.gen.MembersReply;
+import org.sequoiahill.protocol.gen.MembersRequest;
+import org.sequoiahill.protocol.gen.Sender;
+
+/** Answers the other stores for whichever log is open now. */
+public final class FleetLogHandler implements Log.Iface {
+    private final FleetLog mLog;
+
+    private FleetLogHandler(FleetLog log) {
+        mLog = log;
+    }
+
+    /** Returns the handler of a log that may be opened anew. */
+    public static FleetLogHandler of(FleetLog log) {
+        return new FleetLogHandler(log);
+    }
+
+    @Override
+    public Sender deliver(LogDelivery delivery) throws TException {
+        return mLog.group().members().deliver(delivery);
+    }
+
+    @Override
+    public MembersReply members(MembersRequest request) throws TException {
+        return mLog.group().members().members(request);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/fleet/FleetPicture.java
@@ -0,0 +1,58 @@
+package org.sequoiahill.daemon.process.fleet;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.sequoiahill.daemon.process.endpoints.EndpointInfo;
+import org.sequoiahill.protocol.gen.Participant;
+import org.sequoiahill.protocol.gen.ParticipantRole;
+
+/**
+ * What a daemon knows of the fleet at one moment; never changes.
+ *
+ * @param state what the stores agree on
+ * @param table routing table, empty until one is known
+ * @param endpointsByService endpoints, leaving ones among them
+ * @param participants daemons that run
+ * @param namedSince for each model the monotonic time since when its newest version is known here
+ */
+public record FleetPicture(
+        FleetState state,
+        Optional<RoutingTable> table,
+        Map<String, List<EndpointInfo>> endpointsByService,
+        List<Participant> participants,
+        Map<String, Duration> namedSince) {
+    /** Picture of a daemon that has heard of nothing. */
+    public static final FleetPicture EMPTY =
+            new FleetPicture(FleetState.EMPTY, Optional.empty(), Map.of(), List.of(), Map.of());
+
+    /** Copies the collections. */
+    public FleetPicture {
+        endpointsByService = Map.copyOf(endpointsByService);
+        participants = List.copyOf(participants);
+        namedSince = Map.copyOf(namedSince);
+    }
+
+    /** Returns the endpoints of a service. */
+    public List<EndpointInfo> endpoints(String service) {
+        return endpointsByService.getOrDefault(service, List.of());
+    }
+
+    /** Returns the daemons of a role. */
+    public List<Participant> participants(ParticipantRole role) {
+        return participants.stream().filter(each -> each.getRole() == role).toList();
+    }
+
+    /** Returns the agents by the address of the endpoint beside them. */
+    public Map<String, Participant> agentsByEndpoint() {
+        Map<String, Participant> agents = new HashMap<>();
+        for (Participant each : participants) {
+            if (each.getRole() == ParticipantRole.AGENT) {
+                agents.put(each.getEndpoint(), each);
+            }
+        }
+        return agents;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/fleet/FleetState.java
@@ -0,0 +1,134 @@
+package org.sequoiahill.daemon.process.fleet;
+
+import java.nio.ByteBuffer;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import org.sequoiahill.protocol.gen.DataCentreChange;
+import org.sequoiahill.protocol.gen.FleetChange;
+import org.sequoiahill.protocol.gen.FleetContent;
+import org.sequoiahill.protocol.gen.RoutingPut;
+import org.sequoiahill.protocol.gen.WeightsChange;
+
+/**
+ * What the stores agree on, as of one index of their log.
+ *
+ * @param index index of the last change
+ * @param routingNumber number of the routing table, 0 while there is none
+ * @param routing the writer's text of the table, deflated
+ * @param outDataCentres data centres that are out, with the index of the change
+ * @param returnedDataCentres data centres that were taken back, with the index of the change
+ * @param versions newest named version of each model
+ */
+public record FleetState(
+        long index,
+        long routingNumber,
+        ByteBuffer routing,
+        Map<String, Long> outDataCentres,
+        Map<String, Long> returnedDataCentres,
+        Map<String, Long> versions) {
+    /** State before the first change. */
+    public static final FleetState EMPTY =
+            new FleetState(0, 0, ByteBuffer.allocate(0), Map.of(), Map.of(), Map.of());
+
+    /** Copies the maps. */
+    public FleetState {
+        routing = routing.asReadOnlyBuffer();
+        outDataCentres = Map.copyOf(outDataCentres);
+        returnedDataCentres = Map.copyOf(returnedDataCentres);
+        versions = Map.copyOf(versions);
+    }
+
+    /** Returns whether a data centre is out. */
+    public boolean isOut(String dataCentre) {
+        return outDataCentres.containsKey(dataCentre);
+    }
+
+    /** Returns the data centres that are out. */
+    public Set<String> out() {
+        return outDataCentres.keySet();
+    }
+
+    /** Returns the newest named version of a model, or the default where none was named. */
+    public long version(String model, long defaultVersion) {
+        return versions.getOrDefault(model, defaultVersion);
+    }
+
+    /** Returns whether a change would leave the state as it is. */
+    public boolean covers(FleetChange change) {
+        if (change.isSetRouting()) {
+            return change.getRouting().getNumber() <= routingNumber;
+        }
+        if (change.isSetWeights()) {
+            WeightsChange weights = change.getWeights();
+            return weights.getVersion() <= version(weights.getModel(), 0);
+        }
+        DataCentreChange dataCentre = change.getDataCentre();
+        return isOut(dataCentre.getDataCentre()) == dataCentre.isOut();
+    }
+
+    /** Returns the state after a change that this state does not cover. */
+    FleetState with(long newIndex, FleetChange change) {
+        if (change.isSetRouting()) {
+            RoutingPut put = change.getRouting();
+            return new FleetState(
+                    newIndex,
+                    put.getNumber(),
+                    ByteBuffer.wrap(put.getContent()),
+                    outDataCentres,
+                    returnedDataCentres,
+                    versions);
+        }
+        if (change.isSetWeights()) {
+            Map<String, Long> changed = new HashMap<>(versions);
+            changed.put(change.getWeights().getModel(), change.getWeights().getVersion());
+            return new FleetState(
+                    newIndex, routingNumber, routing, outDataCentres, returnedDataCentres, changed);
+        }
+        String name = change.getDataCentre().getDataCentre();
+        Map<String, Long> out = new HashMap<>(outDataCentres);
+        Map<String, Long> returned = new HashMap<>(returnedDataCentres);
+        out.remove(name);
+        returned.remove(name);
+        (change.getDataCentre().isOut() ? out : returned).put(name, newIndex);
+        return new FleetState(newIndex, routingNumber, routing, out, returned, versions);
+    }
+
+    /** Returns this state with the routing table of another, older content. */
+    FleetState withRouting(FleetState other) {
+        return new FleetState(
+                index,
+                other.routingNumber,
+                other.routing,
+                outDataCentres,
+                returnedDataCentres,
+                versions);
+    }
+
+    /** Returns the message of the state. */
+    public FleetContent toThrift(boolean withRouting) {
+        FleetContent content =
+                new FleetContent(
+                        index, routingNumber, outDataCentres, returnedDataCentres, versions);
+        if (withRouting && routingNumber > 0) {
+            content.setRouting(routing.duplicate());
+        }
+        return content;
+    }
+
+    /** Returns the state that a message tells; the table's text is empty where it was left out. */
+    public static FleetState fromThrift(FleetContent content) {
+        return new FleetState(
+                content.getIndex(),
+                content.getRoutingNumber(),
+                ByteBuffer.wrap(content.isSetRouting() ? content.getRouting() : new byte[0]),
+                content.getOutDataCentres(),
+                content.getReturnedDataCentres(),
+                content.getVersions());
+    }
+
+    /** Returns whether the text of the table is here. */
+    boolean hasRouting() {
+        return routing.hasRemaining();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/fleet/FleetStore.java
@@ -0,0 +1,156 @@
+package org.sequoiahill.daemon.process.fleet;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.apache.thrift.TException;
+import org.sequoiahill.daemon.process.control.ControlClient;
+import org.sequoiahill.daemon.process.control.Identity;
+import org.sequoiahill.daemon.process.control.ServiceStub;
+import org.sequoiahill.daemon.process.log.Member;
+import org.sequoiahill.daemon.process.log.ReplicatedLog;
+import org.sequoiahill.daemon.process.settings.HostPort;
+import org.sequoiahill.protocol.gen.ChangeOutcome;
+import org.sequoiahill.protocol.gen.ChangeReply;
+import org.sequoiahill.protocol.gen.ChangeRequest;
+import org.sequoiahill.protocol.gen.ContentReply;
+import org.sequoiahill.protocol.gen.ContentRequest;
+import org.sequoiahill.protocol.gen.FleetChange;
+import org.tinylog.Logger;
+
+/** Changes and reads the fleet's state at any store; the leader of the log does the work. */
+public final class FleetStore {
+    /** Longest wait for the leader; operators move on to another store after a second. */
+    private static final Duration LEADER_TIMEOUT = Duration.ofMillis(900);
+
+    private final Identity mIdentity;
+    private final FleetLog mLog;
+    private final FleetMachine mMachine;
+    private final ControlClient mClient;
+
+    private FleetStore(
+            Identity identity, FleetLog log, FleetMachine machine, ControlClient client) {
+        mIdentity = identity;
+        mLog = log;
+        mMachine = machine;
+        mClient = client;
+    }
+
+    /** Returns the way to the fleet's state from one store. */
+    public static FleetStore of(
+            Identity identity, FleetLog log, FleetMachine machine, ControlClient client) {
+        return new FleetStore(identity, log, machine, client);
+    }
+
+    /** Returns the state as this store has applied it; it may be behind. */
+    public FleetState applied() {
+        return mMachine.state();
+    }
+
+    /** Returns whether the applied state is at most a little behind. */
+    public boolean isCurrent() {
+        return mLog.log().isCurrent();
+    }
+
+    /** Returns the control addresses of the stores that this one knows. */
+    public List<String> addresses() {
+        return mLog.log().members().members().stream().map(Member::address).toList();
+    }
+
+    /**
+     * Makes a change; completes with whether it is in force for good. A change that isn't accepted
+     * may still come into force.
+     */
+    public CompletableFuture<ChangeReply> change(FleetChange change) {
+        if (mMachine.state().covers(change) && !change.isSetDataCentre()) {
+            return CompletableFuture.completedFuture(accepted("already in force"));
+        }
+        ReplicatedLog log = mLog.log();
+        if (log.isLeader()) {
+            return changeHere(change);
+        }
+        Optional<HostPort> leader = leader();
+        if (leader.isEmpty()) {
+            return CompletableFuture.completedFuture(unavailable("no leader is known"));
+        }
+        ChangeRequest request = new ChangeRequest(mIdentity.sender(), change);
+        return mClient.call(leader.get(), ServiceStub.FLEET, client -> client.change(request))
+                .completeOnTimeout(
+                        unavailable("the leader does not answer"),
+                        LEADER_TIMEOUT.toMillis(),
+                        TimeUnit.MILLISECONDS)
+                .exceptionally(failure -> unavailable("the leader can't be reached: " + failure));
+    }
+
+    /** Makes a change at this store, where it leads. */
+    CompletableFuture<ChangeReply> changeHere(FleetChange change) {
+        return mLog.log()
+                .propose(FleetMachine.encode(change))
+                .thenApply(index -> accepted("committed at " + index))
+                .exceptionally(failure -> unavailable(String.valueOf(failure.getMessage())));
+    }
+
+    /** Completes with the newest state, or with nothing where this store can't be sure of it. */
+    public CompletableFuture<Optional<FleetState>> newest() {
+        if (mLog.log().isLeader()) {
+            return newestHere();
+        }
+        Optional<HostPort> leader = leader();
+        if (leader.isEmpty()) {
+            return CompletableFuture.completedFuture(Optional.empty());
+        }
+        ContentRequest request = new ContentRequest(mIdentity.sender());
+        return mClient.call(leader.get(), ServiceStub.FLEET, client -> client.content(request))
+                .thenApply(FleetStore::stateOf)
+                .completeOnTimeout(
+                        Optional.empty(), LEADER_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
+                .exceptionally(FleetStore::unread);
+    }
+
+    /** Completes with the newest state where this store leads. */
+    CompletableFuture<Optional<FleetState>> newestHere() {
+        return mLog.log()
+                .confirmLeadership()
+                .thenApply(confirmed -> Optional.of(mMachine.state()))
+                .exceptionally(FleetStore::unread);
+    }
+
+    private Optional<HostPort> leader() {
+        return mLog.log()
+                .leaderVm()
+                .filter(vm -> !vm.equals(mIdentity.vm()))
+                .flatMap(vm -> mLog.log().members().byVm(vm))
+                .map(member -> HostPort.parse(member.address()));
+    }
+
+    private ChangeReply accepted(String reason) {
+        return new ChangeReply(mIdentity.sender(), ChangeOutcome.ACCEPTED, reason);
+    }
+
+    private ChangeReply unavailable(String reason) {
+        return new ChangeReply(mIdentity.sender(), ChangeOutcome.UNAVAILABLE, reason);
+    }
+
+    private static Optional<FleetState> stateOf(ContentReply reply) {
+        return reply.isSetContent()
+                ? Optional.of(FleetState.fromThrift(reply.getContent()))
+                : Optional.empty();
+    }
+
+    private static Optional<FleetState> unread(Throwable failure) {
+        Logger.warn("the newest state can't be read: {}", failure.toString());
+        return Optional.empty();
+    }
+
+    /** Waits for a future on behalf of a Thrift handler. */
+    static <T> T await(CompletableFuture<T> future, T late) throws TException {
+        try {
+            return future.completeOnTimeout(late, LEADER_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
+                    .join();
+        } catch (RuntimeException e) {
+            throw new TException(e);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/fleet/FleetView.java
@@ -0,0 +1,201 @@
+package org.sequoiahill.daemon.process.fleet;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
+import org.sequoiahill.daemon.process.endpoints.EndpointInfo;
+import org.sequoiahill.daemon.process.endpoints.EndpointMerge;
+import org.sequoiahill.daemon.process.endpoints.FeedMirror;
+import org.sequoiahill.daemon.process.settings.HostPort;
+import org.sequoiahill.daemon.process.time.MonotonicClock;
+import org.sequoiahill.protocol.gen.FleetContent;
+import org.sequoiahill.protocol.gen.WatchReply;
+import org.sequoiahill.protocol.gen.WatchRequest;
+import org.sequoiahill.protocol.json.Checked;
+import org.tinylog.Logger;
+
+/**
+ * Makes one picture of the fleet from what all stores say, and keeps the newest of it.
+ *
+ * <p>Neither the state nor the routing table ever goes back, whichever store answers.
+ */
+public final class FleetView {
+    /** Time after which the text of a table is asked from any store, not just the nearest. */
+    private static final Duration NEAREST_PATIENCE = Duration.ofMillis(400);
+
+    /** Age of a first state that counts as known for long, so that its bounds are over. */
+    private static final Duration LONG_AGO = Duration.ofDays(1);
+
+    private final MonotonicClock mClock;
+    private final RoutingTableFormat mFormat;
+    private final List<Consumer<FleetPicture>> mListeners = new CopyOnWriteArrayList<>();
+    private final Map<HostPort, FeedMirror> mMirrors = new HashMap<>();
+    private final EndpointMerge mMerge = new EndpointMerge();
+    private final Map<String, Duration> mNamedSince = new HashMap<>();
+    private Set<HostPort> mStores = new LinkedHashSet<>();
+    private Duration mTableMissingSince = Duration.ZERO;
+    private long mNewestNumber;
+    private volatile FleetPicture mPicture = FleetPicture.EMPTY;
+
+    private FleetView(MonotonicClock clock, RoutingTableFormat format) {
+        mClock = clock;
+        mFormat = format;
+    }
+
+    /** Returns a view that knows nothing yet. */
+    public static FleetView of(MonotonicClock clock, RoutingTableFormat format) {
+        return new FleetView(clock, format);
+    }
+
+    /** Returns what is known now. */
+    public FleetPicture picture() {
+        return mPicture;
+    }
+
+    /** Tells each later picture to a listener, on the thread that made it. */
+    public void addListener(Consumer<FleetPicture> listener) {
+        mListeners.add(listener);
+    }
+
+    /** Returns the stores that a current store has named last. */
+    public synchronized Set<HostPort> stores() {
+        return Set.copyOf(mStores);
+    }
+
+    /**
+     * Fills a request to a store with what is known.
+     *
+     * @param isNearest whether the store is in this data centre
+     */
+    public synchronized void prepare(WatchRequest request, HostPort store, boolean isNearest) {
+        FeedMirror mirror = mMirrors.computeIfAbsent(store, address -> new FeedMirror());
+        FleetState state = mPicture.state();
+        request.setFeed(mirror.feed());
+        request.setChange(mirror.change());
+        request.setIndex(state.index());
+        request.setRoutingNumber(state.routingNumber());
+        boolean isLate =
+                mNewestNumber > state.routingNumber()
+                        && mTableMissingSince.plus(NEAREST_PATIENCE).compareTo(mClock.now()) < 0;
+        request.setWantsRouting(isNearest || isLate);
+    }
+
+    /** Takes a store's reply. */
+    public void take(HostPort store, WatchReply reply) {
+        FleetPicture picture;
+        synchronized (this) {
+            Duration now = mClock.now();
+            FeedMirror mirror = mMirrors.computeIfAbsent(store, address -> new FeedMirror());
+            boolean isChanged = mirror.take(reply, now);
+            if (reply.isCurrent()) {
+                if (!reply.getStores().isEmpty()) {
+                    Set<HostPort> stores = new LinkedHashSet<>();
+                    reply.getStores().forEach(address -> stores.add(HostPort.parse(address)));
+                    mStores = stores;
+                }
+                if (reply.isSetContent()) {
+                    isChanged |= takeContent(reply.getContent());
+                }
+            }
+            if (!isChanged) {
+                return;
+            }
+            picture = rebuild(mPicture.state(), mPicture.table());
+        }
+        mListeners.forEach(listener -> listener.accept(picture));
+    }
+
+    /** Forgets what a store has said, once it has been out of reach for long. */
+    public void forget(HostPort store) {
+        FleetPicture picture;
+        synchronized (this) {
+            FeedMirror mirror = mMirrors.remove(store);
+            if (mirror == null) {
+                return;
+            }
+            picture = rebuild(mPicture.state(), mPicture.table());
+        }
+        mListeners.forEach(listener -> listener.accept(picture));
+    }
+
+    private boolean takeContent(FleetContent content) {
+        FleetState held = mPicture.state();
+        FleetState told = FleetState.fromThrift(content);
+        if (told.routingNumber() > mNewestNumber) {
+            mNewestNumber = told.routingNumber();
+            mTableMissingSince = mClock.now();
+        }
+        FleetState newest = told.index() > held.index() ? told : held;
+        Optional<RoutingTable> table = mPicture.table();
+        boolean hasNewTable = told.hasRouting() && told.routingNumber() > held.routingNumber();
+        if (hasNewTable) {
+            table = parse(told);
+        }
+        FleetState state = newest.withRouting(hasNewTable ? told : held);
+        if (state.index() == held.index() && !hasNewTable) {
+            return false;
+        }
+        noteVersions(held, state);
+        logChanges(held, state);
+        rebuild(state, table);
+        return true;
+    }
+
+    private Optional<RoutingTable> parse(FleetState told) {
+        Checked<RoutingTable> parsed = mFormat.parse(PackedText.unpack(told.routing()));
+        if (!parsed.isValid()) {
+            // The store that took the table has checked it, so this daemon is of another build.
+            Logger.error(
+                    "routing table {} can't be read: {}",
+                    told.routingNumber(),
+                    parsed.describeFaults());
+            return mPicture.table();
+        }
+        return Optional.of(parsed.orElseThrow());
+    }
+
+    private void noteVersions(FleetState held, FleetState state) {
+        boolean isFirst = held.index() == 0;
+        Duration now = mClock.now();
+        state.versions()
+                .forEach(
+                        (model, version) -> {
+                            if (version > held.version(model, 0)) {
+                                mNamedSince.put(model, isFirst ? now.minus(LONG_AGO) : now);
+                            }
+                        });
+    }
+
+    private static void logChanges(FleetState held, FleetState state) {
+        Logger.info(
+                "fleet state at index {} (was {}): routing table {} (was {}), out {}, versions {}",
+                state.index(),
+                held.index(),
+                state.routingNumber(),
+                held.routingNumber(),
+                state.out(),
+                state.versions());
+    }
+
+    private FleetPicture rebuild(FleetState state, Optional<RoutingTable> table) {
+        Map<String, List<EndpointInfo>> byService = new HashMap<>();
+        for (EndpointInfo endpoint : mMerge.endpoints(mMirrors.values())) {
+            byService.computeIfAbsent(endpoint.service(), name -> new ArrayList<>()).add(endpoint);
+        }
+        mPicture =
+                new FleetPicture(
+                        state,
+                        table,
+                        byService,
+                        EndpointMerge.participants(mMirrors.values()),
+                        mNamedSince);
+        return mPicture;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/fleet/PackedText.java
@@ -0,0 +1,41 @@
+package org.sequoiahill.daemon.process.fleet;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.ByteBuffer;
+import java.util.zip.DeflaterOutputStream;
+import java.util.zip.InflaterInputStream;
+
+/** Texts as they are kept and sent; a table of hundreds of routes shrinks to about a tenth. */
+public final class PackedText {
+    private PackedText() {}
+
+    /** Returns the deflated text. */
+    public static byte[] pack(byte[] text) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try (DeflaterOutputStream deflater = new DeflaterOutputStream(bytes)) {
+            deflater.write(text);
+        } catch (IOException e) {
+            throw new UncheckedIOException("memory can be written", e);
+        }
+        return bytes.toByteArray();
+    }
+
+    /**
+     * Returns the text that {@link #pack} has deflated.
+     *
+     * @throws UncheckedIOException where the bytes are no such text
+     */
+    public static byte[] unpack(ByteBuffer packed) {
+        byte[] bytes = new byte[packed.remaining()];
+        packed.duplicate().get(bytes);
+        try (InflaterInputStream inflater =
+                new InflaterInputStream(new ByteArrayInputStream(bytes))) {
+            return inflater.readAllBytes();
+        } catch (IOException e) {
+            throw new UncheckedIOException("the text of a routing table is damaged", e);
+        }
+    }
+}
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/log/GroupLog.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/log/GroupLog.java
@@ -77,13 +77,28 @@
      * @param seeds stores that found the group, the founder first
      * @param timing times of the group
      * @param snapshotEntries entries after which a snapshot is made
+     * @param mayFound whether the group may not exist yet
+     * @param seats how voters are replaced
      */
     public record Options(
             String group,
             String address,
             List<Member> seeds,
             LogTiming timing,
-            int snapshotEntries) {}
+            int snapshotEntries,
+            boolean mayFound,
+            SeatPolicy seats) {
+        /** Returns options of a group whose members change by order. */
+        public static Options of(
+                String group,
+                String address,
+                List<Member> seeds,
+                LogTiming timing,
+                int snapshotEntries) {
+            return new Options(
+                    group, address, seeds, timing, snapshotEntries, true, SeatPolicy.byOrder());
+        }
+    }
 
     /** Returns a log over opened files; {@link #start} lets it run. */
     public static GroupLog of(
@@ -157,6 +172,19 @@
         return mStatus.role();
     }
 
+    /**
+     * Returns whether the applied state is at most a little behind: this store leads, or has heard
+     * its leader within the shortest election time.
+     */
+    public boolean isCurrent() {
+        GroupStatus status = mStatus;
+        if (status.role() == LogRole.LEADER) {
+            return isLeader();
+        }
+        Duration oldest = mClock.now().minus(mOptions.timing().electionMax());
+        return status.leader().isPresent() && status.leaderHeardAt().compareTo(oldest) > 0;
+    }
+
     /** Returns the members as this store knows them. */
     public Membership members() {
         return mStatus.members();
@@ -220,7 +248,13 @@
                         random.nextLong(),
                         storage.state().hard().term(),
                         storage.state().lastIndex());
-        return new LocalStore(storage.id(), options.address(), start, options.seeds());
+        return new LocalStore(
+                storage.id(),
+                options.address(),
+                start,
+                options.seeds(),
+                options.mayFound(),
+                options.seats());
     }
 
     private void run() {
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/log/GroupStatus.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/log/GroupStatus.java
@@ -11,15 +11,22 @@
  * @param leader leader, where one is known
  * @param leaseUntil until when this store alone leads
  * @param members members as this store knows them
+ * @param leaderHeardAt when a leader was last heard
  */
 record GroupStatus(
         LogRole role,
         long term,
         Optional<StoreId> leader,
         Optional<Duration> leaseUntil,
-        Membership members) {
+        Membership members,
+        Duration leaderHeardAt) {
     static GroupStatus of(LogCore core) {
         return new GroupStatus(
-                core.role(), core.term(), core.leader(), core.leaseUntil(), core.members());
+                core.role(),
+                core.term(),
+                core.leader(),
+                core.leaseUntil(),
+                core.members(),
+                core.leaderHeardAt());
     }
 }
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/log/Leadership.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/log/Leadership.java
@@ -20,6 +20,10 @@
     static final int MAX_UNCOMMITTED_BYTES = 32 << 20;
 
     private static final int MAX_PENDING_READS = 16_384;
+
+    /** Times of the policy's patience after which a silent learner is dropped. */
+    private static final int LEARNER_PATIENCE = 5;
+
     private static final Duration NEVER = Duration.ofNanos(Long.MIN_VALUE / 2);
 
     private final CoreState mState;
@@ -66,6 +70,9 @@
             beat();
         }
         promoteLearners();
+        if (seats().isAutomatic()) {
+            removeSilent();
+        }
         advance();
         return true;
     }
@@ -103,7 +110,11 @@
 
     void onHello(StoreId from, Message.Hello hello) {
         Optional<Member> known = mState.log().members().byVm(from.vm());
-        if (known.isEmpty() || known.get().id().incarnation() >= from.incarnation()) {
+        boolean isWelcome =
+                known.isEmpty()
+                        ? seats().isAutomatic()
+                        : known.get().id().incarnation() < from.incarnation();
+        if (!isWelcome) {
             return;
         }
         changeMembers(mState.log().members().with(new Member(from, hello.address(), false)));
@@ -249,6 +260,9 @@
     }
 
     private void promoteLearners() {
+        if (seats().isAutomatic() && !hasFreeSeat()) {
+            return;
+        }
         for (Member member : mState.log().members().members()) {
             Progress progress = mProgress.get(member.id());
             if (member.isVoter() || progress == null || !progress.hasCaughtUp()) {
@@ -265,6 +279,38 @@
         }
     }
 
+    private SeatPolicy seats() {
+        return mState.local().seats();
+    }
+
+    private boolean hasFreeSeat() {
+        List<Member> voters = mState.log().members().voters();
+        boolean isOneSilent = voters.stream().anyMatch(voter -> isSilent(voter, 1));
+        return voters.size() < seats().seats() || (isOneSilent && voters.size() == seats().seats());
+    }
+
+    /** Removes a silent voter beyond the seats, or a learner that is gone. */
+    private void removeSilent() {
+        Membership members = mState.log().members();
+        boolean isOverfull = members.voters().size() > seats().seats();
+        for (Member member : members.members()) {
+            boolean isLeaving =
+                    member.isVoter()
+                            ? isOverfull && isSilent(member, 1)
+                            : isSilent(member, LEARNER_PATIENCE);
+            if (isLeaving) {
+                changeMembers(members.without(member.id().vm()));
+                return;
+            }
+        }
+    }
+
+    private boolean isSilent(Member member, int times) {
+        Duration patience = seats().patience().multipliedBy(times);
+        return ackedAt(member.id()).plus(patience).compareTo(mState.now()) < 0
+                && mSince.plus(patience).compareTo(mState.now()) < 0;
+    }
+
     /** Returns whether a majority of the voters that would be has answered of late. */
     private boolean isQuorumHeard(Membership members) {
         Duration since = mState.now().minus(mState.timing().electionMax());
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/log/LocalStore.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/log/LocalStore.java
@@ -9,15 +9,29 @@
  * @param address own control address
  * @param start what the storage held, and how often it was opened
  * @param seeds stores that found the group, the founder first; their incarnations aren't known
+ * @param mayFound whether the group may not exist yet; a store that lost its disk must join it
+ * @param seats how voters are replaced
  */
-public record LocalStore(StoreId id, String address, Message.Start start, List<Member> seeds) {
+public record LocalStore(
+        StoreId id,
+        String address,
+        Message.Start start,
+        List<Member> seeds,
+        boolean mayFound,
+        SeatPolicy seats) {
     /** Copies the list. */
     public LocalStore {
         seeds = List.copyOf(seeds);
     }
 
+    /** Returns a store that may found its group and whose members change by order. */
+    public static LocalStore of(
+            StoreId id, String address, Message.Start start, List<Member> seeds) {
+        return new LocalStore(id, address, start, seeds, true, SeatPolicy.byOrder());
+    }
+
     /** Returns whether this store founds the group. */
     boolean isFounder() {
-        return !seeds.isEmpty() && seeds.get(0).id().vm().equals(id.vm());
+        return mayFound && !seeds.isEmpty() && seeds.get(0).id().vm().equals(id.vm());
     }
 }
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/log/LogCore.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/log/LogCore.java
@@ -192,6 +192,11 @@
         return mState.leader();
     }
 
+    /** Returns when a leader was last heard. */
+    Duration leaderHeardAt() {
+        return mLeaderHeardAt;
+    }
+
     /** Returns the storage of this store. */
     public StoreId self() {
         return mState.self();
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/log/SeatPolicy.java
@@ -0,0 +1,28 @@
+package org.sequoiahill.daemon.process.log;
+
+import java.time.Duration;
+
+/**
+ * How a leader fills the seats of the voters.
+ *
+ * <p>With a policy by order, operators add and remove members, and every learner that has caught up
+ * votes. An automatic policy takes in each store that asks, and gives a learner the seat of a voter
+ * that has fallen silent; the silent one is removed only once its successor votes, so that no
+ * change of members leaves fewer voters than seats.
+ *
+ * @param seats voters that the group should have, 0 where operators decide
+ * @param patience silence after which a voter's seat may be given away
+ */
+public record SeatPolicy(int seats, Duration patience) {
+    private static final SeatPolicy BY_ORDER = new SeatPolicy(0, Duration.ZERO);
+
+    /** Returns the policy by which members change by order only. */
+    public static SeatPolicy byOrder() {
+        return BY_ORDER;
+    }
+
+    /** Returns whether the leader changes members by itself. */
+    public boolean isAutomatic() {
+        return seats > 0;
+    }
+}
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/log/StoreGroup.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/log/StoreGroup.java
@@ -74,6 +74,47 @@
         return new StoreGroup(log, stub, GroupHandler.of(identity, log, transport, stub, client));
     }
 
+    /**
+     * Opens a group whose stores find each other by seeds.
+     *
+     * @param options what the group is set up with
+     * @param vm name of this VM in the group
+     * @param folder folder of the group's files
+     * @param runtime clocks, chance and connections
+     * @throws IOException where the folder can't be read, belongs elsewhere or is damaged
+     */
+    public static StoreGroup open(
+            GroupLog.Options options,
+            ServiceStub<Log.Client> stub,
+            StateMachine machine,
+            String vm,
+            Path folder,
+            Identity identity,
+            StoreRuntime runtime)
+            throws IOException {
+        String group = options.group();
+        ControlClient client =
+                ControlClient.on(
+                        threads("log-" + group + "-call"), runtime.traffic(), runtime.timeouts());
+        ThriftTransport transport = ThriftTransport.over(identity, stub, client, Map.of());
+        LogStorage storage =
+                LogStorage.open(
+                        DiskFolder.open(folder),
+                        vm,
+                        group,
+                        Math.max(1, runtime.wallClock().millis()));
+        GroupLog log =
+                GroupLog.of(
+                        options,
+                        machine,
+                        storage,
+                        transport,
+                        runtime.clock(),
+                        runtime.random(),
+                        threads("log-" + group + "-answer"));
+        return new StoreGroup(log, stub, GroupHandler.of(identity, log, transport, stub, client));
+    }
+
     /** Returns the log. */
     public GroupLog log() {
         return mLog;
@@ -115,7 +156,7 @@
                                                 store.control().toString(),
                                                 true))
                         .toList();
-        return new GroupLog.Options(
+        return GroupLog.Options.of(
                 group,
                 settings.control().toString(),
                 seeds,
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/logging/JsonLineWriter.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/logging/JsonLineWriter.java
@@ -2,9 +2,9 @@
 
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.databind.util.RawValue;
 import java.io.IOException;
 import java.io.OutputStream;
-import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -16,30 +16,29 @@
 import org.tinylog.core.LogEntryValue;
 import org.tinylog.writers.Writer;
 
-/** Writes each log entry as one JSON object on one line, to a file or to standard error. */
+/**
+ * Writes each log entry as one JSON object on one line, to a file, to standard error or to standard
+ * output.
+ *
+ * <p>A message that is a JSON object itself, as those about requests are, stays structured. Lines
+ * go through a {@link LineQueue}, so whoever logs never waits for a slow reader of the log.
+ */
 public final class JsonLineWriter implements Writer {
     private static final JsonMapper MAPPER = JsonMapper.builder().build();
+    private static final String OBJECT_START = "{";
+    private static final int MAX_QUEUED_LINES = 4_096;
 
-    private final OutputStream mOutput;
+    private final LineQueue mLines;
 
     /**
      * Makes a writer; called by tinylog.
      *
-     * @param properties {@code file}, where lines are appended to a file
+     * @param properties {@code file}, where lines are appended to a file; {@code stream}, {@code
+     *     out} for standard output
      * @throws IOException where the file can't be opened
      */
     public JsonLineWriter(Map<String, String> properties) throws IOException {
-        String file = properties.get("file");
-        mOutput =
-                file == null
-                        ? System.err
-                        : new PrintStream(
-                                Files.newOutputStream(
-                                        Path.of(file),
-                                        StandardOpenOption.CREATE,
-                                        StandardOpenOption.APPEND),
-                                true,
-                                StandardCharsets.UTF_8);
+        mLines = LineQueue.to(output(properties), MAX_QUEUED_LINES);
     }
 
     @Override
@@ -54,29 +53,40 @@
     }
 
     @Override
-    public void write(LogEntry entry) throws IOException {
+    public void write(LogEntry entry) {
         ObjectNode line = MAPPER.createObjectNode();
         line.put("time", entry.getTimestamp().toInstant().toString());
         line.put("level", entry.getLevel().toString());
         line.put("class", entry.getClassName());
         line.put("thread", entry.getThread().getName());
-        line.put("message", entry.getMessage());
+        String message = entry.getMessage();
+        if (message != null && message.startsWith(OBJECT_START)) {
+            line.putRawValue("event", new RawValue(message));
+        } else {
+            line.put("message", message);
+        }
         if (entry.getException() != null) {
             line.put("exception", entry.getException().toString());
         }
-        byte[] bytes = (line + "\n").getBytes(StandardCharsets.UTF_8);
-        synchronized (mOutput) {
-            mOutput.write(bytes);
-        }
+        mLines.add((line + "\n").getBytes(StandardCharsets.UTF_8));
     }
 
     @Override
     public void flush() throws IOException {
-        mOutput.flush();
+        mLines.flush();
     }
 
     @Override
     public void close() throws IOException {
-        mOutput.flush();
+        mLines.flush();
+    }
+
+    private static OutputStream output(Map<String, String> properties) throws IOException {
+        String file = properties.get("file");
+        if (file != null) {
+            return Files.newOutputStream(
+                    Path.of(file), StandardOpenOption.CREATE, StandardOpenOption.APPEND);
+        }
+        return "out".equals(properties.get("stream")) ? System.out : System.err;
     }
 }
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/logging/Logging.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/logging/Logging.java
@@ -9,10 +9,20 @@
 
     /** Applies the settings; to be called before the first log line. */
     public static void configure(LogSettings settings) {
+        configureLevels(settings.level());
+        settings.file().ifPresent(file -> Configuration.set("writer.file", file));
+    }
+
+    /** Logs to standard output; to be called before the first log line. */
+    public static void configureStandardOutput(String level) {
+        configureLevels(level);
+        Configuration.set("writer.stream", "out");
+    }
+
+    private static void configureLevels(String level) {
         Configuration.set("writer", JsonLineWriter.class.getName());
-        Configuration.set("writer.level", settings.level());
+        Configuration.set("writer.level", level);
         Configuration.set("level@org.eclipse.jetty", "warn");
         Configuration.set("level@org.apache.thrift", "error");
-        settings.file().ifPresent(file -> Configuration.set("writer.file", file));
     }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/settings/FleetSettingsReader.java
@@ -0,0 +1,151 @@
+package org.sequoiahill.daemon.process.settings;
+
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.regex.Pattern;
+import org.sequoiahill.daemon.process.settings.FleetSettings.FleetBounds;
+import org.sequoiahill.daemon.process.settings.FleetSettings.FleetRole;
+import org.sequoiahill.protocol.json.Checked;
+import org.sequoiahill.protocol.json.Fault;
+import org.sequoiahill.protocol.json.JsonText;
+import org.sequoiahill.protocol.json.ObjectReader;
+
+/** Reads the settings of a daemon that finds the others by seeds, and reports every fault. */
+public final class FleetSettingsReader {
+    private static final Pattern NAME = Pattern.compile("[A-Za-z0-9._:-]{1,100}");
+    private static final Pattern OPTIONAL_NAME = Pattern.compile("[A-Za-z0-9._:-]{0,100}");
+    private static final Pattern ROLE = Pattern.compile("entry|store|agent");
+    private static final Pattern OPTIONAL_ADDRESS =
+            Pattern.compile("|" + HostPort.PATTERN.pattern());
+    private static final Pattern PATH = Pattern.compile(".{0,4096}");
+    private static final Pattern LEVEL = Pattern.compile("trace|debug|info|warn|error");
+    private static final int MAX_PORT = 65_535;
+    private static final long MAX_MILLIS = 600_000;
+    private static final int MAX_LOST_STORES = 3;
+    private static final long MAX_COUNT = 1_000_000;
+
+    private static final double MAX_SECONDS = 600;
+    private static final double MILLIS_PER_SECOND = 1_000;
+
+    private FleetSettingsReader() {}
+
+    /** Parses and checks settings. */
+    public static Checked<FleetSettings> parse(String text) {
+        Checked<JsonText> json = JsonText.parse(text);
+        if (!json.isValid()) {
+            return Checked.faulty(json.faults());
+        }
+        List<Fault> faults = new ArrayList<>();
+        ObjectReader reader = json.orElseThrow().reader(faults);
+        FleetSettings settings = read(reader);
+        reader.rejectUnknownKeys();
+        checkRole(settings, reader);
+        return faults.isEmpty() ? Checked.of(settings) : Checked.faulty(faults);
+    }
+
+    private static FleetSettings read(ObjectReader reader) {
+        return new FleetSettings(
+                reader.string("vm", NAME),
+                reader.string("name", NAME),
+                role(reader),
+                reader.string("dataCentre", NAME),
+                regions(reader),
+                address(reader, "control").orElse(new HostPort("0.0.0.0", 0)),
+                address(reader, "metrics").orElse(new HostPort("0.0.0.0", 0)),
+                address(reader, "callers"),
+                address(reader, "ready"),
+                address(reader, "operators"),
+                seeds(reader),
+                reader.bool("mayFound", false),
+                Optional.of(reader.string("dataFolder", PATH, ""))
+                        .filter(path -> !path.isEmpty())
+                        .map(Path::of),
+                address(reader, "engine"),
+                reader.string("service", OPTIONAL_NAME, ""),
+                reader.object("bounds", FleetSettingsReader::bounds),
+                reader.string("logLevel", LEVEL, "info"));
+    }
+
+    private static FleetRole role(ObjectReader reader) {
+        String role = reader.string("role", ROLE);
+        return role.isEmpty() ? FleetRole.ENTRY : FleetRole.valueOf(role.toUpperCase(Locale.ROOT));
+    }
+
+    private static Map<String, String> regions(ObjectReader reader) {
+        return reader.strings("regions", NAME, NAME);
+    }
+
+    private static FleetBounds bounds(ObjectReader reader) {
+        return new FleetBounds(
+                reader.millis("heartbeatMillis", 10, MAX_MILLIS, 1_000),
+                (int) reader.integer("lostStores", 0, MAX_LOST_STORES, 1),
+                reader.number("repeatRatio", 0, MAX_COUNT, 0.2),
+                seconds(reader, "repeatWindowSeconds", 10),
+                reader.number("repeatSlack", 0, MAX_COUNT, 100),
+                reader.millis("versionMillis", 1, MAX_MILLIS, 60_000),
+                seconds(reader, "drainSeconds", 8));
+    }
+
+    private static Duration seconds(ObjectReader reader, String key, double defaultValue) {
+        double seconds = reader.number(key, 0, MAX_SECONDS, defaultValue);
+        return Duration.ofMillis((long) (seconds * MILLIS_PER_SECOND));
+    }
+
+    /** Returns the seeds; where a port for all is set, it goes before the ones written there. */
+    private static List<HostPort> seeds(ObjectReader reader) {
+        int port = (int) reader.integer("seedPort", 0, MAX_PORT, 0);
+        List<HostPort> seeds = new ArrayList<>();
+        for (String seed : reader.strings("seeds", HostPort.PATTERN)) {
+            parse(reader, "seeds", seed)
+                    .map(address -> port == 0 ? address : new HostPort(address.host(), port))
+                    .ifPresent(seeds::add);
+        }
+        return seeds;
+    }
+
+    private static Optional<HostPort> address(ObjectReader reader, String key) {
+        String text = reader.string(key, OPTIONAL_ADDRESS, "");
+        return text.isEmpty() ? Optional.empty() : parse(reader, key, text);
+    }
+
+    private static Optional<HostPort> parse(ObjectReader reader, String key, String text) {
+        HostPort address = HostPort.parse(text);
+        if (address.port() < 1 || address.port() > MAX_PORT) {
+            reader.fault(key, "has port " + address.port() + "; must be 1 to " + MAX_PORT);
+            return Optional.empty();
+        }
+        return Optional.of(address);
+    }
+
+    private static void checkRole(FleetSettings settings, ObjectReader reader) {
+        switch (settings.role()) {
+            case ENTRY -> {
+                require(reader, "callers", settings.callers());
+                require(reader, "ready", settings.ready());
+            }
+            case STORE -> {
+                require(reader, "operators", settings.operators());
+                require(reader, "dataFolder", settings.dataFolder());
+            }
+            case AGENT -> require(reader, "engine", settings.engine());
+            default -> throw new IllegalStateException("unknown role " + settings.role());
+        }
+        if (settings.seeds().isEmpty()) {
+            reader.fault("seeds", "is empty; a daemon finds the others by its seeds");
+        }
+        if (settings.control().port() == 0) {
+            reader.fault("control", "is missing");
+        }
+    }
+
+    private static void require(ObjectReader reader, String key, Optional<?> value) {
+        if (value.isEmpty()) {
+            reader.fault(key, "is missing; this role needs it");
+        }
+    }
+}
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/AgentHandler.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/AgentHandler.java
@@ -159,7 +159,7 @@
                 headers.put(RequestHeaders.ENDPOINT_REQUEST_ID, mId);
             }
             HttpForwarder.Call call =
-                    new HttpForwarder.Call(
+                    HttpForwarder.Call.of(
                             mRequest.getMethod(),
                             URI.create(mSettings.engine() + route),
                             headers,
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/Exchange.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/Exchange.java
@@ -260,7 +260,7 @@
         added.forEach(headers::put);
         headers.put(RequestHeaders.REQUEST_ID, attempt.requestId());
         HttpForwarder.Call call =
-                new HttpForwarder.Call(
+                HttpForwarder.Call.of(
                         mRequest.method(),
                         URI.create("http://" + attempt.address() + mRequest.pathQuery()),
                         headers,
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/HttpForwarder.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/HttpForwarder.java
@@ -5,6 +5,7 @@
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
@@ -12,9 +13,9 @@
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
-import org.eclipse.jetty.client.Result;
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.util.Callback;
 import org.sequoiahill.daemon.connection.ExchangeLostException;
@@ -42,9 +43,21 @@
      * @param headers headers, of which those of the connection are left out
      * @param body whole body
      * @param timeout time until the whole answer must have come
+     * @param host host that the caller named, where the endpoint must see it
      */
     public record Call(
-            String method, URI target, HttpFields headers, ByteBuffer body, Duration timeout) {}
+            String method,
+            URI target,
+            HttpFields headers,
+            ByteBuffer body,
+            Duration timeout,
+            Optional<String> host) {
+        /** Returns a call that names the target's own host. */
+        public static Call of(
+                String method, URI target, HttpFields headers, ByteBuffer body, Duration timeout) {
+            return new Call(method, target, headers, body, timeout, Optional.empty());
+        }
+    }
 
     /** Receives what becomes of a call; exactly one of the methods is called, once. */
     public interface Listener {
@@ -61,11 +74,13 @@
      * @return the request, by which the call can be aborted
      */
     public Request send(Call call, Listener listener) {
+        AtomicBoolean begun = new AtomicBoolean();
         AtomicBoolean answered = new AtomicBoolean();
         Request request =
                 mClient.newRequest(call.target())
                         .method(call.method())
-                        .headers(fields -> copyEndToEnd(call.headers(), fields::add))
+                        .headers(fields -> copyHeaders(call, fields))
+                        .onRequestBegin(started -> begun.set(true))
                         .idleTimeout(call.timeout().toMillis(), TimeUnit.MILLISECONDS)
                         .timeout(call.timeout().toMillis(), TimeUnit.MILLISECONDS);
         String contentType = call.headers().get("Content-Type");
@@ -80,10 +95,21 @@
                     answered.set(true);
                     listener.onAnswer(answer, content);
                 });
-        request.send(result -> reportFailure(result, answered.get(), listener));
+        request.send(
+                result -> {
+                    if (result.isFailed() && !answered.get()) {
+                        Throwable failure = result.getFailure();
+                        listener.onFailure(failure, !begun.get() || isNotRun(failure));
+                    }
+                });
         return request;
     }
 
+    private static void copyHeaders(Call call, HttpFields.Mutable fields) {
+        copyEndToEnd(call.headers(), fields::add);
+        call.host().ifPresent(host -> fields.put(HttpHeader.HOST, host));
+    }
+
     /** Copies an answer to the caller's response and completes the callback at its end. */
     public static void relay(
             Response answer,
@@ -106,13 +132,6 @@
                 });
     }
 
-    private static void reportFailure(Result result, boolean isAnswered, Listener listener) {
-        if (result.isFailed() && !isAnswered) {
-            Throwable failure = result.getFailure();
-            listener.onFailure(failure, isNotRun(failure));
-        }
-    }
-
     private static boolean isNotRun(Throwable failure) {
         return failure instanceof ConnectException
                 || (failure instanceof ExchangeLostException lost && lost.isNotRun());
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/Refusal.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/Refusal.java
@@ -60,6 +60,16 @@
 
     /** Writes the refusal as the whole response. */
     public void write(Response response, Callback callback) {
+        long seconds = Math.max(1, retryAfter.plusMillis(999).toSeconds());
+        write(response, String.valueOf(seconds), callback);
+    }
+
+    /**
+     * Writes the refusal as the whole response.
+     *
+     * @param retryAfterText when to come back, as callers of this response read it
+     */
+    public void write(Response response, String retryAfterText, Callback callback) {
         response.setStatus(status);
         response.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
         response.getHeaders().put(RequestHeaders.REFUSAL, code);
@@ -70,8 +80,7 @@
             response.getHeaders().put(RequestHeaders.OUTCOME_UNKNOWN, code);
         }
         if (!retryAfter.isZero()) {
-            long seconds = Math.max(1, retryAfter.plusMillis(999).toSeconds());
-            response.getHeaders().put(HttpHeader.RETRY_AFTER, seconds);
+            response.getHeaders().put(HttpHeader.RETRY_AFTER, retryAfterText);
         }
         ObjectNode error = MAPPER.createObjectNode();
         error.putObject("error").put("code", code).put("message", message).put("not_run", isNotRun);
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectExchange.java
@@ -0,0 +1,494 @@
+package org.sequoiahill.daemon.request.direct;
+
+import java.io.IOException;
+import java.net.URI;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.eclipse.jetty.client.Response;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.thread.SerializedInvoker;
+import org.jspecify.annotations.Nullable;
+import org.sequoiahill.daemon.connection.BodyReader;
+import org.sequoiahill.daemon.process.fleet.Organisation;
+import org.sequoiahill.daemon.process.fleet.Route;
+import org.sequoiahill.daemon.request.HttpForwarder;
+import org.sequoiahill.daemon.request.Refusal;
+
+/**
+ * One caller's request at an entry, from its place in the queue to the end of its answer.
+ *
+ * <p>All steps run one after another in an invoker, so that callbacks of the caller's connection,
+ * the endpoint's connection and the dispatcher need no lock among each other.
+ */
+final class DirectExchange implements Ticket, Sending.Events, EventOutput.Listener {
+    /** Largest answer that is held until it is whole, in bytes. */
+    private static final int MAX_ANSWER_BYTES = 8 << 20;
+
+    /** Bytes that a slow caller leaves unread before the endpoint's stream is read no further. */
+    private static final int MAX_PENDING_BYTES = 256 << 10;
+
+    /** Silence after which a repeatable request is sent elsewhere. */
+    private static final Duration SILENCE = Duration.ofMillis(1_500);
+
+    /** Least time left that makes another sending worth its while. */
+    private static final Duration LEAST_TIME_LEFT = Duration.ofMillis(150);
+
+    /** Longest time that a repeat waits for a place. */
+    private static final Duration REPEAT_WAIT = Duration.ofMillis(400);
+
+    private static final int MISDIRECTED = 421;
+    private static final int SERVER_ERRORS = 500;
+    private static final Set<Integer> STATUSES_OF_UNRUN = Set.of(408, 429, 503);
+
+    private final DirectServices mServices;
+    private final DirectRequest mRequest;
+    private final Request mCallerRequest;
+    private final CallerReply mReply;
+    private final SerializedInvoker mInvoker = new SerializedInvoker();
+    private final EventOutput mOutput;
+    private final EventSplitter mSplitter = new EventSplitter();
+    private final Set<String> mTried = new HashSet<>();
+    private final Duration mArrivedAt;
+    private final Duration mDeadline;
+    private @Nullable Sending mCurrent;
+    private Duration mGiveUpAt;
+    private OptionalLong mVersion = OptionalLong.empty();
+    private int mSendings;
+    private int mRuns;
+    private boolean mIsHeadSent;
+    private boolean mIsPaused;
+
+    DirectExchange(
+            DirectServices services,
+            DirectRequest request,
+            Request callerRequest,
+            org.eclipse.jetty.server.Response response,
+            Callback callback,
+            Duration arrivedAt) {
+        mServices = services;
+        mRequest = request;
+        mCallerRequest = callerRequest;
+        mReply = new CallerReply(services, request, response, callback, arrivedAt);
+        mOutput = new EventOutput(response, mInvoker, this);
+        mArrivedAt = arrivedAt;
+        Duration timeout = request.route().timeout();
+        Duration patience = request.caller().patience().orElse(timeout);
+        mDeadline = arrivedAt.plus(patience.compareTo(timeout) < 0 ? patience : timeout);
+        Duration hopeless = arrivedAt.plus(request.route().answerTarget());
+        mGiveUpAt = hopeless.compareTo(mDeadline) < 0 ? hopeless : mDeadline;
+    }
+
+    /** Starts the exchange. */
+    void start() {
+        mInvoker.run(
+                () -> {
+                    mServices.exchanges().begin(this);
+                    mReply.watch(mCallerRequest, () -> mInvoker.run(this::callerGone));
+                    mServices.dispatcher().noteFirst(service());
+                    mServices.dispatcher().submit(this);
+                });
+    }
+
+    /** Looks for what is overdue. */
+    void check() {
+        mInvoker.run(this::endOverdue);
+    }
+
+    @Override
+    public String service() {
+        return mRequest.service();
+    }
+
+    @Override
+    public String model() {
+        return mRequest.caller().prompt().map(CallerRequest.Prompt::model).orElse("");
+    }
+
+    @Override
+    public OptionalLong version() {
+        return mVersion;
+    }
+
+    @Override
+    public int priority() {
+        return mRequest.priority();
+    }
+
+    @Override
+    public Duration giveUpAt() {
+        return mGiveUpAt;
+    }
+
+    @Override
+    public boolean allows(String region) {
+        return mRequest.allows(region);
+    }
+
+    @Override
+    public Set<String> tried() {
+        return mTried;
+    }
+
+    @Override
+    public boolean isAbandoned() {
+        return mReply.isDone();
+    }
+
+    @Override
+    public void granted(Place place) {
+        mInvoker.run(() -> send(place));
+    }
+
+    @Override
+    public void refused(Refused refused) {
+        mInvoker.run(() -> noPlace(refused));
+    }
+
+    @Override
+    public void answered(Sending sending, Response answer, Content.Source content) {
+        mInvoker.run(() -> takeHead(sending, answer, content));
+    }
+
+    @Override
+    public void failed(Sending sending, Throwable failure, boolean isUnsent) {
+        mInvoker.run(
+                () -> {
+                    Place.End end = isUnsent ? Place.End.UNREACHABLE : Place.End.FAILED;
+                    RepeatRule.Cause cause =
+                            isUnsent ? RepeatRule.Cause.UNSENT : RepeatRule.Cause.LOST;
+                    if (release(sending, end, failure.getClass().getSimpleName())) {
+                        follow(cause, null);
+                    }
+                });
+    }
+
+    private void send(Place place) {
+        Duration now = mServices.clock().now();
+        if (mReply.isDone()) {
+            place.ended(Place.End.CANCELLED);
+            return;
+        }
+        if (mSendings == 0) {
+            mReply.queued(now.minus(mArrivedAt));
+        }
+        mSendings++;
+        mTried.add(place.endpoint().id());
+        Sending sending = new Sending(place, now, this);
+        mCurrent = sending;
+        Duration timeLeft = mDeadline.minus(now);
+        Dispatch dispatch =
+                new Dispatch(
+                        place.endpoint().id(),
+                        mRequest.organisation().map(Organisation::name),
+                        timeLeft,
+                        mSplitter.lastId().or(() -> mRequest.caller().lastEventId()),
+                        place.version(),
+                        OptionalInt.of(priority()));
+        HttpForwarder.Call call =
+                new HttpForwarder.Call(
+                        mRequest.method(),
+                        URI.create(
+                                "http://" + place.endpoint().address() + mRequest.pathAndQuery()),
+                        mServices.dialect().outgoing(mRequest.headers(), dispatch),
+                        mRequest.body(),
+                        timeLeft,
+                        Optional.of(mRequest.host()));
+        sending.begun(mServices.forwarder().send(call, sending));
+    }
+
+    private void noPlace(Refused refused) {
+        if (mReply.isDone()) {
+            return;
+        }
+        String message = "no endpoint can take the request now";
+        if (mIsHeadSent) {
+            cutOff(refused.reason());
+        } else if (mRuns > 0) {
+            refuse(Refusal.outcomeUnknown("the endpoint gave no answer"));
+        } else {
+            refuse(Refusal.overloaded(refused.reason(), message, refused.retryAfter()));
+        }
+    }
+
+    private void takeHead(Sending sending, Response response, Content.Source content) {
+        if (mReply.isDone() || sending != mCurrent) {
+            content.fail(new IOException("the answer is no longer wanted"));
+            return;
+        }
+        EndpointAnswer answer =
+                mServices.dialect().answer(response.getStatus(), response.getHeaders());
+        sending.headCame(content, mServices.clock().now());
+        boolean isUnrun = answer.isNotRun() || answer.status() == MISDIRECTED;
+        boolean isOurs = answer.requestId().equals(mRequest.caller().id());
+        if (!isOurs && !(isUnrun && answer.requestId().isEmpty())) {
+            lose(sending, "foreign_answer");
+            return;
+        }
+        sending.place().answered(answer);
+        if (isUnrun) {
+            turnedAway(sending, answer, content);
+        } else if (!answer.isSealed()) {
+            lose(sending, "unsealed_" + answer.status());
+        } else if (answer.isSuccess() && answer.isStream()) {
+            if (!mIsHeadSent) {
+                mReply.takeHead(response);
+            }
+            pinVersion(sending);
+            pump(sending, content);
+        } else {
+            BodyReader.read(content, MAX_ANSWER_BYTES)
+                    .whenComplete(
+                            (body, failure) ->
+                                    mInvoker.run(() -> takeWhole(sending, response, answer, body)));
+        }
+    }
+
+    private void turnedAway(Sending sending, EndpointAnswer answer, Content.Source content) {
+        Content.Source.consumeAll(content, Callback.NOOP);
+        boolean isOther =
+                answer.status() == MISDIRECTED
+                        && !answer.endpointId()
+                                .equals(Optional.of(sending.place().endpoint().id()));
+        Place.End end = isOther ? Place.End.MISDIRECTED : Place.End.TURNED_AWAY;
+        if (release(sending, end, "not_run_" + answer.status())) {
+            follow(RepeatRule.Cause.NOT_RUN, null);
+        }
+    }
+
+    private void takeWhole(
+            Sending sending, Response response, EndpointAnswer answer, byte @Nullable [] body) {
+        if (body == null) {
+            lose(sending, "cut_" + answer.status());
+            return;
+        }
+        boolean isFailure = answer.status() >= SERVER_ERRORS;
+        Place.End end = isFailure ? Place.End.FAILED : Place.End.SUCCEEDED;
+        if (!release(sending, end, "status_" + answer.status())) {
+            return;
+        }
+        if (!isFailure) {
+            passOn(response, body);
+        } else {
+            follow(RepeatRule.Cause.FAILED, () -> passOnFailure(response, answer, body));
+        }
+    }
+
+    /** Reads what has come of a stream, and passes whole events on. */
+    private void pump(Sending sending, Content.Source content) {
+        while (sending == mCurrent && !mReply.isDone()) {
+            if (mOutput.pendingBytes() > MAX_PENDING_BYTES) {
+                mIsPaused = true;
+                return;
+            }
+            Content.Chunk chunk = content.read();
+            if (chunk == null) {
+                content.demand(() -> mInvoker.run(() -> pump(sending, content)));
+                return;
+            }
+            if (Content.Chunk.isFailure(chunk)) {
+                lose(sending, "cut_stream_" + mSplitter.events());
+                return;
+            }
+            sending.heard(mServices.clock().now());
+            ByteBuffer events = mSplitter.take(chunk.getByteBuffer());
+            boolean isLast = chunk.isLast();
+            chunk.release();
+            if (events.hasRemaining()) {
+                mIsHeadSent = true;
+                mOutput.write(events);
+            }
+            if (isLast) {
+                endStream(sending);
+            }
+        }
+    }
+
+    private void endStream(Sending sending) {
+        if (release(sending, Place.End.SUCCEEDED, "events_" + mSplitter.events())) {
+            mIsHeadSent = true;
+            mOutput.write(mSplitter.rest());
+            mOutput.end();
+        }
+    }
+
+    @Override
+    public void written() {
+        Sending sending = mCurrent;
+        if (mIsPaused && sending != null && mOutput.pendingBytes() <= MAX_PENDING_BYTES) {
+            mIsPaused = false;
+            sending.source().ifPresent(content -> pump(sending, content));
+        }
+    }
+
+    @Override
+    public Callback ending() {
+        mServices.exchanges().end(this);
+        return mReply.endStream();
+    }
+
+    @Override
+    public void failed(Throwable failure) {
+        callerGone();
+    }
+
+    private void pinVersion(Sending sending) {
+        Long version = sending.place().endpoint().versions().get(model());
+        if (mVersion.isEmpty() && version != null) {
+            mVersion = OptionalLong.of(version);
+        }
+    }
+
+    /** Ends a sending that brought no answer of its own. */
+    private void lose(Sending sending, String why) {
+        if (release(sending, Place.End.FAILED, why)) {
+            sending.cancel(new IOException(why));
+            follow(RepeatRule.Cause.LOST, null);
+        }
+    }
+
+    /** Ends a sending for this exchange; returns whether it was the current one. */
+    private boolean release(Sending sending, Place.End end, String what) {
+        sending.place().ended(end);
+        if (mReply.isDone() || sending != mCurrent) {
+            return false;
+        }
+        mCurrent = null;
+        mSplitter.rest();
+        mReply.trace(sending, what);
+        return true;
+    }
+
+    private void follow(RepeatRule.Cause cause, @Nullable Runnable passOn) {
+        if (cause == RepeatRule.Cause.LOST || cause == RepeatRule.Cause.FAILED) {
+            mRuns++;
+        }
+        Duration now = mServices.clock().now();
+        boolean isTimeLeft = mDeadline.minus(now).compareTo(LEAST_TIME_LEFT) > 0;
+        RepeatRule.Decision decision =
+                RepeatRule.decide(cause, mRequest.route(), mSendings, mRuns, isTimeLeft);
+        if (decision == RepeatRule.Decision.REPEAT_IN_BUDGET
+                && !mServices.dispatcher().takeRepeat(service())) {
+            mReply.trace("no_budget");
+            decision = RepeatRule.otherwise(cause, mRuns);
+        }
+        switch (decision) {
+            case REPEAT, REPEAT_IN_BUDGET -> {
+                Duration wait = now.plus(REPEAT_WAIT);
+                mGiveUpAt = wait.compareTo(mDeadline) < 0 ? wait : mDeadline;
+                mServices.dispatcher().submit(this);
+            }
+            case PASS_ON -> {
+                if (passOn == null || mIsHeadSent) {
+                    cutOff("broken");
+                } else {
+                    passOn.run();
+                }
+            }
+            case REFUSE, UNKNOWN -> {
+                if (mIsHeadSent) {
+                    cutOff("broken");
+                } else if (decision == RepeatRule.Decision.UNKNOWN) {
+                    refuse(Refusal.outcomeUnknown("the endpoint gave no whole answer"));
+                } else {
+                    refuse(
+                            Refusal.overloaded(
+                                    "not_run",
+                                    "no endpoint ran the request",
+                                    Duration.ofMillis(LEAST_TIME_LEFT.toMillis())));
+                }
+            }
+            default -> throw new IllegalStateException("unknown decision " + decision);
+        }
+    }
+
+    private void passOn(Response response, byte[] body) {
+        mServices.exchanges().end(this);
+        mReply.passOn(response, body);
+    }
+
+    /** Passes an endpoint's failure on, unless its status would deny that the request ran. */
+    private void passOnFailure(Response response, EndpointAnswer answer, byte[] body) {
+        if (STATUSES_OF_UNRUN.contains(answer.status())) {
+            refuse(Refusal.outcomeUnknown("the endpoint failed with " + answer.status()));
+        } else {
+            passOn(response, body);
+        }
+    }
+
+    private void refuse(Refusal refusal) {
+        mServices.exchanges().end(this);
+        mReply.refuse(refusal);
+    }
+
+    private void cutOff(String why) {
+        mServices.exchanges().end(this);
+        mReply.cutOff(why);
+    }
+
+    private void callerGone() {
+        if (mReply.isDone()) {
+            return;
+        }
+        cancelCurrent("caller_gone");
+        mServices.exchanges().end(this);
+        mReply.gone();
+    }
+
+    private void endOverdue() {
+        if (mReply.isDone()) {
+            return;
+        }
+        Duration now = mServices.clock().now();
+        if (now.compareTo(mDeadline) >= 0) {
+            timeOut();
+            return;
+        }
+        Sending sending = mCurrent;
+        if (sending != null && isSilent(sending, now)) {
+            mReply.trace("silent");
+            lose(sending, "silent");
+        }
+    }
+
+    private boolean isSilent(Sending sending, Duration now) {
+        Route route = mRequest.route();
+        boolean isStreaming = mIsHeadSent || sending.hasHead();
+        boolean canRepeat =
+                route.isRepeatable()
+                        && mRuns + 1 < route.maxAttempts()
+                        && mDeadline.minus(now).compareTo(SILENCE) > 0;
+        return canRepeat
+                && (isStreaming ? sending.heardAt() : sending.sentAt()).plus(SILENCE).compareTo(now)
+                        < 0
+                && !mIsPaused;
+    }
+
+    private void timeOut() {
+        boolean mayHaveRun = mRuns > 0 || mCurrent != null;
+        cancelCurrent("timeout");
+        if (mIsHeadSent) {
+            cutOff("timeout");
+        } else if (mayHaveRun) {
+            refuse(new Refusal(504, "timeout", "no answer in time", false, Duration.ZERO));
+        } else {
+            refuse(Refusal.overloaded("timeout", "no place in time", Duration.ZERO));
+        }
+    }
+
+    private void cancelCurrent(String why) {
+        Sending sending = mCurrent;
+        if (sending != null) {
+            mCurrent = null;
+            mReply.trace(sending, why);
+            sending.place().ended(Place.End.CANCELLED);
+            sending.cancel(new IOException(why));
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectHandler.java
@@ -0,0 +1,165 @@
+package org.sequoiahill.daemon.request.direct;
+
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.sequoiahill.daemon.connection.BodyReader;
+import org.sequoiahill.daemon.process.fleet.FleetPicture;
+import org.sequoiahill.daemon.process.fleet.Organisation;
+import org.sequoiahill.daemon.process.fleet.Route;
+import org.sequoiahill.daemon.process.fleet.RoutingTable;
+import org.sequoiahill.daemon.request.Refusal;
+
+/** Answers callers by host and path: finds the route and the organisation, and serves. */
+public final class DirectHandler extends Handler.Abstract.NonBlocking {
+    /** Pause that callers are told while no routing table is known, right after a start. */
+    private static final Duration NO_TABLE_PAUSE = Duration.ofMillis(500);
+
+    private final DirectServices mServices;
+    private final Supplier<FleetPicture> mPicture;
+    private final RandomGenerator mRandom;
+
+    private DirectHandler(
+            DirectServices services, Supplier<FleetPicture> picture, RandomGenerator random) {
+        mServices = services;
+        mPicture = picture;
+        mRandom = random;
+    }
+
+    /** Returns the handler of an entry's address for callers. */
+    public static DirectHandler of(
+            DirectServices services, Supplier<FleetPicture> picture, RandomGenerator random) {
+        return new DirectHandler(services, picture, random);
+    }
+
+    @Override
+    public boolean handle(Request request, Response response, Callback callback) {
+        Duration arrivedAt = mServices.clock().now();
+        CallerRequest caller = mServices.dialect().read(request.getHeaders());
+        FleetPicture picture = mPicture.get();
+        if (picture.table().isEmpty()) {
+            return refuse(
+                    Refusal.overloaded(
+                            "no_routing_table",
+                            "this entry knows no routing table yet",
+                            NO_TABLE_PAUSE),
+                    caller,
+                    response,
+                    callback);
+        }
+        RoutingTable table = picture.table().get();
+        String host = hostOf(request);
+        Optional<Route> route = table.route(host, request.getHttpURI().getPath());
+        Optional<Organisation> organisation = caller.key().flatMap(table::organisation);
+        Optional<Refusal> refusal = check(table, route, organisation, caller, request);
+        if (refusal.isPresent()) {
+            return refuse(refusal.get(), caller, response, callback);
+        }
+        int limit = limitOf(table);
+        DirectRequest.DecidedBy decidedBy =
+                new DirectRequest.DecidedBy(table.number(), picture.state().index());
+        BodyReader.read(request, limit)
+                .whenComplete(
+                        (bytes, failure) -> {
+                            if (failure != null) {
+                                bodyFailed(failure, limit, caller, response, callback);
+                                return;
+                            }
+                            DirectRequest direct =
+                                    new DirectRequest(
+                                            caller,
+                                            route.get(),
+                                            organisation,
+                                            route.get().serviceFor(mRandom.nextDouble()),
+                                            request.getMethod(),
+                                            request.getHttpURI().getPathQuery(),
+                                            host,
+                                            request.getHeaders(),
+                                            ByteBuffer.wrap(bytes).asReadOnlyBuffer(),
+                                            decidedBy);
+                            new DirectExchange(
+                                            mServices, direct, request, response, callback,
+                                            arrivedAt)
+                                    .start();
+                        });
+        return true;
+    }
+
+    /** Returns why a request is turned away before its body is read, if it is. */
+    private static Optional<Refusal> check(
+            RoutingTable table,
+            Optional<Route> route,
+            Optional<Organisation> organisation,
+            CallerRequest caller,
+            Request request) {
+        if (route.isEmpty()) {
+            return Optional.of(Refusal.invalid(404, "no_route", "no route has this host and path"));
+        }
+        if (organisation.isEmpty() && !route.get().isOpen()) {
+            return Optional.of(
+                    Refusal.invalid(401, "unknown_key", "no organisation holds this key"));
+        }
+        if (caller.id().isEmpty()) {
+            return Optional.of(Refusal.invalid(400, "no_request_id", "the request has no id"));
+        }
+        int limit = limitOf(table);
+        return request.getLength() > limit ? Optional.of(tooLarge(limit)) : Optional.empty();
+    }
+
+    private static int limitOf(RoutingTable table) {
+        return (int) Math.min(Integer.MAX_VALUE, table.maxBodyBytes());
+    }
+
+    private void bodyFailed(
+            Throwable failure,
+            int limit,
+            CallerRequest caller,
+            Response response,
+            Callback callback) {
+        if (failure instanceof BodyReader.BodyTooLargeException) {
+            refuse(tooLarge(limit), caller, response, callback);
+        } else {
+            callback.failed(failure);
+        }
+    }
+
+    private boolean refuse(
+            Refusal refusal, CallerRequest caller, Response response, Callback callback) {
+        mServices
+                .log()
+                .ended(
+                        new RequestLog.Line(
+                                caller.id(),
+                                "",
+                                "",
+                                mPicture.get().table().map(RoutingTable::number).orElse(0L),
+                                mPicture.get().state().index(),
+                                refusal.status(),
+                                refusal.code(),
+                                "",
+                                Duration.ZERO,
+                                Duration.ZERO));
+        refusal.write(response, mServices.dialect().retryAfter(refusal.retryAfter()), callback);
+        return true;
+    }
+
+    private static Refusal tooLarge(int limit) {
+        return Refusal.invalid(413, "body_too_large", "a body has at most " + limit + " bytes");
+    }
+
+    private static String hostOf(Request request) {
+        String host = request.getHeaders().get(HttpHeader.HOST);
+        if (host == null) {
+            return "";
+        }
+        int colon = host.indexOf(':');
+        return colon < 0 ? host : host.substring(0, colon);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectServices.java
@@ -0,0 +1,22 @@
+package org.sequoiahill.daemon.request.direct;
+
+import org.sequoiahill.daemon.process.time.MonotonicClock;
+import org.sequoiahill.daemon.request.HttpForwarder;
+
+/**
+ * What the requests of one entry share.
+ *
+ * @param dialect names of headers
+ * @param dispatcher gives places at endpoints
+ * @param forwarder sends to endpoints
+ * @param exchanges requests that run
+ * @param log tells what became of requests
+ * @param clock monotonic clock
+ */
+public record DirectServices(
+        CallerDialect dialect,
+        Dispatcher dispatcher,
+        HttpForwarder forwarder,
+        RunningExchanges exchanges,
+        RequestLog log,
+        MonotonicClock clock) {}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectSettings.java
@@ -0,0 +1,27 @@
+package org.sequoiahill.daemon.request.direct;
+
+import java.time.Duration;
+import java.util.Map;
+
+/**
+ * Bounds of an entry that sends straight to endpoints.
+ *
+ * @param regionsByDataCentre region of each data centre
+ * @param region region of this entry
+ * @param repeatRatio repeats of a service's requests that all entries together may add
+ * @param repeatWindow time over which repeats are counted
+ * @param repeatSlack repeats in a window that all entries together may add besides
+ * @param versionBound time after which no request may begin on an older version
+ */
+public record DirectSettings(
+        Map<String, String> regionsByDataCentre,
+        String region,
+        double repeatRatio,
+        Duration repeatWindow,
+        double repeatSlack,
+        Duration versionBound) {
+    /** Copies the map. */
+    public DirectSettings {
+        regionsByDataCentre = Map.copyOf(regionsByDataCentre);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/Dispatcher.java
@@ -0,0 +1,256 @@
+package org.sequoiahill.daemon.request.direct;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import org.sequoiahill.daemon.process.endpoints.EndpointInfo;
+import org.sequoiahill.daemon.process.fleet.FleetPicture;
+import org.sequoiahill.daemon.process.time.MonotonicClock;
+
+/**
+ * Gives requests their places at endpoints: at once where one has room, else in the order of rank
+ * and arrival as places become free, and no later than a place is of use.
+ */
+public final class Dispatcher {
+    /** Interval at which waiting requests are looked at again when nothing else happens. */
+    private static final Duration RECHECK = Duration.ofMillis(20);
+
+    /** Least pause that a refused caller is told. */
+    private static final Duration LEAST_RETRY = Duration.ofMillis(400);
+
+    /** Random part of the pause, so that refused callers don't come back together. */
+    private static final Duration RETRY_SPREAD = Duration.ofMillis(800);
+
+    /** Pause after a full endpoint turned a request away. */
+    private static final Duration TURNED_AWAY_PAUSE = Duration.ofMillis(80);
+
+    /** Pause after an address answered for another endpoint, until reports tell what is there. */
+    private static final Duration MISDIRECTED_PAUSE = Duration.ofSeconds(2);
+
+    private final Object mLock = new Object();
+    private final Supplier<FleetPicture> mPicture;
+    private final DirectSettings mSettings;
+    private final MonotonicClock mClock;
+    private final RandomGenerator mRandom;
+    private final ScheduledExecutorService mScheduler;
+    private final Placement mPlacement;
+    private final Map<Start, EndpointStatus> mStatuses = new HashMap<>();
+    private final Map<String, PriorityQueue<Waiting>> mQueues = new HashMap<>();
+    private final Map<String, RepeatBudget> mBudgets = new HashMap<>();
+    private long mArrivals;
+    private int mWaiting;
+    private boolean mIsRecheckDue;
+
+    private Dispatcher(
+            Supplier<FleetPicture> picture,
+            DirectSettings settings,
+            MonotonicClock clock,
+            RandomGenerator random,
+            ScheduledExecutorService scheduler) {
+        mPicture = picture;
+        mSettings = settings;
+        mClock = clock;
+        mRandom = random;
+        mScheduler = scheduler;
+        mPlacement = Placement.of(settings, random, this::statusOf);
+    }
+
+    /** Returns a dispatcher of one entry. */
+    public static Dispatcher of(
+            Supplier<FleetPicture> picture,
+            DirectSettings settings,
+            MonotonicClock clock,
+            RandomGenerator random,
+            ScheduledExecutorService scheduler) {
+        return new Dispatcher(picture, settings, clock, random, scheduler);
+    }
+
+    private record Start(String id, long startedAt) {}
+
+    private record Waiting(Ticket ticket, long arrival) {
+        static final Comparator<Waiting> ORDER =
+                Comparator.comparingInt((Waiting waiting) -> waiting.ticket().priority())
+                        .thenComparingLong(Waiting::arrival);
+    }
+
+    /** Asks for a place; the ticket hears of it on this thread or a later one. */
+    void submit(Ticket ticket) {
+        synchronized (mLock) {
+            queueOf(ticket.service()).add(new Waiting(ticket, mArrivals++));
+            mWaiting++;
+        }
+        pump(ticket.service());
+    }
+
+    /** Takes one repeat from the budget of a service. */
+    boolean takeRepeat(String service) {
+        synchronized (mLock) {
+            return budgetOf(service).take(mClock.now(), Placement.entries(mPicture.get()));
+        }
+    }
+
+    /** Notes the first sending of a request. */
+    void noteFirst(String service) {
+        synchronized (mLock) {
+            budgetOf(service).noteFirst(mClock.now());
+        }
+    }
+
+    /** Returns how many requests wait. */
+    public int waiting() {
+        synchronized (mLock) {
+            return mWaiting;
+        }
+    }
+
+    /** Looks at all waiting requests again, since endpoints have changed. */
+    public void refresh() {
+        List<String> services;
+        synchronized (mLock) {
+            forgetEndedStarts();
+            services = List.copyOf(mQueues.keySet());
+        }
+        services.forEach(this::pump);
+    }
+
+    void answered(EndpointStatus status, long number, EndpointAnswer answer) {
+        synchronized (mLock) {
+            status.answered(number, answer, mClock.now());
+        }
+    }
+
+    void ended(EndpointInfo endpoint, EndpointStatus status, long number, Place.End end) {
+        synchronized (mLock) {
+            Duration now = mClock.now();
+            status.ended(number);
+            switch (end) {
+                case SUCCEEDED -> status.succeeded();
+                case FAILED -> status.failed(now);
+                case UNREACHABLE -> status.unreachable(now);
+                case TURNED_AWAY -> status.turnedAway(now, TURNED_AWAY_PAUSE);
+                case MISDIRECTED -> status.turnedAway(now, MISDIRECTED_PAUSE);
+                case CANCELLED -> {}
+                default -> throw new IllegalStateException("unknown end " + end);
+            }
+        }
+        pump(endpoint.service());
+    }
+
+    private void pump(String service) {
+        List<Runnable> outcomes = new ArrayList<>();
+        synchronized (mLock) {
+            PriorityQueue<Waiting> queue = queueOf(service);
+            FleetPicture picture = mPicture.get();
+            Duration now = mClock.now();
+            List<Waiting> kept = new ArrayList<>();
+            while (!queue.isEmpty()) {
+                Waiting waiting = queue.poll();
+                if (!settle(waiting.ticket(), picture, now, outcomes)) {
+                    kept.add(waiting);
+                }
+            }
+            queue.addAll(kept);
+            mWaiting -= outcomes.size();
+            scheduleRecheck(!kept.isEmpty());
+        }
+        outcomes.forEach(Runnable::run);
+    }
+
+    /** Returns whether a ticket got a place or a refusal. */
+    private boolean settle(
+            Ticket ticket, FleetPicture picture, Duration now, List<Runnable> outcomes) {
+        if (ticket.isAbandoned()) {
+            outcomes.add(() -> ticket.refused(new Ticket.Refused("caller_gone", Duration.ZERO)));
+            return true;
+        }
+        Placement.Choice choice = mPlacement.choose(ticket, picture, now);
+        if (choice.endpoint().isPresent()) {
+            Place place = take(choice, picture, now);
+            outcomes.add(() -> ticket.granted(place));
+            return true;
+        }
+        if (choice.candidates() == 0) {
+            outcomes.add(() -> ticket.refused(refusal("no_endpoint")));
+            return true;
+        }
+        if (now.compareTo(ticket.giveUpAt()) >= 0) {
+            outcomes.add(() -> ticket.refused(refusal("no_room")));
+            return true;
+        }
+        return false;
+    }
+
+    private Place take(Placement.Choice choice, FleetPicture picture, Duration now) {
+        EndpointInfo endpoint = choice.endpoint().orElseThrow();
+        EndpointStatus status = statusOf(endpoint);
+        int load = status.load();
+        if (mPlacement.isCold(endpoint, picture, now)) {
+            status.coldPace()
+                    .sent(now, mPlacement.coldRate(endpoint, picture), Placement.entries(picture));
+        }
+        return new Place(this, endpoint, status, status.sent(now), choice.version(), load);
+    }
+
+    private Ticket.Refused refusal(String reason) {
+        long spread = (long) (RETRY_SPREAD.toMillis() * mRandom.nextDouble());
+        return new Ticket.Refused(reason, LEAST_RETRY.plusMillis(spread));
+    }
+
+    private void scheduleRecheck(boolean isAnyWaiting) {
+        if (!isAnyWaiting || mIsRecheckDue) {
+            return;
+        }
+        mIsRecheckDue = true;
+        mScheduler.schedule(
+                () -> {
+                    synchronized (mLock) {
+                        mIsRecheckDue = false;
+                    }
+                    refresh();
+                },
+                RECHECK.toMillis(),
+                TimeUnit.MILLISECONDS);
+    }
+
+    private EndpointStatus statusOf(EndpointInfo endpoint) {
+        return mStatuses.computeIfAbsent(
+                new Start(endpoint.id(), endpoint.startedAt()), start -> new EndpointStatus());
+    }
+
+    private void forgetEndedStarts() {
+        FleetPicture picture = mPicture.get();
+        Set<Start> known = new HashSet<>();
+        picture.endpointsByService()
+                .values()
+                .forEach(
+                        list ->
+                                list.forEach(
+                                        each -> known.add(new Start(each.id(), each.startedAt()))));
+        Iterator<Map.Entry<Start, EndpointStatus>> all = mStatuses.entrySet().iterator();
+        while (all.hasNext()) {
+            Map.Entry<Start, EndpointStatus> entry = all.next();
+            if (!known.contains(entry.getKey()) && entry.getValue().running() == 0) {
+                all.remove();
+            }
+        }
+    }
+
+    private PriorityQueue<Waiting> queueOf(String service) {
+        return mQueues.computeIfAbsent(service, name -> new PriorityQueue<>(Waiting.ORDER));
+    }
+
+    private RepeatBudget budgetOf(String service) {
+        return mBudgets.computeIfAbsent(service, name -> RepeatBudget.of(mSettings));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/EndpointStatus.java
@@ -0,0 +1,124 @@
+package org.sequoiahill.daemon.request.direct;
+
+import java.time.Duration;
+import java.util.TreeMap;
+
+/**
+ * What one entry has seen of one start of an endpoint.
+ *
+ * <p>Answers tell more than reports: the load in an answer is as fresh as the answer, and an
+ * endpoint that leaves several requests without an answer is not used, whatever it says of its
+ * health. Guarded by the dispatcher.
+ */
+final class EndpointStatus {
+    /** Failures in a row after which an endpoint rests. */
+    private static final int FAILURES_TO_REST = 2;
+
+    private static final Duration FIRST_REST = Duration.ofMillis(500);
+    private static final int MAX_REST_DOUBLINGS = 3;
+
+    /** Silence on a waiting request, without any answer since, that makes an endpoint suspect. */
+    private static final Duration SILENCE = Duration.ofMillis(1_000);
+
+    private final ColdPace mColdPace = new ColdPace();
+    private final TreeMap<Long, Duration> mUnanswered = new TreeMap<>();
+    private long mNextSend;
+    private int mRunning;
+    private int mReported;
+    private int mSentSinceReport;
+    private int mEndedSinceReport;
+    private int mFailures;
+    private Duration mRestsUntil = Duration.ZERO;
+    private Duration mAnsweredAt = Duration.ZERO;
+    private Duration mColdUntil = Duration.ZERO;
+    private Duration mTurnedAwayUntil = Duration.ZERO;
+
+    /** Returns requests that are estimated to run and wait there. */
+    int load() {
+        return Math.max(mRunning, mReported + mSentSinceReport - mEndedSinceReport);
+    }
+
+    /** Returns this entry's own requests there. */
+    int running() {
+        return mRunning;
+    }
+
+    ColdPace coldPace() {
+        return mColdPace;
+    }
+
+    Duration coldUntil() {
+        return mColdUntil;
+    }
+
+    /** Notes a request; returns its number, which is given back with its answer and its end. */
+    long sent(Duration now) {
+        mRunning++;
+        mSentSinceReport++;
+        long number = mNextSend++;
+        mUnanswered.put(number, now);
+        return number;
+    }
+
+    /** Notes the head of an answer. */
+    void answered(long number, EndpointAnswer answer, Duration now) {
+        mUnanswered.remove(number);
+        mAnsweredAt = now;
+        answer.coldFor().ifPresent(cold -> mColdUntil = now.plus(cold));
+        answer.load()
+                .ifPresent(
+                        load -> {
+                            mReported = load.running() + load.waiting();
+                            mSentSinceReport = 0;
+                            mEndedSinceReport = 0;
+                        });
+    }
+
+    /** Notes that a request has ended, however it did. */
+    void ended(long number) {
+        mUnanswered.remove(number);
+        mRunning--;
+        mEndedSinceReport++;
+    }
+
+    /** Notes an answer that was whole. */
+    void succeeded() {
+        mFailures = 0;
+        mRestsUntil = Duration.ZERO;
+    }
+
+    /** Notes a request that failed at the endpoint; after several it rests, longer each time. */
+    void failed(Duration now) {
+        mFailures++;
+        if (mFailures >= FAILURES_TO_REST) {
+            int doublings = Math.min(mFailures - FAILURES_TO_REST, MAX_REST_DOUBLINGS);
+            mRestsUntil = now.plus(FIRST_REST.multipliedBy(1L << doublings));
+        }
+    }
+
+    /** Notes that the endpoint can't be connected to. */
+    void unreachable(Duration now) {
+        mFailures = Math.max(mFailures, FAILURES_TO_REST - 1);
+        failed(now);
+    }
+
+    /** Notes that the endpoint turned a request away unrun. */
+    void turnedAway(Duration now, Duration pause) {
+        mTurnedAwayUntil = now.plus(pause);
+    }
+
+    /** Returns whether new requests should go elsewhere. */
+    boolean isResting(Duration now) {
+        return now.compareTo(mRestsUntil) < 0
+                || now.compareTo(mTurnedAwayUntil) < 0
+                || isSilent(now);
+    }
+
+    private boolean isSilent(Duration now) {
+        if (mUnanswered.isEmpty()) {
+            return false;
+        }
+        Duration oldest = mUnanswered.firstEntry().getValue();
+        return now.minus(oldest).compareTo(SILENCE) > 0 && mAnsweredAt.compareTo(oldest) < 0;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/Place.java
@@ -0,0 +1,73 @@
+package org.sequoiahill.daemon.request.direct;
+
+import java.util.OptionalLong;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.sequoiahill.daemon.process.endpoints.EndpointInfo;
+
+/** A place at an endpoint, held for one sending. */
+final class Place {
+    private final Dispatcher mDispatcher;
+    private final EndpointInfo mEndpoint;
+    private final EndpointStatus mStatus;
+    private final long mNumber;
+    private final OptionalLong mVersion;
+    private final int mLoad;
+    private final AtomicBoolean mIsEnded = new AtomicBoolean();
+
+    Place(
+            Dispatcher dispatcher,
+            EndpointInfo endpoint,
+            EndpointStatus status,
+            long number,
+            OptionalLong version,
+            int load) {
+        mDispatcher = dispatcher;
+        mEndpoint = endpoint;
+        mStatus = status;
+        mNumber = number;
+        mVersion = version;
+        mLoad = load;
+    }
+
+    /** What became of a sending. */
+    enum End {
+        /** The answer was whole. */
+        SUCCEEDED,
+        /** The endpoint failed after it had the request. */
+        FAILED,
+        /** No connection could be made. */
+        UNREACHABLE,
+        /** The endpoint was full and did not run the request. */
+        TURNED_AWAY,
+        /** Another endpoint has the address, or the endpoint lacks the version. */
+        MISDIRECTED,
+        /** The entry ended the sending for reasons of its own. */
+        CANCELLED
+    }
+
+    EndpointInfo endpoint() {
+        return mEndpoint;
+    }
+
+    /** Returns the version that the request must name, where that matters. */
+    OptionalLong version() {
+        return mVersion;
+    }
+
+    /** Returns the estimated load of the endpoint when the place was given. */
+    int load() {
+        return mLoad;
+    }
+
+    /** Notes the head of the answer. */
+    void answered(EndpointAnswer answer) {
+        mDispatcher.answered(mStatus, mNumber, answer);
+    }
+
+    /** Gives the place back; only the first call counts. */
+    void ended(End end) {
+        if (mIsEnded.compareAndSet(false, true)) {
+            mDispatcher.ended(mEndpoint, mStatus, mNumber, end);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/Placement.java
@@ -0,0 +1,183 @@
+package org.sequoiahill.daemon.request.direct;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.Function;
+import java.util.random.RandomGenerator;
+import org.jspecify.annotations.Nullable;
+import org.sequoiahill.daemon.process.endpoints.EndpointInfo;
+import org.sequoiahill.daemon.process.fleet.FleetPicture;
+import org.sequoiahill.daemon.process.fleet.RoutedService;
+import org.sequoiahill.protocol.gen.Participant;
+import org.sequoiahill.protocol.gen.ParticipantRole;
+
+/**
+ * Chooses the endpoint for a request among those of its service.
+ *
+ * <p>Answers the load of many entries before few large endpoints: the estimate counts what was sent
+ * since the last report, and a random part of up to one and a half requests keeps entries that have
+ * the same reports from all choosing the same endpoint.
+ */
+final class Placement {
+    /** Random part of a load, in requests. */
+    private static final double LOAD_NOISE = 1.5;
+
+    /** Load, as a part of the slots, that a request is spared by staying in its region. */
+    private static final double REGION_BONUS = 0.03;
+
+    /** Requests that may wait at an engine beside those in its slots, as a part of the slots. */
+    private static final double ENGINE_QUEUE = 0.25;
+
+    /** Requests that may wait at a plain endpoint, as a part of the slots. */
+    private static final double PLAIN_QUEUE = 1.0;
+
+    private final DirectSettings mSettings;
+    private final RandomGenerator mRandom;
+    private final Function<EndpointInfo, EndpointStatus> mStatusOf;
+
+    private Placement(
+            DirectSettings settings,
+            RandomGenerator random,
+            Function<EndpointInfo, EndpointStatus> statusOf) {
+        mSettings = settings;
+        mRandom = random;
+        mStatusOf = statusOf;
+    }
+
+    static Placement of(
+            DirectSettings settings,
+            RandomGenerator random,
+            Function<EndpointInfo, EndpointStatus> statusOf) {
+        return new Placement(settings, random, statusOf);
+    }
+
+    /**
+     * What was found.
+     *
+     * @param endpoint endpoint to send to, where one has room
+     * @param candidates endpoints that may run the request, with room or without
+     * @param version version that the request must name
+     */
+    record Choice(Optional<EndpointInfo> endpoint, int candidates, OptionalLong version) {}
+
+    /** Chooses for one request at one moment. */
+    Choice choose(Ticket ticket, FleetPicture picture, Duration now) {
+        OptionalLong version = versionFor(ticket, picture, now);
+        List<EndpointInfo> candidates = candidates(ticket, picture, version);
+        EndpointInfo best = null;
+        double bestScore = Double.MAX_VALUE;
+        for (EndpointInfo endpoint : candidates) {
+            EndpointStatus status = mStatusOf.apply(endpoint);
+            if (status.isResting(now) || !hasRoom(endpoint, status, picture, now)) {
+                continue;
+            }
+            double score =
+                    score(endpoint, status) + (ticket.tried().contains(endpoint.id()) ? 1 : 0);
+            if (score < bestScore) {
+                best = endpoint;
+                bestScore = score;
+            }
+        }
+        return new Choice(Optional.ofNullable(best), candidates.size(), version);
+    }
+
+    /** Returns whether a request to an endpoint must keep the pace of a cold one. */
+    boolean isCold(EndpointInfo endpoint, FleetPicture picture, Duration now) {
+        return coldRate(endpoint, picture) > 0
+                && (endpoint.coldUntil().compareTo(now) > 0
+                        || mStatusOf.apply(endpoint).coldUntil().compareTo(now) > 0);
+    }
+
+    /** Returns the requests a second that a cold endpoint bears, 0 where there is no bound. */
+    double coldRate(EndpointInfo endpoint, FleetPicture picture) {
+        return picture.table()
+                .flatMap(table -> table.service(endpoint.service()))
+                .map(RoutedService::coldRate)
+                .orElse(0.0);
+    }
+
+    /** Returns how many entries share the endpoints. */
+    static int entries(FleetPicture picture) {
+        return Math.max(1, picture.participants(ParticipantRole.ENTRY).size());
+    }
+
+    private List<EndpointInfo> candidates(
+            Ticket ticket, FleetPicture picture, OptionalLong version) {
+        var agents = picture.agentsByEndpoint();
+        List<EndpointInfo> candidates = new ArrayList<>();
+        for (EndpointInfo endpoint : picture.endpoints(ticket.service())) {
+            Participant agent = agents.get(endpoint.address().toString());
+            boolean isUsable =
+                    endpoint.isReady()
+                            && !picture.state().isOut(endpoint.dataCentre())
+                            && ticket.allows(regionOf(endpoint))
+                            && holds(endpoint, agent, ticket.model(), version)
+                            && (agent == null || !agent.isSwapping());
+            if (isUsable) {
+                candidates.add(endpoint);
+            }
+        }
+        return candidates;
+    }
+
+    /** Returns whether an endpoint holds a version of the model that may answer. */
+    private static boolean holds(
+            EndpointInfo endpoint,
+            @Nullable Participant agent,
+            String model,
+            OptionalLong version) {
+        if (model.isEmpty()) {
+            return true;
+        }
+        Long held = endpoint.versions().get(model);
+        if (agent != null && agent.getVersions().containsKey(model)) {
+            held = agent.getVersions().get(model);
+        }
+        return held != null && (version.isEmpty() || held == version.getAsLong());
+    }
+
+    /**
+     * Returns the version that must answer: that of the stream that goes on, or the newest once its
+     * bound has nearly passed.
+     */
+    private OptionalLong versionFor(Ticket ticket, FleetPicture picture, Duration now) {
+        if (ticket.model().isEmpty() || ticket.version().isPresent()) {
+            return ticket.version();
+        }
+        Duration namedSince = picture.namedSince().get(ticket.model());
+        if (namedSince == null || namedSince.plus(mSettings.versionBound()).compareTo(now) > 0) {
+            return OptionalLong.empty();
+        }
+        return OptionalLong.of(picture.state().version(ticket.model(), 0));
+    }
+
+    private boolean hasRoom(
+            EndpointInfo endpoint, EndpointStatus status, FleetPicture picture, Duration now) {
+        if (isCold(endpoint, picture, now) && !status.coldPace().isOpen(now)) {
+            return false;
+        }
+        boolean isEngine =
+                picture.table()
+                        .flatMap(table -> table.service(endpoint.service()))
+                        .flatMap(RoutedService::engine)
+                        .isPresent();
+        double queue = isEngine ? ENGINE_QUEUE : PLAIN_QUEUE;
+        return status.load() < Math.max(1, endpoint.slots()) * (1 + queue);
+    }
+
+    private double score(EndpointInfo endpoint, EndpointStatus status) {
+        double slots = Math.max(1, endpoint.slots());
+        double load = (status.load() + LOAD_NOISE * mRandom.nextDouble()) / slots;
+        boolean isHome = regionOf(endpoint).equals(mSettings.region());
+        return isHome ? load - REGION_BONUS : load;
+    }
+
+    private String regionOf(EndpointInfo endpoint) {
+        return mSettings
+                .regionsByDataCentre()
+                .getOrDefault(endpoint.dataCentre(), endpoint.dataCentre());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/Ticket.java
@@ -0,0 +1,46 @@
+package org.sequoiahill.daemon.request.direct;
+
+import java.time.Duration;
+import java.util.OptionalLong;
+import java.util.Set;
+
+/** A request that wants a place at an endpoint. */
+interface Ticket {
+    /** Returns the service that is to run the request. */
+    String service();
+
+    /** Returns the model that is asked for, empty where there is none. */
+    String model();
+
+    /** Returns the version that must answer, where a stream goes on. */
+    OptionalLong version();
+
+    /** Returns the rank, 0 first. */
+    int priority();
+
+    /** Returns the time from which a place is of no use any more. */
+    Duration giveUpAt();
+
+    /** Returns whether the request may be served in a region. */
+    boolean allows(String region);
+
+    /** Returns the ids of endpoints that were tried. */
+    Set<String> tried();
+
+    /** Returns whether the caller has gone. */
+    boolean isAbandoned();
+
+    /** Takes a place. */
+    void granted(Place place);
+
+    /** Takes a refusal; the request was not sent anywhere since it was submitted. */
+    void refused(Refused refused);
+
+    /**
+     * Why there is no place.
+     *
+     * @param reason short name of the cause
+     * @param retryAfter when there may be one
+     */
+    record Refused(String reason, Duration retryAfter) {}
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/staging/StagingAgent.java
@@ -0,0 +1,296 @@
+package org.sequoiahill.daemon.version.staging;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.locks.Condition;
+import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.Supplier;
+import java.util.stream.Collectors;
+import org.sequoiahill.daemon.process.endpoints.EndpointInfo;
+import org.sequoiahill.daemon.process.fleet.EngineProfile;
+import org.sequoiahill.daemon.process.fleet.FleetPicture;
+import org.sequoiahill.daemon.process.fleet.RoutedService;
+import org.sequoiahill.daemon.process.settings.HostPort;
+import org.sequoiahill.daemon.process.time.MonotonicClock;
+import org.sequoiahill.protocol.gen.Participant;
+import org.sequoiahill.protocol.gen.ParticipantRole;
+import org.tinylog.Logger;
+
+/**
+ * Keeps the engine beside this agent at the newest named version: fetches the pieces, stages them,
+ * reads them back, waits for its turn, lets running requests end, and orders the load.
+ */
+public final class StagingAgent implements Runnable {
+    /** Version that engines start with before any was named. */
+    private static final long FIRST_VERSION = 1;
+
+    private static final Duration IDLE_INTERVAL = Duration.ofMillis(400);
+    private static final Duration STEP_INTERVAL = Duration.ofMillis(60);
+
+    /** Longest wait for running requests after entries were told to send no more. */
+    private static final Duration DRAIN_BOUND = Duration.ofMillis(1_200);
+
+    /** Time in which entries hear that an engine is about to load. */
+    private static final Duration NOTICE = Duration.ofMillis(120);
+
+    private static final Duration LOAD_BOUND = Duration.ofSeconds(5);
+
+    private final Services mServices;
+    private final String mService;
+    private final Duration mLastCall;
+    private final ReentrantLock mLock = new ReentrantLock();
+    private final Condition mWoken = mLock.newCondition();
+    private boolean mIsWoken;
+    private Optional<PieceManifest> mManifest = Optional.empty();
+    private Optional<PieceManifest> mStaged = Optional.empty();
+    private boolean mIsEngineLost;
+
+    private StagingAgent(Services services, String service, Duration lastCall) {
+        mServices = services;
+        mService = service;
+        mLastCall = lastCall;
+    }
+
+    /**
+     * What an agent works with.
+     *
+     * @param picture what is known of the fleet
+     * @param engine the engine beside the agent
+     * @param origin store of weights
+     * @param store checked pieces
+     * @param fetcher fetches pieces
+     * @param state what the agent says of itself
+     * @param announce tells all stores what the agent says of itself now
+     * @param clock monotonic clock
+     */
+    public record Services(
+            Supplier<FleetPicture> picture,
+            StagingEngine engine,
+            WeightsOrigin origin,
+            PieceStore store,
+            PieceFetcher fetcher,
+            AgentState state,
+            Runnable announce,
+            MonotonicClock clock) {}
+
+    /**
+     * Returns an agent.
+     *
+     * @param service service of the engine
+     * @param lastCall age of a version from which its load waits for no other engine
+     */
+    public static StagingAgent of(Services services, String service, Duration lastCall) {
+        return new StagingAgent(services, service, lastCall);
+    }
+
+    /** Lets the agent look at once, since the fleet has changed. */
+    public void wake() {
+        mLock.lock();
+        try {
+            mIsWoken = true;
+            mWoken.signalAll();
+        } finally {
+            mLock.unlock();
+        }
+    }
+
+    @Override
+    public void run() {
+        try {
+            while (!Thread.currentThread().isInterrupted()) {
+                boolean isDone = true;
+                try {
+                    isDone = step();
+                    if (mIsEngineLost) {
+                        Logger.info("the engine answers again");
+                    }
+                    mIsEngineLost = false;
+                } catch (IOException e) {
+                    if (!mIsEngineLost) {
+                        Logger.warn("a step towards the newest version failed: {}", e.toString());
+                    }
+                    mIsEngineLost = true;
+                }
+                pause(isDone ? IDLE_INTERVAL : STEP_INTERVAL);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Takes one step; returns whether nothing is left to do for now. */
+    private boolean step() throws IOException, InterruptedException {
+        FleetPicture picture = mServices.picture().get();
+        Optional<EngineProfile> profile =
+                picture.table()
+                        .flatMap(table -> table.service(mService))
+                        .flatMap(RoutedService::engine);
+        Optional<HostPort> origin =
+                picture.table()
+                        .flatMap(table -> table.weightsOrigin())
+                        .flatMap(RoutedService::origin);
+        if (profile.isEmpty()) {
+            return true;
+        }
+        String model = profile.get().model();
+        StagingEngine.Report report = mServices.engine().report();
+        tell(false, report.versions());
+        long target = picture.state().version(model, FIRST_VERSION);
+        long held = report.versions().getOrDefault(model, 0L);
+        if (held >= target || report.isBusy()) {
+            return !report.isBusy();
+        }
+        if (origin.isEmpty()) {
+            return true;
+        }
+        PieceManifest manifest = manifest(origin.get(), model, target);
+        if (!mServices.fetcher().fetch(manifest, origin.get(), peers(picture))) {
+            Logger.warn("version {} of {} is not here whole yet", target, model);
+            return false;
+        }
+        if (!mStaged.equals(Optional.of(manifest))) {
+            stage(manifest);
+            mStaged = Optional.of(manifest);
+        }
+        if (held > 0 && !isTurn(model, target)) {
+            return false;
+        }
+        load(manifest, held > 0);
+        return false;
+    }
+
+    private PieceManifest manifest(HostPort origin, String model, long version) throws IOException {
+        boolean isKnown =
+                mManifest
+                        .filter(known -> known.model().equals(model) && known.version() == version)
+                        .isPresent();
+        if (!isKnown) {
+            mManifest = Optional.of(mServices.origin().manifest(origin, model, version));
+        }
+        return mManifest.orElseThrow();
+    }
+
+    /** Puts each piece that does not lie at the engine as it should. */
+    private void stage(PieceManifest manifest) throws IOException, InterruptedException {
+        int put = 0;
+        for (int piece = 0; piece < manifest.pieces(); piece++) {
+            Optional<byte[]> staged = mServices.engine().staged(manifest.model(), piece);
+            if (staged.isPresent() && manifest.matches(piece, staged.get())) {
+                continue;
+            }
+            Optional<byte[]> content =
+                    mServices
+                            .store()
+                            .piece(manifest.model(), manifest.version(), piece, Duration.ZERO);
+            if (content.isEmpty()) {
+                throw new IOException("piece " + piece + " is no longer held");
+            }
+            mServices.engine().put(manifest.model(), piece, content.get());
+            put++;
+        }
+        if (put > 0) {
+            Logger.info(
+                    "staged {} of {} pieces of version {} of {}",
+                    put,
+                    manifest.pieces(),
+                    manifest.version(),
+                    manifest.model());
+        }
+    }
+
+    private boolean isTurn(String model, long target) {
+        FleetPicture picture = mServices.picture().get();
+        Map<String, Long> versions = new HashMap<>();
+        for (Participant agent : peersOf(picture)) {
+            versions.put(agent.getVm(), agent.getVersions().getOrDefault(model, 0L));
+        }
+        Participant self = mServices.state().participant();
+        versions.put(self.getVm(), self.getVersions().getOrDefault(model, 0L));
+        Duration now = mServices.clock().now();
+        Duration age = now.minus(picture.namedSince().getOrDefault(model, now));
+        return SwapTurns.isTurn(self.getVm(), versions, target, age, mLastCall);
+    }
+
+    private void load(PieceManifest manifest, boolean isServing)
+            throws IOException, InterruptedException {
+        String model = manifest.model();
+        if (isServing) {
+            tell(true, mServices.engine().report().versions());
+            drain();
+        }
+        stage(manifest);
+        boolean isTaken = mServices.engine().start(model, manifest.version());
+        Logger.info("ordered version {} of {}, taken: {}", manifest.version(), model, isTaken);
+        Duration bound = mServices.clock().now().plus(LOAD_BOUND);
+        while (isTaken && mServices.clock().now().compareTo(bound) < 0) {
+            StagingEngine.Report report = mServices.engine().report();
+            if (report.versions().getOrDefault(model, 0L) >= manifest.version()) {
+                Logger.info("version {} of {} serves", manifest.version(), model);
+                tell(false, report.versions());
+                return;
+            }
+            pause(STEP_INTERVAL);
+        }
+        tell(false, mServices.engine().report().versions());
+    }
+
+    /** Waits until the running requests have ended, since entries send no more. */
+    private void drain() throws IOException, InterruptedException {
+        Duration start = mServices.clock().now();
+        while (true) {
+            pause(STEP_INTERVAL);
+            Duration waited = mServices.clock().now().minus(start);
+            StagingEngine.Report report = mServices.engine().report();
+            boolean isEmpty = report.running() == 0 && report.waiting() == 0;
+            if ((isEmpty && waited.compareTo(NOTICE) > 0) || waited.compareTo(DRAIN_BOUND) > 0) {
+                return;
+            }
+        }
+    }
+
+    private void tell(boolean isSwapping, Map<String, Long> versions) {
+        if (mServices.state().set(isSwapping, versions)) {
+            mServices.announce().run();
+        }
+    }
+
+    private Map<String, HostPort> peers(FleetPicture picture) {
+        Map<String, HostPort> peers = new HashMap<>();
+        for (Participant agent : peersOf(picture)) {
+            peers.put(agent.getVm(), HostPort.parse(agent.getControl()));
+        }
+        return peers;
+    }
+
+    /** Returns the other agents whose engines are registered. */
+    private Iterable<Participant> peersOf(FleetPicture picture) {
+        String self = mServices.state().participant().getVm();
+        Set<String> registered =
+                picture.endpoints(mService).stream()
+                        .filter(EndpointInfo::isReady)
+                        .map(endpoint -> endpoint.address().toString())
+                        .collect(Collectors.toSet());
+        return picture.participants(ParticipantRole.AGENT).stream()
+                .filter(agent -> !agent.getVm().equals(self))
+                .filter(agent -> agent.getServiceName().equals(mService))
+                .filter(agent -> registered.contains(agent.getEndpoint()))
+                .toList();
+    }
+
+    private void pause(Duration time) throws InterruptedException {
+        mLock.lockInterruptibly();
+        try {
+            long left = time.toNanos();
+            while (!mIsWoken && left > 0) {
+                left = mWoken.awaitNanos(left);
+            }
+            mIsWoken = false;
+        } finally {
+            mLock.unlock();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/staging/SwapTurns.java
@@ -0,0 +1,48 @@
+package org.sequoiahill.daemon.version.staging;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Says when an engine may stop serving to load a new version.
+ *
+ * <p>Agents go in the order of their names, a third of them at a time, each as soon as enough of
+ * those before it have the version. When the bound comes near an agent goes whatever the others do,
+ * since an engine with an old version is of no use after it.
+ */
+final class SwapTurns {
+    /** Part of the engines that load at the same time. */
+    private static final int PARTS = 3;
+
+    private SwapTurns() {}
+
+    /**
+     * Returns whether it is an agent's turn.
+     *
+     * @param self name of the agent
+     * @param versions version that each agent's engine has loaded, 0 for none
+     * @param target version to load
+     * @param age time since the version was named
+     * @param lastCall age from which an agent waits for nobody
+     */
+    static boolean isTurn(
+            String self, Map<String, Long> versions, long target, Duration age, Duration lastCall) {
+        if (age.compareTo(lastCall) >= 0) {
+            return true;
+        }
+        List<String> serving =
+                versions.entrySet().stream()
+                        .filter(entry -> entry.getValue() > 0)
+                        .map(Map.Entry::getKey)
+                        .sorted()
+                        .toList();
+        long ahead =
+                serving.stream()
+                        .filter(name -> name.compareTo(self) < 0)
+                        .filter(name -> versions.getOrDefault(name, 0L) < target)
+                        .count();
+        int atOnce = Math.max(1, serving.size() / PARTS);
+        return ahead < atOnce;
+    }
+}
--- a/daemon/src/test/java/org/sequoiahill/daemon/process/log/GroupLogTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/process/log/GroupLogTest.java
@@ -116,7 +116,7 @@
     private GroupLog open(LogFolder folder, StateMachine machine) throws IOException {
         Member self = new Member(new StoreId("store-0", 0), "127.20.0.1:1", true);
         GroupLog.Options options =
-                new GroupLog.Options("test", self.address(), List.of(self), TIMING, 64);
+                GroupLog.Options.of("test", self.address(), List.of(self), TIMING, 64);
         GroupLog log =
                 GroupLog.of(
                         options,
--- a/daemon/src/test/java/org/sequoiahill/daemon/process/log/LogCoreTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/process/log/LogCoreTest.java
@@ -279,7 +279,7 @@
     private static CoreState coreOf(String vm, StoredState stored) {
         Message.Start start = new Message.Start(1, 1, 0, 0);
         StoreId id = new StoreId(vm, 1);
-        LocalStore local = new LocalStore(id, "127.20.0.1:1", start, SimulatedStore.seeds(3));
+        LocalStore local = LocalStore.of(id, "127.20.0.1:1", start, SimulatedStore.seeds(3));
         return CoreState.of(
                 local, stored, SimulatedStore.TIMING, new Random(1), Duration.ofSeconds(1));
     }
--- a/daemon/src/test/java/org/sequoiahill/daemon/process/log/SimulatedStore.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/process/log/SimulatedStore.java
@@ -102,7 +102,7 @@
                         mRandom.nextLong(),
                         stored.hard().term(),
                         stored.lastIndex());
-        LocalStore local = new LocalStore(mStorage.id(), "127.20.0.1:1", start, mSeeds);
+        LocalStore local = LocalStore.of(mStorage.id(), "127.20.0.1:1", start, mSeeds);
         mCore = Optional.of(LogCore.open(local, stored, TIMING, mRandom, clock(now)));
         restore(stored.snapshot());
         mFrozenUntil = 0;
--- a/protocol/src/main/java/org/sequoiahill/protocol/json/ObjectReader.java
+++ b/protocol/src/main/java/org/sequoiahill/protocol/json/ObjectReader.java
@@ -74,6 +74,20 @@
         return has(key) ? integer(key, least, most) : absent(key, defaultValue);
     }
 
+    /** Returns a number between two bounds, or the default where the key is absent. */
+    public double number(String key, double least, double most, double defaultValue) {
+        if (!has(key)) {
+            return absent(key, defaultValue);
+        }
+        mKnown.add(key);
+        JsonNode value = mNode.get(key);
+        if (!value.isNumber() || value.asDouble() < least || value.asDouble() > most) {
+            fault(key, "is " + value + "; must be a number " + least + " to " + most);
+            return defaultValue;
+        }
+        return value.asDouble();
+    }
+
     /** Returns a duration given in milliseconds between two bounds, or the default. */
     public Duration millis(String key, long least, long most, long defaultValue) {
         return Duration.ofMillis(integer(key, least, most, defaultValue));
@@ -147,6 +161,24 @@
                 });
     }
 
+    /** Returns an object whose keys and values match patterns. */
+    public Map<String, String> strings(String key, Pattern keyPattern, Pattern valuePattern) {
+        return object(
+                key,
+                reader -> {
+                    Map<String, String> result = new LinkedHashMap<>();
+                    List<String> names = new ArrayList<>();
+                    reader.mNode.fieldNames().forEachRemaining(names::add);
+                    for (String name : names) {
+                        if (!keyPattern.matcher(name).matches()) {
+                            reader.fault(name, "must be a key like " + keyPattern.pattern());
+                        }
+                        result.put(name, reader.string(name, valuePattern));
+                    }
+                    return Map.copyOf(result);
+                });
+    }
+
     /** Adds a fault about a field. */
     public void fault(String key, String message) {
         String pointer = pointer(key);
