Let pieces travel by regions, paced by their senders

Change: plan by regions among the agents that want the version, a pace on each sender, more requests on their way.

--- a/daemon/src/main/java/org/sequoiahill/daemon/process/FleetAgent.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/FleetAgent.java
@@ -29,10 +29,13 @@
 /** The role that keeps the engine on its VM at the newest version. */
 @Singleton
 final class FleetAgent implements FleetRoleParts {
-    private static final int FETCH_THREADS = 6;
-
     /** Part of the version bound after which a load waits for no other engine. */
-    private static final double LAST_CALL_PART = 0.72;
+    private static final double LAST_CALL_PART = 0.79;
+
+    /** Part of the VM's link that pieces to other agents may take. */
+    private static final double PIECES_PART = 0.8;
+
+    private static final int BITS_PER_BYTE = 8;
 
     private final FleetSettings mSettings;
     private final AgentState mState;
@@ -54,9 +57,16 @@
         PieceStore store = new PieceStore();
         StagingEngine engine = adapter.engine(http, settings.engine().orElseThrow());
         WeightsOrigin origin = adapter.origin(http);
-        mPieces = PieceHandler.of(identity, store, engine);
+        mPieces =
+                PieceHandler.of(
+                        identity,
+                        store,
+                        engine,
+                        clock,
+                        PIECES_PART * settings.linkBitsPerSecond() / BITS_PER_BYTE);
         ExecutorService workers =
-                Executors.newFixedThreadPool(FETCH_THREADS, ProcessModule.daemonThreads("fetch"));
+                Executors.newFixedThreadPool(
+                        PieceFetcher.WORKERS, ProcessModule.daemonThreads("fetch"));
         mAgent =
                 StagingAgent.of(
                         new StagingAgent.Services(
@@ -67,6 +77,7 @@
                                 PieceFetcher.of(identity, origin, store, client, workers),
                                 mState,
                                 () -> mAnnounce.run(),
+                                settings.regions(),
                                 clock),
                         settings.service(),
                         lastCall(settings));
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/settings/FleetSettings.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/settings/FleetSettings.java
@@ -24,6 +24,7 @@
  * @param dataFolder folder of a store's files
  * @param engine engine beside an agent
  * @param service service of that engine
+ * @param linkBitsPerSecond rate of the VM's own link
  * @param bounds bounds that the whole fleet keeps
  * @param log level of the log
  */
@@ -43,6 +44,7 @@
         Optional<Path> dataFolder,
         Optional<HostPort> engine,
         String service,
+        double linkBitsPerSecond,
         FleetBounds bounds,
         String log) {
     /** Copies the collections. */
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectExchange.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectExchange.java
@@ -40,6 +40,9 @@
     /** Least time left that makes another sending worth its while. */
     private static final Duration LEAST_TIME_LEFT = Duration.ofMillis(150);
 
+    /** Time by which a sending outlives the exchange, so that the exchange ends first. */
+    private static final Duration SENDING_SLACK = Duration.ofMillis(500);
+
     /** Longest time that a repeat waits for a place. */
     private static final Duration REPEAT_WAIT = Duration.ofMillis(400);
 
@@ -198,7 +201,7 @@
                                 "http://" + place.endpoint().address() + mRequest.pathAndQuery()),
                         mServices.dialect().outgoing(mRequest.headers(), dispatch),
                         mRequest.body(),
-                        timeLeft,
+                        timeLeft.plus(SENDING_SLACK),
                         Optional.of(mRequest.host()));
         sending.begun(mServices.forwarder().send(call, sending));
     }
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/Placement.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/Placement.java
@@ -26,7 +26,7 @@
     private static final double LOAD_NOISE = 1.5;
 
     /** Load, as a part of the slots, that a request is spared by staying in its region. */
-    private static final double REGION_BONUS = 0.03;
+    private static final double REGION_BONUS = 0.12;
 
     /** Requests that may wait at an engine beside those in its slots, as a part of the slots. */
     private static final double ENGINE_QUEUE = 0.25;
--- a/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PieceFetcher.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PieceFetcher.java
@@ -5,15 +5,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
-import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 import org.sequoiahill.daemon.process.control.ControlClient;
 import org.sequoiahill.daemon.process.control.Identity;
 import org.sequoiahill.daemon.process.control.ServiceStub;
@@ -24,16 +20,26 @@
 
 /** Brings all pieces of a version into the store: its own from the origin, the rest from agents. */
 public final class PieceFetcher {
+    /** Pieces on their way at the same time from the origin. */
     private static final int ORIGIN_WORKERS = 2;
-    private static final int PEER_WORKERS = 3;
 
-    /** Wait at a peer for a piece that it is drawing itself. */
-    private static final Duration PEER_WAIT = Duration.ofMillis(700);
+    /** Pieces asked of other agents at the same time; these pace what they send. */
+    private static final int PEER_WORKERS = 8;
 
-    private static final Duration PEER_TIMEOUT = Duration.ofMillis(1_500);
+    /** Threads that one fetch needs. */
+    public static final int WORKERS = ORIGIN_WORKERS + PEER_WORKERS;
 
-    /** Rounds over the missing pieces before the fetch is given up and begun anew. */
-    private static final int MAX_ROUNDS = 4;
+    /** Wait at a peer for a piece that it is getting itself. */
+    private static final Duration PEER_WAIT = Duration.ofMillis(400);
+
+    /** Pause before a piece that did not come is asked for again. */
+    private static final Duration RETRY_PAUSE = Duration.ofMillis(40);
+
+    /** Failures of one piece at its source after which the origin is asked. */
+    private static final int FAILURES_TO_ORIGIN = 5;
+
+    /** Failures of all pieces after which the fetch begins anew with what is known then. */
+    private static final int MAX_FAILURES = 400;
 
     private final Identity mIdentity;
     private final WeightsOrigin mOrigin;
@@ -54,7 +60,11 @@
         mWorkers = workers;
     }
 
-    /** Returns a fetcher. */
+    /**
+     * Returns a fetcher.
+     *
+     * @param workers threads, at least {@link #WORKERS}
+     */
     public static PieceFetcher of(
             Identity identity,
             WeightsOrigin origin,
@@ -69,43 +79,33 @@
      *
      * @param manifest pieces of the version
      * @param origin address of the origin
-     * @param peers control addresses of the agents that want the version too, by name
+     * @param plan from whom each piece comes
+     * @param peers control addresses of agents, by name
      * @return whether all pieces are here
      */
-    public boolean fetch(PieceManifest manifest, HostPort origin, Map<String, HostPort> peers)
+    boolean fetch(
+            PieceManifest manifest, HostPort origin, PiecePlan plan, Map<String, HostPort> peers)
             throws InterruptedException {
-        List<String> agents = new ArrayList<>(peers.keySet());
-        agents.add(mIdentity.vm());
-        PiecePlan plan = new PiecePlan(agents, mIdentity.vm(), manifest.pieces());
-        for (int round = 0; round < MAX_ROUNDS; round++) {
-            ConcurrentLinkedQueue<Integer> own = missing(manifest, plan.own());
-            ConcurrentLinkedQueue<Integer> others = missing(manifest, plan.others());
-            if (own.isEmpty() && others.isEmpty()) {
-                return true;
-            }
-            boolean isLastResort = round >= MAX_ROUNDS / 2;
-            List<Future<?>> workers = new ArrayList<>();
-            for (int i = 0; i < ORIGIN_WORKERS; i++) {
-                workers.add(
-                        mWorkers.submit(() -> drain(own, piece -> draw(manifest, origin, piece))));
-            }
-            for (int i = 0; i < PEER_WORKERS; i++) {
-                workers.add(
-                        mWorkers.submit(
-                                () ->
-                                        drain(
-                                                others,
-                                                piece -> {
-                                                    if (isLastResort) {
-                                                        draw(manifest, origin, piece);
-                                                    } else {
-                                                        ask(manifest, plan, peers, piece);
-                                                    }
-                                                })));
-            }
-            for (Future<?> worker : workers) {
-                join(worker);
-            }
+        PieceQueue own = PieceQueue.of(missing(manifest, plan.own()), MAX_FAILURES);
+        PieceQueue others = PieceQueue.of(missing(manifest, plan.others()), MAX_FAILURES);
+        List<Future<?>> workers = new ArrayList<>();
+        for (int i = 0; i < ORIGIN_WORKERS; i++) {
+            workers.add(mWorkers.submit(() -> drain(own, piece -> draw(manifest, origin, piece))));
+        }
+        for (int i = 0; i < PEER_WORKERS; i++) {
+            int lane = i;
+            Fetch fetch =
+                    piece -> {
+                        if (others.failures(piece) >= FAILURES_TO_ORIGIN) {
+                            draw(manifest, origin, piece);
+                        } else {
+                            ask(manifest, plan, peers, piece, lane);
+                        }
+                    };
+            workers.add(mWorkers.submit(() -> drain(others, fetch)));
+        }
+        for (Future<?> worker : workers) {
+            join(worker);
         }
         return missing(manifest, plan.own()).isEmpty()
                 && missing(manifest, plan.others()).isEmpty();
@@ -117,12 +117,21 @@
         void run(int piece) throws IOException;
     }
 
-    private static void drain(ConcurrentLinkedQueue<Integer> pieces, Fetch fetch) {
-        for (Integer piece = pieces.poll(); piece != null; piece = pieces.poll()) {
+    private static void drain(PieceQueue pieces, Fetch fetch) {
+        for (Integer piece = pieces.take(); piece != null; piece = pieces.take()) {
             try {
                 fetch.run(piece);
+                pieces.came(piece);
             } catch (IOException e) {
-                Logger.info("piece {} did not come: {}", piece, e.toString());
+                if (pieces.failed(piece) == FAILURES_TO_ORIGIN) {
+                    Logger.info("piece {} did not come: {}", piece, e.toString());
+                }
+                try {
+                    TimeUnit.NANOSECONDS.sleep(RETRY_PAUSE.toNanos());
+                } catch (InterruptedException interrupted) {
+                    Thread.currentThread().interrupt();
+                    return;
+                }
             }
         }
     }
@@ -135,29 +144,27 @@
         }
     }
 
-    private ConcurrentLinkedQueue<Integer> missing(PieceManifest manifest, List<Integer> pieces) {
-        ConcurrentLinkedQueue<Integer> missing = new ConcurrentLinkedQueue<>();
-        for (int piece : pieces) {
-            if (!mStore.holds(manifest.model(), manifest.version(), piece)) {
-                missing.add(piece);
-            }
-        }
-        return missing;
+    private List<Integer> missing(PieceManifest manifest, List<Integer> pieces) {
+        return pieces.stream()
+                .filter(piece -> !mStore.holds(manifest.model(), manifest.version(), piece))
+                .toList();
     }
 
     private void draw(PieceManifest manifest, HostPort origin, int piece) throws IOException {
-        keep(
-                manifest,
-                piece,
-                mOrigin.piece(origin, manifest.model(), manifest.version(), piece),
-                origin.toString());
+        byte[] content = mOrigin.piece(origin, manifest.model(), manifest.version(), piece);
+        keep(manifest, piece, content, origin);
     }
 
-    private void ask(PieceManifest manifest, PiecePlan plan, Map<String, HostPort> peers, int piece)
+    private void ask(
+            PieceManifest manifest,
+            PiecePlan plan,
+            Map<String, HostPort> peers,
+            int piece,
+            int lane)
             throws IOException {
-        HostPort peer = peers.get(plan.owner(piece));
+        HostPort peer = plan.source(piece).map(peers::get).orElse(null);
         if (peer == null) {
-            throw new IOException("the owner of the piece is not known");
+            throw new IOException("the agent that has the piece is not known");
         }
         PieceRequest request =
                 new PieceRequest(
@@ -166,29 +173,20 @@
                         manifest.version(),
                         piece,
                         (int) PEER_WAIT.toMillis());
-        CompletableFuture<PieceReply> call =
-                mClient.call(peer, ServiceStub.PIECES, client -> client.piece(request));
-        keep(
-                manifest,
-                piece,
-                contentOf(call).orElseThrow(() -> new IOException("not held")),
-                peer.toString());
-    }
-
-    private static Optional<byte[]> contentOf(CompletableFuture<PieceReply> call)
-            throws IOException {
         try {
-            PieceReply reply = call.get(PEER_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
-            return reply.isSetContent() ? Optional.of(reply.getContent()) : Optional.empty();
-        } catch (ExecutionException | CompletionException | TimeoutException e) {
-            throw new IOException("the peer did not answer", e);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            throw new IOException("interrupted", e);
+            PieceReply reply =
+                    mClient.call(peer, ServiceStub.PIECES, lane, client -> client.piece(request))
+                            .join();
+            if (!reply.isSetContent()) {
+                throw new IOException("the agent does not have the piece yet");
+            }
+            keep(manifest, piece, reply.getContent(), peer);
+        } catch (CompletionException e) {
+            throw new IOException("the agent at " + peer + " did not answer", e);
         }
     }
 
-    private void keep(PieceManifest manifest, int piece, byte[] content, String source)
+    private void keep(PieceManifest manifest, int piece, byte[] content, HostPort source)
             throws IOException {
         if (!manifest.matches(piece, content)) {
             throw new IOException("the piece from " + source + " is damaged");
--- a/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PieceHandler.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PieceHandler.java
@@ -3,7 +3,9 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import org.sequoiahill.daemon.process.control.Identity;
+import org.sequoiahill.daemon.process.time.MonotonicClock;
 import org.sequoiahill.protocol.gen.PieceReply;
 import org.sequoiahill.protocol.gen.PieceRequest;
 import org.sequoiahill.protocol.gen.Pieces;
@@ -11,30 +13,57 @@
 
 /** Gives other agents the pieces that this one holds, or that lie staged at its engine. */
 public final class PieceHandler implements Pieces.Iface {
-    private static final Duration MAX_WAIT = Duration.ofSeconds(1);
+    private static final Duration MAX_WAIT = Duration.ofMillis(500);
+
+    /** Longest wait for a turn to send; whoever would wait longer asks again. */
+    private static final Duration MAX_TURN_WAIT = Duration.ofMillis(400);
 
     private final Identity mIdentity;
     private final PieceStore mStore;
     private final StagingEngine mEngine;
+    private final SendPace mPace;
 
-    private PieceHandler(Identity identity, PieceStore store, StagingEngine engine) {
+    private PieceHandler(Identity identity, PieceStore store, StagingEngine engine, SendPace pace) {
         mIdentity = identity;
         mStore = store;
         mEngine = engine;
+        mPace = pace;
     }
 
-    /** Returns the handler of one agent. */
-    public static PieceHandler of(Identity identity, PieceStore store, StagingEngine engine) {
-        return new PieceHandler(identity, store, engine);
+    /**
+     * Returns the handler of one agent.
+     *
+     * @param bytesPerSecond rate that pieces may take of the link
+     */
+    public static PieceHandler of(
+            Identity identity,
+            PieceStore store,
+            StagingEngine engine,
+            MonotonicClock clock,
+            double bytesPerSecond) {
+        return new PieceHandler(identity, store, engine, new SendPace(clock, bytesPerSecond));
     }
 
     @Override
     public PieceReply piece(PieceRequest request) {
         PieceReply reply = new PieceReply().setSender(mIdentity.sender());
-        find(request).ifPresent(reply::setContent);
+        Optional<byte[]> content = find(request);
+        Optional<Duration> turn = content.flatMap(bytes -> mPace.take(bytes.length, MAX_TURN_WAIT));
+        if (content.isPresent() && turn.isPresent()) {
+            await(turn.get());
+            reply.setContent(content.get());
+        }
         return reply;
     }
 
+    private static void await(Duration time) {
+        try {
+            TimeUnit.NANOSECONDS.sleep(time.toNanos());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private Optional<byte[]> find(PieceRequest request) {
         String model = request.getModel();
         try {
--- a/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PiecePlan.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PiecePlan.java
@@ -2,52 +2,93 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
 
 /**
- * Which agent draws which piece from the origin.
+ * From whom each agent gets which piece.
  *
- * <p>The pieces go round the agents in the order of their names, so that the origin sends each
- * piece once and every agent sends about as much as it receives.
- *
- * @param agents names of the agents that want the version, sorted
- * @param self name of this agent
- * @param pieces number of pieces
+ * <p>The pieces go round all agents that want the version, so that the origin sends each once; in
+ * each other region one agent gets a piece from the agent that drew it, and the rest of the region
+ * from that one, so that a piece crosses between two regions once. All agents send about as much as
+ * they receive.
  */
-record PiecePlan(List<String> agents, String self, int pieces) {
-    /** Sorts the names. */
-    PiecePlan {
-        agents = agents.stream().sorted().toList();
+final class PiecePlan {
+    private final String mSelf;
+    private final int mPieces;
+    private final List<String> mAgents;
+    private final Map<String, String> mRegions;
+    private final Map<String, List<String>> mAgentsByRegion = new TreeMap<>();
+
+    private PiecePlan(String self, Map<String, String> regions, int pieces) {
+        mSelf = self;
+        mRegions = Map.copyOf(regions);
+        mPieces = pieces;
+        mAgents = regions.keySet().stream().sorted().toList();
+        for (String agent : mAgents) {
+            mAgentsByRegion
+                    .computeIfAbsent(regionOf(agent), region -> new ArrayList<>())
+                    .add(agent);
+        }
+    }
+
+    /**
+     * Returns a plan.
+     *
+     * @param self name of this agent, which wants the version
+     * @param regions region of each agent that wants the version, this one among them
+     * @param pieces number of pieces
+     */
+    static PiecePlan of(String self, Map<String, String> regions, int pieces) {
+        if (!regions.containsKey(self)) {
+            throw new IllegalArgumentException(self + " wants the version and is in no region");
+        }
+        return new PiecePlan(self, regions, pieces);
     }
 
-    /** Returns the agent that draws a piece from the origin. */
-    String owner(int piece) {
-        return agents.isEmpty() ? self : agents.get(piece % agents.size());
+    /** Returns the agent that this one gets a piece from, or nothing for the origin. */
+    Optional<String> source(int piece) {
+        String drawer = mAgents.get(piece % mAgents.size());
+        if (drawer.equals(mSelf)) {
+            return Optional.empty();
+        }
+        String region = regionOf(mSelf);
+        if (regionOf(drawer).equals(region)) {
+            return Optional.of(drawer);
+        }
+        List<String> near = mAgentsByRegion.getOrDefault(region, List.of());
+        // The drawers of neighbouring pieces differ, so the round within a region moves on slower.
+        String receiver = near.get(piece / mAgents.size() % near.size());
+        return Optional.of(receiver.equals(mSelf) ? drawer : receiver);
     }
 
     /** Returns the pieces that this agent draws from the origin. */
     List<Integer> own() {
-        List<Integer> own = new ArrayList<>();
-        for (int piece = 0; piece < pieces; piece++) {
-            if (owner(piece).equals(self)) {
-                own.add(piece);
-            }
-        }
-        return own;
+        return pieces(true);
     }
 
     /**
-     * Returns the pieces that others draw; each agent begins at the owner behind itself, so that no
-     * owner is asked by all at once.
+     * Returns the pieces that come from other agents; each agent begins at another piece, so that
+     * nobody is asked by all at once.
      */
     List<Integer> others() {
-        List<Integer> others = new ArrayList<>();
-        int start = Math.max(0, agents.indexOf(self)) + 1;
-        for (int i = 0; i < pieces; i++) {
-            int piece = (start + i) % pieces;
-            if (!owner(piece).equals(self)) {
-                others.add(piece);
+        return pieces(false);
+    }
+
+    private List<Integer> pieces(boolean isOwn) {
+        List<Integer> pieces = new ArrayList<>();
+        int start = mAgents.indexOf(mSelf) + 1;
+        for (int i = 0; i < mPieces; i++) {
+            int piece = (start + i) % mPieces;
+            if (source(piece).isEmpty() == isOwn) {
+                pieces.add(piece);
             }
         }
-        return others;
+        return pieces;
+    }
+
+    private String regionOf(String agent) {
+        return mRegions.getOrDefault(agent, "");
     }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PieceQueue.java
@@ -0,0 +1,68 @@
+package org.sequoiahill.daemon.version.staging;
+
+import java.util.ArrayDeque;
+import java.util.Collection;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+
+/** Pieces that several workers fetch; one that did not come goes to the end. */
+final class PieceQueue {
+    private final Deque<Integer> mWaiting;
+    private final Map<Integer, Integer> mFailures = new HashMap<>();
+    private final int mMaxFailures;
+    private int mMissing;
+    private int mAllFailures;
+
+    private PieceQueue(Collection<Integer> pieces, int maxFailures) {
+        mWaiting = new ArrayDeque<>(pieces);
+        mMissing = pieces.size();
+        mMaxFailures = maxFailures;
+    }
+
+    /**
+     * Returns a queue.
+     *
+     * @param maxFailures failures of all pieces together after which no more are handed out
+     */
+    static PieceQueue of(Collection<Integer> pieces, int maxFailures) {
+        return new PieceQueue(pieces, maxFailures);
+    }
+
+    /**
+     * Returns a piece to fetch, after a wait where all are being fetched; null once all have come
+     * or too many did not.
+     */
+    synchronized @Nullable Integer take() {
+        try {
+            while (mWaiting.isEmpty() && mMissing > 0 && mAllFailures < mMaxFailures) {
+                wait();
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return null;
+        }
+        return mMissing > 0 && mAllFailures < mMaxFailures ? mWaiting.poll() : null;
+    }
+
+    /** Notes that a piece has come. */
+    synchronized void came(int piece) {
+        mFailures.remove(piece);
+        mMissing--;
+        notifyAll();
+    }
+
+    /** Notes that a piece did not come; returns how often that was so. */
+    synchronized int failed(int piece) {
+        mAllFailures++;
+        mWaiting.addLast(piece);
+        notifyAll();
+        return mFailures.merge(piece, 1, Integer::sum);
+    }
+
+    /** Returns how often a piece did not come. */
+    synchronized int failures(int piece) {
+        return mFailures.getOrDefault(piece, 0);
+    }
+}
--- a/daemon/src/main/java/org/sequoiahill/daemon/version/staging/StagingAgent.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/staging/StagingAgent.java
@@ -65,6 +65,7 @@
      * @param fetcher fetches pieces
      * @param state what the agent says of itself
      * @param announce tells all stores what the agent says of itself now
+     * @param regions region of each data centre
      * @param clock monotonic clock
      */
     public record Services(
@@ -75,7 +76,13 @@
             PieceFetcher fetcher,
             AgentState state,
             Runnable announce,
-            MonotonicClock clock) {}
+            Map<String, String> regions,
+            MonotonicClock clock) {
+        /** Copies the map. */
+        public Services {
+            regions = Map.copyOf(regions);
+        }
+    }
 
     /**
      * Returns an agent.
@@ -148,7 +155,8 @@
             return true;
         }
         PieceManifest manifest = manifest(origin.get(), model, target);
-        if (!mServices.fetcher().fetch(manifest, origin.get(), peers(picture))) {
+        PiecePlan plan = PiecePlan.of(self(), regionsOfWanting(picture, target), manifest.pieces());
+        if (!mServices.fetcher().fetch(manifest, origin.get(), plan, peers(picture))) {
             Logger.warn("version {} of {} is not here whole yet", target, model);
             return false;
         }
@@ -258,6 +266,28 @@
         }
     }
 
+    /** Returns the regions of this agent and of all others whose engines lack a version. */
+    private Map<String, String> regionsOfWanting(FleetPicture picture, long target) {
+        Map<String, String> regions = new HashMap<>();
+        for (Participant agent : peersOf(picture)) {
+            boolean isWanting =
+                    agent.getVersions().values().stream().allMatch(held -> held < target);
+            if (isWanting) {
+                regions.put(agent.getVm(), regionOf(agent));
+            }
+        }
+        regions.put(self(), regionOf(mServices.state().participant()));
+        return regions;
+    }
+
+    private String regionOf(Participant agent) {
+        return mServices.regions().getOrDefault(agent.getDataCentre(), agent.getDataCentre());
+    }
+
+    private String self() {
+        return mServices.state().participant().getVm();
+    }
+
     private Map<String, HostPort> peers(FleetPicture picture) {
         Map<String, HostPort> peers = new HashMap<>();
         for (Participant agent : peersOf(picture)) {
@@ -268,7 +298,7 @@
 
     /** Returns the other agents whose engines are registered. */
     private Iterable<Participant> peersOf(FleetPicture picture) {
-        String self = mServices.state().participant().getVm();
+        String self = self();
         Set<String> registered =
                 picture.endpoints(mService).stream()
                         .filter(EndpointInfo::isReady)
--- a/daemon/src/main/java/org/sequoiahill/daemon/version/staging/SwapTurns.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/staging/SwapTurns.java
@@ -1,20 +1,26 @@
 package org.sequoiahill.daemon.version.staging;
 
 import java.time.Duration;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import org.sequoiahill.daemon.process.directory.Hashes;
 
 /**
  * Says when an engine may stop serving to load a new version.
  *
- * <p>Agents go in the order of their names, a third of them at a time, each as soon as enough of
- * those before it have the version. When the bound comes near an agent goes whatever the others do,
- * since an engine with an old version is of no use after it.
+ * <p>Agents go in an order that mixes the data centres, a third of them at a time, each as soon as
+ * enough of those before it have the version. When the bound comes near an agent goes whatever the
+ * others do, since an engine with an old version is of no use after it.
  */
 final class SwapTurns {
     /** Part of the engines that load at the same time. */
     private static final int PARTS = 3;
 
+    /** Names of VMs of one data centre are alike, so their hashes are compared first. */
+    private static final Comparator<String> ORDER =
+            Comparator.<String>comparingLong(Hashes::of).thenComparing(Comparator.naturalOrder());
+
     private SwapTurns() {}
 
     /**
@@ -35,14 +41,14 @@
                 versions.entrySet().stream()
                         .filter(entry -> entry.getValue() > 0)
                         .map(Map.Entry::getKey)
-                        .sorted()
+                        .sorted(ORDER)
                         .toList();
         long ahead =
                 serving.stream()
-                        .filter(name -> name.compareTo(self) < 0)
+                        .filter(name -> ORDER.compare(name, self) < 0)
                         .filter(name -> versions.getOrDefault(name, 0L) < target)
                         .count();
-        int atOnce = Math.max(1, serving.size() / PARTS);
-        return ahead < atOnce;
+        int atOnce = (serving.size() + PARTS - 1) / PARTS;
+        return ahead < Math.max(1, atOnce);
     }
 }
