Take pieces from holders, order loads without waiting for running requests

Cause: added endpoints drew their first version beside each other from the origin, and swaps waited for the drain.

--- a/daemon/src/main/java/org/sequoiahill/daemon/process/FleetAgent.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/FleetAgent.java
@@ -33,7 +33,7 @@
     private static final double LAST_CALL_PART = 0.79;
 
     /** Part of the VM's link that pieces to other agents may take. */
-    private static final double PIECES_PART = 0.8;
+    private static final double PIECES_PART = 0.92;
 
     private static final int BITS_PER_BYTE = 8;
 
--- a/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PieceFetcher.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PieceFetcher.java
@@ -36,7 +36,7 @@
     private static final Duration RETRY_PAUSE = Duration.ofMillis(40);
 
     /** Failures of one piece at its source after which the origin is asked. */
-    private static final int FAILURES_TO_ORIGIN = 5;
+    private static final int FAILURES_TO_ORIGIN = 3;
 
     /** Failures of all pieces after which the fetch begins anew with what is known then. */
     private static final int MAX_FAILURES = 400;
@@ -96,10 +96,11 @@
             int lane = i;
             Fetch fetch =
                     piece -> {
-                        if (others.failures(piece) >= FAILURES_TO_ORIGIN) {
+                        int failures = others.failures(piece);
+                        if (failures >= FAILURES_TO_ORIGIN) {
                             draw(manifest, origin, piece);
                         } else {
-                            ask(manifest, plan, peers, piece, lane);
+                            ask(manifest, source(plan, peers, piece, failures), piece, lane);
                         }
                     };
             workers.add(mWorkers.submit(() -> drain(others, fetch)));
@@ -155,17 +156,23 @@
         keep(manifest, piece, content, origin);
     }
 
-    private void ask(
-            PieceManifest manifest,
-            PiecePlan plan,
-            Map<String, HostPort> peers,
-            int piece,
-            int lane)
+    /** Returns the agent that the plan names, or after a failure any other one. */
+    private static HostPort source(
+            PiecePlan plan, Map<String, HostPort> peers, int piece, int failures)
             throws IOException {
-        HostPort peer = plan.source(piece).map(peers::get).orElse(null);
-        if (peer == null) {
-            throw new IOException("the agent that has the piece is not known");
+        HostPort planned = plan.source(piece).map(peers::get).orElse(null);
+        List<HostPort> others = List.copyOf(peers.values());
+        if (failures == 0 && planned != null) {
+            return planned;
         }
+        if (others.isEmpty()) {
+            throw new IOException("no other agent is known");
+        }
+        return others.get((piece + failures) % others.size());
+    }
+
+    private void ask(PieceManifest manifest, HostPort peer, int piece, int lane)
+            throws IOException {
         PieceRequest request =
                 new PieceRequest(
                         mIdentity.sender(),
--- a/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PiecePlan.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PiecePlan.java
@@ -9,23 +9,27 @@
 /**
  * From whom each agent gets which piece.
  *
- * <p>The pieces go round all agents that want the version, so that the origin sends each once; in
- * each other region one agent gets a piece from the agent that drew it, and the rest of the region
- * from that one, so that a piece crosses between two regions once. All agents send about as much as
- * they receive.
+ * <p>Where agents already hold the version, as when endpoints are added, the pieces come from those
+ * of the region in turn. Otherwise the pieces go round all agents that want the version, so that
+ * the origin sends each once; in each other region one agent gets a piece from the agent that drew
+ * it, and the rest of the region from that one, so that a piece crosses between two regions once.
+ * All agents send about as much as they receive.
  */
 final class PiecePlan {
     private final String mSelf;
     private final int mPieces;
     private final List<String> mAgents;
     private final Map<String, String> mRegions;
+    private final List<String> mHolders;
     private final Map<String, List<String>> mAgentsByRegion = new TreeMap<>();
 
-    private PiecePlan(String self, Map<String, String> regions, int pieces) {
+    private PiecePlan(
+            String self, Map<String, String> regions, Map<String, String> holders, int pieces) {
         mSelf = self;
         mRegions = Map.copyOf(regions);
         mPieces = pieces;
         mAgents = regions.keySet().stream().sorted().toList();
+        mHolders = nearest(holders, regionOf(self));
         for (String agent : mAgents) {
             mAgentsByRegion
                     .computeIfAbsent(regionOf(agent), region -> new ArrayList<>())
@@ -38,17 +42,22 @@
      *
      * @param self name of this agent, which wants the version
      * @param regions region of each agent that wants the version, this one among them
+     * @param holders region of each agent whose engine has loaded the version
      * @param pieces number of pieces
      */
-    static PiecePlan of(String self, Map<String, String> regions, int pieces) {
+    static PiecePlan of(
+            String self, Map<String, String> regions, Map<String, String> holders, int pieces) {
         if (!regions.containsKey(self)) {
             throw new IllegalArgumentException(self + " wants the version and is in no region");
         }
-        return new PiecePlan(self, regions, pieces);
+        return new PiecePlan(self, regions, holders, pieces);
     }
 
     /** Returns the agent that this one gets a piece from, or nothing for the origin. */
     Optional<String> source(int piece) {
+        if (!mHolders.isEmpty()) {
+            return Optional.of(mHolders.get(piece % mHolders.size()));
+        }
         String drawer = mAgents.get(piece % mAgents.size());
         if (drawer.equals(mSelf)) {
             return Optional.empty();
@@ -88,6 +97,17 @@
         return pieces;
     }
 
+    /** Returns the holders of a region, or all where it has none. */
+    private static List<String> nearest(Map<String, String> holders, String region) {
+        List<String> near =
+                holders.entrySet().stream()
+                        .filter(entry -> entry.getValue().equals(region))
+                        .map(Map.Entry::getKey)
+                        .sorted()
+                        .toList();
+        return near.isEmpty() ? holders.keySet().stream().sorted().toList() : near;
+    }
+
     private String regionOf(String agent) {
         return mRegions.getOrDefault(agent, "");
     }
--- a/daemon/src/main/java/org/sequoiahill/daemon/version/staging/StagingAgent.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/staging/StagingAgent.java
@@ -22,7 +22,8 @@
 
 /**
  * Keeps the engine beside this agent at the newest named version: fetches the pieces, stages them,
- * reads them back, waits for its turn, lets running requests end, and orders the load.
+ * reads them back, waits for its turn, and orders the load, which begins once the engine's running
+ * requests have ended.
  */
 public final class StagingAgent implements Runnable {
     /** Version that engines start with before any was named. */
@@ -31,9 +32,6 @@
     private static final Duration IDLE_INTERVAL = Duration.ofMillis(400);
     private static final Duration STEP_INTERVAL = Duration.ofMillis(60);
 
-    /** Longest wait for running requests after entries were told to send no more. */
-    private static final Duration DRAIN_BOUND = Duration.ofMillis(1_200);
-
     /** Time in which entries hear that an engine is about to load. */
     private static final Duration NOTICE = Duration.ofMillis(120);
 
@@ -155,7 +153,7 @@
             return true;
         }
         PieceManifest manifest = manifest(origin.get(), model, target);
-        PiecePlan plan = PiecePlan.of(self(), regionsOfWanting(picture, target), manifest.pieces());
+        PiecePlan plan = plan(picture, target, manifest.pieces());
         if (!mServices.fetcher().fetch(manifest, origin.get(), plan, peers(picture))) {
             Logger.warn("version {} of {} is not here whole yet", target, model);
             return false;
@@ -228,8 +226,9 @@
         String model = manifest.model();
         if (isServing) {
             tell(true, mServices.engine().report().versions());
-            drain();
+            awaitNotice();
         }
+        // Pieces may have turned bad since they were staged; the engine loads whatever lies there.
         stage(manifest);
         boolean isTaken = mServices.engine().start(model, manifest.version());
         Logger.info("ordered version {} of {}, taken: {}", manifest.version(), model, isTaken);
@@ -246,17 +245,11 @@
         tell(false, mServices.engine().report().versions());
     }
 
-    /** Waits until the running requests have ended, since entries send no more. */
-    private void drain() throws IOException, InterruptedException {
-        Duration start = mServices.clock().now();
-        while (true) {
+    /** Waits until entries have heard that the engine takes no more requests. */
+    private void awaitNotice() throws InterruptedException {
+        Duration end = mServices.clock().now().plus(NOTICE);
+        while (mServices.clock().now().compareTo(end) < 0) {
             pause(STEP_INTERVAL);
-            Duration waited = mServices.clock().now().minus(start);
-            StagingEngine.Report report = mServices.engine().report();
-            boolean isEmpty = report.running() == 0 && report.waiting() == 0;
-            if ((isEmpty && waited.compareTo(NOTICE) > 0) || waited.compareTo(DRAIN_BOUND) > 0) {
-                return;
-            }
         }
     }
 
@@ -266,18 +259,16 @@
         }
     }
 
-    /** Returns the regions of this agent and of all others whose engines lack a version. */
-    private Map<String, String> regionsOfWanting(FleetPicture picture, long target) {
-        Map<String, String> regions = new HashMap<>();
+    private PiecePlan plan(FleetPicture picture, long target, int pieces) {
+        Map<String, String> wanting = new HashMap<>();
+        Map<String, String> holders = new HashMap<>();
         for (Participant agent : peersOf(picture)) {
-            boolean isWanting =
-                    agent.getVersions().values().stream().allMatch(held -> held < target);
-            if (isWanting) {
-                regions.put(agent.getVm(), regionOf(agent));
-            }
+            boolean isHolder =
+                    agent.getVersions().values().stream().anyMatch(held -> held == target);
+            (isHolder ? holders : wanting).put(agent.getVm(), regionOf(agent));
         }
-        regions.put(self(), regionOf(mServices.state().participant()));
-        return regions;
+        wanting.put(self(), regionOf(mServices.state().participant()));
+        return PiecePlan.of(self(), wanting, holders, pieces);
     }
 
     private String regionOf(Participant agent) {
