--- a/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PieceFetcher.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PieceFetcher.java
@@ -98,10 +98,9 @@
                     piece -> {
                         int failures = others.failures(piece);
                         if (failures >= FAILURES_TO_ORIGIN) {
-                            draw(manifest, origin, piece);
-                        } else {
-                            ask(manifest, source(plan, peers, piece, failures), piece, lane);
+                            return draw(manifest, origin, piece);
                         }
+                        return ask(manifest, source(plan, peers, piece, failures), piece, lane);
                     };
             workers.add(mWorkers.submit(() -> drain(others, fetch)));
         }
@@ -115,14 +114,18 @@
     /** Fetches one piece. */
     @FunctionalInterface
     private interface Fetch {
-        void run(int piece) throws IOException;
+        /** Returns false where the source has the piece but serves others first. */
+        boolean run(int piece) throws IOException;
     }
 
     private static void drain(PieceQueue pieces, Fetch fetch) {
         for (Integer piece = pieces.take(); piece != null; piece = pieces.take()) {
             try {
-                fetch.run(piece);
-                pieces.came(piece);
+                if (fetch.run(piece)) {
+                    pieces.came(piece);
+                } else {
+                    pieces.later(piece);
+                }
             } catch (IOException e) {
                 if (pieces.failed(piece) == FAILURES_TO_ORIGIN) {
                     Logger.info("piece {} did not come: {}", piece, e.toString());
@@ -151,9 +154,9 @@
                 .toList();
     }
 
-    private void draw(PieceManifest manifest, HostPort origin, int piece) throws IOException {
+    private boolean draw(PieceManifest manifest, HostPort origin, int piece) throws IOException {
         byte[] content = mOrigin.piece(origin, manifest.model(), manifest.version(), piece);
-        keep(manifest, piece, content, origin);
+        return keep(manifest, piece, content, origin);
     }
 
     /** Returns the agent that the plan names, or after a failure any other one. */
@@ -171,7 +174,7 @@
         return others.get((piece + failures) % others.size());
     }
 
-    private void ask(PieceManifest manifest, HostPort peer, int piece, int lane)
+    private boolean ask(PieceManifest manifest, HostPort peer, int piece, int lane)
             throws IOException {
         PieceRequest request =
                 new PieceRequest(
@@ -184,20 +187,24 @@
             PieceReply reply =
                     mClient.call(peer, ServiceStub.PIECES, lane, client -> client.piece(request))
                             .join();
+            if (reply.isBusy()) {
+                return false;
+            }
             if (!reply.isSetContent()) {
                 throw new IOException("the agent does not have the piece yet");
             }
-            keep(manifest, piece, reply.getContent(), peer);
+            return keep(manifest, piece, reply.getContent(), peer);
         } catch (CompletionException e) {
             throw new IOException("the agent at " + peer + " did not answer", e);
         }
     }
 
-    private void keep(PieceManifest manifest, int piece, byte[] content, HostPort source)
+    private boolean keep(PieceManifest manifest, int piece, byte[] content, HostPort source)
             throws IOException {
         if (!manifest.matches(piece, content)) {
             throw new IOException("the piece from " + source + " is damaged");
         }
         mStore.add(manifest.model(), manifest.version(), piece, content);
+        return true;
     }
 }
--- a/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PieceHandler.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PieceHandler.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import org.sequoiahill.daemon.process.control.Identity;
 import org.sequoiahill.daemon.process.time.MonotonicClock;
 import org.sequoiahill.protocol.gen.PieceReply;
@@ -48,20 +47,20 @@
     public PieceReply piece(PieceRequest request) {
         PieceReply reply = new PieceReply().setSender(mIdentity.sender());
         Optional<byte[]> content = find(request);
-        Optional<Duration> turn = content.flatMap(bytes -> mPace.take(bytes.length, MAX_TURN_WAIT));
-        if (content.isPresent() && turn.isPresent()) {
-            await(turn.get());
-            reply.setContent(content.get());
+        if (content.isEmpty()) {
+            return reply;
         }
-        return reply;
-    }
-
-    private static void await(Duration time) {
         try {
-            TimeUnit.NANOSECONDS.sleep(time.toNanos());
+            String agent = request.getSender().getVm();
+            if (mPace.await(agent, content.get().length, MAX_TURN_WAIT)) {
+                reply.setContent(content.get());
+            } else {
+                reply.setBusy(true);
+            }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
+        return reply;
     }
 
     private Optional<byte[]> find(PieceRequest request) {
--- a/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PiecePlan.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PiecePlan.java
@@ -67,8 +67,7 @@
             return Optional.of(drawer);
         }
         List<String> near = mAgentsByRegion.getOrDefault(region, List.of());
-        // The drawers of neighbouring pieces differ, so the round within a region moves on slower.
-        String receiver = near.get(piece / mAgents.size() % near.size());
+        String receiver = near.get(piece % near.size());
         return Optional.of(receiver.equals(mSelf) ? drawer : receiver);
     }
 
--- a/daemon/src/main/java/org/sequoiahill/daemon/version/staging/SwapTurns.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/staging/SwapTurns.java
@@ -1,10 +1,8 @@
 package org.sequoiahill.daemon.version.staging;
 
 import java.time.Duration;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
-import org.sequoiahill.daemon.process.directory.Hashes;
 
 /**
  * Says when an engine may stop serving to load a new version.
@@ -17,10 +15,6 @@
     /** Part of the engines that load at the same time. */
     private static final int PARTS = 3;
 
-    /** Names of VMs of one data centre are alike, so their hashes are compared first. */
-    private static final Comparator<String> ORDER =
-            Comparator.<String>comparingLong(Hashes::of).thenComparing(Comparator.naturalOrder());
-
     private SwapTurns() {}
 
     /**
@@ -41,11 +35,11 @@
                 versions.entrySet().stream()
                         .filter(entry -> entry.getValue() > 0)
                         .map(Map.Entry::getKey)
-                        .sorted(ORDER)
+                        .sorted(AgentOrder.COMPARATOR)
                         .toList();
         long ahead =
                 serving.stream()
-                        .filter(name -> ORDER.compare(name, self) < 0)
+                        .filter(name -> AgentOrder.COMPARATOR.compare(name, self) < 0)
                         .filter(name -> versions.getOrDefault(name, 0L) < target)
                         .count();
         int atOnce = (serving.size() + PARTS - 1) / PARTS;
--- /dev/null
+++ b/daemon/src/test/java/org/sequoiahill/daemon/process/endpoints/EndpointMergeTest.java
@@ -0,0 +1,79 @@
+package org.sequoiahill.daemon.process.endpoints;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.sequoiahill.protocol.gen.EndpointReport;
+import org.sequoiahill.protocol.gen.EndpointState;
+import org.sequoiahill.protocol.gen.FeedItem;
+import org.sequoiahill.protocol.gen.WatchReply;
+
+/** Tests of {@link EndpointMerge}. */
+final class EndpointMergeTest {
+    private final EndpointMerge mMerge = new EndpointMerge();
+
+    @ParameterizedTest
+    @CsvSource({
+        // start, sequence, state at one store; the same at another; state of the picture
+        "100, 5, READY, 100, 6, READY, READY",
+        "100, 9, READY, 100, 6, DRAINING, DRAINING",
+        "100, 6, DRAINING, 100, 9, READY, DRAINING",
+        "100, 6, DRAINING, 200, 1, READY, READY",
+        "200, 1, DRAINING, 100, 9, READY, DRAINING"
+    })
+    void endpoints_storesThatDiffer_takesTheLatestStartAndNeverTakesALeavingOneBack(
+            long startA,
+            long sequenceA,
+            EndpointState stateA,
+            long startB,
+            long sequenceB,
+            EndpointState stateB,
+            EndpointState merged) {
+        FeedMirror a = mirrorOf(Reports.ready("e", startA, sequenceA).setState(stateA));
+        FeedMirror b = mirrorOf(Reports.ready("e", startB, sequenceB).setState(stateB));
+        assertThat(mMerge.endpoints(List.of(a, b)).get(0).state(), is(merged));
+        assertThat(mMerge.endpoints(List.of(b, a)).get(0).state(), is(merged));
+    }
+
+    @Test
+    void endpoints_storeThatKnewOfTheLeavingIsLost_stillLeaving() {
+        FeedMirror knowing = mirrorOf(Reports.ready("e", 100, 6).setState(EndpointState.DRAINING));
+        FeedMirror unknowing = mirrorOf(Reports.ready("e", 100, 5));
+        mMerge.endpoints(List.of(knowing, unknowing));
+        assertThat(mMerge.endpoints(List.of(unknowing)).get(0).state(), is(EndpointState.DRAINING));
+    }
+
+    @Test
+    void endpoints_twoAtOneAddress_takesTheOneThatStartedLast() {
+        FeedMirror mirror = mirrorOf(Reports.ready("old", 100, 50), Reports.ready("new", 200, 1));
+        List<EndpointInfo> endpoints = mMerge.endpoints(List.of(mirror));
+        assertThat(endpoints, hasSize(1));
+        assertThat(endpoints.get(0).id(), is("new"));
+    }
+
+    @Test
+    void endpoints_goneByItsIdAlone_isGone() {
+        FeedMirror knowing = mirrorOf(Reports.ready("e", 100, 5));
+        EndpointReport nameless =
+                Reports.ready("e", 0, 0).setAddress("").setState(EndpointState.GONE);
+        List<EndpointInfo> endpoints = mMerge.endpoints(List.of(knowing, mirrorOf(nameless)));
+        assertThat(endpoints.get(0).state(), is(EndpointState.GONE));
+    }
+
+    private static FeedMirror mirrorOf(EndpointReport... reports) {
+        FeedMirror mirror = new FeedMirror();
+        WatchReply reply = new WatchReply().setFeed(1).setChange(1).setWhole(true);
+        for (EndpointReport report : reports) {
+            reply.addToItems(
+                    new FeedItem().setKey(FeedKeys.endpoint(report.getId())).setEndpoint(report));
+        }
+        mirror.take(reply, Duration.ZERO);
+        return mirror;
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/sequoiahill/daemon/process/endpoints/EndpointRegistryTest.java
@@ -0,0 +1,141 @@
+package org.sequoiahill.daemon.process.endpoints;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.sequoiahill.daemon.process.time.ManualClock;
+import org.sequoiahill.protocol.gen.EndpointReport;
+import org.sequoiahill.protocol.gen.EndpointState;
+import org.sequoiahill.protocol.gen.FeedItem;
+import org.sequoiahill.protocol.gen.WatchReply;
+
+/** Tests of {@link EndpointRegistry}. */
+final class EndpointRegistryTest {
+    private static final Duration LEASE = Duration.ofSeconds(6);
+    private static final long FEED = 7;
+
+    private final ManualClock mClock = new ManualClock();
+    private final EndpointRegistry mRegistry =
+            EndpointRegistry.of(mClock, LEASE, Duration.ofSeconds(4), FEED);
+
+    @ParameterizedTest
+    @CsvSource({
+        // startedAt, sequence, state of a second report; state that is held after it
+        "100, 6, READY, READY",
+        "100, 6, DRAINING, DRAINING",
+        "100, 4, DRAINING, READY",
+        "90, 99, DRAINING, READY",
+        "110, 1, READY, READY",
+        "110, 1, DRAINING, DRAINING"
+    })
+    void report_afterAnother_ordersByStartAndSequence(
+            long startedAt, long sequence, EndpointState state, EndpointState held) {
+        mRegistry.report(Reports.ready("e", 100, 5));
+        mRegistry.report(Reports.ready("e", startedAt, sequence).setState(state));
+        assertThat(held("e").getState(), is(held));
+    }
+
+    @Test
+    void report_readyAfterDrainingOfTheSameStart_staysDraining() {
+        mRegistry.report(Reports.ready("e", 100, 5).setState(EndpointState.DRAINING));
+        mRegistry.report(Reports.ready("e", 100, 6));
+        assertThat(held("e").getState(), is(EndpointState.DRAINING));
+    }
+
+    @Test
+    void report_readyOfALaterStart_isReadyAgain() {
+        mRegistry.report(Reports.ready("e", 100, 5).setState(EndpointState.DRAINING));
+        mRegistry.report(Reports.ready("e", 200, 1));
+        assertThat(held("e").getState(), is(EndpointState.READY));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"READY, false", "DRAINING, true"})
+    void report_firstOfItsKind_mustBeRelayedOnlyWhereItLeaves(
+            EndpointState state, boolean mustBeRelayed) {
+        assertThat(mRegistry.report(Reports.ready("e", 100, 5).setState(state)), is(mustBeRelayed));
+        assertThat(mRegistry.report(Reports.ready("e", 100, 6).setState(state)), is(false));
+    }
+
+    @Test
+    void gone_ofAKnownEndpoint_keepsItsStart() {
+        mRegistry.report(Reports.ready("e", 100, 5));
+        mRegistry.report(mRegistry.gone("e"));
+        assertThat(held("e").getState(), is(EndpointState.GONE));
+        assertThat(held("e").getStartedAt(), is(100L));
+    }
+
+    @Test
+    void await_readerThatKnowsAll_getsNothing() {
+        mRegistry.report(Reports.ready("e", 100, 5));
+        WatchReply first = read(0, 0);
+        mRegistry.report(Reports.ready("e", 100, 6));
+        assertThat(read(FEED, first.getChange()).getItems(), empty());
+    }
+
+    @Test
+    void await_readerOfAnotherFeed_getsTheWhole() {
+        mRegistry.report(Reports.ready("e", 100, 5));
+        WatchReply reply = read(FEED + 1, 99);
+        assertThat(reply.isWhole(), is(true));
+        assertThat(reply.getItems(), hasSize(1));
+    }
+
+    @Test
+    void expire_afterTheLease_tellsReaders() {
+        mRegistry.report(Reports.ready("e", 100, 5));
+        WatchReply first = read(0, 0);
+        mClock.advance(LEASE.plusMillis(1));
+        mRegistry.expire();
+        List<FeedItem> items = read(FEED, first.getChange()).getItems();
+        assertThat(items, hasSize(1));
+        assertThat(items.get(0).isDropped(), is(true));
+    }
+
+    @Test
+    void await_coldEndpoint_tellsTheTimeThatIsLeft() {
+        mRegistry.report(Reports.ready("e", 100, 5).setColdMillis(3_000));
+        mClock.advanceMillis(1_000);
+        assertThat(held("e").getColdMillis(), is(2_000L));
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        // cold time in the first report, time between, cold time in the second, whether news
+        "3000, 1200, 1800, false",
+        "3000, 1200, 3000, true",
+        "0, 1200, 0, false",
+        "0, 1200, 2000, true",
+        "3000, 3500, 0, false"
+    })
+    void report_coldTime_isNewsOnlyWhereItsEndMoves(
+            long first, long between, long second, boolean isNews) {
+        mRegistry.report(Reports.ready("e", 100, 5).setColdMillis(first));
+        WatchReply before = read(0, 0);
+        mClock.advanceMillis(between);
+        mRegistry.report(Reports.ready("e", 100, 6).setColdMillis(second));
+        assertThat(read(FEED, before.getChange()).getItems().isEmpty(), is(!isNews));
+    }
+
+    private EndpointReport held(String id) {
+        return read(0, 0).getItems().stream()
+                .map(FeedItem::getEndpoint)
+                .filter(report -> report.getId().equals(id))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private WatchReply read(long feed, long change) {
+        WatchReply reply = new WatchReply().setItems(new ArrayList<>());
+        mRegistry.await(reply, feed, change, Duration.ZERO, () -> false);
+        return reply;
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/sequoiahill/daemon/process/fleet/FleetMachineTest.java
@@ -0,0 +1,99 @@
+package org.sequoiahill.daemon.process.fleet;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.sequoiahill.protocol.gen.DataCentreChange;
+import org.sequoiahill.protocol.gen.FleetChange;
+import org.sequoiahill.protocol.gen.RoutingPut;
+import org.sequoiahill.protocol.gen.WeightsChange;
+
+/** Tests of {@link FleetMachine} and {@link FleetState}. */
+final class FleetMachineTest {
+    private final FleetMachine mMachine = FleetMachine.of(state -> {});
+    private long mIndex;
+
+    @ParameterizedTest
+    @CsvSource({
+        // numbers as they are applied, number that is held, text that is held
+        "'1,2,3', 3, text-2",
+        "'3,1,2', 3, text-0",
+        "'3,3', 3, text-0",
+        "'7,2,9,8', 9, text-2"
+    })
+    void apply_routingTables_holdsTheHighestAsItCameFirst(String numbers, long held, String text) {
+        String[] each = numbers.split(",", -1);
+        for (int i = 0; i < each.length; i++) {
+            apply(put(Long.parseLong(each[i]), "text-" + i));
+        }
+        assertThat(mMachine.state().routingNumber(), is(held));
+        assertThat(textOf(mMachine.state()), is(text));
+    }
+
+    @Test
+    void apply_dataCentreOutAndBack_remembersBoth() {
+        apply(out("dc-1", true));
+        assertThat(mMachine.state().isOut("dc-1"), is(true));
+        apply(out("dc-1", false));
+        assertThat(mMachine.state().isOut("dc-1"), is(false));
+        assertThat(mMachine.state().returnedDataCentres().get("dc-1"), is(2L));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"'1,2', 2", "'2,1', 2", "'2,2,3', 3"})
+    void apply_versions_neverGoBack(String versions, long held) {
+        for (String version : versions.split(",", -1)) {
+            apply(version("model", Long.parseLong(version)));
+        }
+        assertThat(mMachine.state().version("model", 0), is(held));
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+    void restore_snapshotOfAnyState_givesTheSameState(long seed) {
+        Random random = new Random(seed);
+        for (int i = 0; i < 50; i++) {
+            apply(anyChange(random));
+        }
+        FleetMachine other = FleetMachine.of(state -> {});
+        other.restore(mMachine.snapshot());
+        assertThat(other.state(), is(mMachine.state()));
+    }
+
+    private static FleetChange anyChange(Random random) {
+        return switch (random.nextInt(3)) {
+            case 0 -> put(1 + random.nextInt(40), "text" + random.nextInt());
+            case 1 -> out("dc-" + random.nextInt(3), random.nextBoolean());
+            default -> version("model-" + random.nextInt(2), 1 + random.nextInt(9));
+        };
+    }
+
+    private void apply(FleetChange change) {
+        mMachine.apply(++mIndex, FleetMachine.encode(change));
+    }
+
+    private static FleetChange put(long number, String text) {
+        RoutingPut put = new RoutingPut();
+        put.setNumber(number);
+        put.setContent(PackedText.pack(text.getBytes(StandardCharsets.UTF_8)));
+        return FleetChange.routing(put);
+    }
+
+    private static FleetChange out(String dataCentre, boolean isOut) {
+        return FleetChange.dataCentre(new DataCentreChange(dataCentre, isOut));
+    }
+
+    private static FleetChange version(String model, long version) {
+        return FleetChange.weights(new WeightsChange(model, version));
+    }
+
+    private static String textOf(FleetState state) {
+        return new String(PackedText.unpack(state.routing()), StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/sequoiahill/daemon/process/fleet/FleetViewTest.java
@@ -0,0 +1,106 @@
+package org.sequoiahill.daemon.process.fleet;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.sequoiahill.daemon.process.settings.HostPort;
+import org.sequoiahill.daemon.process.time.ManualClock;
+import org.sequoiahill.protocol.gen.FleetContent;
+import org.sequoiahill.protocol.gen.WatchReply;
+import org.sequoiahill.protocol.gen.WatchRequest;
+import org.sequoiahill.protocol.json.Checked;
+
+/** Tests of {@link FleetView}: what a daemon believes never goes back. */
+final class FleetViewTest {
+    private static final HostPort NEAR = new HostPort("127.0.0.1", 1);
+    private static final HostPort FAR = new HostPort("127.0.0.2", 1);
+
+    private final ManualClock mClock = new ManualClock();
+    private final FleetView mView = FleetView.of(mClock, FleetViewTest::parse);
+
+    @Test
+    void take_olderContentOfAnotherStore_changesNothing() {
+        mView.take(NEAR, reply(true, content(5, 7, true)));
+        mView.take(FAR, reply(true, content(3, 4, true)));
+        assertThat(mView.picture().state().index(), is(5L));
+        assertThat(mView.picture().table().orElseThrow().number(), is(7L));
+    }
+
+    @Test
+    void take_contentOfAStoreThatFollowsNoLeader_isNotBelieved() {
+        mView.take(NEAR, reply(false, content(5, 7, true)));
+        assertThat(mView.picture().table().isPresent(), is(false));
+    }
+
+    @Test
+    void take_numberWithoutText_keepsTheTableAndItsNumber() {
+        mView.take(NEAR, reply(true, content(5, 7, true)));
+        mView.take(FAR, reply(true, content(6, 9, false)));
+        assertThat(mView.picture().state().index(), is(6L));
+        assertThat(mView.picture().state().routingNumber(), is(7L));
+        assertThat(mView.picture().table().orElseThrow().number(), is(7L));
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        // whether the store is the nearest, time since a newer number is known, whether to ask
+        "true, 0, true",
+        "false, 0, false",
+        "false, 600, true"
+    })
+    void prepare_newerTable_isAskedOfFarStoresOnlyLate(
+            boolean isNearest, long waited, boolean isAsked) {
+        mView.take(NEAR, reply(true, content(5, 7, true)));
+        mView.take(FAR, reply(true, content(6, 9, false)));
+        mClock.advanceMillis(waited);
+        WatchRequest request = new WatchRequest();
+        mView.prepare(request, FAR, isNearest);
+        assertThat(request.isWantsRouting(), is(isAsked));
+    }
+
+    @Test
+    void take_firstState_countsItsVersionsAsNamedLongAgo() {
+        mView.take(NEAR, reply(true, content(5, 7, true)));
+        Duration named = mView.picture().namedSince().get("model");
+        assertThat(named.compareTo(mClock.now().minus(Duration.ofMinutes(1))) < 0, is(true));
+        mClock.advanceMillis(10);
+        FleetContent later = content(6, 7, false);
+        later.setVersions(Map.of("model", 3L));
+        mView.take(NEAR, reply(true, later));
+        assertThat(mView.picture().namedSince().get("model"), is(mClock.now()));
+    }
+
+    private static Checked<RoutingTable> parse(byte[] text) {
+        long number = Long.parseLong(new String(text, StandardCharsets.UTF_8));
+        return Checked.of(RoutingTable.of(number, List.of(), Map.of(), Map.of(), 0));
+    }
+
+    private static FleetContent content(long index, long number, boolean hasText) {
+        FleetContent content =
+                new FleetContent(index, number, Map.of(), Map.of(), Map.of("model", 2L));
+        if (hasText) {
+            content.setRouting(
+                    PackedText.pack(Long.toString(number).getBytes(StandardCharsets.UTF_8)));
+        }
+        return content;
+    }
+
+    private static WatchReply reply(boolean isCurrent, FleetContent content) {
+        return new WatchReply()
+                .setFeed(1)
+                .setChange(1)
+                .setItems(new ArrayList<>())
+                .setStores(List.of())
+                .setDataCentre("dc-1")
+                .setCurrent(isCurrent)
+                .setContent(content);
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/sequoiahill/daemon/request/direct/EventSplitterTest.java
@@ -0,0 +1,69 @@
+package org.sequoiahill.daemon.request.direct;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.Random;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Tests of {@link EventSplitter}. */
+final class EventSplitterTest {
+    @ParameterizedTest
+    @CsvSource({
+        // bytes; whole events; last id; count
+        "'id: 1|data: a||', 'id: 1|data: a||', 1, 1",
+        "'id: 1|data: a||id: 2|da', 'id: 1|data: a||', 1, 1",
+        "'id: 1|data: a||id: 2|data: b||', 'id: 1|data: a||id: 2|data: b||', 2, 2",
+        "'id: 1|data: a|', '', , 0",
+        "'data: a||', 'data: a||', , 1"
+    })
+    void take_bytes_returnsWholeEvents(String bytes, String whole, String lastId, int count) {
+        EventSplitter splitter = new EventSplitter();
+        assertThat(text(splitter.take(buffer(lines(bytes)))), is(lines(whole)));
+        assertThat(splitter.lastId(), is(Optional.ofNullable(lastId)));
+        assertThat(splitter.events(), is(count));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"\n", "\r\n"})
+    void take_anyCutOfAStream_losesNothing(String newline) {
+        StringBuilder stream = new StringBuilder();
+        for (int i = 1; i <= 40; i++) {
+            stream.append("id: ").append(i).append(newline);
+            stream.append("data: t").append(i).append(newline).append(newline);
+        }
+        byte[] all = stream.toString().getBytes(StandardCharsets.UTF_8);
+        Random random = new Random(3);
+        for (int round = 0; round < 200; round++) {
+            EventSplitter splitter = new EventSplitter();
+            StringBuilder taken = new StringBuilder();
+            int at = 0;
+            while (at < all.length) {
+                int length = Math.min(all.length - at, 1 + random.nextInt(30));
+                taken.append(text(splitter.take(ByteBuffer.wrap(all, at, length))));
+                at += length;
+            }
+            taken.append(text(splitter.rest()));
+            assertThat(taken.toString(), is(stream.toString()));
+            assertThat(splitter.events(), is(40));
+            assertThat(splitter.lastId(), is(Optional.of("40")));
+        }
+    }
+
+    private static String lines(String text) {
+        return text == null ? "" : text.replace('|', '\n');
+    }
+
+    private static ByteBuffer buffer(String text) {
+        return ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static String text(ByteBuffer bytes) {
+        return StandardCharsets.UTF_8.decode(bytes).toString();
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/sequoiahill/daemon/request/direct/Fleets.java
@@ -0,0 +1,155 @@
+package org.sequoiahill.daemon.request.direct;
+
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.sequoiahill.daemon.process.endpoints.EndpointInfo;
+import org.sequoiahill.daemon.process.fleet.FleetPicture;
+import org.sequoiahill.daemon.process.fleet.FleetState;
+import org.sequoiahill.daemon.process.fleet.Route;
+import org.sequoiahill.daemon.process.fleet.RoutedService;
+import org.sequoiahill.daemon.process.fleet.RoutingTable;
+import org.sequoiahill.daemon.process.settings.HostPort;
+import org.sequoiahill.protocol.gen.EndpointState;
+import org.sequoiahill.protocol.gen.Participant;
+import org.sequoiahill.protocol.gen.ParticipantRole;
+
+/** Pictures of a fleet for tests: one service {@code writer} in the data centres dc-1 and dc-2. */
+final class Fleets {
+    static final DirectSettings SETTINGS =
+            new DirectSettings(
+                    Map.of("dc-1", "region-1", "dc-2", "region-2"),
+                    "region-1",
+                    0.2,
+                    Duration.ofSeconds(10),
+                    100,
+                    Duration.ofSeconds(7));
+
+    private final List<EndpointInfo> mEndpoints = new ArrayList<>();
+    private final Map<String, Duration> mNamedSince = new HashMap<>();
+    private final Map<String, Long> mVersions = new HashMap<>();
+    private final Map<String, Long> mOut = new HashMap<>();
+    private final List<Participant> mParticipants = new ArrayList<>();
+    private double mColdRate;
+
+    /** Adds a ready endpoint. */
+    Fleets endpoint(String id, String dataCentre, int slots) {
+        return endpoint(id, dataCentre, slots, EndpointState.READY, Duration.ZERO);
+    }
+
+    Fleets endpoint(
+            String id, String dataCentre, int slots, EndpointState state, Duration coldUntil) {
+        mEndpoints.add(
+                new EndpointInfo(
+                        id,
+                        100,
+                        1,
+                        "writer",
+                        new HostPort("127.0.0." + (mEndpoints.size() + 1), 80),
+                        dataCentre,
+                        slots,
+                        state,
+                        coldUntil,
+                        Map.of("model", 1L)));
+        return this;
+    }
+
+    /** Adds an agent that swaps beside the last endpoint. */
+    Fleets swapping() {
+        EndpointInfo last = mEndpoints.get(mEndpoints.size() - 1);
+        mParticipants.add(
+                new Participant(
+                        "agent-of-" + last.id(),
+                        "agent",
+                        ParticipantRole.AGENT,
+                        last.dataCentre(),
+                        "127.0.0.1:1",
+                        1,
+                        1,
+                        last.address().toString(),
+                        "writer",
+                        true,
+                        Map.of("model", 1L)));
+        return this;
+    }
+
+    Fleets entries(int count) {
+        for (int i = 0; i < count; i++) {
+            mParticipants.add(
+                    new Participant(
+                            "entry-" + i,
+                            "entry",
+                            ParticipantRole.ENTRY,
+                            "dc-1",
+                            "127.0.0.1:1",
+                            1,
+                            1,
+                            "",
+                            "",
+                            false,
+                            Map.of()));
+        }
+        return this;
+    }
+
+    Fleets out(String dataCentre) {
+        mOut.put(dataCentre, 1L);
+        return this;
+    }
+
+    Fleets coldRate(double rate) {
+        mColdRate = rate;
+        return this;
+    }
+
+    Fleets named(long version, Duration since) {
+        mVersions.put("model", version);
+        mNamedSince.put("model", since);
+        return this;
+    }
+
+    FleetPicture picture() {
+        RoutedService service =
+                new RoutedService(
+                        "writer",
+                        100,
+                        Duration.ofSeconds(3),
+                        mColdRate,
+                        Optional.empty(),
+                        Optional.empty());
+        return new FleetPicture(
+                new FleetState(1, 1, ByteBuffer.allocate(0), mOut, Map.of(), mVersions),
+                Optional.of(
+                        RoutingTable.of(
+                                1,
+                                List.of(route(Route.Kind.IDEMPOTENT, 2)),
+                                Map.of("writer", service),
+                                Map.of(),
+                                1 << 20)),
+                Map.of("writer", mEndpoints),
+                mParticipants,
+                mNamedSince);
+    }
+
+    static Route route(Route.Kind kind, int maxAttempts) {
+        return new Route(
+                "r",
+                "host.example",
+                "/a/",
+                kind,
+                Duration.ofSeconds(4),
+                Duration.ofMillis(400),
+                Duration.ofMillis(300),
+                1,
+                List.of(new Route.Share("writer", 1)),
+                maxAttempts,
+                true,
+                kind == Route.Kind.STREAM,
+                Set.of());
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/sequoiahill/daemon/request/direct/RepeatBudgetTest.java
@@ -0,0 +1,52 @@
+package org.sequoiahill.daemon.request.direct;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Plays a storm of failures at several entries, and checks the bound in every window. */
+final class RepeatBudgetTest {
+    private static final int SECONDS = 60;
+
+    @ParameterizedTest
+    @CsvSource({"1, 50", "8, 100", "46, 400", "8, 5"})
+    void take_stormAtAllEntries_keepsTheSharedBoundInEveryWindow(int entries, int perSecond) {
+        Random random = new Random(entries * 31L + perSecond);
+        List<RepeatBudget> budgets = new ArrayList<>();
+        for (int i = 0; i < entries; i++) {
+            budgets.add(RepeatBudget.of(Fleets.SETTINGS));
+        }
+        List<Duration> requests = new ArrayList<>();
+        List<Duration> repeats = new ArrayList<>();
+        for (int i = 0; i < SECONDS * perSecond; i++) {
+            Duration now = Duration.ofNanos((long) (i * 1e9 / perSecond));
+            RepeatBudget budget = budgets.get(random.nextInt(entries));
+            budget.noteFirst(now);
+            requests.add(now);
+            if (budget.take(now, entries)) {
+                repeats.add(now);
+            }
+        }
+        assertThat(repeats.size(), greaterThan(0));
+        for (Duration start : repeats) {
+            Duration end = start.plus(Fleets.SETTINGS.repeatWindow());
+            long inWindow = countWithin(repeats, start, end);
+            long before = countWithin(requests, start, end);
+            double bound = Fleets.SETTINGS.repeatRatio() * before + Fleets.SETTINGS.repeatSlack();
+            assertThat((double) inWindow, lessThanOrEqualTo(bound));
+        }
+    }
+
+    private static long countWithin(List<Duration> times, Duration start, Duration end) {
+        return times.stream()
+                .filter(time -> time.compareTo(start) >= 0 && time.compareTo(end) < 0)
+                .count();
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/sequoiahill/daemon/request/direct/RepeatRuleTest.java
@@ -0,0 +1,42 @@
+package org.sequoiahill.daemon.request.direct;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.sequoiahill.daemon.process.fleet.Route;
+
+/** Table of what follows from a sending without an answer. */
+final class RepeatRuleTest {
+    @ParameterizedTest
+    @CsvSource({
+        // cause, kind, sendings, runs, whether time is left; decision (routes allow 2 attempts)
+        "UNSENT, ONCE, 1, 0, true, REPEAT",
+        "UNSENT, ONCE, 3, 0, true, REPEAT",
+        "UNSENT, ONCE, 4, 0, true, REFUSE",
+        "UNSENT, ONCE, 1, 0, false, REFUSE",
+        "NOT_RUN, ONCE, 1, 0, true, REPEAT_IN_BUDGET",
+        "NOT_RUN, ONCE, 4, 0, true, REFUSE",
+        "LOST, ONCE, 1, 1, true, UNKNOWN",
+        "FAILED, ONCE, 1, 1, true, PASS_ON",
+        "LOST, IDEMPOTENT, 1, 1, true, REPEAT_IN_BUDGET",
+        "LOST, IDEMPOTENT, 2, 2, true, UNKNOWN",
+        "LOST, IDEMPOTENT, 1, 1, false, UNKNOWN",
+        "FAILED, IDEMPOTENT, 1, 1, true, REPEAT_IN_BUDGET",
+        "FAILED, IDEMPOTENT, 2, 2, true, PASS_ON",
+        "NOT_RUN, IDEMPOTENT, 2, 1, true, REPEAT_IN_BUDGET",
+        "NOT_RUN, IDEMPOTENT, 4, 1, true, UNKNOWN",
+        "LOST, STREAM, 1, 1, true, REPEAT_IN_BUDGET"
+    })
+    void decide_cause_followsFromWhatMayHaveRun(
+            RepeatRule.Cause cause,
+            Route.Kind kind,
+            int sendings,
+            int runs,
+            boolean isTimeLeft,
+            RepeatRule.Decision decision) {
+        Route route = Fleets.route(kind, 2);
+        assertThat(RepeatRule.decide(cause, route, sendings, runs, isTimeLeft), is(decision));
+    }
+}
--- a/protocol/src/main/java/org/sequoiahill/protocol/gen/PieceReply.java
+++ b/protocol/src/main/java/org/sequoiahill/protocol/gen/PieceReply.java
@@ -12,12 +12,14 @@
 
   private static final org.apache.thrift.protocol.TField SENDER_FIELD_DESC = new org.apache.thrift.protocol.TField("sender", org.apache.thrift.protocol.TType.STRUCT, (short)1);
   private static final org.apache.thrift.protocol.TField CONTENT_FIELD_DESC = new org.apache.thrift.protocol.TField("content", org.apache.thrift.protocol.TType.STRING, (short)2);
+  private static final org.apache.thrift.protocol.TField BUSY_FIELD_DESC = new org.apache.thrift.protocol.TField("busy", org.apache.thrift.protocol.TType.BOOL, (short)3);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new PieceReplyStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new PieceReplyTupleSchemeFactory();
 
   private @org.apache.thrift.annotation.Nullable org.sequoiahill.protocol.gen.Sender sender; // required
   private @org.apache.thrift.annotation.Nullable java.nio.ByteBuffer content; // optional
+  private boolean busy; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -25,7 +27,11 @@
     /**
      * Left out where the agent doesn't hold the piece.
      */
-    CONTENT((short)2, "content");
+    CONTENT((short)2, "content"),
+    /**
+     * Whether the agent has the piece, but others are served first; ask again.
+     */
+    BUSY((short)3, "busy");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -45,6 +51,8 @@
           return SENDER;
         case 2: // CONTENT
           return CONTENT;
+        case 3: // BUSY
+          return BUSY;
         default:
           return null;
       }
@@ -88,6 +96,8 @@
   }
 
   // isset id assignments
+  private static final int __BUSY_ISSET_ID = 0;
+  private byte __isset_bitfield = 0;
   private static final _Fields optionals[] = {_Fields.CONTENT};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
@@ -96,6 +106,8 @@
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, org.sequoiahill.protocol.gen.Sender.class)));
     tmpMap.put(_Fields.CONTENT, new org.apache.thrift.meta_data.FieldMetaData("content", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING        , true)));
+    tmpMap.put(_Fields.BUSY, new org.apache.thrift.meta_data.FieldMetaData("busy", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(PieceReply.class, metaDataMap);
   }
@@ -104,22 +116,27 @@
   }
 
   public PieceReply(
-    org.sequoiahill.protocol.gen.Sender sender)
+    org.sequoiahill.protocol.gen.Sender sender,
+    boolean busy)
   {
     this();
     this.sender = sender;
+    this.busy = busy;
+    setBusyIsSet(true);
   }
 
   /**
    * Performs a deep copy on <i>other</i>.
    */
   public PieceReply(PieceReply other) {
+    __isset_bitfield = other.__isset_bitfield;
     if (other.isSetSender()) {
       this.sender = new org.sequoiahill.protocol.gen.Sender(other.sender);
     }
     if (other.isSetContent()) {
       this.content = org.apache.thrift.TBaseHelper.copyBinary(other.content);
     }
+    this.busy = other.busy;
   }
 
   @Override
@@ -131,6 +148,8 @@
   public void clear() {
     this.sender = null;
     this.content = null;
+    setBusyIsSet(false);
+    this.busy = false;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -198,6 +217,35 @@
     }
   }
 
+  /**
+   * Whether the agent has the piece, but others are served first; ask again.
+   */
+  public boolean isBusy() {
+    return this.busy;
+  }
+
+  /**
+   * Whether the agent has the piece, but others are served first; ask again.
+   */
+  public PieceReply setBusy(boolean busy) {
+    this.busy = busy;
+    setBusyIsSet(true);
+    return this;
+  }
+
+  public void unsetBusy() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __BUSY_ISSET_ID);
+  }
+
+  /** Returns true if field busy is set (has been assigned a value) and false otherwise */
+  public boolean isSetBusy() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __BUSY_ISSET_ID);
+  }
+
+  public void setBusyIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __BUSY_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -221,6 +269,14 @@
       }
       break;
 
+    case BUSY:
+      if (value == null) {
+        unsetBusy();
+      } else {
+        setBusy((java.lang.Boolean)value);
+      }
+      break;
+
     }
   }
 
@@ -234,6 +290,9 @@
     case CONTENT:
       return getContent();
 
+    case BUSY:
+      return isBusy();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -250,6 +309,8 @@
       return isSetSender();
     case CONTENT:
       return isSetContent();
+    case BUSY:
+      return isSetBusy();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -285,6 +346,15 @@
         return false;
     }
 
+    boolean this_present_busy = true;
+    boolean that_present_busy = true;
+    if (this_present_busy || that_present_busy) {
+      if (!(this_present_busy && that_present_busy))
+        return false;
+      if (this.busy != that.busy)
+        return false;
+    }
+
     return true;
   }
 
@@ -300,6 +370,8 @@
     if (isSetContent())
       hashCode = hashCode * 8191 + content.hashCode();
 
+    hashCode = hashCode * 8191 + ((busy) ? 131071 : 524287);
+
     return hashCode;
   }
 
@@ -331,6 +403,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetBusy(), other.isSetBusy());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetBusy()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.busy, other.busy);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -372,6 +454,10 @@
       }
       first = false;
     }
+    if (!first) sb.append(", ");
+    sb.append("busy:");
+    sb.append(this.busy);
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -394,6 +480,8 @@
 
   private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
     try {
+      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+      __isset_bitfield = 0;
       read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
     } catch (org.apache.thrift.TException te) {
       throw new java.io.IOException(te);
@@ -437,6 +525,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 3: // BUSY
+            if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
+              struct.busy = iprot.readBool();
+              struct.setBusyIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -465,6 +561,9 @@
           oprot.writeFieldEnd();
         }
       }
+      oprot.writeFieldBegin(BUSY_FIELD_DESC);
+      oprot.writeBool(struct.busy);
+      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -490,19 +589,25 @@
       if (struct.isSetContent()) {
         optionals.set(1);
       }
-      oprot.writeBitSet(optionals, 2);
+      if (struct.isSetBusy()) {
+        optionals.set(2);
+      }
+      oprot.writeBitSet(optionals, 3);
       if (struct.isSetSender()) {
         struct.sender.write(oprot);
       }
       if (struct.isSetContent()) {
         oprot.writeBinary(struct.content);
       }
+      if (struct.isSetBusy()) {
+        oprot.writeBool(struct.busy);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, PieceReply struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(2);
+      java.util.BitSet incoming = iprot.readBitSet(3);
       if (incoming.get(0)) {
         struct.sender = new org.sequoiahill.protocol.gen.Sender();
         struct.sender.read(iprot);
@@ -512,6 +617,10 @@
         struct.content = iprot.readBinary();
         struct.setContentIsSet(true);
       }
+      if (incoming.get(2)) {
+        struct.busy = iprot.readBool();
+        struct.setBusyIsSet(true);
+      }
     }
   }
 
--- a/protocol/src/main/thrift/fleet.thrift
+++ b/protocol/src/main/thrift/fleet.thrift
@@ -157,6 +157,8 @@
   1: common.Sender sender
   /** Left out where the agent doesn't hold the piece. */
   2: optional binary content
+  /** Whether the agent has the piece, but others are served first; ask again. */
+  3: bool busy
 }
 
 service Fleet {
