--- a/daemon/src/main/java/org/sequoiahill/daemon/process/FleetAgent.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/FleetAgent.java
@@ -11,35 +11,26 @@
 import org.sequoiahill.daemon.process.control.ControlClient;
 import org.sequoiahill.daemon.process.control.ControlServer;
 import org.sequoiahill.daemon.process.control.Identity;
-import org.sequoiahill.daemon.process.control.ServiceStub;
 import org.sequoiahill.daemon.process.fleet.FleetView;
 import org.sequoiahill.daemon.process.fleet.StoreWatcher;
 import org.sequoiahill.daemon.process.settings.FleetSettings;
 import org.sequoiahill.daemon.process.time.MonotonicClock;
 import org.sequoiahill.daemon.version.staging.AgentState;
 import org.sequoiahill.daemon.version.staging.PieceFetcher;
-import org.sequoiahill.daemon.version.staging.PieceHandler;
 import org.sequoiahill.daemon.version.staging.PieceStore;
 import org.sequoiahill.daemon.version.staging.StagingAgent;
 import org.sequoiahill.daemon.version.staging.StagingEngine;
 import org.sequoiahill.daemon.version.staging.WeightsOrigin;
 import org.sequoiahill.protocol.gen.Participant;
-import org.sequoiahill.protocol.gen.Pieces;
 
 /** The role that keeps the engine on its VM at the newest version. */
 @Singleton
 final class FleetAgent implements FleetRoleParts {
     /** Part of the version bound after which a load waits for no other engine. */
-    private static final double LAST_CALL_PART = 0.79;
-
-    /** Part of the VM's link that pieces to other agents may take. */
-    private static final double PIECES_PART = 0.92;
-
-    private static final int BITS_PER_BYTE = 8;
+    private static final double LAST_CALL_PART = 0.74;
 
     private final FleetSettings mSettings;
     private final AgentState mState;
-    private final PieceHandler mPieces;
     private final StagingAgent mAgent;
     private volatile Runnable mAnnounce = () -> {};
 
@@ -57,13 +48,6 @@
         PieceStore store = new PieceStore();
         StagingEngine engine = adapter.engine(http, settings.engine().orElseThrow());
         WeightsOrigin origin = adapter.origin(http);
-        mPieces =
-                PieceHandler.of(
-                        identity,
-                        store,
-                        engine,
-                        clock,
-                        PIECES_PART * settings.linkBitsPerSecond() / BITS_PER_BYTE);
         ExecutorService workers =
                 Executors.newFixedThreadPool(
                         PieceFetcher.WORKERS, ProcessModule.daemonThreads("fetch"));
@@ -74,7 +58,14 @@
                                 engine,
                                 origin,
                                 store,
-                                PieceFetcher.of(identity, origin, store, client, workers),
+                                PieceFetcher.of(
+                                        identity,
+                                        settings.region(),
+                                        origin,
+                                        store,
+                                        engine,
+                                        client,
+                                        workers),
                                 mState,
                                 () -> mAnnounce.run(),
                                 settings.regions(),
@@ -101,7 +92,7 @@
 
     @Override
     public void register(ControlServer server) {
-        server.register(ServiceStub.PIECES, new Pieces.Processor<>(mPieces));
+        // Agents are not called by other daemons.
     }
 
     @Override
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/FleetEntry.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/FleetEntry.java
@@ -8,13 +8,16 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
+import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
+import org.sequoiahill.daemon.process.control.ControlClient;
 import org.sequoiahill.daemon.process.control.ControlServer;
 import org.sequoiahill.daemon.process.control.Identity;
+import org.sequoiahill.daemon.process.control.ServiceStub;
 import org.sequoiahill.daemon.process.fleet.FleetView;
 import org.sequoiahill.daemon.process.settings.FleetSettings;
 import org.sequoiahill.daemon.process.time.MonotonicClock;
@@ -24,7 +27,10 @@
 import org.sequoiahill.daemon.request.direct.DirectSettings;
 import org.sequoiahill.daemon.request.direct.Dispatcher;
 import org.sequoiahill.daemon.request.direct.RunningExchanges;
+import org.sequoiahill.daemon.version.staging.PieceRelay;
+import org.sequoiahill.daemon.version.staging.PieceStore;
 import org.sequoiahill.protocol.gen.Participant;
+import org.sequoiahill.protocol.gen.Pieces;
 
 /** The role that answers callers and sends straight to endpoints. */
 @Singleton
@@ -39,13 +45,17 @@
     private static final Duration END_MARGIN = Duration.ofMillis(700);
 
     /** Part of the version bound after which requests insist on the new version. */
-    private static final double VERSION_PART = 0.85;
+    private static final double VERSION_PART = 0.78;
+
+    /** Part of the version bound after which a request that waits at an old version is recalled. */
+    private static final double LAST_START_PART = 0.93;
 
     private final FleetSettings mSettings;
     private final FleetAdapter mAdapter;
     private final Identity mIdentity;
     private final FleetView mView;
     private final DrainHandler mDrain;
+    private final PieceRelay mPieces;
     private volatile boolean mIsLeaving;
 
     @Inject
@@ -55,6 +65,8 @@
             Identity identity,
             FleetView view,
             HttpForwarder forwarder,
+            HttpClient http,
+            ControlClient client,
             MonotonicClock clock,
             RandomGenerator random,
             ScheduledExecutorService scheduler,
@@ -67,11 +79,12 @@
         DirectSettings direct =
                 new DirectSettings(
                         settings.regions(),
-                        settings.regions().getOrDefault(settings.dataCentre(), ""),
+                        settings.region(),
                         bounds.repeatRatio(),
                         bounds.repeatWindow(),
                         bounds.repeatSlack(),
-                        Duration.ofMillis((long) (bounds.version().toMillis() * VERSION_PART)));
+                        partOf(bounds.version(), VERSION_PART),
+                        partOf(bounds.version(), LAST_START_PART));
         Dispatcher dispatcher = Dispatcher.of(view::picture, direct, clock, random, scheduler);
         RunningExchanges exchanges = RunningExchanges.on(scheduler);
         metrics.gauge("sequoia.entry.running", exchanges, RunningExchanges::size);
@@ -86,6 +99,14 @@
                         clock);
         mDrain = new DrainHandler(DirectHandler.of(services, view::picture, random));
         view.addListener(picture -> dispatcher.refresh());
+        mPieces =
+                PieceRelay.of(
+                        identity,
+                        view::picture,
+                        settings.regions(),
+                        adapter.origin(http),
+                        new PieceStore(),
+                        client);
     }
 
     @Override
@@ -102,7 +123,7 @@
 
     @Override
     public void register(ControlServer server) {
-        // Entries are not called by other daemons.
+        server.register(ServiceStub.PIECES, new Pieces.Processor<>(mPieces));
     }
 
     @Override
@@ -130,6 +151,10 @@
                 .join();
     }
 
+    private static Duration partOf(Duration time, double part) {
+        return Duration.ofMillis((long) (time.toMillis() * part));
+    }
+
     /** Says whether the entry takes callers. */
     private final class ReadyHandler extends Handler.Abstract.NonBlocking {
         @Override
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/settings/FleetSettings.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/settings/FleetSettings.java
@@ -24,7 +24,6 @@
  * @param dataFolder folder of a store's files
  * @param engine engine beside an agent
  * @param service service of that engine
- * @param linkBitsPerSecond rate of the VM's own link
  * @param bounds bounds that the whole fleet keeps
  * @param log level of the log
  */
@@ -44,7 +43,6 @@
         Optional<Path> dataFolder,
         Optional<HostPort> engine,
         String service,
-        double linkBitsPerSecond,
         FleetBounds bounds,
         String log) {
     /** Copies the collections. */
@@ -53,6 +51,11 @@
         seeds = List.copyOf(seeds);
     }
 
+    /** Returns the region of the VM. */
+    public String region() {
+        return regions.getOrDefault(dataCentre, dataCentre);
+    }
+
     /** What a daemon does. */
     public enum FleetRole {
         /** Answers callers. */
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/settings/FleetSettingsReader.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/settings/FleetSettingsReader.java
@@ -29,8 +29,6 @@
     private static final int MAX_LOST_STORES = 3;
     private static final long MAX_COUNT = 1_000_000;
 
-    private static final double MAX_MBPS = 1e6;
-    private static final double BITS_PER_MEGABIT = 1e6;
     private static final double MAX_SECONDS = 600;
     private static final double MILLIS_PER_SECOND = 1_000;
 
@@ -69,7 +67,6 @@
                         .map(Path::of),
                 address(reader, "engine"),
                 reader.string("service", OPTIONAL_NAME, ""),
-                reader.number("linkMbps", 0.1, MAX_MBPS, 1_000) * BITS_PER_MEGABIT,
                 reader.object("bounds", FleetSettingsReader::bounds),
                 reader.string("logLevel", LEVEL, "info"));
     }
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectExchange.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectExchange.java
@@ -454,9 +454,14 @@
             return;
         }
         Sending sending = mCurrent;
-        if (sending != null && isSilent(sending, now)) {
-            mReply.trace("silent");
+        if (sending == null) {
+            return;
+        }
+        if (isSilent(sending, now)) {
             lose(sending, "silent");
+        } else if (!sending.hasHead()
+                && mServices.dispatcher().isOutdated(this, sending.place().endpoint())) {
+            lose(sending, "outdated");
         }
     }
 
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectSettings.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectSettings.java
@@ -11,7 +11,8 @@
  * @param repeatRatio repeats of a service's requests that all entries together may add
  * @param repeatWindow time over which repeats are counted
  * @param repeatSlack repeats in a window that all entries together may add besides
- * @param versionBound time after which no request may begin on an older version
+ * @param versionBound age of a version from which requests insist on it
+ * @param lastStart age of a version from which requests that an older one hasn't begun are recalled
  */
 public record DirectSettings(
         Map<String, String> regionsByDataCentre,
@@ -19,7 +20,8 @@
         double repeatRatio,
         Duration repeatWindow,
         double repeatSlack,
-        Duration versionBound) {
+        Duration versionBound,
+        Duration lastStart) {
     /** Copies the map. */
     public DirectSettings {
         regionsByDataCentre = Map.copyOf(regionsByDataCentre);
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/Dispatcher.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/Dispatcher.java
@@ -93,6 +93,14 @@
         pump(ticket.service());
     }
 
+    /**
+     * Returns whether a request that an endpoint hasn't begun must not begin there any more, since
+     * the endpoint has an older version than the one that is due.
+     */
+    boolean isOutdated(Ticket ticket, EndpointInfo endpoint) {
+        return mPlacement.isOutdated(ticket, endpoint, mPicture.get(), mClock.now());
+    }
+
     /** Takes one repeat from the budget of a service. */
     boolean takeRepeat(String service) {
         synchronized (mLock) {
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/Placement.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/Placement.java
@@ -99,6 +99,19 @@
                 .orElse(0.0);
     }
 
+    /** Returns whether an endpoint has an older version than the one that is due by now. */
+    boolean isOutdated(Ticket ticket, EndpointInfo endpoint, FleetPicture picture, Duration now) {
+        Duration namedSince = picture.namedSince().get(ticket.model());
+        boolean isDue =
+                namedSince != null && namedSince.plus(mSettings.lastStart()).compareTo(now) <= 0;
+        return isDue
+                && !holds(
+                        endpoint,
+                        picture.agentsByEndpoint().get(endpoint.address().toString()),
+                        ticket.model(),
+                        OptionalLong.of(picture.state().version(ticket.model(), 0)));
+    }
+
     /** Returns how many entries share the endpoints. */
     static int entries(FleetPicture picture) {
         return Math.max(1, picture.participants(ParticipantRole.ENTRY).size());
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/staging/FleetPieces.java
@@ -0,0 +1,45 @@
+package org.sequoiahill.daemon.version.staging;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.sequoiahill.daemon.process.fleet.FleetPicture;
+import org.sequoiahill.daemon.process.fleet.RoutedService;
+import org.sequoiahill.daemon.process.settings.HostPort;
+import org.sequoiahill.protocol.gen.Participant;
+import org.sequoiahill.protocol.gen.ParticipantRole;
+
+/**
+ * Where pieces come from, as a picture of the fleet tells it.
+ *
+ * @param plan through which entries pieces go
+ * @param entries control addresses of entries, by name
+ * @param origin address of the origin, where the routing table names one
+ */
+record FleetPieces(PiecePlan plan, Map<String, HostPort> entries, Optional<HostPort> origin) {
+    /**
+     * Returns where pieces come from.
+     *
+     * @param regions region of each data centre
+     */
+    static FleetPieces of(FleetPicture picture, Map<String, String> regions) {
+        Map<String, String> regionOf = new HashMap<>();
+        Map<String, HostPort> addresses = new HashMap<>();
+        for (Participant entry : picture.participants(ParticipantRole.ENTRY)) {
+            String dataCentre = entry.getDataCentre();
+            regionOf.put(entry.getVm(), regions.getOrDefault(dataCentre, dataCentre));
+            addresses.put(entry.getVm(), HostPort.parse(entry.getControl()));
+        }
+        Optional<HostPort> origin =
+                picture.table()
+                        .flatMap(table -> table.weightsOrigin())
+                        .flatMap(RoutedService::origin);
+        return new FleetPieces(PiecePlan.over(regionOf), addresses, origin);
+    }
+
+    /** Returns the address of the entry that gives a piece to the agents of a region. */
+    Optional<HostPort> supplier(String region, int piece, int failures) {
+        return plan.supplier(region, piece, failures)
+                .flatMap(name -> Optional.ofNullable(entries.get(name)));
+    }
+}
--- a/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PieceFetcher.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PieceFetcher.java
@@ -4,207 +4,138 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import org.sequoiahill.daemon.process.control.ControlClient;
 import org.sequoiahill.daemon.process.control.Identity;
-import org.sequoiahill.daemon.process.control.ServiceStub;
 import org.sequoiahill.daemon.process.settings.HostPort;
-import org.sequoiahill.protocol.gen.PieceReply;
-import org.sequoiahill.protocol.gen.PieceRequest;
 import org.tinylog.Logger;
 
-/** Brings all pieces of a version into the store: its own from the origin, the rest from agents. */
+/** Brings all pieces of a version to the engine beside an agent, each as soon as it has come. */
 public final class PieceFetcher {
-    /** Pieces on their way at the same time from the origin. */
-    private static final int ORIGIN_WORKERS = 2;
-
-    /** Pieces asked of other agents at the same time; these pace what they send. */
-    private static final int PEER_WORKERS = 8;
-
-    /** Threads that one fetch needs. */
-    public static final int WORKERS = ORIGIN_WORKERS + PEER_WORKERS;
-
-    /** Wait at a peer for a piece that it is getting itself. */
-    private static final Duration PEER_WAIT = Duration.ofMillis(400);
+    /**
+     * Pieces on their way at the same time: enough to fill the VM's link, few enough that requests
+     * to the engine wait for two pieces at most.
+     */
+    public static final int WORKERS = 2;
 
     /** Pause before a piece that did not come is asked for again. */
-    private static final Duration RETRY_PAUSE = Duration.ofMillis(40);
+    private static final Duration RETRY_PAUSE = Duration.ofMillis(50);
 
-    /** Failures of one piece at its source after which the origin is asked. */
+    /** Failures of one piece at entries after which the origin is asked. */
     private static final int FAILURES_TO_ORIGIN = 3;
 
     /** Failures of all pieces after which the fetch begins anew with what is known then. */
-    private static final int MAX_FAILURES = 400;
+    private static final int MAX_FAILURES = 100;
 
-    private final Identity mIdentity;
+    private final String mRegion;
     private final WeightsOrigin mOrigin;
     private final PieceStore mStore;
-    private final ControlClient mClient;
+    private final PieceCalls mCalls;
+    private final StagingEngine mEngine;
     private final ExecutorService mWorkers;
 
     private PieceFetcher(
             Identity identity,
+            String region,
             WeightsOrigin origin,
             PieceStore store,
+            StagingEngine engine,
             ControlClient client,
             ExecutorService workers) {
-        mIdentity = identity;
+        mRegion = region;
         mOrigin = origin;
         mStore = store;
-        mClient = client;
+        mCalls = new PieceCalls(identity, client);
+        mEngine = engine;
         mWorkers = workers;
     }
 
     /**
      * Returns a fetcher.
      *
+     * @param region region of the agent
      * @param workers threads, at least {@link #WORKERS}
      */
     public static PieceFetcher of(
             Identity identity,
+            String region,
             WeightsOrigin origin,
             PieceStore store,
+            StagingEngine engine,
             ControlClient client,
             ExecutorService workers) {
-        return new PieceFetcher(identity, origin, store, client, workers);
+        return new PieceFetcher(identity, region, origin, store, engine, client, workers);
     }
 
-    /**
-     * Fetches what is missing.
-     *
-     * @param manifest pieces of the version
-     * @param origin address of the origin
-     * @param plan from whom each piece comes
-     * @param peers control addresses of agents, by name
-     * @return whether all pieces are here
-     */
-    boolean fetch(
-            PieceManifest manifest, HostPort origin, PiecePlan plan, Map<String, HostPort> peers)
-            throws InterruptedException {
-        PieceQueue own = PieceQueue.of(missing(manifest, plan.own()), MAX_FAILURES);
-        PieceQueue others = PieceQueue.of(missing(manifest, plan.others()), MAX_FAILURES);
+    /** Fetches and stages what is missing; returns whether all pieces are here. */
+    boolean fetch(PieceManifest manifest, FleetPieces from) throws InterruptedException {
+        PieceQueue missing = PieceQueue.of(missing(manifest), MAX_FAILURES);
         List<Future<?>> workers = new ArrayList<>();
-        for (int i = 0; i < ORIGIN_WORKERS; i++) {
-            workers.add(mWorkers.submit(() -> drain(own, piece -> draw(manifest, origin, piece))));
-        }
-        for (int i = 0; i < PEER_WORKERS; i++) {
+        for (int i = 0; i < WORKERS; i++) {
             int lane = i;
-            Fetch fetch =
-                    piece -> {
-                        int failures = others.failures(piece);
-                        if (failures >= FAILURES_TO_ORIGIN) {
-                            return draw(manifest, origin, piece);
-                        }
-                        return ask(manifest, source(plan, peers, piece, failures), piece, lane);
-                    };
-            workers.add(mWorkers.submit(() -> drain(others, fetch)));
+            workers.add(mWorkers.submit(() -> drain(missing, manifest, from, lane)));
         }
         for (Future<?> worker : workers) {
             join(worker);
         }
-        return missing(manifest, plan.own()).isEmpty()
-                && missing(manifest, plan.others()).isEmpty();
+        return missing(manifest).isEmpty();
     }
 
-    /** Fetches one piece. */
-    @FunctionalInterface
-    private interface Fetch {
-        /** Returns false where the source has the piece but serves others first. */
-        boolean run(int piece) throws IOException;
-    }
-
-    private static void drain(PieceQueue pieces, Fetch fetch) {
+    private void drain(PieceQueue pieces, PieceManifest manifest, FleetPieces from, int lane) {
         for (Integer piece = pieces.take(); piece != null; piece = pieces.take()) {
             try {
-                if (fetch.run(piece)) {
-                    pieces.came(piece);
-                } else {
-                    pieces.later(piece);
-                }
+                byte[] content = get(manifest, from, piece, pieces.failures(piece), lane);
+                mStore.add(manifest.model(), manifest.version(), piece, content);
+                mEngine.put(manifest.model(), piece, content);
+                pieces.came(piece);
             } catch (IOException e) {
-                if (pieces.failed(piece) == FAILURES_TO_ORIGIN) {
-                    Logger.info("piece {} did not come: {}", piece, e.toString());
-                }
-                try {
-                    TimeUnit.NANOSECONDS.sleep(RETRY_PAUSE.toNanos());
-                } catch (InterruptedException interrupted) {
-                    Thread.currentThread().interrupt();
-                    return;
-                }
+                int failures = pieces.failed(piece);
+                Logger.info("piece {} did not come, {} times: {}", piece, failures, e.toString());
+                pause();
             }
         }
     }
 
-    private static void join(Future<?> worker) throws InterruptedException {
-        try {
-            worker.get();
-        } catch (ExecutionException e) {
-            Logger.error(e, "a worker that fetches pieces failed");
+    private byte[] get(PieceManifest manifest, FleetPieces from, int piece, int failures, int lane)
+            throws IOException {
+        HostPort supplier = from.supplier(mRegion, piece, failures).orElse(null);
+        if (supplier != null && failures < FAILURES_TO_ORIGIN) {
+            return mCalls.ask(supplier, manifest, piece, lane);
         }
-    }
-
-    private List<Integer> missing(PieceManifest manifest, List<Integer> pieces) {
-        return pieces.stream()
-                .filter(piece -> !mStore.holds(manifest.model(), manifest.version(), piece))
-                .toList();
-    }
-
-    private boolean draw(PieceManifest manifest, HostPort origin, int piece) throws IOException {
+        HostPort origin = from.origin().orElseThrow(() -> new IOException("no origin is known"));
         byte[] content = mOrigin.piece(origin, manifest.model(), manifest.version(), piece);
-        return keep(manifest, piece, content, origin);
+        return manifest.checked(piece, content, origin);
     }
 
-    /** Returns the agent that the plan names, or after a failure any other one. */
-    private static HostPort source(
-            PiecePlan plan, Map<String, HostPort> peers, int piece, int failures)
-            throws IOException {
-        HostPort planned = plan.source(piece).map(peers::get).orElse(null);
-        List<HostPort> others = List.copyOf(peers.values());
-        if (failures == 0 && planned != null) {
-            return planned;
-        }
-        if (others.isEmpty()) {
-            throw new IOException("no other agent is known");
+    /** Returns the missing pieces; each agent begins at another one. */
+    private List<Integer> missing(PieceManifest manifest) {
+        List<Integer> missing = new ArrayList<>();
+        int start = Math.floorMod(mRegion.hashCode(), Math.max(1, manifest.pieces()));
+        for (int i = 0; i < manifest.pieces(); i++) {
+            int piece = (start + i) % manifest.pieces();
+            if (!mStore.holds(manifest.model(), manifest.version(), piece)) {
+                missing.add(piece);
+            }
         }
-        return others.get((piece + failures) % others.size());
+        return missing;
     }
 
-    private boolean ask(PieceManifest manifest, HostPort peer, int piece, int lane)
-            throws IOException {
-        PieceRequest request =
-                new PieceRequest(
-                        mIdentity.sender(),
-                        manifest.model(),
-                        manifest.version(),
-                        piece,
-                        (int) PEER_WAIT.toMillis());
+    private static void pause() {
         try {
-            PieceReply reply =
-                    mClient.call(peer, ServiceStub.PIECES, lane, client -> client.piece(request))
-                            .join();
-            if (reply.isBusy()) {
-                return false;
-            }
-            if (!reply.isSetContent()) {
-                throw new IOException("the agent does not have the piece yet");
-            }
-            return keep(manifest, piece, reply.getContent(), peer);
-        } catch (CompletionException e) {
-            throw new IOException("the agent at " + peer + " did not answer", e);
+            TimeUnit.NANOSECONDS.sleep(RETRY_PAUSE.toNanos());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         }
     }
 
-    private boolean keep(PieceManifest manifest, int piece, byte[] content, HostPort source)
-            throws IOException {
-        if (!manifest.matches(piece, content)) {
-            throw new IOException("the piece from " + source + " is damaged");
+    private static void join(Future<?> worker) throws InterruptedException {
+        try {
+            worker.get();
+        } catch (ExecutionException e) {
+            Logger.error(e, "a worker that fetches pieces failed");
         }
-        mStore.add(manifest.model(), manifest.version(), piece, content);
-        return true;
     }
 }
--- a/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PieceManifest.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PieceManifest.java
@@ -1,10 +1,12 @@
 package org.sequoiahill.daemon.version.staging;
 
+import java.io.IOException;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Locale;
+import org.sequoiahill.daemon.process.settings.HostPort;
 
 /**
  * The pieces of one version of a model's weights.
@@ -24,6 +26,18 @@
         return digests.size();
     }
 
+    /**
+     * Returns the bytes of a piece.
+     *
+     * @throws IOException where they are not as the publisher made them
+     */
+    byte[] checked(int piece, byte[] content, HostPort source) throws IOException {
+        if (!matches(piece, content)) {
+            throw new IOException("piece " + piece + " from " + source + " is damaged");
+        }
+        return content;
+    }
+
     /** Returns whether bytes are a piece of this version. */
     public boolean matches(int piece, byte[] content) {
         try {
--- a/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PiecePlan.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PiecePlan.java
@@ -7,107 +7,63 @@
 import java.util.TreeMap;
 
 /**
- * From whom each agent gets which piece.
+ * Through which entries the pieces of a version reach the agents.
  *
- * <p>Where agents already hold the version, as when endpoints are added, the pieces come from those
- * of the region in turn. Otherwise the pieces go round all agents that want the version, so that
- * the origin sends each once; in each other region one agent gets a piece from the agent that drew
- * it, and the rest of the region from that one, so that a piece crosses between two regions once.
- * All agents send about as much as they receive.
+ * <p>Links of endpoint VMs are narrow and carry answers, those of entry VMs are wide. So the pieces
+ * go round all entries, each of which draws its part from the origin; in each other region one
+ * entry gets a piece from the one that drew it, and the agents of a region get it from there. A
+ * piece leaves the origin once and crosses between two regions once, and an agent's link carries
+ * nothing but its own copy.
  */
 final class PiecePlan {
-    private final String mSelf;
-    private final int mPieces;
-    private final List<String> mAgents;
+    private final List<String> mEntries;
     private final Map<String, String> mRegions;
-    private final List<String> mHolders;
-    private final Map<String, List<String>> mAgentsByRegion = new TreeMap<>();
+    private final Map<String, List<String>> mEntriesByRegion = new TreeMap<>();
 
-    private PiecePlan(
-            String self, Map<String, String> regions, Map<String, String> holders, int pieces) {
-        mSelf = self;
+    private PiecePlan(Map<String, String> regions) {
         mRegions = Map.copyOf(regions);
-        mPieces = pieces;
-        mAgents = regions.keySet().stream().sorted().toList();
-        mHolders = nearest(holders, regionOf(self));
-        for (String agent : mAgents) {
-            mAgentsByRegion
-                    .computeIfAbsent(regionOf(agent), region -> new ArrayList<>())
-                    .add(agent);
+        mEntries = regions.keySet().stream().sorted().toList();
+        for (String entry : mEntries) {
+            mEntriesByRegion
+                    .computeIfAbsent(regionOf(entry), region -> new ArrayList<>())
+                    .add(entry);
         }
     }
 
     /**
      * Returns a plan.
      *
-     * @param self name of this agent, which wants the version
-     * @param regions region of each agent that wants the version, this one among them
-     * @param holders region of each agent whose engine has loaded the version
-     * @param pieces number of pieces
+     * @param regions region of each entry
      */
-    static PiecePlan of(
-            String self, Map<String, String> regions, Map<String, String> holders, int pieces) {
-        if (!regions.containsKey(self)) {
-            throw new IllegalArgumentException(self + " wants the version and is in no region");
-        }
-        return new PiecePlan(self, regions, holders, pieces);
-    }
-
-    /** Returns the agent that this one gets a piece from, or nothing for the origin. */
-    Optional<String> source(int piece) {
-        if (!mHolders.isEmpty()) {
-            return Optional.of(mHolders.get(piece % mHolders.size()));
-        }
-        String drawer = mAgents.get(piece % mAgents.size());
-        if (drawer.equals(mSelf)) {
-            return Optional.empty();
-        }
-        String region = regionOf(mSelf);
-        if (regionOf(drawer).equals(region)) {
-            return Optional.of(drawer);
-        }
-        List<String> near = mAgentsByRegion.getOrDefault(region, List.of());
-        String receiver = near.get(piece % near.size());
-        return Optional.of(receiver.equals(mSelf) ? drawer : receiver);
+    static PiecePlan over(Map<String, String> regions) {
+        return new PiecePlan(regions);
     }
 
-    /** Returns the pieces that this agent draws from the origin. */
-    List<Integer> own() {
-        return pieces(true);
+    /** Returns the entry that draws a piece from the origin. */
+    Optional<String> drawer(int piece) {
+        return mEntries.isEmpty()
+                ? Optional.empty()
+                : Optional.of(mEntries.get(piece % mEntries.size()));
     }
 
     /**
-     * Returns the pieces that come from other agents; each agent begins at another piece, so that
-     * nobody is asked by all at once.
+     * Returns the entry that gives a piece to the agents of a region.
+     *
+     * @param failures how often the piece did not come; another entry is named after each
      */
-    List<Integer> others() {
-        return pieces(false);
-    }
-
-    private List<Integer> pieces(boolean isOwn) {
-        List<Integer> pieces = new ArrayList<>();
-        int start = mAgents.indexOf(mSelf) + 1;
-        for (int i = 0; i < mPieces; i++) {
-            int piece = (start + i) % mPieces;
-            if (source(piece).isEmpty() == isOwn) {
-                pieces.add(piece);
-            }
+    Optional<String> supplier(String region, int piece, int failures) {
+        List<String> near = mEntriesByRegion.getOrDefault(region, mEntries);
+        if (near.isEmpty()) {
+            return Optional.empty();
         }
-        return pieces;
-    }
-
-    /** Returns the holders of a region, or all where it has none. */
-    private static List<String> nearest(Map<String, String> holders, String region) {
-        List<String> near =
-                holders.entrySet().stream()
-                        .filter(entry -> entry.getValue().equals(region))
-                        .map(Map.Entry::getKey)
-                        .sorted()
-                        .toList();
-        return near.isEmpty() ? holders.keySet().stream().sorted().toList() : near;
+        Optional<String> drawer = drawer(piece);
+        if (failures == 0 && drawer.filter(near::contains).isPresent()) {
+            return drawer;
+        }
+        return Optional.of(near.get((piece + failures) % near.size()));
     }
 
-    private String regionOf(String agent) {
-        return mRegions.getOrDefault(agent, "");
+    private String regionOf(String entry) {
+        return mRegions.getOrDefault(entry, "");
     }
 }
--- a/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PieceQueue.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PieceQueue.java
@@ -53,12 +53,6 @@
         notifyAll();
     }
 
-    /** Puts a piece back that can come from its source later. */
-    synchronized void later(int piece) {
-        mWaiting.addLast(piece);
-        notifyAll();
-    }
-
     /** Notes that a piece did not come; returns how often that was so. */
     synchronized int failed(int piece) {
         mAllFailures++;
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PieceRelay.java
@@ -0,0 +1,144 @@
+package org.sequoiahill.daemon.version.staging;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Supplier;
+import org.sequoiahill.daemon.process.control.ControlClient;
+import org.sequoiahill.daemon.process.control.Identity;
+import org.sequoiahill.daemon.process.fleet.FleetPicture;
+import org.sequoiahill.daemon.process.settings.HostPort;
+import org.sequoiahill.protocol.gen.PieceReply;
+import org.sequoiahill.protocol.gen.PieceRequest;
+import org.sequoiahill.protocol.gen.Pieces;
+import org.tinylog.Logger;
+
+/**
+ * Gives pieces to the agents of an entry's region and to entries elsewhere.
+ *
+ * <p>A piece that is asked for is fetched once, from the entry that draws it or from the origin,
+ * checked, and kept for the next who asks.
+ */
+public final class PieceRelay implements Pieces.Iface {
+    /** Connections to another entry that are used in turn. */
+    private static final int LANES = 4;
+
+    private final Identity mIdentity;
+    private final Supplier<FleetPicture> mPicture;
+    private final Map<String, String> mRegions;
+    private final WeightsOrigin mOrigin;
+    private final PieceStore mStore;
+    private final PieceCalls mCalls;
+    private final Map<Version, PieceManifest> mManifests = new ConcurrentHashMap<>();
+    private final Map<Piece, CompletableFuture<byte[]>> mComing = new ConcurrentHashMap<>();
+
+    private PieceRelay(
+            Identity identity,
+            Supplier<FleetPicture> picture,
+            Map<String, String> regions,
+            WeightsOrigin origin,
+            PieceStore store,
+            ControlClient client) {
+        mIdentity = identity;
+        mPicture = picture;
+        mRegions = Map.copyOf(regions);
+        mOrigin = origin;
+        mStore = store;
+        mCalls = new PieceCalls(identity, client);
+    }
+
+    /**
+     * Returns the relay of one entry.
+     *
+     * @param regions region of each data centre
+     */
+    public static PieceRelay of(
+            Identity identity,
+            Supplier<FleetPicture> picture,
+            Map<String, String> regions,
+            WeightsOrigin origin,
+            PieceStore store,
+            ControlClient client) {
+        return new PieceRelay(identity, picture, regions, origin, store, client);
+    }
+
+    private record Version(String model, long version) {}
+
+    private record Piece(Version version, int number) {}
+
+    @Override
+    public PieceReply piece(PieceRequest request) {
+        PieceReply reply = new PieceReply().setSender(mIdentity.sender());
+        Piece piece =
+                new Piece(
+                        new Version(request.getModel(), request.getVersion()), request.getPiece());
+        try {
+            reply.setContent(get(piece));
+        } catch (IOException | CompletionException e) {
+            Logger.info("piece {} can't be given: {}", piece, e.toString());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        return reply;
+    }
+
+    private byte[] get(Piece piece) throws IOException, InterruptedException {
+        Version version = piece.version();
+        Optional<byte[]> held =
+                mStore.piece(version.model(), version.version(), piece.number(), Duration.ZERO);
+        if (held.isPresent()) {
+            return held.get();
+        }
+        CompletableFuture<byte[]> mine = new CompletableFuture<>();
+        CompletableFuture<byte[]> other = mComing.putIfAbsent(piece, mine);
+        if (other != null) {
+            return other.join();
+        }
+        try {
+            byte[] content = fetch(piece);
+            mStore.add(version.model(), version.version(), piece.number(), content);
+            mine.complete(content);
+            return content;
+        } catch (IOException | RuntimeException e) {
+            mine.completeExceptionally(e);
+            throw e;
+        } finally {
+            mComing.remove(piece);
+        }
+    }
+
+    private byte[] fetch(Piece piece) throws IOException {
+        FleetPieces from = FleetPieces.of(mPicture.get(), mRegions);
+        HostPort origin = from.origin().orElseThrow(() -> new IOException("no origin is known"));
+        PieceManifest manifest = manifest(piece.version(), origin);
+        int number = piece.number();
+        if (number < 0 || number >= manifest.pieces()) {
+            throw new IOException("the version has no piece " + number);
+        }
+        Optional<String> drawer =
+                from.plan().drawer(number).filter(name -> !name.equals(mIdentity.vm()));
+        if (drawer.isPresent() && from.entries().containsKey(drawer.get())) {
+            HostPort peer = from.entries().get(drawer.get());
+            try {
+                return mCalls.ask(peer, manifest, number, number % LANES);
+            } catch (IOException e) {
+                Logger.info("piece {} is drawn here instead: {}", number, e.toString());
+            }
+        }
+        byte[] content = mOrigin.piece(origin, manifest.model(), manifest.version(), number);
+        return manifest.checked(number, content, origin);
+    }
+
+    private PieceManifest manifest(Version version, HostPort origin) throws IOException {
+        PieceManifest known = mManifests.get(version);
+        if (known == null) {
+            known = mOrigin.manifest(origin, version.model(), version.version());
+            mManifests.put(version, known);
+        }
+        return known;
+    }
+}
--- a/daemon/src/main/java/org/sequoiahill/daemon/version/staging/StagingAgent.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/staging/StagingAgent.java
@@ -44,7 +44,6 @@
     private final Condition mWoken = mLock.newCondition();
     private boolean mIsWoken;
     private Optional<PieceManifest> mManifest = Optional.empty();
-    private Optional<PieceManifest> mStaged = Optional.empty();
     private boolean mIsEngineLost;
 
     private StagingAgent(Services services, String service, Duration lastCall) {
@@ -134,10 +133,6 @@
                 picture.table()
                         .flatMap(table -> table.service(mService))
                         .flatMap(RoutedService::engine);
-        Optional<HostPort> origin =
-                picture.table()
-                        .flatMap(table -> table.weightsOrigin())
-                        .flatMap(RoutedService::origin);
         if (profile.isEmpty()) {
             return true;
         }
@@ -149,19 +144,15 @@
         if (held >= target || report.isBusy()) {
             return !report.isBusy();
         }
-        if (origin.isEmpty()) {
+        FleetPieces from = FleetPieces.of(picture, mServices.regions());
+        if (from.origin().isEmpty()) {
             return true;
         }
-        PieceManifest manifest = manifest(origin.get(), model, target);
-        PiecePlan plan = plan(picture, target, manifest.pieces());
-        if (!mServices.fetcher().fetch(manifest, origin.get(), plan, peers(picture))) {
+        PieceManifest manifest = manifest(from.origin().get(), model, target);
+        if (!mServices.fetcher().fetch(manifest, from)) {
             Logger.warn("version {} of {} is not here whole yet", target, model);
             return false;
         }
-        if (!mStaged.equals(Optional.of(manifest))) {
-            stage(manifest);
-            mStaged = Optional.of(manifest);
-        }
         if (held > 0 && !isTurn(model, target)) {
             return false;
         }
@@ -259,37 +250,9 @@
         }
     }
 
-    private PiecePlan plan(FleetPicture picture, long target, int pieces) {
-        Map<String, String> wanting = new HashMap<>();
-        Map<String, String> holders = new HashMap<>();
-        for (Participant agent : peersOf(picture)) {
-            boolean isHolder =
-                    agent.getVersions().values().stream().anyMatch(held -> held == target);
-            (isHolder ? holders : wanting).put(agent.getVm(), regionOf(agent));
-        }
-        wanting.put(self(), regionOf(mServices.state().participant()));
-        return PiecePlan.of(self(), wanting, holders, pieces);
-    }
-
-    private String regionOf(Participant agent) {
-        return mServices.regions().getOrDefault(agent.getDataCentre(), agent.getDataCentre());
-    }
-
-    private String self() {
-        return mServices.state().participant().getVm();
-    }
-
-    private Map<String, HostPort> peers(FleetPicture picture) {
-        Map<String, HostPort> peers = new HashMap<>();
-        for (Participant agent : peersOf(picture)) {
-            peers.put(agent.getVm(), HostPort.parse(agent.getControl()));
-        }
-        return peers;
-    }
-
     /** Returns the other agents whose engines are registered. */
     private Iterable<Participant> peersOf(FleetPicture picture) {
-        String self = self();
+        String self = mServices.state().participant().getVm();
         Set<String> registered =
                 picture.endpoints(mService).stream()
                         .filter(EndpointInfo::isReady)
--- a/protocol/src/main/java/org/sequoiahill/protocol/gen/PieceReply.java
+++ b/protocol/src/main/java/org/sequoiahill/protocol/gen/PieceReply.java
@@ -12,26 +12,20 @@
 
   private static final org.apache.thrift.protocol.TField SENDER_FIELD_DESC = new org.apache.thrift.protocol.TField("sender", org.apache.thrift.protocol.TType.STRUCT, (short)1);
   private static final org.apache.thrift.protocol.TField CONTENT_FIELD_DESC = new org.apache.thrift.protocol.TField("content", org.apache.thrift.protocol.TType.STRING, (short)2);
-  private static final org.apache.thrift.protocol.TField BUSY_FIELD_DESC = new org.apache.thrift.protocol.TField("busy", org.apache.thrift.protocol.TType.BOOL, (short)3);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new PieceReplyStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new PieceReplyTupleSchemeFactory();
 
   private @org.apache.thrift.annotation.Nullable org.sequoiahill.protocol.gen.Sender sender; // required
   private @org.apache.thrift.annotation.Nullable java.nio.ByteBuffer content; // optional
-  private boolean busy; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     SENDER((short)1, "sender"),
     /**
-     * Left out where the agent doesn't hold the piece.
+     * Left out where the piece can't be had.
      */
-    CONTENT((short)2, "content"),
-    /**
-     * Whether the agent has the piece, but others are served first; ask again.
-     */
-    BUSY((short)3, "busy");
+    CONTENT((short)2, "content");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -51,8 +45,6 @@
           return SENDER;
         case 2: // CONTENT
           return CONTENT;
-        case 3: // BUSY
-          return BUSY;
         default:
           return null;
       }
@@ -96,8 +88,6 @@
   }
 
   // isset id assignments
-  private static final int __BUSY_ISSET_ID = 0;
-  private byte __isset_bitfield = 0;
   private static final _Fields optionals[] = {_Fields.CONTENT};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
@@ -106,8 +96,6 @@
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, org.sequoiahill.protocol.gen.Sender.class)));
     tmpMap.put(_Fields.CONTENT, new org.apache.thrift.meta_data.FieldMetaData("content", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING        , true)));
-    tmpMap.put(_Fields.BUSY, new org.apache.thrift.meta_data.FieldMetaData("busy", org.apache.thrift.TFieldRequirementType.DEFAULT, 
-        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(PieceReply.class, metaDataMap);
   }
@@ -116,27 +104,22 @@
   }
 
   public PieceReply(
-    org.sequoiahill.protocol.gen.Sender sender,
-    boolean busy)
+    org.sequoiahill.protocol.gen.Sender sender)
   {
     this();
     this.sender = sender;
-    this.busy = busy;
-    setBusyIsSet(true);
   }
 
   /**
    * Performs a deep copy on <i>other</i>.
    */
   public PieceReply(PieceReply other) {
-    __isset_bitfield = other.__isset_bitfield;
     if (other.isSetSender()) {
       this.sender = new org.sequoiahill.protocol.gen.Sender(other.sender);
     }
     if (other.isSetContent()) {
       this.content = org.apache.thrift.TBaseHelper.copyBinary(other.content);
     }
-    this.busy = other.busy;
   }
 
   @Override
@@ -148,8 +131,6 @@
   public void clear() {
     this.sender = null;
     this.content = null;
-    setBusyIsSet(false);
-    this.busy = false;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -178,7 +159,7 @@
   }
 
   /**
-   * Left out where the agent doesn't hold the piece.
+   * Left out where the piece can't be had.
    */
   public byte[] getContent() {
     setContent(org.apache.thrift.TBaseHelper.rightSize(content));
@@ -190,7 +171,7 @@
   }
 
   /**
-   * Left out where the agent doesn't hold the piece.
+   * Left out where the piece can't be had.
    */
   public PieceReply setContent(byte[] content) {
     this.content = content == null ? (java.nio.ByteBuffer)null   : java.nio.ByteBuffer.wrap(content.clone());
@@ -217,35 +198,6 @@
     }
   }
 
-  /**
-   * Whether the agent has the piece, but others are served first; ask again.
-   */
-  public boolean isBusy() {
-    return this.busy;
-  }
-
-  /**
-   * Whether the agent has the piece, but others are served first; ask again.
-   */
-  public PieceReply setBusy(boolean busy) {
-    this.busy = busy;
-    setBusyIsSet(true);
-    return this;
-  }
-
-  public void unsetBusy() {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __BUSY_ISSET_ID);
-  }
-
-  /** Returns true if field busy is set (has been assigned a value) and false otherwise */
-  public boolean isSetBusy() {
-    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __BUSY_ISSET_ID);
-  }
-
-  public void setBusyIsSet(boolean value) {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __BUSY_ISSET_ID, value);
-  }
-
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -269,14 +221,6 @@
       }
       break;
 
-    case BUSY:
-      if (value == null) {
-        unsetBusy();
-      } else {
-        setBusy((java.lang.Boolean)value);
-      }
-      break;
-
     }
   }
 
@@ -290,9 +234,6 @@
     case CONTENT:
       return getContent();
 
-    case BUSY:
-      return isBusy();
-
     }
     throw new java.lang.IllegalStateException();
   }
@@ -309,8 +250,6 @@
       return isSetSender();
     case CONTENT:
       return isSetContent();
-    case BUSY:
-      return isSetBusy();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -346,15 +285,6 @@
         return false;
     }
 
-    boolean this_present_busy = true;
-    boolean that_present_busy = true;
-    if (this_present_busy || that_present_busy) {
-      if (!(this_present_busy && that_present_busy))
-        return false;
-      if (this.busy != that.busy)
-        return false;
-    }
-
     return true;
   }
 
@@ -370,8 +300,6 @@
     if (isSetContent())
       hashCode = hashCode * 8191 + content.hashCode();
 
-    hashCode = hashCode * 8191 + ((busy) ? 131071 : 524287);
-
     return hashCode;
   }
 
@@ -403,16 +331,6 @@
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetBusy(), other.isSetBusy());
-    if (lastComparison != 0) {
-      return lastComparison;
-    }
-    if (isSetBusy()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.busy, other.busy);
-      if (lastComparison != 0) {
-        return lastComparison;
-      }
-    }
     return 0;
   }
 
@@ -454,10 +372,6 @@
       }
       first = false;
     }
-    if (!first) sb.append(", ");
-    sb.append("busy:");
-    sb.append(this.busy);
-    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -480,8 +394,6 @@
 
   private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
     try {
-      // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
-      __isset_bitfield = 0;
       read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
     } catch (org.apache.thrift.TException te) {
       throw new java.io.IOException(te);
@@ -525,14 +437,6 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 3: // BUSY
-            if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
-              struct.busy = iprot.readBool();
-              struct.setBusyIsSet(true);
-            } else { 
-              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-            }
-            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -561,9 +465,6 @@
           oprot.writeFieldEnd();
         }
       }
-      oprot.writeFieldBegin(BUSY_FIELD_DESC);
-      oprot.writeBool(struct.busy);
-      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -589,25 +490,19 @@
       if (struct.isSetContent()) {
         optionals.set(1);
       }
-      if (struct.isSetBusy()) {
-        optionals.set(2);
-      }
-      oprot.writeBitSet(optionals, 3);
+      oprot.writeBitSet(optionals, 2);
       if (struct.isSetSender()) {
         struct.sender.write(oprot);
       }
       if (struct.isSetContent()) {
         oprot.writeBinary(struct.content);
       }
-      if (struct.isSetBusy()) {
-        oprot.writeBool(struct.busy);
-      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, PieceReply struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(3);
+      java.util.BitSet incoming = iprot.readBitSet(2);
       if (incoming.get(0)) {
         struct.sender = new org.sequoiahill.protocol.gen.Sender();
         struct.sender.read(iprot);
@@ -617,10 +512,6 @@
         struct.content = iprot.readBinary();
         struct.setContentIsSet(true);
       }
-      if (incoming.get(2)) {
-        struct.busy = iprot.readBool();
-        struct.setBusyIsSet(true);
-      }
     }
   }
 
--- a/protocol/src/main/java/org/sequoiahill/protocol/gen/PieceRequest.java
+++ b/protocol/src/main/java/org/sequoiahill/protocol/gen/PieceRequest.java
@@ -14,7 +14,6 @@
   private static final org.apache.thrift.protocol.TField MODEL_FIELD_DESC = new org.apache.thrift.protocol.TField("model", org.apache.thrift.protocol.TType.STRING, (short)2);
   private static final org.apache.thrift.protocol.TField VERSION_FIELD_DESC = new org.apache.thrift.protocol.TField("version", org.apache.thrift.protocol.TType.I64, (short)3);
   private static final org.apache.thrift.protocol.TField PIECE_FIELD_DESC = new org.apache.thrift.protocol.TField("piece", org.apache.thrift.protocol.TType.I32, (short)4);
-  private static final org.apache.thrift.protocol.TField WAIT_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("waitMillis", org.apache.thrift.protocol.TType.I32, (short)5);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new PieceRequestStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new PieceRequestTupleSchemeFactory();
@@ -23,15 +22,13 @@
   private @org.apache.thrift.annotation.Nullable java.lang.String model; // required
   private long version; // required
   private int piece; // required
-  private int waitMillis; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     SENDER((short)1, "sender"),
     MODEL((short)2, "model"),
     VERSION((short)3, "version"),
-    PIECE((short)4, "piece"),
-    WAIT_MILLIS((short)5, "waitMillis");
+    PIECE((short)4, "piece");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -55,8 +52,6 @@
           return VERSION;
         case 4: // PIECE
           return PIECE;
-        case 5: // WAIT_MILLIS
-          return WAIT_MILLIS;
         default:
           return null;
       }
@@ -102,7 +97,6 @@
   // isset id assignments
   private static final int __VERSION_ISSET_ID = 0;
   private static final int __PIECE_ISSET_ID = 1;
-  private static final int __WAITMILLIS_ISSET_ID = 2;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
@@ -115,8 +109,6 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.PIECE, new org.apache.thrift.meta_data.FieldMetaData("piece", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
-    tmpMap.put(_Fields.WAIT_MILLIS, new org.apache.thrift.meta_data.FieldMetaData("waitMillis", org.apache.thrift.TFieldRequirementType.DEFAULT, 
-        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(PieceRequest.class, metaDataMap);
   }
@@ -128,8 +120,7 @@
     org.sequoiahill.protocol.gen.Sender sender,
     java.lang.String model,
     long version,
-    int piece,
-    int waitMillis)
+    int piece)
   {
     this();
     this.sender = sender;
@@ -138,8 +129,6 @@
     setVersionIsSet(true);
     this.piece = piece;
     setPieceIsSet(true);
-    this.waitMillis = waitMillis;
-    setWaitMillisIsSet(true);
   }
 
   /**
@@ -155,7 +144,6 @@
     }
     this.version = other.version;
     this.piece = other.piece;
-    this.waitMillis = other.waitMillis;
   }
 
   @Override
@@ -171,8 +159,6 @@
     this.version = 0;
     setPieceIsSet(false);
     this.piece = 0;
-    setWaitMillisIsSet(false);
-    this.waitMillis = 0;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -271,29 +257,6 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __PIECE_ISSET_ID, value);
   }
 
-  public int getWaitMillis() {
-    return this.waitMillis;
-  }
-
-  public PieceRequest setWaitMillis(int waitMillis) {
-    this.waitMillis = waitMillis;
-    setWaitMillisIsSet(true);
-    return this;
-  }
-
-  public void unsetWaitMillis() {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __WAITMILLIS_ISSET_ID);
-  }
-
-  /** Returns true if field waitMillis is set (has been assigned a value) and false otherwise */
-  public boolean isSetWaitMillis() {
-    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __WAITMILLIS_ISSET_ID);
-  }
-
-  public void setWaitMillisIsSet(boolean value) {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __WAITMILLIS_ISSET_ID, value);
-  }
-
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -329,14 +292,6 @@
       }
       break;
 
-    case WAIT_MILLIS:
-      if (value == null) {
-        unsetWaitMillis();
-      } else {
-        setWaitMillis((java.lang.Integer)value);
-      }
-      break;
-
     }
   }
 
@@ -356,9 +311,6 @@
     case PIECE:
       return getPiece();
 
-    case WAIT_MILLIS:
-      return getWaitMillis();
-
     }
     throw new java.lang.IllegalStateException();
   }
@@ -379,8 +331,6 @@
       return isSetVersion();
     case PIECE:
       return isSetPiece();
-    case WAIT_MILLIS:
-      return isSetWaitMillis();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -434,15 +384,6 @@
         return false;
     }
 
-    boolean this_present_waitMillis = true;
-    boolean that_present_waitMillis = true;
-    if (this_present_waitMillis || that_present_waitMillis) {
-      if (!(this_present_waitMillis && that_present_waitMillis))
-        return false;
-      if (this.waitMillis != that.waitMillis)
-        return false;
-    }
-
     return true;
   }
 
@@ -462,8 +403,6 @@
 
     hashCode = hashCode * 8191 + piece;
 
-    hashCode = hashCode * 8191 + waitMillis;
-
     return hashCode;
   }
 
@@ -515,16 +454,6 @@
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetWaitMillis(), other.isSetWaitMillis());
-    if (lastComparison != 0) {
-      return lastComparison;
-    }
-    if (isSetWaitMillis()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.waitMillis, other.waitMillis);
-      if (lastComparison != 0) {
-        return lastComparison;
-      }
-    }
     return 0;
   }
 
@@ -572,10 +501,6 @@
     sb.append("piece:");
     sb.append(this.piece);
     first = false;
-    if (!first) sb.append(", ");
-    sb.append("waitMillis:");
-    sb.append(this.waitMillis);
-    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -659,14 +584,6 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 5: // WAIT_MILLIS
-            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
-              struct.waitMillis = iprot.readI32();
-              struct.setWaitMillisIsSet(true);
-            } else { 
-              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-            }
-            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -699,9 +616,6 @@
       oprot.writeFieldBegin(PIECE_FIELD_DESC);
       oprot.writeI32(struct.piece);
       oprot.writeFieldEnd();
-      oprot.writeFieldBegin(WAIT_MILLIS_FIELD_DESC);
-      oprot.writeI32(struct.waitMillis);
-      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -733,10 +647,7 @@
       if (struct.isSetPiece()) {
         optionals.set(3);
       }
-      if (struct.isSetWaitMillis()) {
-        optionals.set(4);
-      }
-      oprot.writeBitSet(optionals, 5);
+      oprot.writeBitSet(optionals, 4);
       if (struct.isSetSender()) {
         struct.sender.write(oprot);
       }
@@ -749,15 +660,12 @@
       if (struct.isSetPiece()) {
         oprot.writeI32(struct.piece);
       }
-      if (struct.isSetWaitMillis()) {
-        oprot.writeI32(struct.waitMillis);
-      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, PieceRequest struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(5);
+      java.util.BitSet incoming = iprot.readBitSet(4);
       if (incoming.get(0)) {
         struct.sender = new org.sequoiahill.protocol.gen.Sender();
         struct.sender.read(iprot);
@@ -775,10 +683,6 @@
         struct.piece = iprot.readI32();
         struct.setPieceIsSet(true);
       }
-      if (incoming.get(4)) {
-        struct.waitMillis = iprot.readI32();
-        struct.setWaitMillisIsSet(true);
-      }
     }
   }
 
--- a/protocol/src/main/thrift/fleet.thrift
+++ b/protocol/src/main/thrift/fleet.thrift
@@ -150,15 +150,12 @@
   2: string model
   3: i64 version
   4: i32 piece
-  5: i32 waitMillis
 }
 
 struct PieceReply {
   1: common.Sender sender
-  /** Left out where the agent doesn't hold the piece. */
+  /** Left out where the piece can't be had. */
   2: optional binary content
-  /** Whether the agent has the piece, but others are served first; ask again. */
-  3: bool busy
 }
 
 service Fleet {
