Answer under the head of the endpoint that answers

Change: the head is reset before another one is taken. Entries draw their part of a new version at once.

--- a/daemon/src/main/java/org/sequoiahill/daemon/process/FleetEntry.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/FleetEntry.java
@@ -5,6 +5,8 @@
 import jakarta.inject.Singleton;
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
@@ -107,6 +109,9 @@
                         adapter.origin(http),
                         new PieceStore(),
                         client);
+        ExecutorService drawer =
+                Executors.newSingleThreadExecutor(ProcessModule.daemonThreads("draw"));
+        view.addListener(picture -> mPieces.drawAhead(picture, drawer));
     }
 
     @Override
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/CallerReply.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/CallerReply.java
@@ -76,13 +76,15 @@
 
     /** Answers with a whole answer of an endpoint. */
     void passOn(Response answer, byte[] body) {
-        HttpForwarder.copyHead(answer, mResponse);
+        takeHead(answer);
         end("answered", answer.getStatus());
         mResponse.write(true, ByteBuffer.wrap(body), mCallback);
     }
 
     /** Takes the head of a stream; it is sent with the first events. */
     void takeHead(Response answer) {
+        // An earlier endpoint may have broken off after its head, which was not sent.
+        mResponse.reset();
         HttpForwarder.copyHead(answer, mResponse);
     }
 
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectExchange.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectExchange.java
@@ -17,7 +17,6 @@
 import org.jspecify.annotations.Nullable;
 import org.sequoiahill.daemon.connection.BodyReader;
 import org.sequoiahill.daemon.process.fleet.Organisation;
-import org.sequoiahill.daemon.process.fleet.Route;
 import org.sequoiahill.daemon.request.HttpForwarder;
 import org.sequoiahill.daemon.request.Refusal;
 
@@ -34,9 +33,6 @@
     /** Bytes that a slow caller leaves unread before the endpoint's stream is read no further. */
     private static final int MAX_PENDING_BYTES = 256 << 10;
 
-    /** Silence after which a repeatable request is sent elsewhere. */
-    private static final Duration SILENCE = Duration.ofMillis(1_500);
-
     /** Least time left that makes another sending worth its while. */
     private static final Duration LEAST_TIME_LEFT = Duration.ofMillis(150);
 
@@ -466,16 +462,8 @@
     }
 
     private boolean isSilent(Sending sending, Duration now) {
-        Route route = mRequest.route();
-        boolean isStreaming = mIsHeadSent || sending.hasHead();
-        boolean canRepeat =
-                route.isRepeatable()
-                        && mRuns + 1 < route.maxAttempts()
-                        && mDeadline.minus(now).compareTo(SILENCE) > 0;
-        return canRepeat
-                && (isStreaming ? sending.heardAt() : sending.sentAt()).plus(SILENCE).compareTo(now)
-                        < 0
-                && !mIsPaused;
+        return !mIsPaused
+                && SilenceRule.isOver(mRequest.route(), mRuns, sending.heardAt(), mDeadline, now);
     }
 
     private void timeOut() {
--- a/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PieceRelay.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PieceRelay.java
@@ -4,9 +4,11 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executor;
 import java.util.function.Supplier;
 import org.sequoiahill.daemon.process.control.ControlClient;
 import org.sequoiahill.daemon.process.control.Identity;
@@ -35,6 +37,7 @@
     private final PieceCalls mCalls;
     private final Map<Version, PieceManifest> mManifests = new ConcurrentHashMap<>();
     private final Map<Piece, CompletableFuture<byte[]>> mComing = new ConcurrentHashMap<>();
+    private final Set<Version> mDrawn = ConcurrentHashMap.newKeySet();
 
     private PieceRelay(
             Identity identity,
@@ -70,6 +73,45 @@
 
     private record Piece(Version version, int number) {}
 
+    /**
+     * Draws this entry's part of each newly named version at once, so that the origin is needed for
+     * as short a time as its link allows.
+     *
+     * @param worker thread that draws
+     */
+    public void drawAhead(FleetPicture picture, Executor worker) {
+        picture.state()
+                .versions()
+                .forEach(
+                        (model, number) -> {
+                            Version version = new Version(model, number);
+                            if (mDrawn.add(version)) {
+                                worker.execute(() -> drawOwn(version));
+                            }
+                        });
+    }
+
+    private void drawOwn(Version version) {
+        try {
+            FleetPieces from = FleetPieces.of(mPicture.get(), mRegions);
+            if (from.origin().isEmpty()) {
+                mDrawn.remove(version);
+                return;
+            }
+            PieceManifest manifest = manifest(version, from.origin().get());
+            for (int number = 0; number < manifest.pieces(); number++) {
+                if (from.plan().drawer(number).equals(Optional.of(mIdentity.vm()))) {
+                    get(new Piece(version, number));
+                }
+            }
+        } catch (IOException | CompletionException e) {
+            // Agents ask for the rest, and each ask tries again.
+            Logger.info("{} can't be drawn ahead: {}", version, e.toString());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     @Override
     public PieceReply piece(PieceRequest request) {
         PieceReply reply = new PieceReply().setSender(mIdentity.sender());
