--- a/daemon/src/main/java/org/sequoiahill/daemon/process/FleetAgent.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/FleetAgent.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.server.Handler;
 import org.sequoiahill.daemon.process.control.ControlClient;
@@ -16,6 +17,7 @@
 import org.sequoiahill.daemon.process.settings.FleetSettings;
 import org.sequoiahill.daemon.process.time.MonotonicClock;
 import org.sequoiahill.daemon.version.staging.AgentState;
+import org.sequoiahill.daemon.version.staging.LoadTeller;
 import org.sequoiahill.daemon.version.staging.PieceFetcher;
 import org.sequoiahill.daemon.version.staging.PieceStore;
 import org.sequoiahill.daemon.version.staging.StagingAgent;
@@ -32,6 +34,7 @@
     private final FleetSettings mSettings;
     private final AgentState mState;
     private final StagingAgent mAgent;
+    private final LoadTeller mLoads;
     private volatile Runnable mAnnounce = () -> {};
 
     @Inject
@@ -42,11 +45,15 @@
             FleetView view,
             ControlClient client,
             HttpClient http,
-            MonotonicClock clock) {
+            MonotonicClock clock,
+            ScheduledExecutorService scheduler) {
         mSettings = settings;
         mState = AgentState.of(Participants.of(settings, identity));
         PieceStore store = new PieceStore();
         StagingEngine engine = adapter.engine(http, settings.engine().orElseThrow());
+        mLoads =
+                LoadTeller.of(
+                        engine, settings.engine().orElseThrow(), view::picture, client, scheduler);
         WeightsOrigin origin = adapter.origin(http);
         ExecutorService workers =
                 Executors.newFixedThreadPool(
@@ -56,7 +63,6 @@
                         new StagingAgent.Services(
                                 view::picture,
                                 engine,
-                                origin,
                                 store,
                                 PieceFetcher.of(
                                         identity,
@@ -104,6 +110,7 @@
     public void start() {
         Thread thread = ProcessModule.daemonThreads("agent").newThread(mAgent);
         thread.start();
+        mLoads.start();
     }
 
     @Override
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/FleetEntry.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/FleetEntry.java
@@ -28,9 +28,11 @@
 import org.sequoiahill.daemon.request.direct.DirectServices;
 import org.sequoiahill.daemon.request.direct.DirectSettings;
 import org.sequoiahill.daemon.request.direct.Dispatcher;
+import org.sequoiahill.daemon.request.direct.LoadHandler;
 import org.sequoiahill.daemon.request.direct.RunningExchanges;
 import org.sequoiahill.daemon.version.staging.PieceRelay;
 import org.sequoiahill.daemon.version.staging.PieceStore;
+import org.sequoiahill.protocol.gen.Loads;
 import org.sequoiahill.protocol.gen.Participant;
 import org.sequoiahill.protocol.gen.Pieces;
 
@@ -58,6 +60,7 @@
     private final FleetView mView;
     private final DrainHandler mDrain;
     private final PieceRelay mPieces;
+    private final LoadHandler mLoads;
     private volatile boolean mIsLeaving;
 
     @Inject
@@ -88,6 +91,7 @@
                         partOf(bounds.version(), VERSION_PART),
                         partOf(bounds.version(), LAST_START_PART));
         Dispatcher dispatcher = Dispatcher.of(view::picture, direct, clock, random, scheduler);
+        mLoads = LoadHandler.of(dispatcher);
         RunningExchanges exchanges = RunningExchanges.on(scheduler);
         metrics.gauge("sequoia.entry.running", exchanges, RunningExchanges::size);
         metrics.gauge("sequoia.entry.waiting", dispatcher, Dispatcher::waiting);
@@ -129,6 +133,7 @@
     @Override
     public void register(ControlServer server) {
         server.register(ServiceStub.PIECES, new Pieces.Processor<>(mPieces));
+        server.register(ServiceStub.LOADS, new Loads.Processor<>(mLoads));
     }
 
     @Override
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/control/ServiceStub.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/control/ServiceStub.java
@@ -7,6 +7,7 @@
 import org.sequoiahill.protocol.gen.Configuration;
 import org.sequoiahill.protocol.gen.Directory;
 import org.sequoiahill.protocol.gen.Fleet;
+import org.sequoiahill.protocol.gen.Loads;
 import org.sequoiahill.protocol.gen.Log;
 import org.sequoiahill.protocol.gen.Pieces;
 import org.sequoiahill.protocol.gen.Suspects;
@@ -55,4 +56,8 @@
     /** Pieces of weights that an agent holds. */
     public static final ServiceStub<Pieces.Client> PIECES =
             new ServiceStub<>("pieces", Pieces.Client::new);
+
+    /** Loads of engines. */
+    public static final ServiceStub<Loads.Client> LOADS =
+            new ServiceStub<>("loads", Loads.Client::new);
 }
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/log/GroupLog.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/log/GroupLog.java
@@ -174,7 +174,7 @@
 
     /**
      * Returns whether the applied state is at most a little behind: this store leads, or has heard
-     * its leader within the shortest election time.
+     * its leader within the longest election time and knows all that was committed before its term.
      */
     public boolean isCurrent() {
         GroupStatus status = mStatus;
@@ -182,7 +182,9 @@
             return isLeader();
         }
         Duration oldest = mClock.now().minus(mOptions.timing().electionMax());
-        return status.leader().isPresent() && status.leaderHeardAt().compareTo(oldest) > 0;
+        return status.isCaughtUp()
+                && status.leader().isPresent()
+                && status.leaderHeardAt().compareTo(oldest) > 0;
     }
 
     /** Returns the members as this store knows them. */
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/log/GroupStatus.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/log/GroupStatus.java
@@ -12,6 +12,8 @@
  * @param leaseUntil until when this store alone leads
  * @param members members as this store knows them
  * @param leaderHeardAt when a leader was last heard
+ * @param leaderHeardAt when a leader was last heard
+ * @param isCaughtUp whether all that was committed before the current term is known here
  */
 record GroupStatus(
         LogRole role,
@@ -19,7 +21,8 @@
         Optional<StoreId> leader,
         Optional<Duration> leaseUntil,
         Membership members,
-        Duration leaderHeardAt) {
+        Duration leaderHeardAt,
+        boolean isCaughtUp) {
     static GroupStatus of(LogCore core) {
         return new GroupStatus(
                 core.role(),
@@ -27,6 +30,7 @@
                 core.leader(),
                 core.leaseUntil(),
                 core.members(),
-                core.leaderHeardAt());
+                core.leaderHeardAt(),
+                core.isCaughtUp());
     }
 }
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/log/LogCore.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/log/LogCore.java
@@ -197,6 +197,15 @@
         return mLeaderHeardAt;
     }
 
+    /**
+     * Returns whether all that was committed before the current term is known here: the last known
+     * commit is of this term. A store that has just started may hear its leader and be far behind.
+     */
+    boolean isCaughtUp() {
+        EntryLog log = mState.log();
+        return !log.isBlank() && log.termAt(log.commitIndex()) == mState.term();
+    }
+
     /** Returns the storage of this store. */
     public StoreId self() {
         return mState.self();
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectExchange.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectExchange.java
@@ -39,9 +39,6 @@
     /** Time by which a sending outlives the exchange, so that the exchange ends first. */
     private static final Duration SENDING_SLACK = Duration.ofMillis(500);
 
-    /** Longest time that a repeat waits for a place. */
-    private static final Duration REPEAT_WAIT = Duration.ofMillis(400);
-
     private static final int MISDIRECTED = 421;
     private static final int SERVER_ERRORS = 500;
     private static final Set<Integer> STATUSES_OF_UNRUN = Set.of(408, 429, 503);
@@ -54,8 +51,7 @@
     private final EventOutput mOutput;
     private final EventSplitter mSplitter = new EventSplitter();
     private final Set<String> mTried = new HashSet<>();
-    private final Duration mArrivedAt;
-    private final Duration mDeadline;
+    private final RequestTimes mTimes;
     private @Nullable Sending mCurrent;
     private Duration mGiveUpAt;
     private OptionalLong mVersion = OptionalLong.empty();
@@ -76,12 +72,8 @@
         mCallerRequest = callerRequest;
         mReply = new CallerReply(services, request, response, callback, arrivedAt);
         mOutput = new EventOutput(response, mInvoker, this);
-        mArrivedAt = arrivedAt;
-        Duration timeout = request.route().timeout();
-        Duration patience = request.caller().patience().orElse(timeout);
-        mDeadline = arrivedAt.plus(patience.compareTo(timeout) < 0 ? patience : timeout);
-        Duration hopeless = arrivedAt.plus(request.route().answerTarget());
-        mGiveUpAt = hopeless.compareTo(mDeadline) < 0 ? hopeless : mDeadline;
+        mTimes = RequestTimes.of(arrivedAt, request.route(), request.caller().patience());
+        mGiveUpAt = mTimes.firstGiveUpAt(request.route().answerTarget());
     }
 
     /** Starts the exchange. */
@@ -120,6 +112,11 @@
         return mRequest.priority();
     }
 
+    @Override
+    public boolean isLate() {
+        return mTimes.isLate();
+    }
+
     @Override
     public Duration giveUpAt() {
         return mGiveUpAt;
@@ -175,13 +172,13 @@
             return;
         }
         if (mSendings == 0) {
-            mReply.queued(now.minus(mArrivedAt));
+            mReply.queued(now.minus(mTimes.arrivedAt()));
         }
         mSendings++;
         mTried.add(place.endpoint().id());
         Sending sending = new Sending(place, now, this);
         mCurrent = sending;
-        Duration timeLeft = mDeadline.minus(now);
+        Duration timeLeft = mTimes.deadline().minus(now);
         Dispatch dispatch =
                 new Dispatch(
                         place.endpoint().id(),
@@ -369,7 +366,7 @@
             mRuns++;
         }
         Duration now = mServices.clock().now();
-        boolean isTimeLeft = mDeadline.minus(now).compareTo(LEAST_TIME_LEFT) > 0;
+        boolean isTimeLeft = mTimes.deadline().minus(now).compareTo(LEAST_TIME_LEFT) > 0;
         RepeatRule.Decision decision =
                 RepeatRule.decide(cause, mRequest.route(), mSendings, mRuns, isTimeLeft);
         if (decision == RepeatRule.Decision.REPEAT_IN_BUDGET
@@ -379,8 +376,7 @@
         }
         switch (decision) {
             case REPEAT, REPEAT_IN_BUDGET -> {
-                Duration wait = now.plus(REPEAT_WAIT);
-                mGiveUpAt = wait.compareTo(mDeadline) < 0 ? wait : mDeadline;
+                mGiveUpAt = mTimes.repeatGiveUpAt(now);
                 mServices.dispatcher().submit(this);
             }
             case PASS_ON -> {
@@ -445,7 +441,7 @@
             return;
         }
         Duration now = mServices.clock().now();
-        if (now.compareTo(mDeadline) >= 0) {
+        if (now.compareTo(mTimes.deadline()) >= 0) {
             timeOut();
             return;
         }
@@ -463,7 +459,8 @@
 
     private boolean isSilent(Sending sending, Duration now) {
         return !mIsPaused
-                && SilenceRule.isOver(mRequest.route(), mRuns, sending.heardAt(), mDeadline, now);
+                && SilenceRule.isOver(
+                        mRequest.route(), mRuns, sending.heardAt(), mTimes.deadline(), now);
     }
 
     private void timeOut() {
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/Dispatcher.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/Dispatcher.java
@@ -16,6 +16,7 @@
 import java.util.random.RandomGenerator;
 import org.sequoiahill.daemon.process.endpoints.EndpointInfo;
 import org.sequoiahill.daemon.process.fleet.FleetPicture;
+import org.sequoiahill.daemon.process.settings.HostPort;
 import org.sequoiahill.daemon.process.time.MonotonicClock;
 
 /**
@@ -81,6 +82,7 @@
     private record Waiting(Ticket ticket, long arrival) {
         static final Comparator<Waiting> ORDER =
                 Comparator.comparingInt((Waiting waiting) -> waiting.ticket().priority())
+                        .thenComparing((Waiting waiting) -> waiting.ticket().isLate())
                         .thenComparingLong(Waiting::arrival);
     }
 
@@ -132,6 +134,22 @@
         services.forEach(this::pump);
     }
 
+    /** Takes the load of an endpoint as its agent tells it. */
+    void told(HostPort address, int running, int waiting) {
+        FleetPicture picture = mPicture.get();
+        for (List<EndpointInfo> endpoints : picture.endpointsByService().values()) {
+            for (EndpointInfo endpoint : endpoints) {
+                if (endpoint.address().equals(address)) {
+                    synchronized (mLock) {
+                        statusOf(endpoint).told(running, waiting, mClock.now());
+                    }
+                    pump(endpoint.service());
+                    return;
+                }
+            }
+        }
+    }
+
     void answered(EndpointStatus status, long number, EndpointAnswer answer) {
         synchronized (mLock) {
             status.answered(number, answer, mClock.now());
@@ -202,7 +220,7 @@
     private Place take(Placement.Choice choice, FleetPicture picture, Duration now) {
         EndpointInfo endpoint = choice.endpoint().orElseThrow();
         EndpointStatus status = statusOf(endpoint);
-        int load = status.load();
+        int load = (int) status.load(Placement.entries(picture), now);
         if (mPlacement.isCold(endpoint, picture, now)) {
             status.coldPace()
                     .sent(now, mPlacement.coldRate(endpoint, picture), Placement.entries(picture));
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/EndpointStatus.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/EndpointStatus.java
@@ -20,6 +20,12 @@
     /** Silence on a waiting request, without any answer since, that makes an endpoint suspect. */
     private static final Duration SILENCE = Duration.ofMillis(1_000);
 
+    /** Time for which a told load is better than what answers say. */
+    private static final Duration TOLD_FOR = Duration.ofMillis(800);
+
+    /** Requests that each other entry is taken to have sent, as a part of this one's. */
+    private static final double OTHERS_PART = 0.5;
+
     private final ColdPace mColdPace = new ColdPace();
     private final TreeMap<Long, Duration> mUnanswered = new TreeMap<>();
     private long mNextSend;
@@ -30,12 +36,35 @@
     private int mFailures;
     private Duration mRestsUntil = Duration.ZERO;
     private Duration mAnsweredAt = Duration.ZERO;
+    private Duration mToldAt = Duration.ZERO.minus(TOLD_FOR);
     private Duration mColdUntil = Duration.ZERO;
     private Duration mTurnedAwayUntil = Duration.ZERO;
 
-    /** Returns requests that are estimated to run and wait there. */
-    int load() {
-        return Math.max(mRunning, mReported + mSentSinceReport - mEndedSinceReport);
+    /**
+     * Returns requests that are estimated to run and wait there.
+     *
+     * @param entries entries that send there too; each is taken to send half as much as this one
+     *     since a load was told, as all see the same room
+     */
+    double load(int entries, Duration now) {
+        if (!isTold(now)) {
+            return Math.max(mRunning, mReported + mSentSinceReport - mEndedSinceReport);
+        }
+        double crowd = 1 + OTHERS_PART * (entries - 1);
+        return Math.max(mRunning, mReported + crowd * mSentSinceReport - mEndedSinceReport);
+    }
+
+    /** Returns whether the endpoint's agent has told its load of late. */
+    boolean isTold(Duration now) {
+        return now.minus(mToldAt).compareTo(TOLD_FOR) < 0;
+    }
+
+    /** Notes the load that the endpoint's agent tells. */
+    void told(int running, int waiting, Duration now) {
+        mReported = running + waiting;
+        mSentSinceReport = 0;
+        mEndedSinceReport = 0;
+        mToldAt = now;
     }
 
     /** Returns this entry's own requests there. */
@@ -66,6 +95,7 @@
         mAnsweredAt = now;
         answer.coldFor().ifPresent(cold -> mColdUntil = now.plus(cold));
         answer.load()
+                .filter(load -> !isTold(now))
                 .ifPresent(
                         load -> {
                             mReported = load.running() + load.waiting();
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/Placement.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/Placement.java
@@ -31,6 +31,9 @@
     /** Requests that may wait at an engine beside those in its slots, as a part of the slots. */
     private static final double ENGINE_QUEUE = 0.25;
 
+    /** The same where the engine's agent tells the load, so that no guess needs room. */
+    private static final double TOLD_ENGINE_QUEUE = 0.07;
+
     /** Requests that may wait at a plain endpoint, as a part of the slots. */
     private static final double PLAIN_QUEUE = 1.0;
 
@@ -75,7 +78,8 @@
                 continue;
             }
             double score =
-                    score(endpoint, status) + (ticket.tried().contains(endpoint.id()) ? 1 : 0);
+                    score(endpoint, status.load(entries(picture), now))
+                            + (ticket.tried().contains(endpoint.id()) ? 1 : 0);
             if (score < bestScore) {
                 best = endpoint;
                 bestScore = score;
@@ -177,15 +181,16 @@
                         .flatMap(table -> table.service(endpoint.service()))
                         .flatMap(RoutedService::engine)
                         .isPresent();
-        double queue = isEngine ? ENGINE_QUEUE : PLAIN_QUEUE;
-        return status.load() < Math.max(1, endpoint.slots()) * (1 + queue);
+        double engineQueue = status.isTold(now) ? TOLD_ENGINE_QUEUE : ENGINE_QUEUE;
+        double queue = isEngine ? engineQueue : PLAIN_QUEUE;
+        return status.load(entries(picture), now) < Math.max(1, endpoint.slots()) * (1 + queue);
     }
 
-    private double score(EndpointInfo endpoint, EndpointStatus status) {
+    private double score(EndpointInfo endpoint, double load) {
         double slots = Math.max(1, endpoint.slots());
-        double load = (status.load() + LOAD_NOISE * mRandom.nextDouble()) / slots;
+        double part = (load + LOAD_NOISE * mRandom.nextDouble()) / slots;
         boolean isHome = regionOf(endpoint).equals(mSettings.region());
-        return isHome ? load - REGION_BONUS : load;
+        return isHome ? part - REGION_BONUS : part;
     }
 
     private String regionOf(EndpointInfo endpoint) {
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/Ticket.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/Ticket.java
@@ -18,6 +18,9 @@
     /** Returns the rank, 0 first. */
     int priority();
 
+    /** Returns whether the answer can't be on time any more, so that it is worth less. */
+    boolean isLate();
+
     /** Returns the time from which a place is of no use any more. */
     Duration giveUpAt();
 
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/staging/LoadTeller.java
@@ -0,0 +1,114 @@
+package org.sequoiahill.daemon.version.staging;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.sequoiahill.daemon.process.control.ControlClient;
+import org.sequoiahill.daemon.process.control.ServiceStub;
+import org.sequoiahill.daemon.process.fleet.FleetPicture;
+import org.sequoiahill.daemon.process.settings.HostPort;
+import org.sequoiahill.protocol.gen.EngineLoad;
+import org.sequoiahill.protocol.gen.Participant;
+import org.sequoiahill.protocol.gen.ParticipantRole;
+import org.tinylog.Logger;
+
+/**
+ * Tells all entries what the engine beside an agent does, often while that changes and seldom while
+ * it does not.
+ *
+ * <p>Answers tell an entry of the load too, but only of the engines that it sends to, and at the
+ * time of their first event. On a day at the engines' limit, entries that decide by loads half a
+ * second old fill some engines' queues while others have room.
+ */
+public final class LoadTeller {
+    private static final Duration BUSY_INTERVAL = Duration.ofMillis(120);
+    private static final Duration IDLE_INTERVAL = Duration.ofMillis(500);
+
+    /** Connection for loads, apart from the one for pieces. */
+    private static final int LANE = 20;
+
+    private final StagingEngine mEngine;
+    private final HostPort mAddress;
+    private final Supplier<FleetPicture> mPicture;
+    private final ControlClient mClient;
+    private final ScheduledExecutorService mScheduler;
+    private EngineLoad mTold = new EngineLoad("", 0, 0);
+    private boolean mIsLost;
+
+    private LoadTeller(
+            StagingEngine engine,
+            HostPort address,
+            Supplier<FleetPicture> picture,
+            ControlClient client,
+            ScheduledExecutorService scheduler) {
+        mEngine = engine;
+        mAddress = address;
+        mPicture = picture;
+        mClient = client;
+        mScheduler = scheduler;
+    }
+
+    /** Returns a teller, not yet started. */
+    public static LoadTeller of(
+            StagingEngine engine,
+            HostPort address,
+            Supplier<FleetPicture> picture,
+            ControlClient client,
+            ScheduledExecutorService scheduler) {
+        return new LoadTeller(engine, address, picture, client, scheduler);
+    }
+
+    /** Starts to tell. */
+    public void start() {
+        schedule(IDLE_INTERVAL);
+    }
+
+    private void schedule(Duration interval) {
+        mScheduler.schedule(this::look, interval.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    private void look() {
+        Duration next = IDLE_INTERVAL;
+        try {
+            StagingEngine.Report report = mEngine.report();
+            EngineLoad load =
+                    new EngineLoad(mAddress.toString(), report.running(), report.waiting());
+            boolean isBusy = report.running() > 0 || report.waiting() > 0;
+            if (isBusy || !load.equals(mTold)) {
+                tell(load);
+                mTold = load;
+            }
+            next = isBusy ? BUSY_INTERVAL : IDLE_INTERVAL;
+            mIsLost = false;
+        } catch (IOException e) {
+            if (!mIsLost) {
+                Logger.info("the engine's load is not known: {}", e.toString());
+            }
+            mIsLost = true;
+        } finally {
+            schedule(next);
+        }
+    }
+
+    private void tell(EngineLoad load) {
+        for (Participant entry : mPicture.get().participants(ParticipantRole.ENTRY)) {
+            HostPort address = HostPort.parse(entry.getControl());
+            mClient.call(
+                            address,
+                            ServiceStub.LOADS,
+                            LANE,
+                            client -> {
+                                client.told(load);
+                                return load;
+                            })
+                    .whenComplete(
+                            (told, failure) -> {
+                                if (failure != null) {
+                                    Logger.debug("{} was not told: {}", address, failure);
+                                }
+                            });
+        }
+    }
+}
--- a/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PieceCalls.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PieceCalls.java
@@ -6,6 +6,8 @@
 import org.sequoiahill.daemon.process.control.Identity;
 import org.sequoiahill.daemon.process.control.ServiceStub;
 import org.sequoiahill.daemon.process.settings.HostPort;
+import org.sequoiahill.protocol.gen.ManifestReply;
+import org.sequoiahill.protocol.gen.ManifestRequest;
 import org.sequoiahill.protocol.gen.PieceReply;
 import org.sequoiahill.protocol.gen.PieceRequest;
 
@@ -19,6 +21,26 @@
         mClient = client;
     }
 
+    /**
+     * Returns the manifest of a version as another daemon holds it.
+     *
+     * @throws IOException where the daemon doesn't answer or doesn't have it
+     */
+    PieceManifest manifest(HostPort peer, String model, long version) throws IOException {
+        ManifestRequest request = new ManifestRequest(mIdentity.sender(), model, version);
+        try {
+            ManifestReply reply =
+                    mClient.call(peer, ServiceStub.PIECES, client -> client.manifest(request))
+                            .join();
+            if (reply.getDigests().isEmpty()) {
+                throw new IOException(peer + " does not have the manifest");
+            }
+            return new PieceManifest(model, version, reply.getDigests());
+        } catch (CompletionException e) {
+            throw new IOException(peer + " did not answer", e);
+        }
+    }
+
     /**
      * Returns a piece that is as the manifest says.
      *
--- a/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PieceFetcher.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PieceFetcher.java
@@ -70,6 +70,26 @@
         return new PieceFetcher(identity, region, origin, store, engine, client, workers);
     }
 
+    /**
+     * Returns the manifest of a version, from an entry of the region or else from the origin.
+     *
+     * @throws IOException where neither has it
+     */
+    PieceManifest manifest(FleetPieces from, String model, long version) throws IOException {
+        for (int failures = 0; failures < FAILURES_TO_ORIGIN; failures++) {
+            HostPort supplier = from.supplier(mRegion, 0, failures).orElse(null);
+            try {
+                if (supplier != null) {
+                    return mCalls.manifest(supplier, model, version);
+                }
+            } catch (IOException e) {
+                Logger.info("the manifest did not come: {}", e.toString());
+            }
+        }
+        HostPort origin = from.origin().orElseThrow(() -> new IOException("no origin is known"));
+        return mOrigin.manifest(origin, model, version);
+    }
+
     /** Fetches and stages what is missing; returns whether all pieces are here. */
     boolean fetch(PieceManifest manifest, FleetPieces from) throws InterruptedException {
         PieceQueue missing = PieceQueue.of(missing(manifest), MAX_FAILURES);
--- a/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PieceRelay.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PieceRelay.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -14,6 +15,8 @@
 import org.sequoiahill.daemon.process.control.Identity;
 import org.sequoiahill.daemon.process.fleet.FleetPicture;
 import org.sequoiahill.daemon.process.settings.HostPort;
+import org.sequoiahill.protocol.gen.ManifestReply;
+import org.sequoiahill.protocol.gen.ManifestRequest;
 import org.sequoiahill.protocol.gen.PieceReply;
 import org.sequoiahill.protocol.gen.PieceRequest;
 import org.sequoiahill.protocol.gen.Pieces;
@@ -112,6 +115,23 @@
         }
     }
 
+    @Override
+    public ManifestReply manifest(ManifestRequest request) {
+        ManifestReply reply =
+                new ManifestReply().setSender(mIdentity.sender()).setDigests(List.of());
+        Version version = new Version(request.getModel(), request.getVersion());
+        try {
+            HostPort origin =
+                    FleetPieces.of(mPicture.get(), mRegions)
+                            .origin()
+                            .orElseThrow(() -> new IOException("no origin is known"));
+            reply.setDigests(manifest(version, origin).digests());
+        } catch (IOException e) {
+            Logger.info("the manifest of {} can't be given: {}", version, e.toString());
+        }
+        return reply;
+    }
+
     @Override
     public PieceReply piece(PieceRequest request) {
         PieceReply reply = new PieceReply().setSender(mIdentity.sender());
--- a/daemon/src/main/java/org/sequoiahill/daemon/version/staging/StagingAgent.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/staging/StagingAgent.java
@@ -14,7 +14,6 @@
 import org.sequoiahill.daemon.process.fleet.EngineProfile;
 import org.sequoiahill.daemon.process.fleet.FleetPicture;
 import org.sequoiahill.daemon.process.fleet.RoutedService;
-import org.sequoiahill.daemon.process.settings.HostPort;
 import org.sequoiahill.daemon.process.time.MonotonicClock;
 import org.sequoiahill.protocol.gen.Participant;
 import org.sequoiahill.protocol.gen.ParticipantRole;
@@ -57,7 +56,6 @@
      *
      * @param picture what is known of the fleet
      * @param engine the engine beside the agent
-     * @param origin store of weights
      * @param store checked pieces
      * @param fetcher fetches pieces
      * @param state what the agent says of itself
@@ -68,7 +66,6 @@
     public record Services(
             Supplier<FleetPicture> picture,
             StagingEngine engine,
-            WeightsOrigin origin,
             PieceStore store,
             PieceFetcher fetcher,
             AgentState state,
@@ -148,7 +145,7 @@
         if (from.origin().isEmpty()) {
             return true;
         }
-        PieceManifest manifest = manifest(from.origin().get(), model, target);
+        PieceManifest manifest = manifest(from, model, target);
         if (!mServices.fetcher().fetch(manifest, from)) {
             Logger.warn("version {} of {} is not here whole yet", target, model);
             return false;
@@ -160,13 +157,14 @@
         return false;
     }
 
-    private PieceManifest manifest(HostPort origin, String model, long version) throws IOException {
+    private PieceManifest manifest(FleetPieces from, String model, long version)
+            throws IOException {
         boolean isKnown =
                 mManifest
                         .filter(known -> known.model().equals(model) && known.version() == version)
                         .isPresent();
         if (!isKnown) {
-            mManifest = Optional.of(mServices.origin().manifest(origin, model, version));
+            mManifest = Optional.of(mServices.fetcher().manifest(from, model, version));
         }
         return mManifest.orElseThrow();
     }
--- a/daemon/src/test/java/org/sequoiahill/daemon/request/direct/DispatcherTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/request/direct/DispatcherTest.java
@@ -21,6 +21,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.sequoiahill.daemon.process.fleet.FleetPicture;
+import org.sequoiahill.daemon.process.settings.HostPort;
 import org.sequoiahill.daemon.process.time.ManualClock;
 import org.sequoiahill.protocol.gen.EndpointState;
 
@@ -122,6 +123,36 @@
         assertThat(later.mPlace.isPresent(), is(false));
     }
 
+    @Test
+    void submit_full_takesThoseThatCanBeOnTimeFirst() {
+        mPicture = new Fleets().endpoint("a", "dc-1", 1).picture();
+        List<Asking> running = submit(2, 1);
+        Asking late = new Asking(1, mClock.now().plusMillis(800));
+        late.mIsLate = true;
+        mDispatcher.submit(late);
+        Asking onTime = submit(1, 1).get(0);
+        running.get(0).mPlace.orElseThrow().ended(Place.End.SUCCEEDED);
+        assertThat(onTime.mPlace.isPresent(), is(true));
+        assertThat(late.mPlace.isPresent(), is(false));
+    }
+
+    @Test
+    void told_loadOfTheAgent_goesBeforeWhatWasSeen() {
+        mPicture = new Fleets().endpoint("a", "dc-1", 8).endpoint("b", "dc-1", 8).picture();
+        mDispatcher.told(new HostPort("127.0.0.1", 80), 14, 3);
+        mDispatcher.told(new HostPort("127.0.0.2", 80), 2, 0);
+        assertThat(submit(4, 1).stream().allMatch(each -> each.isAt("b")), is(true));
+    }
+
+    @Test
+    void submit_manyEntriesThatSeeTheSameRoom_leavePartOfItToEachOther() {
+        mPicture = new Fleets().endpoint("a", "dc-1", 8).entries(8).picture();
+        mDispatcher.told(new HostPort("127.0.0.1", 80), 8, 0);
+        long granted = submit(8, 1).stream().filter(each -> each.mPlace.isPresent()).count();
+        assertThat(granted, lessThanOrEqualTo(3L));
+        assertThat(granted, greaterThan(0L));
+    }
+
     @Test
     void refresh_placeOfNoUseAnyMore_refuses() {
         mPicture = new Fleets().endpoint("a", "dc-1", 1).picture();
@@ -196,6 +227,7 @@
         private final int mPriority;
         private final Duration mGiveUpAt;
         private final Set<String> mTried = new HashSet<>();
+        private boolean mIsLate;
         private volatile Optional<Place> mPlace = Optional.empty();
         private volatile Optional<Refused> mRefused = Optional.empty();
 
@@ -228,6 +260,11 @@
             return mPriority;
         }
 
+        @Override
+        public boolean isLate() {
+            return mIsLate;
+        }
+
         @Override
         public Duration giveUpAt() {
             return mGiveUpAt;
--- a/protocol/src/main/java/org/sequoiahill/protocol/gen/Pieces.java
+++ b/protocol/src/main/java/org/sequoiahill/protocol/gen/Pieces.java
@@ -11,12 +11,16 @@
 
   public interface Iface {
 
+    public ManifestReply manifest(ManifestRequest request) throws org.apache.thrift.TException;
+
     public PieceReply piece(PieceRequest request) throws org.apache.thrift.TException;
 
   }
 
   public interface AsyncIface {
 
+    public void manifest(ManifestRequest request, org.apache.thrift.async.AsyncMethodCallback<ManifestReply> resultHandler) throws org.apache.thrift.TException;
+
     public void piece(PieceRequest request, org.apache.thrift.async.AsyncMethodCallback<PieceReply> resultHandler) throws org.apache.thrift.TException;
 
   }
@@ -43,6 +47,30 @@
       super(iprot, oprot);
     }
 
+    @Override
+    public ManifestReply manifest(ManifestRequest request) throws org.apache.thrift.TException
+    {
+      send_manifest(request);
+      return recv_manifest();
+    }
+
+    public void send_manifest(ManifestRequest request) throws org.apache.thrift.TException
+    {
+      manifest_args args = new manifest_args();
+      args.setRequest(request);
+      sendBase("manifest", args);
+    }
+
+    public ManifestReply recv_manifest() throws org.apache.thrift.TException
+    {
+      manifest_result result = new manifest_result();
+      receiveBase(result, "manifest");
+      if (result.isSetSuccess()) {
+        return result.success;
+      }
+      throw new org.apache.thrift.TApplicationException(org.apache.thrift.TApplicationException.MISSING_RESULT, "manifest failed: unknown result");
+    }
+
     @Override
     public PieceReply piece(PieceRequest request) throws org.apache.thrift.TException
     {
@@ -86,6 +114,41 @@
       super(protocolFactory, clientManager, transport);
     }
 
+    @Override
+    public void manifest(ManifestRequest request, org.apache.thrift.async.AsyncMethodCallback<ManifestReply> resultHandler) throws org.apache.thrift.TException {
+      checkReady();
+      manifest_call method_call = new manifest_call(request, resultHandler, this, ___protocolFactory, ___transport);
+      this.___currentMethod = method_call;
+      ___manager.call(method_call);
+    }
+
+    public static class manifest_call extends org.apache.thrift.async.TAsyncMethodCall<ManifestReply> {
+      private ManifestRequest request;
+      public manifest_call(ManifestRequest request, org.apache.thrift.async.AsyncMethodCallback<ManifestReply> resultHandler, org.apache.thrift.async.TAsyncClient client, org.apache.thrift.protocol.TProtocolFactory protocolFactory, org.apache.thrift.transport.TNonblockingTransport transport) throws org.apache.thrift.TException {
+        super(client, protocolFactory, transport, resultHandler, false);
+        this.request = request;
+      }
+
+      @Override
+      public void write_args(org.apache.thrift.protocol.TProtocol prot) throws org.apache.thrift.TException {
+        prot.writeMessageBegin(new org.apache.thrift.protocol.TMessage("manifest", org.apache.thrift.protocol.TMessageType.CALL, 0));
+        manifest_args args = new manifest_args();
+        args.setRequest(request);
+        args.write(prot);
+        prot.writeMessageEnd();
+      }
+
+      @Override
+      public ManifestReply getResult() throws org.apache.thrift.TException {
+        if (getState() != org.apache.thrift.async.TAsyncMethodCall.State.RESPONSE_READ) {
+          throw new java.lang.IllegalStateException("Method call not finished!");
+        }
+        org.apache.thrift.transport.TMemoryInputTransport memoryTransport = new org.apache.thrift.transport.TMemoryInputTransport(getFrameBuffer().array());
+        org.apache.thrift.protocol.TProtocol prot = client.getProtocolFactory().getProtocol(memoryTransport);
+        return (new Client(prot)).recv_manifest();
+      }
+    }
+
     @Override
     public void piece(PieceRequest request, org.apache.thrift.async.AsyncMethodCallback<PieceReply> resultHandler) throws org.apache.thrift.TException {
       checkReady();
@@ -134,10 +197,39 @@
     }
 
     private static <I extends Iface> java.util.Map<java.lang.String,  org.apache.thrift.ProcessFunction<I, ? extends org.apache.thrift.TBase>> getProcessMap(java.util.Map<java.lang.String, org.apache.thrift.ProcessFunction<I, ? extends  org.apache.thrift.TBase>> processMap) {
+      processMap.put("manifest", new manifest());
       processMap.put("piece", new piece());
       return processMap;
     }
 
+    public static class manifest<I extends Iface> extends org.apache.thrift.ProcessFunction<I, manifest_args> {
+      public manifest() {
+        super("manifest");
+      }
+
+      @Override
+      public manifest_args getEmptyArgsInstance() {
+        return new manifest_args();
+      }
+
+      @Override
+      protected boolean isOneway() {
+        return false;
+      }
+
+      @Override
+      protected boolean rethrowUnhandledExceptions() {
+        return false;
+      }
+
+      @Override
+      public manifest_result getResult(I iface, manifest_args args) throws org.apache.thrift.TException {
+        manifest_result result = new manifest_result();
+        result.success = iface.manifest(args.request);
+        return result;
+      }
+    }
+
     public static class piece<I extends Iface> extends org.apache.thrift.ProcessFunction<I, piece_args> {
       public piece() {
         super("piece");
@@ -179,10 +271,78 @@
     }
 
     private static <I extends AsyncIface> java.util.Map<java.lang.String,  org.apache.thrift.AsyncProcessFunction<I, ? extends  org.apache.thrift.TBase,?>> getProcessMap(java.util.Map<java.lang.String,  org.apache.thrift.AsyncProcessFunction<I, ? extends  org.apache.thrift.TBase, ?>> processMap) {
+      processMap.put("manifest", new manifest());
       processMap.put("piece", new piece());
       return processMap;
     }
 
+    public static class manifest<I extends AsyncIface> extends org.apache.thrift.AsyncProcessFunction<I, manifest_args, ManifestReply> {
+      public manifest() {
+        super("manifest");
+      }
+
+      @Override
+      public manifest_args getEmptyArgsInstance() {
+        return new manifest_args();
+      }
+
+      @Override
+      public org.apache.thrift.async.AsyncMethodCallback<ManifestReply> getResultHandler(final org.apache.thrift.server.AbstractNonblockingServer.AsyncFrameBuffer fb, final int seqid) {
+        final org.apache.thrift.AsyncProcessFunction fcall = this;
+        return new org.apache.thrift.async.AsyncMethodCallback<ManifestReply>() { 
+          @Override
+          public void onComplete(ManifestReply o) {
+            manifest_result result = new manifest_result();
+            result.success = o;
+            try {
+              fcall.sendResponse(fb, result, org.apache.thrift.protocol.TMessageType.REPLY,seqid);
+            } catch (org.apache.thrift.transport.TTransportException e) {
+              _LOGGER.error("TTransportException writing to internal frame buffer", e);
+              fb.close();
+            } catch (java.lang.Exception e) {
+              _LOGGER.error("Exception writing to internal frame buffer", e);
+              onError(e);
+            }
+          }
+          @Override
+          public void onError(java.lang.Exception e) {
+            byte msgType = org.apache.thrift.protocol.TMessageType.REPLY;
+            org.apache.thrift.TSerializable msg;
+            manifest_result result = new manifest_result();
+            if (e instanceof org.apache.thrift.transport.TTransportException) {
+              _LOGGER.error("TTransportException inside handler", e);
+              fb.close();
+              return;
+            } else if (e instanceof org.apache.thrift.TApplicationException) {
+              _LOGGER.error("TApplicationException inside handler", e);
+              msgType = org.apache.thrift.protocol.TMessageType.EXCEPTION;
+              msg = (org.apache.thrift.TApplicationException)e;
+            } else {
+              _LOGGER.error("Exception inside handler", e);
+              msgType = org.apache.thrift.protocol.TMessageType.EXCEPTION;
+              msg = new org.apache.thrift.TApplicationException(org.apache.thrift.TApplicationException.INTERNAL_ERROR, e.getMessage());
+            }
+            try {
+              fcall.sendResponse(fb,msg,msgType,seqid);
+            } catch (java.lang.Exception ex) {
+              _LOGGER.error("Exception writing to internal frame buffer", ex);
+              fb.close();
+            }
+          }
+        };
+      }
+
+      @Override
+      protected boolean isOneway() {
+        return false;
+      }
+
+      @Override
+      public void start(I iface, manifest_args args, org.apache.thrift.async.AsyncMethodCallback<ManifestReply> resultHandler) throws org.apache.thrift.TException {
+        iface.manifest(args.request,resultHandler);
+      }
+    }
+
     public static class piece<I extends AsyncIface> extends org.apache.thrift.AsyncProcessFunction<I, piece_args, PieceReply> {
       public piece() {
         super("piece");
@@ -252,6 +412,773 @@
 
   }
 
+  @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
+  public static class manifest_args implements org.apache.thrift.TBase<manifest_args, manifest_args._Fields>, java.io.Serializable, Cloneable, Comparable<manifest_args>   {
+    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("manifest_args");
+
+    private static final org.apache.thrift.protocol.TField REQUEST_FIELD_DESC = new org.apache.thrift.protocol.TField("request", org.apache.thrift.protocol.TType.STRUCT, (short)1);
+
+    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new manifest_argsStandardSchemeFactory();
+    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new manifest_argsTupleSchemeFactory();
+
+    private @org.apache.thrift.annotation.Nullable ManifestRequest request; // required
+
+    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+      REQUEST((short)1, "request");
+
+      private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
+
+      static {
+        for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+          byName.put(field.getFieldName(), field);
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByThriftId(int fieldId) {
+        switch(fieldId) {
+          case 1: // REQUEST
+            return REQUEST;
+          default:
+            return null;
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, throwing an exception
+       * if it is not found.
+       */
+      public static _Fields findByThriftIdOrThrow(int fieldId) {
+        _Fields fields = findByThriftId(fieldId);
+        if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+        return fields;
+      }
+
+      /**
+       * Find the _Fields constant that matches name, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByName(java.lang.String name) {
+        return byName.get(name);
+      }
+
+      private final short _thriftId;
+      private final java.lang.String _fieldName;
+
+      _Fields(short thriftId, java.lang.String fieldName) {
+        _thriftId = thriftId;
+        _fieldName = fieldName;
+      }
+
+      @Override
+      public short getThriftFieldId() {
+        return _thriftId;
+      }
+
+      @Override
+      public java.lang.String getFieldName() {
+        return _fieldName;
+      }
+    }
+
+    // isset id assignments
+    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    static {
+      java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+      tmpMap.put(_Fields.REQUEST, new org.apache.thrift.meta_data.FieldMetaData("request", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+          new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, ManifestRequest.class)));
+      metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+      org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(manifest_args.class, metaDataMap);
+    }
+
+    public manifest_args() {
+    }
+
+    public manifest_args(
+      ManifestRequest request)
+    {
+      this();
+      this.request = request;
+    }
+
+    /**
+     * Performs a deep copy on <i>other</i>.
+     */
+    public manifest_args(manifest_args other) {
+      if (other.isSetRequest()) {
+        this.request = new ManifestRequest(other.request);
+      }
+    }
+
+    @Override
+    public manifest_args deepCopy() {
+      return new manifest_args(this);
+    }
+
+    @Override
+    public void clear() {
+      this.request = null;
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    public ManifestRequest getRequest() {
+      return this.request;
+    }
+
+    public manifest_args setRequest(@org.apache.thrift.annotation.Nullable ManifestRequest request) {
+      this.request = request;
+      return this;
+    }
+
+    public void unsetRequest() {
+      this.request = null;
+    }
+
+    /** Returns true if field request is set (has been assigned a value) and false otherwise */
+    public boolean isSetRequest() {
+      return this.request != null;
+    }
+
+    public void setRequestIsSet(boolean value) {
+      if (!value) {
+        this.request = null;
+      }
+    }
+
+    @Override
+    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+      switch (field) {
+      case REQUEST:
+        if (value == null) {
+          unsetRequest();
+        } else {
+          setRequest((ManifestRequest)value);
+        }
+        break;
+
+      }
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public java.lang.Object getFieldValue(_Fields field) {
+      switch (field) {
+      case REQUEST:
+        return getRequest();
+
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+    @Override
+    public boolean isSet(_Fields field) {
+      if (field == null) {
+        throw new java.lang.IllegalArgumentException();
+      }
+
+      switch (field) {
+      case REQUEST:
+        return isSetRequest();
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    @Override
+    public boolean equals(java.lang.Object that) {
+      if (that instanceof manifest_args)
+        return this.equals((manifest_args)that);
+      return false;
+    }
+
+    public boolean equals(manifest_args that) {
+      if (that == null)
+        return false;
+      if (this == that)
+        return true;
+
+      boolean this_present_request = true && this.isSetRequest();
+      boolean that_present_request = true && that.isSetRequest();
+      if (this_present_request || that_present_request) {
+        if (!(this_present_request && that_present_request))
+          return false;
+        if (!this.request.equals(that.request))
+          return false;
+      }
+
+      return true;
+    }
+
+    @Override
+    public int hashCode() {
+      int hashCode = 1;
+
+      hashCode = hashCode * 8191 + ((isSetRequest()) ? 131071 : 524287);
+      if (isSetRequest())
+        hashCode = hashCode * 8191 + request.hashCode();
+
+      return hashCode;
+    }
+
+    @Override
+    public int compareTo(manifest_args other) {
+      if (!getClass().equals(other.getClass())) {
+        return getClass().getName().compareTo(other.getClass().getName());
+      }
+
+      int lastComparison = 0;
+
+      lastComparison = java.lang.Boolean.compare(isSetRequest(), other.isSetRequest());
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+      if (isSetRequest()) {
+        lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.request, other.request);
+        if (lastComparison != 0) {
+          return lastComparison;
+        }
+      }
+      return 0;
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public _Fields fieldForId(int fieldId) {
+      return _Fields.findByThriftId(fieldId);
+    }
+
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+      scheme(iprot).read(iprot, this);
+    }
+
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+      scheme(oprot).write(oprot, this);
+    }
+
+    @Override
+    public java.lang.String toString() {
+      java.lang.StringBuilder sb = new java.lang.StringBuilder("manifest_args(");
+      boolean first = true;
+
+      sb.append("request:");
+      if (this.request == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.request);
+      }
+      first = false;
+      sb.append(")");
+      return sb.toString();
+    }
+
+    public void validate() throws org.apache.thrift.TException {
+      // check for required fields
+      // check for sub-struct validity
+      if (request != null) {
+        request.validate();
+      }
+    }
+
+    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+      try {
+        write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+      try {
+        read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private static class manifest_argsStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public manifest_argsStandardScheme getScheme() {
+        return new manifest_argsStandardScheme();
+      }
+    }
+
+    private static class manifest_argsStandardScheme extends org.apache.thrift.scheme.StandardScheme<manifest_args> {
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol iprot, manifest_args struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TField schemeField;
+        iprot.readStructBegin();
+        while (true)
+        {
+          schemeField = iprot.readFieldBegin();
+          if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+            break;
+          }
+          switch (schemeField.id) {
+            case 1: // REQUEST
+              if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+                struct.request = new ManifestRequest();
+                struct.request.read(iprot);
+                struct.setRequestIsSet(true);
+              } else { 
+                org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+              }
+              break;
+            default:
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+          }
+          iprot.readFieldEnd();
+        }
+        iprot.readStructEnd();
+
+        // check for required fields of primitive type, which can't be checked in the validate method
+        struct.validate();
+      }
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol oprot, manifest_args struct) throws org.apache.thrift.TException {
+        struct.validate();
+
+        oprot.writeStructBegin(STRUCT_DESC);
+        if (struct.request != null) {
+          oprot.writeFieldBegin(REQUEST_FIELD_DESC);
+          struct.request.write(oprot);
+          oprot.writeFieldEnd();
+        }
+        oprot.writeFieldStop();
+        oprot.writeStructEnd();
+      }
+
+    }
+
+    private static class manifest_argsTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public manifest_argsTupleScheme getScheme() {
+        return new manifest_argsTupleScheme();
+      }
+    }
+
+    private static class manifest_argsTupleScheme extends org.apache.thrift.scheme.TupleScheme<manifest_args> {
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol prot, manifest_args struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+        java.util.BitSet optionals = new java.util.BitSet();
+        if (struct.isSetRequest()) {
+          optionals.set(0);
+        }
+        oprot.writeBitSet(optionals, 1);
+        if (struct.isSetRequest()) {
+          struct.request.write(oprot);
+        }
+      }
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol prot, manifest_args struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+        java.util.BitSet incoming = iprot.readBitSet(1);
+        if (incoming.get(0)) {
+          struct.request = new ManifestRequest();
+          struct.request.read(iprot);
+          struct.setRequestIsSet(true);
+        }
+      }
+    }
+
+    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+      return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+    }
+  }
+
+  @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
+  public static class manifest_result implements org.apache.thrift.TBase<manifest_result, manifest_result._Fields>, java.io.Serializable, Cloneable, Comparable<manifest_result>   {
+    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("manifest_result");
+
+    private static final org.apache.thrift.protocol.TField SUCCESS_FIELD_DESC = new org.apache.thrift.protocol.TField("success", org.apache.thrift.protocol.TType.STRUCT, (short)0);
+
+    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new manifest_resultStandardSchemeFactory();
+    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new manifest_resultTupleSchemeFactory();
+
+    private @org.apache.thrift.annotation.Nullable ManifestReply success; // required
+
+    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+      SUCCESS((short)0, "success");
+
+      private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
+
+      static {
+        for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+          byName.put(field.getFieldName(), field);
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByThriftId(int fieldId) {
+        switch(fieldId) {
+          case 0: // SUCCESS
+            return SUCCESS;
+          default:
+            return null;
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, throwing an exception
+       * if it is not found.
+       */
+      public static _Fields findByThriftIdOrThrow(int fieldId) {
+        _Fields fields = findByThriftId(fieldId);
+        if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+        return fields;
+      }
+
+      /**
+       * Find the _Fields constant that matches name, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByName(java.lang.String name) {
+        return byName.get(name);
+      }
+
+      private final short _thriftId;
+      private final java.lang.String _fieldName;
+
+      _Fields(short thriftId, java.lang.String fieldName) {
+        _thriftId = thriftId;
+        _fieldName = fieldName;
+      }
+
+      @Override
+      public short getThriftFieldId() {
+        return _thriftId;
+      }
+
+      @Override
+      public java.lang.String getFieldName() {
+        return _fieldName;
+      }
+    }
+
+    // isset id assignments
+    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    static {
+      java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+      tmpMap.put(_Fields.SUCCESS, new org.apache.thrift.meta_data.FieldMetaData("success", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+          new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, ManifestReply.class)));
+      metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+      org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(manifest_result.class, metaDataMap);
+    }
+
+    public manifest_result() {
+    }
+
+    public manifest_result(
+      ManifestReply success)
+    {
+      this();
+      this.success = success;
+    }
+
+    /**
+     * Performs a deep copy on <i>other</i>.
+     */
+    public manifest_result(manifest_result other) {
+      if (other.isSetSuccess()) {
+        this.success = new ManifestReply(other.success);
+      }
+    }
+
+    @Override
+    public manifest_result deepCopy() {
+      return new manifest_result(this);
+    }
+
+    @Override
+    public void clear() {
+      this.success = null;
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    public ManifestReply getSuccess() {
+      return this.success;
+    }
+
+    public manifest_result setSuccess(@org.apache.thrift.annotation.Nullable ManifestReply success) {
+      this.success = success;
+      return this;
+    }
+
+    public void unsetSuccess() {
+      this.success = null;
+    }
+
+    /** Returns true if field success is set (has been assigned a value) and false otherwise */
+    public boolean isSetSuccess() {
+      return this.success != null;
+    }
+
+    public void setSuccessIsSet(boolean value) {
+      if (!value) {
+        this.success = null;
+      }
+    }
+
+    @Override
+    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+      switch (field) {
+      case SUCCESS:
+        if (value == null) {
+          unsetSuccess();
+        } else {
+          setSuccess((ManifestReply)value);
+        }
+        break;
+
+      }
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public java.lang.Object getFieldValue(_Fields field) {
+      switch (field) {
+      case SUCCESS:
+        return getSuccess();
+
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+    @Override
+    public boolean isSet(_Fields field) {
+      if (field == null) {
+        throw new java.lang.IllegalArgumentException();
+      }
+
+      switch (field) {
+      case SUCCESS:
+        return isSetSuccess();
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    @Override
+    public boolean equals(java.lang.Object that) {
+      if (that instanceof manifest_result)
+        return this.equals((manifest_result)that);
+      return false;
+    }
+
+    public boolean equals(manifest_result that) {
+      if (that == null)
+        return false;
+      if (this == that)
+        return true;
+
+      boolean this_present_success = true && this.isSetSuccess();
+      boolean that_present_success = true && that.isSetSuccess();
+      if (this_present_success || that_present_success) {
+        if (!(this_present_success && that_present_success))
+          return false;
+        if (!this.success.equals(that.success))
+          return false;
+      }
+
+      return true;
+    }
+
+    @Override
+    public int hashCode() {
+      int hashCode = 1;
+
+      hashCode = hashCode * 8191 + ((isSetSuccess()) ? 131071 : 524287);
+      if (isSetSuccess())
+        hashCode = hashCode * 8191 + success.hashCode();
+
+      return hashCode;
+    }
+
+    @Override
+    public int compareTo(manifest_result other) {
+      if (!getClass().equals(other.getClass())) {
+        return getClass().getName().compareTo(other.getClass().getName());
+      }
+
+      int lastComparison = 0;
+
+      lastComparison = java.lang.Boolean.compare(isSetSuccess(), other.isSetSuccess());
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+      if (isSetSuccess()) {
+        lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.success, other.success);
+        if (lastComparison != 0) {
+          return lastComparison;
+        }
+      }
+      return 0;
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public _Fields fieldForId(int fieldId) {
+      return _Fields.findByThriftId(fieldId);
+    }
+
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+      scheme(iprot).read(iprot, this);
+    }
+
+    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+      scheme(oprot).write(oprot, this);
+      }
+
+    @Override
+    public java.lang.String toString() {
+      java.lang.StringBuilder sb = new java.lang.StringBuilder("manifest_result(");
+      boolean first = true;
+
+      sb.append("success:");
+      if (this.success == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.success);
+      }
+      first = false;
+      sb.append(")");
+      return sb.toString();
+    }
+
+    public void validate() throws org.apache.thrift.TException {
+      // check for required fields
+      // check for sub-struct validity
+      if (success != null) {
+        success.validate();
+      }
+    }
+
+    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+      try {
+        write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+      try {
+        read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private static class manifest_resultStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public manifest_resultStandardScheme getScheme() {
+        return new manifest_resultStandardScheme();
+      }
+    }
+
+    private static class manifest_resultStandardScheme extends org.apache.thrift.scheme.StandardScheme<manifest_result> {
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol iprot, manifest_result struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TField schemeField;
+        iprot.readStructBegin();
+        while (true)
+        {
+          schemeField = iprot.readFieldBegin();
+          if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+            break;
+          }
+          switch (schemeField.id) {
+            case 0: // SUCCESS
+              if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+                struct.success = new ManifestReply();
+                struct.success.read(iprot);
+                struct.setSuccessIsSet(true);
+              } else { 
+                org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+              }
+              break;
+            default:
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+          }
+          iprot.readFieldEnd();
+        }
+        iprot.readStructEnd();
+
+        // check for required fields of primitive type, which can't be checked in the validate method
+        struct.validate();
+      }
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol oprot, manifest_result struct) throws org.apache.thrift.TException {
+        struct.validate();
+
+        oprot.writeStructBegin(STRUCT_DESC);
+        if (struct.success != null) {
+          oprot.writeFieldBegin(SUCCESS_FIELD_DESC);
+          struct.success.write(oprot);
+          oprot.writeFieldEnd();
+        }
+        oprot.writeFieldStop();
+        oprot.writeStructEnd();
+      }
+
+    }
+
+    private static class manifest_resultTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public manifest_resultTupleScheme getScheme() {
+        return new manifest_resultTupleScheme();
+      }
+    }
+
+    private static class manifest_resultTupleScheme extends org.apache.thrift.scheme.TupleScheme<manifest_result> {
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol prot, manifest_result struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+        java.util.BitSet optionals = new java.util.BitSet();
+        if (struct.isSetSuccess()) {
+          optionals.set(0);
+        }
+        oprot.writeBitSet(optionals, 1);
+        if (struct.isSetSuccess()) {
+          struct.success.write(oprot);
+        }
+      }
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol prot, manifest_result struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+        java.util.BitSet incoming = iprot.readBitSet(1);
+        if (incoming.get(0)) {
+          struct.success = new ManifestReply();
+          struct.success.read(iprot);
+          struct.setSuccessIsSet(true);
+        }
+      }
+    }
+
+    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+      return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+    }
+  }
+
   @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
   public static class piece_args implements org.apache.thrift.TBase<piece_args, piece_args._Fields>, java.io.Serializable, Cloneable, Comparable<piece_args>   {
     private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("piece_args");
--- a/protocol/src/main/thrift/fleet.thrift
+++ b/protocol/src/main/thrift/fleet.thrift
@@ -166,6 +166,32 @@
   RelayReply announce(1: Participant participant)
 }
 
+struct ManifestRequest {
+  1: common.Sender sender
+  2: string model
+  3: i64 version
+}
+
+struct ManifestReply {
+  1: common.Sender sender
+  /** SHA-256 of each piece, in hexadecimal; empty where the manifest can't be had. */
+  2: list<string> digests
+}
+
 service Pieces {
+  ManifestReply manifest(1: ManifestRequest request)
   PieceReply piece(1: PieceRequest request)
 }
+
+/** What an engine does now, as its agent sees it. */
+struct EngineLoad {
+  /** Address of the engine, as host:port. */
+  1: string endpoint
+  2: i32 running
+  3: i32 waiting
+}
+
+service Loads {
+  /** Tells a load; a lost one is made up for by the next. */
+  oneway void told(1: EngineLoad load)
+}
