Give each named version a bound of its own

Ruled out: requests that wait past the bound (recalled), clocks. Change: VersionHistory keeps when each version was named; entries require the newest whose bound is near, agents hurry for the first one that they lack. The new test submits within both bounds and was refused nothing before the change.

--- a/daemon/src/main/java/org/sequoiahill/daemon/process/fleet/FleetPicture.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/fleet/FleetPicture.java
@@ -1,6 +1,5 @@
 package org.sequoiahill.daemon.process.fleet;
 
-import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -16,14 +15,14 @@
  * @param table routing table, empty until one is known
  * @param endpointsByService endpoints, leaving ones among them
  * @param participants daemons that run
- * @param namedSince for each model the monotonic time since when its newest version is known here
+ * @param versions when the versions of each model were named, in monotonic time
  */
 public record FleetPicture(
         FleetState state,
         Optional<RoutingTable> table,
         Map<String, List<EndpointInfo>> endpointsByService,
         List<Participant> participants,
-        Map<String, Duration> namedSince) {
+        Map<String, VersionHistory> versions) {
     /** Picture of a daemon that has heard of nothing. */
     public static final FleetPicture EMPTY =
             new FleetPicture(FleetState.EMPTY, Optional.empty(), Map.of(), List.of(), Map.of());
@@ -32,7 +31,7 @@
     public FleetPicture {
         endpointsByService = Map.copyOf(endpointsByService);
         participants = List.copyOf(participants);
-        namedSince = Map.copyOf(namedSince);
+        versions = Map.copyOf(versions);
     }
 
     /** Returns the endpoints of a service. */
@@ -40,6 +39,11 @@
         return endpointsByService.getOrDefault(service, List.of());
     }
 
+    /** Returns when the versions of a model were named. */
+    public VersionHistory history(String model) {
+        return versions.getOrDefault(model, VersionHistory.NONE);
+    }
+
     /** Returns the daemons of a role. */
     public List<Participant> participants(ParticipantRole role) {
         return participants.stream().filter(each -> each.getRole() == role).toList();
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/fleet/FleetView.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/fleet/FleetView.java
@@ -38,7 +38,7 @@
     private final List<Consumer<FleetPicture>> mListeners = new CopyOnWriteArrayList<>();
     private final Map<HostPort, FeedMirror> mMirrors = new HashMap<>();
     private final EndpointMerge mMerge = new EndpointMerge();
-    private final Map<String, Duration> mNamedSince = new HashMap<>();
+    private final Map<String, VersionHistory> mVersions = new HashMap<>();
     private Set<HostPort> mStores = new LinkedHashSet<>();
     private Duration mTableMissingSince = Duration.ZERO;
     private long mNewestNumber;
@@ -168,7 +168,11 @@
                 .forEach(
                         (model, version) -> {
                             if (version > held.version(model, 0)) {
-                                mNamedSince.put(model, isFirst ? now.minus(LONG_AGO) : now);
+                                mVersions.merge(
+                                        model,
+                                        VersionHistory.NONE.with(
+                                                version, isFirst ? now.minus(LONG_AGO) : now),
+                                        (known, added) -> known.with(version, now));
                             }
                         });
     }
@@ -195,7 +199,7 @@
                         table,
                         byService,
                         EndpointMerge.participants(mMirrors.values()),
-                        mNamedSince);
+                        mVersions);
         return mPicture;
     }
 }
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/Placement.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/Placement.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Function;
@@ -66,10 +67,22 @@
      */
     record Choice(Optional<EndpointInfo> endpoint, int candidates, OptionalLong version) {}
 
+    /** Versions that may answer: from the least that is due, or exactly one. */
+    private record Allowed(OptionalLong least, OptionalLong exact) {
+        boolean contains(long held) {
+            return (least.isEmpty() || held >= least.getAsLong())
+                    && (exact.isEmpty() || held == exact.getAsLong());
+        }
+
+        boolean isBounded() {
+            return least.isPresent() || exact.isPresent();
+        }
+    }
+
     /** Chooses for one request at one moment. */
     Choice choose(Ticket ticket, FleetPicture picture, Duration now) {
-        OptionalLong version = versionFor(ticket, picture, now);
-        List<EndpointInfo> candidates = candidates(ticket, picture, version);
+        Allowed allowed = allowedFor(ticket, picture, now);
+        List<EndpointInfo> candidates = candidates(ticket, picture, allowed);
         EndpointInfo best = null;
         double bestScore = Double.MAX_VALUE;
         for (EndpointInfo endpoint : candidates) {
@@ -85,6 +98,10 @@
                 bestScore = score;
             }
         }
+        OptionalLong version =
+                best != null && allowed.isBounded()
+                        ? heldBy(best, picture, ticket.model())
+                        : OptionalLong.empty();
         return new Choice(Optional.ofNullable(best), candidates.size(), version);
     }
 
@@ -105,15 +122,10 @@
 
     /** Returns whether an endpoint has an older version than the one that is due by now. */
     boolean isOutdated(Ticket ticket, EndpointInfo endpoint, FleetPicture picture, Duration now) {
-        Duration namedSince = picture.namedSince().get(ticket.model());
-        boolean isDue =
-                namedSince != null && namedSince.plus(mSettings.lastStart()).compareTo(now) <= 0;
-        return isDue
-                && !holds(
-                        endpoint,
-                        picture.agentsByEndpoint().get(endpoint.address().toString()),
-                        ticket.model(),
-                        OptionalLong.of(picture.state().version(ticket.model(), 0)));
+        OptionalLong due =
+                picture.history(ticket.model()).newestAt(now.minus(mSettings.lastStart()));
+        OptionalLong held = heldBy(endpoint, picture, ticket.model());
+        return due.isPresent() && held.isPresent() && held.getAsLong() < due.getAsLong();
     }
 
     /** Returns how many entries share the endpoints. */
@@ -121,9 +133,8 @@
         return Math.max(1, picture.participants(ParticipantRole.ENTRY).size());
     }
 
-    private List<EndpointInfo> candidates(
-            Ticket ticket, FleetPicture picture, OptionalLong version) {
-        var agents = picture.agentsByEndpoint();
+    private List<EndpointInfo> candidates(Ticket ticket, FleetPicture picture, Allowed allowed) {
+        Map<String, Participant> agents = picture.agentsByEndpoint();
         List<EndpointInfo> candidates = new ArrayList<>();
         for (EndpointInfo endpoint : picture.endpoints(ticket.service())) {
             Participant agent = agents.get(endpoint.address().toString());
@@ -131,7 +142,7 @@
                     endpoint.isReady()
                             && !picture.state().isOut(endpoint.dataCentre())
                             && ticket.allows(regionOf(endpoint))
-                            && holds(endpoint, agent, ticket.model(), version)
+                            && holds(endpoint, agent, ticket.model(), allowed)
                             && (agent == null || !agent.isSwapping());
             if (isUsable) {
                 candidates.add(endpoint);
@@ -142,33 +153,40 @@
 
     /** Returns whether an endpoint holds a version of the model that may answer. */
     private static boolean holds(
-            EndpointInfo endpoint,
-            @Nullable Participant agent,
-            String model,
-            OptionalLong version) {
+            EndpointInfo endpoint, @Nullable Participant agent, String model, Allowed allowed) {
         if (model.isEmpty()) {
             return true;
         }
+        OptionalLong held = held(endpoint, agent, model);
+        return held.isPresent() && allowed.contains(held.getAsLong());
+    }
+
+    private static OptionalLong heldBy(EndpointInfo endpoint, FleetPicture picture, String model) {
+        String address = endpoint.address().toString();
+        return held(endpoint, picture.agentsByEndpoint().get(address), model);
+    }
+
+    /** Returns the version that an endpoint has loaded; its agent knows it sooner. */
+    private static OptionalLong held(
+            EndpointInfo endpoint, @Nullable Participant agent, String model) {
         Long held = endpoint.versions().get(model);
         if (agent != null && agent.getVersions().containsKey(model)) {
             held = agent.getVersions().get(model);
         }
-        return held != null && (version.isEmpty() || held == version.getAsLong());
+        return held == null ? OptionalLong.empty() : OptionalLong.of(held);
     }
 
     /**
-     * Returns the version that must answer: that of the stream that goes on, or the newest once its
-     * bound has nearly passed.
+     * Returns the versions that may answer: that of the stream that goes on, and none below the one
+     * whose bound has nearly passed.
      */
-    private OptionalLong versionFor(Ticket ticket, FleetPicture picture, Duration now) {
-        if (ticket.model().isEmpty() || ticket.version().isPresent()) {
-            return ticket.version();
-        }
-        Duration namedSince = picture.namedSince().get(ticket.model());
-        if (namedSince == null || namedSince.plus(mSettings.versionBound()).compareTo(now) > 0) {
-            return OptionalLong.empty();
+    private Allowed allowedFor(Ticket ticket, FleetPicture picture, Duration now) {
+        if (ticket.model().isEmpty()) {
+            return new Allowed(OptionalLong.empty(), OptionalLong.empty());
         }
-        return OptionalLong.of(picture.state().version(ticket.model(), 0));
+        OptionalLong due =
+                picture.history(ticket.model()).newestAt(now.minus(mSettings.versionBound()));
+        return new Allowed(due, ticket.version());
     }
 
     private boolean hasRoom(
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/RequestTimes.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/RequestTimes.java
@@ -17,7 +17,7 @@
  */
 record RequestTimes(Duration arrivedAt, Duration deadline, boolean isLate) {
     /** Part of the time for an answer that may pass before it is sent; the rest is to serve it. */
-    private static final double QUEUE_PART = 0.55;
+    private static final double QUEUE_PART = 0.4;
 
     /** Longest time that a request waits whose answer is late anyway. */
     private static final Duration LATE_WAIT = Duration.ofMillis(800);
--- a/daemon/src/main/java/org/sequoiahill/daemon/version/staging/StagingAgent.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/staging/StagingAgent.java
@@ -206,7 +206,8 @@
         Participant self = mServices.state().participant();
         versions.put(self.getVm(), self.getVersions().getOrDefault(model, 0L));
         Duration now = mServices.clock().now();
-        Duration age = now.minus(picture.namedSince().getOrDefault(model, now));
+        long held = self.getVersions().getOrDefault(model, 0L);
+        Duration age = now.minus(picture.history(model).namedAfter(held).orElse(now));
         return SwapTurns.isTurn(self.getVm(), versions, target, age, mLastCall);
     }
 
--- a/daemon/src/test/java/org/sequoiahill/daemon/process/fleet/FleetViewTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/process/fleet/FleetViewTest.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -69,13 +70,13 @@
     @Test
     void take_firstState_countsItsVersionsAsNamedLongAgo() {
         mView.take(NEAR, reply(true, content(5, 7, true)));
-        Duration named = mView.picture().namedSince().get("model");
+        Duration named = mView.picture().history("model").namedAfter(1).orElseThrow();
         assertThat(named.compareTo(mClock.now().minus(Duration.ofMinutes(1))) < 0, is(true));
         mClock.advanceMillis(10);
         FleetContent later = content(6, 7, false);
         later.setVersions(Map.of("model", 3L));
         mView.take(NEAR, reply(true, later));
-        assertThat(mView.picture().namedSince().get("model"), is(mClock.now()));
+        assertThat(mView.picture().history("model").namedAfter(2), is(Optional.of(mClock.now())));
     }
 
     private static Checked<RoutingTable> parse(byte[] text) {
--- a/daemon/src/test/java/org/sequoiahill/daemon/request/direct/DispatcherTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/request/direct/DispatcherTest.java
@@ -102,6 +102,17 @@
         assertThat(submit(1, 1).get(0).mRefused.isPresent(), is(isInsisted));
     }
 
+    @Test
+    void submit_versionNamedBeforeTheLastIsInPlace_keepsTheFirstOnesBound() {
+        mPicture =
+                new Fleets()
+                        .endpoint("a", "dc-1", 8)
+                        .named(2, mClock.now().minusMillis(7_500))
+                        .named(3, mClock.now().minusMillis(5_000))
+                        .picture();
+        assertThat(submit(1, 1).get(0).mRefused.isPresent(), is(true));
+    }
+
     @Test
     void submit_noEndpoint_refusesAtOnceWithAPause() {
         mPicture = new Fleets().picture();
--- a/daemon/src/test/java/org/sequoiahill/daemon/request/direct/Fleets.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/request/direct/Fleets.java
@@ -14,6 +14,7 @@
 import org.sequoiahill.daemon.process.fleet.Route;
 import org.sequoiahill.daemon.process.fleet.RoutedService;
 import org.sequoiahill.daemon.process.fleet.RoutingTable;
+import org.sequoiahill.daemon.process.fleet.VersionHistory;
 import org.sequoiahill.daemon.process.settings.HostPort;
 import org.sequoiahill.protocol.gen.EndpointState;
 import org.sequoiahill.protocol.gen.Participant;
@@ -32,7 +33,7 @@
                     Duration.ofMillis(7_500));
 
     private final List<EndpointInfo> mEndpoints = new ArrayList<>();
-    private final Map<String, Duration> mNamedSince = new HashMap<>();
+    private final Map<String, VersionHistory> mHistories = new HashMap<>();
     private final Map<String, Long> mVersions = new HashMap<>();
     private final Map<String, Long> mOut = new HashMap<>();
     private final List<Participant> mParticipants = new ArrayList<>();
@@ -110,7 +111,9 @@
 
     Fleets named(long version, Duration since) {
         mVersions.put("model", version);
-        mNamedSince.put("model", since);
+        mHistories.put(
+                "model",
+                mHistories.getOrDefault("model", VersionHistory.NONE).with(version, since));
         return this;
     }
 
@@ -134,7 +137,7 @@
                                 1 << 20)),
                 Map.of("writer", mEndpoints),
                 mParticipants,
-                mNamedSince);
+                mHistories);
     }
 
     static Route route(Route.Kind kind, int maxAttempts) {
--- a/daemon/src/test/java/org/sequoiahill/daemon/request/direct/RequestTimesTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/request/direct/RequestTimesTest.java
@@ -16,9 +16,9 @@
     @ParameterizedTest
     @CsvSource({
         // patience in ms, or none; time to the deadline, whether late, time to the give-up
-        ", 4000, false, 220",
-        "4030, 4000, false, 220",
-        "3700, 3700, false, 220",
+        ", 4000, false, 160",
+        "4030, 4000, false, 160",
+        "3700, 3700, false, 160",
         "3500, 3500, true, 800",
         "300, 300, true, 300"
     })
