--- /dev/null
+++ b/daemon/src/test/java/org/sequoiahill/daemon/version/staging/StagingAgentTest.java
@@ -0,0 +1,227 @@
+package org.sequoiahill.daemon.version.staging;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.sequoiahill.daemon.process.control.ControlClient;
+import org.sequoiahill.daemon.process.control.ControlTraffic;
+import org.sequoiahill.daemon.process.control.Identity;
+import org.sequoiahill.daemon.process.fleet.EngineProfile;
+import org.sequoiahill.daemon.process.fleet.FleetPicture;
+import org.sequoiahill.daemon.process.fleet.FleetState;
+import org.sequoiahill.daemon.process.fleet.RoutedService;
+import org.sequoiahill.daemon.process.fleet.RoutingTable;
+import org.sequoiahill.daemon.process.fleet.VersionHistory;
+import org.sequoiahill.daemon.process.settings.HostPort;
+import org.sequoiahill.daemon.process.time.MonotonicClock;
+import org.sequoiahill.protocol.gen.Participant;
+import org.sequoiahill.protocol.gen.ParticipantRole;
+import org.sequoiahill.protocol.weights.Digests;
+
+/** Runs an agent before an engine that loads whatever lies there, and checks what it loaded. */
+final class StagingAgentTest {
+    private static final int PIECES = 6;
+    private static final HostPort ORIGIN = new HostPort("127.0.0.1", 1);
+
+    private final ExecutorService mThreads = Executors.newCachedThreadPool();
+    private final ExecutorService mRunner = Executors.newSingleThreadExecutor();
+    private final FakeEngine mEngine = new FakeEngine();
+    private final FakeOrigin mOrigin = new FakeOrigin();
+
+    @AfterEach
+    void stop() {
+        mRunner.shutdownNow();
+        mThreads.shutdownNow();
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {0, 1})
+    void run_engineBehindTheNamedVersion_loadsItWhole(long held) throws InterruptedException {
+        mEngine.mVersions.put("model", held);
+        start(2);
+        assertThat(mEngine.mLoads.poll(20, TimeUnit.SECONDS), is(textOf(2)));
+    }
+
+    @Test
+    void run_originThatSendsDamagedPieces_loadsSoundOnes() throws InterruptedException {
+        mOrigin.mDamagedFirst = true;
+        start(2);
+        assertThat(mEngine.mLoads.poll(20, TimeUnit.SECONDS), is(textOf(2)));
+    }
+
+    @Test
+    void run_stagedPieceTurnsBad_isReplacedBeforeTheLoad() throws InterruptedException {
+        mEngine.mSpoilsFirstPut = true;
+        start(2);
+        assertThat(mEngine.mLoads.poll(20, TimeUnit.SECONDS), is(textOf(2)));
+    }
+
+    @Test
+    void run_engineRestartsEmpty_loadsAgain() throws InterruptedException {
+        start(2);
+        assertThat(mEngine.mLoads.poll(20, TimeUnit.SECONDS), is(textOf(2)));
+        mEngine.restart();
+        assertThat(mEngine.mLoads.poll(20, TimeUnit.SECONDS), is(textOf(2)));
+    }
+
+    private void start(long version) {
+        Identity identity = Identity.of("agent-1", "dc", 1);
+        PieceStore store = new PieceStore();
+        ControlClient client =
+                ControlClient.on(mThreads, ControlTraffic.on(new SimpleMeterRegistry()));
+        Participant self =
+                new Participant(
+                        "agent-1",
+                        "agent-1",
+                        ParticipantRole.AGENT,
+                        "dc",
+                        "127.0.0.1:2",
+                        1,
+                        0,
+                        "127.0.0.1:3",
+                        "writer",
+                        false,
+                        Map.of());
+        FleetPicture picture = picture(version);
+        StagingAgent agent =
+                StagingAgent.of(
+                        new StagingAgent.Services(
+                                () -> picture,
+                                mEngine,
+                                store,
+                                PieceFetcher.of(
+                                        identity, "dc", mOrigin, store, mEngine, client, mThreads),
+                                AgentState.of(self),
+                                () -> {},
+                                Map.of("dc", "dc"),
+                                MonotonicClock.system()),
+                        "writer",
+                        Duration.ofSeconds(6));
+        mRunner.execute(agent);
+    }
+
+    private static FleetPicture picture(long version) {
+        EngineProfile engine =
+                new EngineProfile(
+                        "model",
+                        4,
+                        1_000,
+                        Duration.ZERO,
+                        Duration.ZERO,
+                        1,
+                        1,
+                        PIECES,
+                        1,
+                        Duration.ZERO);
+        Map<String, RoutedService> services = new HashMap<>();
+        services.put(
+                "writer",
+                new RoutedService(
+                        "writer", 1, Duration.ZERO, 0, Optional.empty(), Optional.of(engine)));
+        services.put(
+                "weights",
+                new RoutedService(
+                        "weights", 1, Duration.ZERO, 0, Optional.of(ORIGIN), Optional.empty()));
+        return new FleetPicture(
+                new FleetState(
+                        1, 1, ByteBuffer.allocate(0), Map.of(), Map.of(), Map.of("model", version)),
+                Optional.of(RoutingTable.of(1, List.of(), services, Map.of(), 1)),
+                Map.of(),
+                List.of(),
+                Map.of("model", VersionHistory.NONE.with(version, Duration.ZERO)));
+    }
+
+    private static byte[] content(long version, int piece) {
+        return ("v" + version + "p" + piece + ";").getBytes(StandardCharsets.UTF_8);
+    }
+
+    private static String textOf(long version) {
+        StringBuilder text = new StringBuilder();
+        for (int piece = 0; piece < PIECES; piece++) {
+            text.append(new String(content(version, piece), StandardCharsets.UTF_8));
+        }
+        return text.toString();
+    }
+
+    /** An origin that may send each piece damaged the first time. */
+    private static final class FakeOrigin implements WeightsOrigin {
+        private final Map<Integer, Integer> mAsked = new HashMap<>();
+        private boolean mDamagedFirst;
+
+        @Override
+        public PieceManifest manifest(HostPort origin, String model, long version) {
+            List<String> digests = new ArrayList<>();
+            for (int piece = 0; piece < PIECES; piece++) {
+                digests.add(
+                        Digests.of(new String(content(version, piece), StandardCharsets.UTF_8)));
+            }
+            return new PieceManifest(model, version, digests);
+        }
+
+        @Override
+        public synchronized byte[] piece(HostPort origin, String model, long version, int piece) {
+            boolean isFirst = mAsked.merge(piece, 1, Integer::sum) == 1;
+            return mDamagedFirst && isFirst ? new byte[] {1, 2, 3} : content(version, piece);
+        }
+    }
+
+    /** An engine that checks nothing. */
+    private static final class FakeEngine implements StagingEngine {
+        private final Map<String, Long> mVersions = new HashMap<>();
+        private final Map<Integer, byte[]> mStaged = new HashMap<>();
+        private final BlockingQueue<String> mLoads = new LinkedBlockingQueue<>();
+        private boolean mSpoilsFirstPut;
+
+        @Override
+        public synchronized Report report() {
+            return new Report(mVersions, false, 0, 0);
+        }
+
+        @Override
+        public synchronized void put(String model, int piece, byte[] content) {
+            mStaged.put(piece, mSpoilsFirstPut ? new byte[] {9} : content);
+            mSpoilsFirstPut = false;
+        }
+
+        @Override
+        public synchronized Optional<byte[]> staged(String model, int piece) throws IOException {
+            return Optional.ofNullable(mStaged.get(piece));
+        }
+
+        @Override
+        public synchronized boolean start(String model, long version) {
+            StringBuilder loaded = new StringBuilder();
+            for (int piece = 0; piece < PIECES; piece++) {
+                byte[] content = mStaged.getOrDefault(piece, new byte[0]);
+                loaded.append(new String(content, StandardCharsets.UTF_8));
+            }
+            mVersions.put(model, version);
+            mLoads.add(loaded.toString());
+            return true;
+        }
+
+        synchronized void restart() {
+            mVersions.clear();
+            mStaged.clear();
+        }
+    }
+}
