Fetch pieces while the engine is still starting

Cause: added endpoints served 3.8 s after they registered, of which 2.9 s were their link; the agent stands 0.85 s before its engine answers and waited for it. Change: the agent fetches while the engine is down, and stages once it answers. The new test waits for all pieces to be drawn before the engine is up; before the change it waited in vain.

--- a/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PieceFetcher.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PieceFetcher.java
@@ -90,7 +90,7 @@
         return mOrigin.manifest(origin, model, version);
     }
 
-    /** Fetches and stages what is missing; returns whether all pieces are here. */
+    /** Fetches what is missing, and stages it where it can; returns whether all is here. */
     boolean fetch(PieceManifest manifest, FleetPieces from) throws InterruptedException {
         PieceQueue missing = PieceQueue.of(missing(manifest), MAX_FAILURES);
         List<Future<?>> workers = new ArrayList<>();
@@ -109,8 +109,8 @@
             try {
                 byte[] content = get(manifest, from, piece, pieces.failures(piece), lane);
                 mStore.add(manifest.model(), manifest.version(), piece, content);
-                mEngine.put(manifest.model(), piece, content);
                 pieces.came(piece);
+                stageAhead(manifest.model(), piece, content);
             } catch (IOException e) {
                 int failures = pieces.failed(piece);
                 Logger.info("piece {} did not come, {} times: {}", piece, failures, e.toString());
@@ -119,6 +119,15 @@
         }
     }
 
+    /** Lays a piece at the engine; before a load all are looked at and missing ones laid again. */
+    private void stageAhead(String model, int piece, byte[] content) {
+        try {
+            mEngine.put(model, piece, content);
+        } catch (IOException e) {
+            Logger.debug("piece {} is staged later: {}", piece, e.toString());
+        }
+    }
+
     private byte[] get(PieceManifest manifest, FleetPieces from, int piece, int failures, int lane)
             throws IOException {
         HostPort supplier = from.supplier(mRegion, piece, failures).orElse(null);
--- a/daemon/src/main/java/org/sequoiahill/daemon/version/staging/StagingAgent.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/staging/StagingAgent.java
@@ -30,6 +30,7 @@
 
     private static final Duration IDLE_INTERVAL = Duration.ofMillis(400);
     private static final Duration STEP_INTERVAL = Duration.ofMillis(60);
+    private static final Duration LOST_INTERVAL = Duration.ofMillis(200);
 
     /** Time in which entries hear that an engine is about to load. */
     private static final Duration NOTICE = Duration.ofMillis(120);
@@ -115,8 +116,10 @@
                         Logger.warn("a step towards the newest version failed: {}", e.toString());
                     }
                     mIsEngineLost = true;
+                    isDone = false;
                 }
-                pause(isDone ? IDLE_INTERVAL : STEP_INTERVAL);
+                Duration step = mIsEngineLost ? LOST_INTERVAL : STEP_INTERVAL;
+                pause(isDone ? IDLE_INTERVAL : step);
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -134,9 +137,9 @@
             return true;
         }
         String model = profile.get().model();
-        StagingEngine.Report report = mServices.engine().report();
-        tell(false, report.versions());
         long target = picture.state().version(model, FIRST_VERSION);
+        StagingEngine.Report report = reportOrFetch(picture, model, target);
+        tell(false, report.versions());
         long held = report.versions().getOrDefault(model, 0L);
         if (held >= target || report.isBusy()) {
             return !report.isBusy();
@@ -157,6 +160,23 @@
         return false;
     }
 
+    /**
+     * Returns the engine's report; while the engine is still starting, its pieces are fetched, as
+     * that takes most of the time until it serves.
+     */
+    private StagingEngine.Report reportOrFetch(FleetPicture picture, String model, long target)
+            throws IOException, InterruptedException {
+        try {
+            return mServices.engine().report();
+        } catch (IOException e) {
+            FleetPieces from = FleetPieces.of(picture, mServices.regions());
+            if (from.origin().isPresent()) {
+                mServices.fetcher().fetch(manifest(from, model, target), from);
+            }
+            throw e;
+        }
+    }
+
     private PieceManifest manifest(FleetPieces from, String model, long version)
             throws IOException {
         boolean isKnown =
--- a/daemon/src/test/java/org/sequoiahill/daemon/version/staging/StagingAgentTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/version/staging/StagingAgentTest.java
@@ -14,6 +14,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -83,6 +84,15 @@
         assertThat(mEngine.mLoads.poll(20, TimeUnit.SECONDS), is(textOf(2)));
     }
 
+    @Test
+    void run_engineThatIsStillStarting_findsItsPiecesFetched() throws InterruptedException {
+        mEngine.mIsDown = true;
+        start(2);
+        assertThat(mOrigin.mAllAsked.await(20, TimeUnit.SECONDS), is(true));
+        mEngine.mIsDown = false;
+        assertThat(mEngine.mLoads.poll(20, TimeUnit.SECONDS), is(textOf(2)));
+    }
+
     private void start(long version) {
         Identity identity = Identity.of("agent-1", "dc", 1);
         PieceStore store = new PieceStore();
@@ -165,6 +175,7 @@
     /** An origin that may send each piece damaged the first time. */
     private static final class FakeOrigin implements WeightsOrigin {
         private final Map<Integer, Integer> mAsked = new HashMap<>();
+        private final CountDownLatch mAllAsked = new CountDownLatch(1);
         private boolean mDamagedFirst;
 
         @Override
@@ -180,6 +191,9 @@
         @Override
         public synchronized byte[] piece(HostPort origin, String model, long version, int piece) {
             boolean isFirst = mAsked.merge(piece, 1, Integer::sum) == 1;
+            if (mAsked.size() == PIECES) {
+                mAllAsked.countDown();
+            }
             return mDamagedFirst && isFirst ? new byte[] {1, 2, 3} : content(version, piece);
         }
     }
@@ -190,14 +204,17 @@
         private final Map<Integer, byte[]> mStaged = new HashMap<>();
         private final BlockingQueue<String> mLoads = new LinkedBlockingQueue<>();
         private boolean mSpoilsFirstPut;
+        private volatile boolean mIsDown;
 
         @Override
-        public synchronized Report report() {
+        public synchronized Report report() throws IOException {
+            checkUp();
             return new Report(mVersions, false, 0, 0);
         }
 
         @Override
-        public synchronized void put(String model, int piece, byte[] content) {
+        public synchronized void put(String model, int piece, byte[] content) throws IOException {
+            checkUp();
             mStaged.put(piece, mSpoilsFirstPut ? new byte[] {9} : content);
             mSpoilsFirstPut = false;
         }
@@ -219,6 +236,12 @@
             return true;
         }
 
+        private void checkUp() throws IOException {
+            if (mIsDown) {
+                throw new IOException("the engine is down");
+            }
+        }
+
         synchronized void restart() {
             mVersions.clear();
             mStaged.clear();
