Tell a reset from the end of an answer

Jetty's end point reads a reset as the end of the stream. Ruled out: answers with a length or in chunks, which are checked by their framing. Change: the client's connections fail a read that the kernel fails.

--- a/daemon/src/main/java/org/sequoiahill/daemon/process/FleetModule.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/FleetModule.java
@@ -19,6 +19,7 @@
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.http.HttpCookieStore;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.sequoiahill.daemon.connection.ResetAwareConnector;
 import org.sequoiahill.daemon.process.control.ControlClient;
 import org.sequoiahill.daemon.process.control.ControlServer;
 import org.sequoiahill.daemon.process.control.ControlTraffic;
@@ -138,7 +139,9 @@
     @Provides
     @Singleton
     static HttpClient httpClient(QueuedThreadPool threads) {
-        HttpClient client = new HttpClient(new HttpClientTransportOverHTTP(1));
+        ResetAwareConnector connector = new ResetAwareConnector();
+        connector.setSelectors(1);
+        HttpClient client = new HttpClient(new HttpClientTransportOverHTTP(connector));
         client.setExecutor(threads);
         client.setFollowRedirects(false);
         client.setUserAgentField(null);
