Call a store current only once it has applied what is committed

Change: the status says so after the apply; the handler asks for it before it reads the state. The new test saw a store with nothing applied call itself current.

--- a/daemon/src/main/java/org/sequoiahill/daemon/process/fleet/FleetHandler.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/fleet/FleetHandler.java
@@ -54,11 +54,12 @@
                 request.getChange(),
                 wait.compareTo(MAX_WAIT) > 0 ? MAX_WAIT : wait,
                 hasContent);
+        // A state that is read after the question is at least as new as the answer says.
+        reply.setCurrent(mStore.isCurrent());
         if (hasContent.getAsBoolean()) {
             FleetState state = mStore.applied();
             reply.setContent(state.toThrift(isRoutingWanted(request, state)));
         }
-        reply.setCurrent(mStore.isCurrent());
         reply.setStores(mStore.addresses());
         reply.setDataCentre(mIdentity.dataCentre());
         return reply;
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/log/GroupLog.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/log/GroupLog.java
@@ -62,7 +62,7 @@
                         random,
                         clock.now());
         restore(storage.state().snapshot());
-        mStatus = GroupStatus.of(mCore);
+        mStatus = GroupStatus.of(mCore, false);
         mTransport.locate(new Membership(options.seeds()));
         mTransport.locate(mCore.members());
         mRunner = new Thread(this::run, "log-" + options.group());
@@ -179,7 +179,7 @@
     public boolean isCurrent() {
         GroupStatus status = mStatus;
         if (status.role() == LogRole.LEADER) {
-            return isLeader();
+            return status.isCaughtUp() && isLeader();
         }
         Duration oldest = mClock.now().minus(mOptions.timing().electionMax());
         return status.isCaughtUp()
@@ -286,10 +286,14 @@
         events.forEach(this::take);
         Outputs outputs = mCore.drain();
         mStorage.store(outputs);
-        publish();
+        boolean isApplied = outputs.committed().isEmpty() && outputs.installed().isEmpty();
+        publish(isApplied);
         mTransport.send(outputs.messages());
         outputs.installed().ifPresent(this::restore);
         outputs.committed().forEach(this::apply);
+        if (!isApplied) {
+            publish(true);
+        }
         outputs.readyReads().forEach(mPending::readReady);
         outputs.failedReads().forEach(id -> mPending.readFailed(id, LogFailure.Kind.NOT_LEADER));
         if (mHasLed && mCore.role() != LogRole.LEADER) {
@@ -315,9 +319,14 @@
         }
     }
 
-    private void publish() {
+    /**
+     * Tells other threads what this store is.
+     *
+     * @param isApplied whether all that is committed is in the machine, too
+     */
+    private void publish(boolean isApplied) {
         GroupStatus before = mStatus;
-        GroupStatus after = GroupStatus.of(mCore);
+        GroupStatus after = GroupStatus.of(mCore, isApplied);
         mStatus = after;
         if (!before.members().equals(after.members())) {
             mTransport.locate(after.members());
@@ -366,7 +375,7 @@
 
     private void end() {
         mCore.stop();
-        publish();
+        publish(false);
         mPending.failProposals();
         mPending.failReads();
         List<GroupEvent> late = new ArrayList<>();
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/log/GroupStatus.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/log/GroupStatus.java
@@ -13,7 +13,7 @@
  * @param members members as this store knows them
  * @param leaderHeardAt when a leader was last heard
  * @param leaderHeardAt when a leader was last heard
- * @param isCaughtUp whether all that was committed before the current term is known here
+ * @param isCaughtUp whether all that was committed before the current term is applied here
  */
 record GroupStatus(
         LogRole role,
@@ -23,7 +23,7 @@
         Membership members,
         Duration leaderHeardAt,
         boolean isCaughtUp) {
-    static GroupStatus of(LogCore core) {
+    static GroupStatus of(LogCore core, boolean isApplied) {
         return new GroupStatus(
                 core.role(),
                 core.term(),
@@ -31,6 +31,6 @@
                 core.leaseUntil(),
                 core.members(),
                 core.leaderHeardAt(),
-                core.isCaughtUp());
+                isApplied && core.isCaughtUp());
     }
 }
--- a/daemon/src/test/java/org/sequoiahill/daemon/process/log/GroupLogTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/process/log/GroupLogTest.java
@@ -84,6 +84,56 @@
         assertThat(again.count(), is(202));
     }
 
+    @Test
+    void isCurrent_committedButNotYetApplied_isFalse() throws Exception {
+        CountingMachine first = new CountingMachine();
+        GroupLog log = open(DiskFolder.open(mFolder), first);
+        proposeWhenLeading(log);
+        log.close();
+        log.awaitEnd();
+
+        SlowMachine slow = new SlowMachine();
+        GroupLog second = open(DiskFolder.open(mFolder), slow);
+        assertThat(slow.mIsApplying.await(WAIT_SECONDS, TimeUnit.SECONDS), is(true));
+        boolean wasCurrent = second.isCurrent();
+        slow.mMayGoOn.countDown();
+        assertThat("current before the state is applied", wasCurrent, is(false));
+    }
+
+    @Test
+    void isCurrent_applied_isTrue() throws Exception {
+        GroupLog log = open(DiskFolder.open(mFolder), new CountingMachine());
+        proposeWhenLeading(log);
+        log.confirmLeadership().get(WAIT_SECONDS, TimeUnit.SECONDS);
+        assertThat(log.isCurrent(), is(true));
+    }
+
+    /** Takes its time over the first payload. */
+    private static final class SlowMachine implements StateMachine {
+        private final CountDownLatch mIsApplying = new CountDownLatch(1);
+        private final CountDownLatch mMayGoOn = new CountDownLatch(1);
+
+        @Override
+        public void apply(long index, byte[] payload) {
+            mIsApplying.countDown();
+            try {
+                mMayGoOn.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+
+        @Override
+        public byte[] snapshot() {
+            return new byte[0];
+        }
+
+        @Override
+        public void restore(byte[] snapshot) {
+            throw new AssertionError("there is no snapshot");
+        }
+    }
+
     @Test
     void open_folderInUse_isRefused() throws Exception {
         open(DiskFolder.open(mFolder), new CountingMachine());
