--- a/daemon/src/main/java/org/sequoiahill/daemon/connection/ResetAwareConnector.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/connection/ResetAwareConnector.java
@@ -42,7 +42,7 @@
             }
             int position = BufferUtil.flipToFill(buffer);
             try {
-                int filled = ((SocketChannel) getChannel()).read(buffer);
+                int filled = getChannel().read(buffer);
                 if (filled > 0) {
                     notIdle();
                 } else if (filled < 0) {
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/FleetAgent.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/FleetAgent.java
@@ -31,7 +31,6 @@
     /** Part of the version bound after which a load waits for no other engine. */
     private static final double LAST_CALL_PART = 0.74;
 
-    private final FleetSettings mSettings;
     private final AgentState mState;
     private final StagingAgent mAgent;
     private final LoadTeller mLoads;
@@ -47,7 +46,6 @@
             HttpClient http,
             MonotonicClock clock,
             ScheduledExecutorService scheduler) {
-        mSettings = settings;
         mState = AgentState.of(Participants.of(settings, identity));
         PieceStore store = new PieceStore();
         StagingEngine engine = adapter.engine(http, settings.engine().orElseThrow());
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/endpoints/EndpointRegistry.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/endpoints/EndpointRegistry.java
@@ -127,10 +127,9 @@
     public void expire() {
         mLock.lock();
         try {
-            boolean isChanged =
-                    expire(mEndpoints, mEndpointLease, FeedKeys::endpoint)
-                            | expire(mParticipants, mParticipantLease, FeedKeys::participant);
-            if (isChanged) {
+            boolean isEndpointGone = expire(mEndpoints, mEndpointLease, FeedKeys::endpoint);
+            boolean isDaemonGone = expire(mParticipants, mParticipantLease, FeedKeys::participant);
+            if (isEndpointGone || isDaemonGone) {
                 mChanged.signalAll();
             }
         } finally {
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/logging/LineQueue.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/logging/LineQueue.java
@@ -13,7 +13,10 @@
  * room, so that a reader of the log knows what is missing.
  */
 final class LineQueue {
-    private static final long FLUSH_MILLIS = 500;
+    /** Waits of a flush, which gives up on an output that stands still. */
+    private static final int FLUSH_WAITS = 10;
+
+    private static final long FLUSH_WAIT_MILLIS = 50;
 
     private final OutputStream mOutput;
     private final int mMaxLines;
@@ -48,8 +51,8 @@
     /** Waits until what was added is written, though not for long. */
     synchronized void flush() {
         try {
-            if (!mLines.isEmpty() || mIsWriting) {
-                wait(FLUSH_MILLIS);
+            for (int i = 0; i < FLUSH_WAITS && (!mLines.isEmpty() || mIsWriting); i++) {
+                wait(FLUSH_WAIT_MILLIS);
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/EndpointStatus.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/EndpointStatus.java
@@ -18,7 +18,7 @@
     private static final int MAX_REST_DOUBLINGS = 3;
 
     /** Silence on a waiting request, without any answer since, that makes an endpoint suspect. */
-    private static final Duration SILENCE = Duration.ofMillis(1_000);
+    private static final Duration SILENCE = Duration.ofSeconds(1);
 
     /** Time for which a told load is better than what answers say. */
     private static final Duration TOLD_FOR = Duration.ofMillis(800);
