Count a member's silence from its first mention

Ruled out: the entries' view, which held what the stores said. Change: a member that has not answered is silent since the leader first knew it. The new test failed under leaders of 8 and 30 s.

--- a/daemon/src/main/java/org/sequoiahill/daemon/process/log/Leadership.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/log/Leadership.java
@@ -210,7 +210,8 @@
         for (Member member : members.members()) {
             if (!member.id().equals(mState.self()) && !member.id().isAwaited()) {
                 mProgress.putIfAbsent(
-                        member.id(), Progress.of(next, mState.log().commitIndex(), NEVER));
+                        member.id(),
+                        Progress.of(next, mState.log().commitIndex(), NEVER, mState.now()));
             }
         }
     }
@@ -305,10 +306,12 @@
         }
     }
 
+    /** Returns whether a member has said nothing for a number of times the policy's patience. */
     private boolean isSilent(Member member, int times) {
+        Progress progress = mProgress.get(member.id());
         Duration patience = seats().patience().multipliedBy(times);
-        return ackedAt(member.id()).plus(patience).compareTo(mState.now()) < 0
-                && mSince.plus(patience).compareTo(mState.now()) < 0;
+        return progress != null
+                && progress.silentSince().plus(patience).compareTo(mState.now()) < 0;
     }
 
     /** Returns whether a majority of the voters that would be has answered of late. */
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/log/Progress.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/log/Progress.java
@@ -6,6 +6,7 @@
 /** What a leader knows of another member. */
 final class Progress {
     private final long mJoinIndex;
+    private final Duration mKnownSince;
     private long mMatch;
     private long mNext;
     private long mSentCommit;
@@ -13,10 +14,11 @@
     private Duration mAckedAt;
     private Optional<Transfer> mTransfer = Optional.empty();
 
-    private Progress(long next, long joinIndex, Duration since) {
+    private Progress(long next, long joinIndex, Duration ackedAt, Duration knownSince) {
         mNext = next;
         mJoinIndex = joinIndex;
-        mAckedAt = since;
+        mAckedAt = ackedAt;
+        mKnownSince = knownSince;
     }
 
     /**
@@ -25,9 +27,10 @@
      * @param next first index to send
      * @param joinIndex what was committed when the member was first known
      * @param ackedAt time before which nothing is acknowledged
+     * @param knownSince when the member was first known
      */
-    static Progress of(long next, long joinIndex, Duration ackedAt) {
-        return new Progress(next, joinIndex, ackedAt);
+    static Progress of(long next, long joinIndex, Duration ackedAt, Duration knownSince) {
+        return new Progress(next, joinIndex, ackedAt, knownSince);
     }
 
     /** A snapshot on its way, sent part by part. */
@@ -41,6 +44,11 @@
         return mNext;
     }
 
+    /** Returns since when the member has been silent: its last answer, or its first mention. */
+    Duration silentSince() {
+        return mAckedAt.compareTo(mKnownSince) > 0 ? mAckedAt : mKnownSince;
+    }
+
     Duration ackedAt() {
         return mAckedAt;
     }
--- a/daemon/src/test/java/org/sequoiahill/daemon/process/log/LogCoreTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/process/log/LogCoreTest.java
@@ -179,7 +179,7 @@
         CoreState follower = coreOf("store-1", StoredState.EMPTY);
         Replication replication = Replication.of(leader);
         Following following = Following.of(follower);
-        Progress progress = Progress.of(1, 9, Duration.ZERO);
+        Progress progress = Progress.of(1, 9, Duration.ZERO, Duration.ZERO);
 
         replication.sendBeat(follower.self(), progress);
         int parts = 0;
--- a/daemon/src/test/java/org/sequoiahill/daemon/process/log/SeatPolicyTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/process/log/SeatPolicyTest.java
@@ -37,6 +37,37 @@
         assertThat(group.members().byVm("store-3").isPresent(), is(true));
     }
 
+    @ParameterizedTest
+    @ValueSource(ints = {1_000, 8_000, 30_000})
+    void learnerThatAnswersLate_underALeaderOfLongStanding_staysAMember(int age) {
+        SimulatedGroup group = new SimulatedGroup(3, 4, new Random(3), THREE_SEATS);
+        List.of("store-0", "store-1", "store-2").forEach(group::start);
+        group.run(age);
+        group.start("store-3");
+        while (!isMember(group, "store-3")) {
+            group.step();
+        }
+        group.store("store-3").freeze(group.now() + 500);
+        for (int i = 0; i < 100; i++) {
+            group.step();
+            assertThat(isMember(group, "store-3"), is(true));
+        }
+    }
+
+    @Test
+    void diskLost_underALeaderOfLongStanding_votesAgain() {
+        SimulatedGroup group = started(THREE_SEATS);
+        group.run(20_000);
+        group.store("store-3").kill();
+        group.run(20_000);
+        String lost = "store-2";
+        group.store(lost).loseDisk();
+        group.run(1_000);
+        group.start(lost);
+        group.run(5_000);
+        assertThat(votersOf(group).contains(lost), is(true));
+    }
+
     @Test
     void policyByOrder_unknownStore_isNotTakenIn() {
         SimulatedGroup group = started(BY_ORDER);
@@ -64,6 +95,13 @@
         assertThat(group.members().members(), empty());
     }
 
+    private static boolean isMember(SimulatedGroup group, String vm) {
+        return group.leader()
+                .flatMap(SimulatedStore::core)
+                .flatMap(core -> core.members().byVm(vm))
+                .isPresent();
+    }
+
     private static SimulatedGroup started(SeatPolicy policy) {
         SimulatedGroup group = new SimulatedGroup(3, 4, new Random(11), policy);
         group.startAll();
