Ask any store for a routing table that the nearest one has not sent

Cause: the text of a table is asked of the nearest store only, and of any store once it has been missing for 400 ms. Each newer table began that time anew, so with a change every 300 to 800 ms and the nearest store away it never passed. Besides, calls that wait at other stores were made before the table was missed and end only with other news, after 900 ms at most.

Ruled out: a store that calls itself current too early (state indexes arrive within 60 ms of the commit), the parse of the table, lost replies.

Change: the time counts from the first table that is missing; a late table is asked of the two stores that answered last, beside the calls that wait; and while a newer table is known to exist, a request that the held one does not allow is told to come back (503) instead of 404 or 401.

The dispatcher's delays now come from outside, so that loads can be played in virtual time.

--- a/daemon/src/main/java/org/sequoiahill/daemon/process/FleetEntry.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/FleetEntry.java
@@ -22,6 +22,7 @@
 import org.sequoiahill.daemon.process.control.ServiceStub;
 import org.sequoiahill.daemon.process.fleet.FleetView;
 import org.sequoiahill.daemon.process.settings.FleetSettings;
+import org.sequoiahill.daemon.process.time.DelayedRunner;
 import org.sequoiahill.daemon.process.time.MonotonicClock;
 import org.sequoiahill.daemon.request.HttpForwarder;
 import org.sequoiahill.daemon.request.direct.DirectHandler;
@@ -90,7 +91,8 @@
                         bounds.repeatSlack(),
                         partOf(bounds.version(), VERSION_PART),
                         partOf(bounds.version(), LAST_START_PART));
-        Dispatcher dispatcher = Dispatcher.of(view::picture, direct, clock, random, scheduler);
+        Dispatcher dispatcher =
+                Dispatcher.of(view::picture, direct, clock, random, DelayedRunner.of(scheduler));
         mLoads = LoadHandler.of(dispatcher);
         RunningExchanges exchanges = RunningExchanges.on(scheduler);
         metrics.gauge("sequoia.entry.running", exchanges, RunningExchanges::size);
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/fleet/FleetPicture.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/fleet/FleetPicture.java
@@ -16,16 +16,19 @@
  * @param endpointsByService endpoints, leaving ones among them
  * @param participants daemons that run
  * @param versions when the versions of each model were named, in monotonic time
+ * @param newestTable number of the newest routing table that a store has told of; above that of
+ *     {@code table} while its text is on the way
  */
 public record FleetPicture(
         FleetState state,
         Optional<RoutingTable> table,
         Map<String, List<EndpointInfo>> endpointsByService,
         List<Participant> participants,
-        Map<String, VersionHistory> versions) {
+        Map<String, VersionHistory> versions,
+        long newestTable) {
     /** Picture of a daemon that has heard of nothing. */
     public static final FleetPicture EMPTY =
-            new FleetPicture(FleetState.EMPTY, Optional.empty(), Map.of(), List.of(), Map.of());
+            new FleetPicture(FleetState.EMPTY, Optional.empty(), Map.of(), List.of(), Map.of(), 0);
 
     /** Copies the collections. */
     public FleetPicture {
@@ -34,6 +37,11 @@
         versions = Map.copyOf(versions);
     }
 
+    /** Returns whether a newer routing table exists than the one that is held. */
+    public boolean isTableBehind() {
+        return newestTable > table.map(RoutingTable::number).orElse(0L);
+    }
+
     /** Returns the endpoints of a service. */
     public List<EndpointInfo> endpoints(String service) {
         return endpointsByService.getOrDefault(service, List.of());
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/fleet/FleetView.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/fleet/FleetView.java
@@ -81,10 +81,20 @@
         request.setChange(mirror.change());
         request.setIndex(state.index());
         request.setRoutingNumber(state.routingNumber());
-        boolean isLate =
-                mNewestNumber > state.routingNumber()
-                        && mTableMissingSince.plus(NEAREST_PATIENCE).compareTo(mClock.now()) < 0;
-        request.setWantsRouting(isNearest || isLate);
+        request.setWantsRouting(isNearest || isTableLate());
+    }
+
+    /**
+     * Returns whether the text of a newer routing table has been missing for so long that it is
+     * asked from any store.
+     */
+    public synchronized boolean isTableLate() {
+        return isTableMissing()
+                && mTableMissingSince.plus(NEAREST_PATIENCE).compareTo(mClock.now()) < 0;
+    }
+
+    private boolean isTableMissing() {
+        return mNewestNumber > mPicture.state().routingNumber();
     }
 
     /** Takes a store's reply. */
@@ -94,16 +104,7 @@
             Duration now = mClock.now();
             FeedMirror mirror = mMirrors.computeIfAbsent(store, address -> new FeedMirror());
             boolean isChanged = mirror.take(reply, now);
-            if (reply.isCurrent()) {
-                if (!reply.getStores().isEmpty()) {
-                    Set<HostPort> stores = new LinkedHashSet<>();
-                    reply.getStores().forEach(address -> stores.add(HostPort.parse(address)));
-                    mStores = stores;
-                }
-                if (reply.isSetContent()) {
-                    isChanged |= takeContent(reply.getContent());
-                }
-            }
+            isChanged |= takeAgreed(reply);
             if (!isChanged) {
                 return;
             }
@@ -112,6 +113,30 @@
         mListeners.forEach(listener -> listener.accept(picture));
     }
 
+    /** Takes only what the stores agree on from a store's reply, and leaves its feed as it is. */
+    public void takeState(WatchReply reply) {
+        FleetPicture picture;
+        synchronized (this) {
+            if (!takeAgreed(reply)) {
+                return;
+            }
+            picture = mPicture;
+        }
+        mListeners.forEach(listener -> listener.accept(picture));
+    }
+
+    private boolean takeAgreed(WatchReply reply) {
+        if (!reply.isCurrent()) {
+            return false;
+        }
+        if (!reply.getStores().isEmpty()) {
+            Set<HostPort> stores = new LinkedHashSet<>();
+            reply.getStores().forEach(address -> stores.add(HostPort.parse(address)));
+            mStores = stores;
+        }
+        return reply.isSetContent() && takeContent(reply.getContent());
+    }
+
     /** Forgets what a store has said, once it has been out of reach for long. */
     public void forget(HostPort store) {
         FleetPicture picture;
@@ -129,14 +154,18 @@
         FleetState held = mPicture.state();
         FleetState told = FleetState.fromThrift(content);
         if (told.routingNumber() > mNewestNumber) {
+            // Tables may follow one another faster than the patience, so the first one counts.
+            if (!isTableMissing()) {
+                mTableMissingSince = mClock.now();
+            }
             mNewestNumber = told.routingNumber();
-            mTableMissingSince = mClock.now();
         }
         FleetState newest = told.index() > held.index() ? told : held;
         Optional<RoutingTable> table = mPicture.table();
         boolean hasNewTable = told.hasRouting() && told.routingNumber() > held.routingNumber();
         if (hasNewTable) {
             table = parse(told);
+            mTableMissingSince = mClock.now();
         }
         FleetState state = newest.withRouting(hasNewTable ? told : held);
         if (state.index() == held.index() && !hasNewTable) {
@@ -199,7 +228,8 @@
                         table,
                         byService,
                         EndpointMerge.participants(mMirrors.values()),
-                        mVersions);
+                        mVersions,
+                        mNewestNumber);
         return mPicture;
     }
 }
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/fleet/StoreWatcher.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/fleet/StoreWatcher.java
@@ -1,6 +1,7 @@
 package org.sequoiahill.daemon.process.fleet;
 
 import java.time.Duration;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -32,6 +33,10 @@
     private static final Duration RETRY_INTERVAL = Duration.ofMillis(250);
     private static final Duration FORGET_AFTER = Duration.ofSeconds(12);
     private static final int ANNOUNCE_LANE = 1;
+    private static final int TABLE_LANE = 2;
+
+    /** Stores that are asked for a routing table that the nearest one has not sent. */
+    private static final int TABLE_STORES = 2;
 
     private final FleetView mView;
     private final ControlClient mClient;
@@ -123,6 +128,41 @@
         }
         mWatches.values().removeIf(watch -> isOver(watch, wanted));
         mWatches.values().stream().filter(watch -> !watch.mIsCalling).forEach(this::call);
+        if (mView.isTableLate()) {
+            askForTable();
+        }
+    }
+
+    /**
+     * Asks the stores that answered last for the routing table; the calls that wait at them were
+     * made before the table was missed, and end only when something else changes.
+     */
+    private void askForTable() {
+        mWatches.values().stream()
+                .filter(watch -> watch.mHasAnswered && !watch.mIsLost)
+                .sorted(Comparator.comparing((Watch watch) -> watch.mAnsweredAt).reversed())
+                .limit(TABLE_STORES)
+                .forEach(
+                        watch -> {
+                            WatchRequest request = new WatchRequest().setWatcher(mSelf.get());
+                            mView.prepare(request, watch.mStore, watch.mIsNearest);
+                            mClient.call(
+                                            watch.mStore,
+                                            ServiceStub.FLEET,
+                                            TABLE_LANE,
+                                            client -> client.watch(request))
+                                    .whenComplete(
+                                            (reply, failure) -> {
+                                                if (failure == null) {
+                                                    mView.takeState(reply);
+                                                } else {
+                                                    Logger.info(
+                                                            "{} gave no routing table: {}",
+                                                            watch.mStore,
+                                                            failure.toString());
+                                                }
+                                            });
+                        });
     }
 
     private Set<HostPort> wanted() {
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectHandler.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectHandler.java
@@ -19,6 +19,13 @@
 
 /** Answers callers by host and path: finds the route and the organisation, and serves. */
 public final class DirectHandler extends Handler.Abstract.NonBlocking {
+    /** Refusal while a newer routing table than the one held is on its way. */
+    private static final Refusal TABLE_BEHIND =
+            Refusal.overloaded(
+                    "table_behind",
+                    "the newest routing table has not come yet",
+                    Duration.ofMillis(500));
+
     /** Pause that callers are told while no routing table is known, right after a start. */
     private static final Duration NO_TABLE_PAUSE = Duration.ofMillis(500);
 
@@ -58,7 +65,7 @@
         String host = hostOf(request);
         Optional<Route> route = table.route(host, request.getHttpURI().getPath());
         Optional<Organisation> organisation = caller.key().flatMap(table::organisation);
-        Optional<Refusal> refusal = check(table, route, organisation, caller, request);
+        Optional<Refusal> refusal = check(picture, table, route, organisation, caller, request);
         if (refusal.isPresent()) {
             return refuse(refusal.get(), caller, response, callback);
         }
@@ -94,11 +101,17 @@
 
     /** Returns why a request is turned away before its body is read, if it is. */
     private static Optional<Refusal> check(
+            FleetPicture picture,
             RoutingTable table,
             Optional<Route> route,
             Optional<Organisation> organisation,
             CallerRequest caller,
             Request request) {
+        boolean isUnknown = route.isEmpty() || (organisation.isEmpty() && !route.get().isOpen());
+        if (isUnknown && picture.isTableBehind()) {
+            // What this table does not know may be in the newer one that is on its way.
+            return Optional.of(TABLE_BEHIND);
+        }
         if (route.isEmpty()) {
             return Optional.of(Refusal.invalid(404, "no_route", "no route has this host and path"));
         }
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/Dispatcher.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/Dispatcher.java
@@ -10,13 +10,12 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Set;
-import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.sequoiahill.daemon.process.endpoints.EndpointInfo;
 import org.sequoiahill.daemon.process.fleet.FleetPicture;
 import org.sequoiahill.daemon.process.settings.HostPort;
+import org.sequoiahill.daemon.process.time.DelayedRunner;
 import org.sequoiahill.daemon.process.time.MonotonicClock;
 
 /**
@@ -44,7 +43,7 @@
     private final DirectSettings mSettings;
     private final MonotonicClock mClock;
     private final RandomGenerator mRandom;
-    private final ScheduledExecutorService mScheduler;
+    private final DelayedRunner mRunner;
     private final Placement mPlacement;
     private final Map<Start, EndpointStatus> mStatuses = new HashMap<>();
     private final Map<String, PriorityQueue<Waiting>> mQueues = new HashMap<>();
@@ -58,12 +57,12 @@
             DirectSettings settings,
             MonotonicClock clock,
             RandomGenerator random,
-            ScheduledExecutorService scheduler) {
+            DelayedRunner runner) {
         mPicture = picture;
         mSettings = settings;
         mClock = clock;
         mRandom = random;
-        mScheduler = scheduler;
+        mRunner = runner;
         mPlacement = Placement.of(settings, random, this::statusOf);
     }
 
@@ -73,8 +72,8 @@
             DirectSettings settings,
             MonotonicClock clock,
             RandomGenerator random,
-            ScheduledExecutorService scheduler) {
-        return new Dispatcher(picture, settings, clock, random, scheduler);
+            DelayedRunner runner) {
+        return new Dispatcher(picture, settings, clock, random, runner);
     }
 
     private record Start(String id, long startedAt) {}
@@ -238,15 +237,14 @@
             return;
         }
         mIsRecheckDue = true;
-        mScheduler.schedule(
+        mRunner.runAfter(
+                RECHECK,
                 () -> {
                     synchronized (mLock) {
                         mIsRecheckDue = false;
                     }
                     refresh();
-                },
-                RECHECK.toMillis(),
-                TimeUnit.MILLISECONDS);
+                });
     }
 
     private EndpointStatus statusOf(EndpointInfo endpoint) {
--- a/daemon/src/test/java/org/sequoiahill/daemon/process/fleet/FleetViewTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/process/fleet/FleetViewTest.java
@@ -67,6 +67,18 @@
         assertThat(request.isWantsRouting(), is(isAsked));
     }
 
+    @Test
+    void prepare_tablesThatFollowOneAnother_areAskedOfFarStoresAllTheSame() {
+        mView.take(NEAR, reply(true, content(5, 7, true)));
+        for (int i = 0; i < 4; i++) {
+            mView.take(FAR, reply(true, content(6 + i, 8 + i, false)));
+            mClock.advanceMillis(300);
+        }
+        WatchRequest request = new WatchRequest();
+        mView.prepare(request, FAR, false);
+        assertThat(request.isWantsRouting(), is(true));
+    }
+
     @Test
     void take_firstState_countsItsVersionsAsNamedLongAgo() {
         mView.take(NEAR, reply(true, content(5, 7, true)));
--- a/daemon/src/test/java/org/sequoiahill/daemon/request/direct/DispatcherTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/request/direct/DispatcherTest.java
@@ -22,6 +22,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.sequoiahill.daemon.process.fleet.FleetPicture;
 import org.sequoiahill.daemon.process.settings.HostPort;
+import org.sequoiahill.daemon.process.time.DelayedRunner;
 import org.sequoiahill.daemon.process.time.ManualClock;
 import org.sequoiahill.protocol.gen.EndpointState;
 
@@ -32,7 +33,7 @@
             Executors.newSingleThreadScheduledExecutor();
     private FleetPicture mPicture = FleetPicture.EMPTY;
     private final Dispatcher mDispatcher =
-            Dispatcher.of(() -> mPicture, Fleets.SETTINGS, mClock, new Random(1), mScheduler);
+            Dispatcher.of(() -> mPicture, Fleets.SETTINGS, mClock, new Random(1), DelayedRunner.of(mScheduler));
 
     @AfterEach
     void stop() {
--- a/daemon/src/test/java/org/sequoiahill/daemon/request/direct/Fleets.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/request/direct/Fleets.java
@@ -137,7 +137,8 @@
                                 1 << 20)),
                 Map.of("writer", mEndpoints),
                 mParticipants,
-                mHistories);
+                mHistories,
+                1);
     }
 
     static Route route(Route.Kind kind, int maxAttempts) {
--- a/daemon/src/test/java/org/sequoiahill/daemon/version/staging/StagingAgentTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/version/staging/StagingAgentTest.java
@@ -157,7 +157,8 @@
                 Optional.of(RoutingTable.of(1, List.of(), services, Map.of(), 1)),
                 Map.of(),
                 List.of(),
-                Map.of("model", VersionHistory.NONE.with(version, Duration.ZERO)));
+                Map.of("model", VersionHistory.NONE.with(version, Duration.ZERO)),
+                1);
     }
 
     private static byte[] content(long version, int piece) {
