Use the time that a version has, and lay pieces while the next one comes

Cause: with one piece on the link at a time, each waited for its predecessor to be laid at the engine, so engines were ready at 4.7 s instead of 4.1 s, and 5.92 s after the naming all that were left swapped together.

Change: a worker gives the link free before it lays its piece. Engines wait for their turn until 0.86 of the bound (6.9 s of 8), and entries insist on the new version from 0.875 (7 s); requests that an old engine has not begun are recalled from 0.93 as before, which keeps the bound.

--- a/daemon/src/main/java/org/sequoiahill/daemon/process/FleetAgent.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/FleetAgent.java
@@ -29,7 +29,7 @@
 @Singleton
 final class FleetAgent implements FleetRoleParts {
     /** Part of the version bound after which a load waits for no other engine. */
-    private static final double LAST_CALL_PART = 0.74;
+    private static final double LAST_CALL_PART = 0.86;
 
     private final AgentState mState;
     private final StagingAgent mAgent;
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/FleetEntry.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/FleetEntry.java
@@ -50,7 +50,7 @@
     private static final Duration END_MARGIN = Duration.ofMillis(700);
 
     /** Part of the version bound after which requests insist on the new version. */
-    private static final double VERSION_PART = 0.78;
+    private static final double VERSION_PART = 0.875;
 
     /** Part of the version bound after which a request that waits at an old version is recalled. */
     private static final double LAST_START_PART = 0.93;
--- a/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PieceFetcher.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PieceFetcher.java
@@ -4,9 +4,11 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Future;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import org.sequoiahill.daemon.process.control.ControlClient;
 import org.sequoiahill.daemon.process.control.Identity;
@@ -15,7 +17,7 @@
 
 /** Brings all pieces of a version to the engine beside an agent, each as soon as it has come. */
 public final class PieceFetcher {
-    /** Most pieces on their way at the same time. */
+    /** Threads of a fetch: while one piece is laid at the engine, the next is on its way. */
     public static final int WORKERS = 2;
 
     /** Pause before a piece that did not come is asked for again. */
@@ -87,17 +89,17 @@
         return mOrigin.manifest(origin, model, version);
     }
 
-    /** How many pieces are on their way at the same time. */
+    /** How many pieces are on the VM's link at the same time. */
     enum Pace {
-        /** Enough to fill the VM's link. */
+        /** Enough to fill the link. */
         FULL(WORKERS),
         /** One, so that requests to a serving engine wait behind one piece at most. */
         BESIDE_REQUESTS(1);
 
-        private final int mWorkers;
+        private final int mOnLink;
 
-        Pace(int workers) {
-            mWorkers = workers;
+        Pace(int onLink) {
+            mOnLink = onLink;
         }
     }
 
@@ -105,9 +107,10 @@
     boolean fetch(PieceManifest manifest, FleetPieces from, Pace pace) throws InterruptedException {
         PieceQueue missing = PieceQueue.of(missing(manifest), MAX_FAILURES);
         List<Future<?>> workers = new ArrayList<>();
-        for (int i = 0; i < pace.mWorkers; i++) {
+        Semaphore link = new Semaphore(pace.mOnLink, true);
+        for (int i = 0; i < WORKERS; i++) {
             int lane = i;
-            workers.add(mWorkers.submit(() -> drain(missing, manifest, from, lane)));
+            workers.add(mWorkers.submit(() -> drain(missing, manifest, from, link, lane)));
         }
         for (Future<?> worker : workers) {
             join(worker);
@@ -115,18 +118,27 @@
         return missing(manifest).isEmpty();
     }
 
-    private void drain(PieceQueue pieces, PieceManifest manifest, FleetPieces from, int lane) {
-        for (Integer piece = pieces.take(); piece != null; piece = pieces.take()) {
+    private void drain(
+            PieceQueue pieces, PieceManifest manifest, FleetPieces from, Semaphore link, int lane) {
+        while (true) {
+            link.acquireUninterruptibly();
+            Integer piece = pieces.take();
+            Optional<byte[]> content = Optional.empty();
             try {
-                byte[] content = get(manifest, from, piece, pieces.failures(piece), lane);
-                mStore.add(manifest.model(), manifest.version(), piece, content);
+                if (piece == null) {
+                    return;
+                }
+                content = Optional.of(get(manifest, from, piece, pieces.failures(piece), lane));
+                mStore.add(manifest.model(), manifest.version(), piece, content.get());
                 pieces.came(piece);
-                stageAhead(manifest.model(), piece, content);
             } catch (IOException e) {
                 int failures = pieces.failed(piece);
                 Logger.info("piece {} did not come, {} times: {}", piece, failures, e.toString());
                 pause();
+            } finally {
+                link.release();
             }
+            content.ifPresent(bytes -> stageAhead(manifest.model(), piece, bytes));
         }
     }
 
