Send engines no more prompts than they read in time, and keep room from late requests

Cause, found by playing the load on model engines in virtual time (trials, 98 requests a second, a version swapped in under them; bin/bench admission): of the late answers after second 22, three quarters were granted a place at once and waited at the engine. An engine that comes back from a load has all slots free; every entry fills them at once, and the first events of all wait until 16 prompts are read, 460 ms. With six engines for the load of eight, requests that were late anyway took the places of those that could be on time.

Change: an entry sends an engine a prompt only if those it has sent there unread, times its guess of the others', are read within a quarter of the target; late requests take three quarters of an engine's slots at most; where the engine's agent tells its load nothing is queued there; among requests of one rank the newest goes first.

--- a/bench/src/main/java/org/sequoiahill/bench/Bench.java
+++ b/bench/src/main/java/org/sequoiahill/bench/Bench.java
@@ -5,6 +5,7 @@
 import com.beust.jcommander.ParameterException;
 import java.util.Map;
 import java.util.TreeMap;
+import org.sequoiahill.bench.admission.AdmissionExperiment;
 import org.sequoiahill.bench.calls.OnceExperiment;
 import org.sequoiahill.bench.calls.SlowReadersExperiment;
 import org.sequoiahill.bench.capacity.CapacityExperiment;
@@ -38,6 +39,7 @@
     /** Returns all experiments by name; a new one is added here. */
     private static Map<String, Experiment> experiments() {
         Map<String, Experiment> experiments = new TreeMap<>();
+        experiments.put("admission", new AdmissionExperiment());
         experiments.put("capacity", new CapacityExperiment());
         experiments.put("capacity-page", new CapacityPageExperiment());
         experiments.put("faults", new FaultExperiment());
--- /dev/null
+++ b/bench/src/main/java/org/sequoiahill/bench/admission/EntryScheduler.java
@@ -0,0 +1,231 @@
+package org.sequoiahill.bench.admission;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.Set;
+import org.sequoiahill.daemon.process.fleet.Route;
+import org.sequoiahill.daemon.request.direct.DirectSettings;
+import org.sequoiahill.daemon.request.direct.Dispatcher;
+import org.sequoiahill.daemon.request.direct.EndpointAnswer;
+import org.sequoiahill.daemon.request.direct.Place;
+import org.sequoiahill.daemon.request.direct.RequestTimes;
+import org.sequoiahill.daemon.request.direct.Ticket;
+
+/** Lets the dispatchers of several entries decide, each by what its entry knows. */
+final class EntryScheduler implements Scheduler {
+    /** Interval at which agents tell loads. */
+    private static final Duration TELL_INTERVAL = Duration.ofMillis(120);
+
+    /** Time from an engine's report to the entry that takes it. */
+    private static final Duration TELL_DELAY = Duration.ofMillis(4);
+
+    /** Time from an entry to an engine. */
+    private static final Duration HOP = Duration.ofMillis(2);
+
+    private final VirtualTime mTime;
+    private final PlayedFleet mFleet;
+    private final List<Dispatcher> mDispatchers = new ArrayList<>();
+
+    private EntryScheduler(VirtualTime time, PlayedFleet fleet) {
+        mTime = time;
+        mFleet = fleet;
+    }
+
+    static EntryScheduler start(VirtualTime time, PlayedFleet fleet, int entries, long seed) {
+        EntryScheduler scheduler = new EntryScheduler(time, fleet);
+        for (int entry = 0; entry < entries; entry++) {
+            scheduler.mDispatchers.add(
+                    Dispatcher.of(
+                            fleet::picture, settings(entry), time, new Random(seed + entry), time));
+        }
+        fleet.listen(() -> scheduler.mDispatchers.forEach(Dispatcher::refresh));
+        time.runAfter(TELL_INTERVAL, scheduler::tellLoads);
+        return scheduler;
+    }
+
+    private static DirectSettings settings(int entry) {
+        Map<String, String> regions = Map.of("dc-0", "r-0", "dc-1", "r-1", "dc-2", "r-2");
+        return new DirectSettings(
+                regions,
+                "r-" + entry % regions.size(),
+                0.2,
+                Duration.ofSeconds(8),
+                104,
+                Duration.ofMillis(7_000),
+                Duration.ofMillis(7_200));
+    }
+
+    @Override
+    public void arrive(Outcome request) {
+        ask(request, request.request().kind().patience(), false);
+    }
+
+    private void ask(Outcome request, Duration patience, boolean isAgain) {
+        mDispatchers
+                .get(request.request().entry())
+                .submit(new CallerTicket(request, patience, isAgain));
+    }
+
+    private void tellLoads() {
+        for (PlayedFleet.Member member : mFleet.members()) {
+            int running = member.engine().running();
+            int waiting = member.engine().waiting();
+            mTime.runAfter(
+                    TELL_DELAY,
+                    () ->
+                            mDispatchers.forEach(
+                                    each -> each.told(member.address(), running, waiting)));
+        }
+        mTime.runAfter(TELL_INTERVAL, this::tellLoads);
+    }
+
+    /** One try of a caller, who comes back once after a refusal. */
+    private final class CallerTicket implements Ticket {
+        private final Outcome mOutcome;
+        private final Duration mPatience;
+        private final boolean mIsAgain;
+        private final RequestTimes mTimes;
+
+        private CallerTicket(Outcome outcome, Duration patience, boolean isAgain) {
+            mOutcome = outcome;
+            mPatience = patience;
+            mIsAgain = isAgain;
+            mTimes = RequestTimes.of(mTime.now(), route(), Optional.of(patience));
+        }
+
+        private Route route() {
+            RequestKind kind = mOutcome.request().kind();
+            return new Route(
+                    "r",
+                    "host.example",
+                    "/a/",
+                    Route.Kind.STREAM,
+                    kind.patience(),
+                    kind.firstEventTarget(),
+                    kind.pauseTarget(),
+                    1,
+                    List.of(new Route.Share(PlayedFleet.SERVICE, 1)),
+                    2,
+                    true,
+                    true,
+                    Set.of());
+        }
+
+        @Override
+        public String service() {
+            return PlayedFleet.SERVICE;
+        }
+
+        @Override
+        public String model() {
+            return PlayedFleet.MODEL;
+        }
+
+        @Override
+        public OptionalLong version() {
+            return OptionalLong.empty();
+        }
+
+        @Override
+        public int priority() {
+            return 1;
+        }
+
+        @Override
+        public boolean isLate() {
+            return mTimes.isLate();
+        }
+
+        @Override
+        public Duration giveUpAt() {
+            return mTimes.firstGiveUpAt(mOutcome.request().kind().firstEventTarget());
+        }
+
+        @Override
+        public int promptTokens() {
+            return mOutcome.request().promptTokens();
+        }
+
+        @Override
+        public Duration answerTarget() {
+            return mOutcome.request().kind().firstEventTarget();
+        }
+
+        @Override
+        public boolean allows(String region) {
+            return true;
+        }
+
+        @Override
+        public Set<String> tried() {
+            return Set.of();
+        }
+
+        @Override
+        public boolean isAbandoned() {
+            return false;
+        }
+
+        @Override
+        public void granted(Place place) {
+            PlayedRequest request = mOutcome.request();
+            ModelCall call =
+                    ModelCall.of(
+                            request.promptTokens(),
+                            request.events() * EngineShape.DENSE.stride(),
+                            new PlaceListener(mOutcome, place));
+            ModelEngine engine = mFleet.at(place.endpoint().address()).engine();
+            mTime.runAfter(
+                    HOP,
+                    () -> {
+                        if (!engine.take(call)) {
+                            place.ended(Place.End.TURNED_AWAY);
+                            mOutcome.refused();
+                        }
+                    });
+        }
+
+        @Override
+        public void refused(Refused refused) {
+            mOutcome.refused();
+            Duration left =
+                    mPatience
+                            .minus(mTime.now().minus(mTimes.arrivedAt()))
+                            .minus(refused.retryAfter());
+            if (!mIsAgain && left.compareTo(Duration.ZERO) > 0) {
+                mTime.runAfter(refused.retryAfter(), () -> ask(mOutcome, left, true));
+            }
+        }
+    }
+
+    /** Passes events on to the caller, and gives the place back at the end. */
+    private record PlaceListener(Outcome outcome, Place place) implements ModelCall.Listener {
+        private static final EndpointAnswer ANSWER =
+                new EndpointAnswer(
+                        200,
+                        "",
+                        true,
+                        false,
+                        true,
+                        Optional.empty(),
+                        Optional.empty(),
+                        Optional.empty());
+
+        @Override
+        public void event(Duration at) {
+            place.answered(ANSWER);
+            outcome.event(at);
+        }
+
+        @Override
+        public void ended(Duration at) {
+            outcome.ended(at);
+            place.ended(Place.End.SUCCEEDED);
+        }
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/sequoiahill/bench/admission/PlayedDay.java
@@ -0,0 +1,69 @@
+package org.sequoiahill.bench.admission;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * A day on which engines are added while the load rises, and a version is swapped in under it.
+ *
+ * @param load requests that come
+ * @param engines engines at the start
+ * @param added engines that serve from {@code addedAt} on
+ * @param addedAt when the added engines serve
+ * @param versionAt when a version is named
+ * @param untilStaged time from the naming until all engines have the version staged
+ * @param lastCall time from the naming after which no engine waits for its turn
+ */
+record PlayedDay(
+        PlayedLoad load,
+        int engines,
+        int added,
+        Duration addedAt,
+        Duration versionAt,
+        Duration untilStaged,
+        Duration lastCall) {
+    private static final Duration AFTER = Duration.ofSeconds(8);
+
+    /** A day with a load of a rate, six engines, and more of them from second 9.5 on. */
+    static PlayedDay withSwap(double perSecond, int added) {
+        return new PlayedDay(
+                PlayedLoad.rising(perSecond, Duration.ofSeconds(34), 6),
+                6,
+                added,
+                Duration.ofMillis(9_500),
+                Duration.ofSeconds(18),
+                Duration.ofMillis(3_100),
+                Duration.ofMillis(6_900));
+    }
+
+    /** Starts the scheduler of a day. */
+    @FunctionalInterface
+    interface SchedulerStart {
+        Scheduler start(VirtualTime time, PlayedFleet fleet);
+    }
+
+    /** Returns how long the day lasts. */
+    Duration length() {
+        return load.length().plus(AFTER);
+    }
+
+    /** Plays the day; returns what each caller got. */
+    List<Outcome> play(long seed, SchedulerStart schedulers) {
+        VirtualTime time = new VirtualTime();
+        PlayedFleet fleet = new PlayedFleet(time, EngineShape.DENSE, load.entries());
+        fleet.add(engines);
+        time.runUntil(PlayedFleet.NEWS);
+        Scheduler scheduler = schedulers.start(time, fleet);
+        time.runAt(addedAt, () -> fleet.add(added));
+        time.runAt(versionAt, () -> fleet.nameVersion(untilStaged, lastCall));
+        List<Outcome> outcomes = new ArrayList<>();
+        for (PlayedRequest request : load.requests(seed)) {
+            Outcome outcome = new Outcome(request);
+            outcomes.add(outcome);
+            time.runAt(outcome.request().arrivedAt(), () -> scheduler.arrive(outcome));
+        }
+        time.runUntil(length());
+        return outcomes;
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/sequoiahill/bench/admission/PlayedFleet.java
@@ -0,0 +1,230 @@
+package org.sequoiahill.bench.admission;
+
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.sequoiahill.daemon.process.endpoints.EndpointInfo;
+import org.sequoiahill.daemon.process.fleet.EngineProfile;
+import org.sequoiahill.daemon.process.fleet.FleetPicture;
+import org.sequoiahill.daemon.process.fleet.FleetState;
+import org.sequoiahill.daemon.process.fleet.RoutedService;
+import org.sequoiahill.daemon.process.fleet.RoutingTable;
+import org.sequoiahill.daemon.process.fleet.VersionHistory;
+import org.sequoiahill.daemon.process.settings.HostPort;
+import org.sequoiahill.daemon.version.staging.SwapTurns;
+import org.sequoiahill.protocol.gen.EndpointState;
+import org.sequoiahill.protocol.gen.Participant;
+import org.sequoiahill.protocol.gen.ParticipantRole;
+
+/** Model engines in three data centres, and what entries know of them. */
+final class PlayedFleet {
+    static final String SERVICE = "writer";
+    static final String MODEL = "model";
+
+    /** Time until entries know of a change; about two hops between data centres. */
+    static final Duration NEWS = Duration.ofMillis(40);
+
+    private static final Duration TURN_CHECK = Duration.ofMillis(60);
+    private static final Duration NOTICE = Duration.ofMillis(120);
+    private static final int DATA_CENTRES = 3;
+    private static final int MAX_BODY_BYTES = 1 << 20;
+
+    private final VirtualTime mTime;
+    private final EngineShape mShape;
+    private final int mEntries;
+    private final List<Member> mMembers = new ArrayList<>();
+    private FleetPicture mPicture = FleetPicture.EMPTY;
+    private VersionHistory mHistory = VersionHistory.NONE;
+    private long mTarget = 1;
+    private Runnable mListener = () -> {};
+
+    PlayedFleet(VirtualTime time, EngineShape shape, int entries) {
+        mTime = time;
+        mShape = shape;
+        mEntries = entries;
+    }
+
+    /** An engine and what its agent says. */
+    static final class Member {
+        private final int mNumber;
+        private final ModelEngine mEngine;
+        private long mVersion = 1;
+        private boolean mIsSwapping;
+
+        private Member(int number, ModelEngine engine) {
+            mNumber = number;
+            mEngine = engine;
+        }
+
+        ModelEngine engine() {
+            return mEngine;
+        }
+
+        HostPort address() {
+            return new HostPort("10.0.0." + mNumber, 80);
+        }
+
+        boolean isSwapping() {
+            return mIsSwapping;
+        }
+
+        private String agent() {
+            return "agent-" + mNumber;
+        }
+    }
+
+    /** Adds engines that serve from now on. */
+    void add(int count) {
+        for (int i = 0; i < count; i++) {
+            mMembers.add(new Member(mMembers.size() + 1, ModelEngine.of(mTime, mShape)));
+        }
+        tell();
+    }
+
+    /** Names a new version, which all engines have staged after a time. */
+    void nameVersion(Duration untilStaged, Duration lastCall) {
+        mTarget++;
+        mHistory = mHistory.with(mTarget, mTime.now());
+        Duration namedAt = mTime.now();
+        tell();
+        for (Member member : List.copyOf(mMembers)) {
+            mTime.runAfter(untilStaged, () -> awaitTurn(member, namedAt, lastCall));
+        }
+    }
+
+    List<Member> members() {
+        return mMembers;
+    }
+
+    /** Returns the engine at an address. */
+    Member at(HostPort address) {
+        return mMembers.stream()
+                .filter(member -> member.address().equals(address))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    /** Returns what entries know. */
+    FleetPicture picture() {
+        return mPicture;
+    }
+
+    /** Lets a listener hear of each change that entries learn. */
+    void listen(Runnable listener) {
+        mListener = listener;
+    }
+
+    private void awaitTurn(Member member, Duration namedAt, Duration lastCall) {
+        Map<String, Long> versions = new HashMap<>();
+        mMembers.forEach(each -> versions.put(each.agent(), each.mVersion));
+        Duration age = mTime.now().minus(namedAt);
+        if (!SwapTurns.isTurn(member.agent(), versions, mTarget, age, lastCall)) {
+            mTime.runAfter(TURN_CHECK, () -> awaitTurn(member, namedAt, lastCall));
+            return;
+        }
+        member.mIsSwapping = true;
+        tell();
+        mTime.runAfter(
+                NOTICE,
+                () ->
+                        member.engine()
+                                .load(
+                                        () -> {
+                                            member.mVersion = mTarget;
+                                            member.mIsSwapping = false;
+                                            tell();
+                                        }));
+    }
+
+    private void tell() {
+        FleetPicture picture = draw();
+        mTime.runAfter(
+                NEWS,
+                () -> {
+                    mPicture = picture;
+                    mListener.run();
+                });
+    }
+
+    private FleetPicture draw() {
+        List<EndpointInfo> endpoints = new ArrayList<>();
+        List<Participant> participants = new ArrayList<>();
+        for (Member member : mMembers) {
+            String dataCentre = "dc-" + member.mNumber % DATA_CENTRES;
+            String address = member.address().toString();
+            Map<String, Long> versions = Map.of(MODEL, member.mVersion);
+            endpoints.add(
+                    new EndpointInfo(
+                            "engine-" + member.mNumber,
+                            1,
+                            1,
+                            SERVICE,
+                            member.address(),
+                            dataCentre,
+                            mShape.slots(),
+                            EndpointState.READY,
+                            Duration.ZERO,
+                            versions));
+            participants.add(
+                    new Participant(
+                            member.agent(),
+                            member.agent(),
+                            ParticipantRole.AGENT,
+                            dataCentre,
+                            "10.0.1.1:1",
+                            1,
+                            1,
+                            address,
+                            SERVICE,
+                            member.mIsSwapping,
+                            versions));
+        }
+        for (int entry = 0; entry < mEntries; entry++) {
+            String name = "entry-" + entry;
+            participants.add(
+                    new Participant(
+                            name,
+                            name,
+                            ParticipantRole.ENTRY,
+                            "dc-" + entry % DATA_CENTRES,
+                            "10.0.2.1:1",
+                            1,
+                            1,
+                            "",
+                            "",
+                            false,
+                            Map.of()));
+        }
+        return new FleetPicture(
+                new FleetState(
+                        1, 1, ByteBuffer.allocate(0), Map.of(), Map.of(), Map.of(MODEL, mTarget)),
+                Optional.of(table()),
+                Map.of(SERVICE, endpoints),
+                participants,
+                Map.of(MODEL, mHistory),
+                1);
+    }
+
+    private RoutingTable table() {
+        EngineProfile profile =
+                new EngineProfile(
+                        MODEL,
+                        mShape.slots(),
+                        685_000,
+                        Duration.ofNanos((long) (mShape.stepMillis() * 1e6)),
+                        Duration.ofNanos((long) (mShape.stepMillisPerRequest() * 1e6)),
+                        mShape.readTokensPerMilli() * 1000,
+                        mShape.stride(),
+                        48,
+                        49_152,
+                        mShape.loadTime());
+        RoutedService service =
+                new RoutedService(
+                        SERVICE, 300, Duration.ZERO, 0, Optional.empty(), Optional.of(profile));
+        return RoutingTable.of(1, List.of(), Map.of(SERVICE, service), Map.of(), MAX_BODY_BYTES);
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/sequoiahill/bench/admission/PlayedLoad.java
@@ -0,0 +1,113 @@
+package org.sequoiahill.bench.admission;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.Random;
+import java.util.TreeMap;
+
+/**
+ * A load that grows by steps, the same for each seed.
+ *
+ * @param perSecond requests a second at the full rate
+ * @param rateFrom part of the full rate from each time on
+ * @param length how long requests come
+ * @param entries entries that requests come to
+ * @param kinds kinds of requests
+ */
+record PlayedLoad(
+        double perSecond,
+        NavigableMap<Duration, Double> rateFrom,
+        Duration length,
+        int entries,
+        List<RequestKind> kinds) {
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    /** When the first request may come, once entries know the engines. */
+    private static final Duration START = Duration.ofMillis(500);
+
+    /** Three kinds of streams that rise to a rate within nine seconds. */
+    static PlayedLoad rising(double perSecond, Duration length, int entries) {
+        Duration patience = Duration.ofSeconds(6);
+        Duration pause = Duration.ofMillis(300);
+        Duration target = Duration.ofMillis(400);
+        Sizes answer = new Sizes(20.6, 0.8, 51);
+        List<RequestKind> kinds =
+                List.of(
+                        new RequestKind(
+                                0.40,
+                                target,
+                                pause,
+                                patience,
+                                2.4,
+                                0.61,
+                                new Sizes(1290, 1, 3880),
+                                answer),
+                        new RequestKind(
+                                0.29,
+                                target,
+                                pause,
+                                patience,
+                                2.1,
+                                0.52,
+                                new Sizes(787, 1, 3330),
+                                answer),
+                        new RequestKind(
+                                0.31,
+                                Duration.ofMillis(300),
+                                pause,
+                                patience,
+                                1.4,
+                                0.35,
+                                new Sizes(607, 0.96, 2640),
+                                new Sizes(11.6, 0.9, 51)));
+        NavigableMap<Duration, Double> steps =
+                new TreeMap<>(
+                        Map.of(
+                                Duration.ZERO,
+                                0.55,
+                                Duration.ofSeconds(6),
+                                0.7,
+                                Duration.ofMillis(7_500),
+                                0.85,
+                                Duration.ofSeconds(9),
+                                1.0));
+        return new PlayedLoad(perSecond, steps, length, entries, kinds);
+    }
+
+    /** Returns the requests of one seed in the order of their arrival. */
+    List<PlayedRequest> requests(long seed) {
+        Random random = new Random(seed);
+        List<PlayedRequest> requests = new ArrayList<>();
+        Duration at = START;
+        while (true) {
+            double rate = perSecond * rateFrom.floorEntry(at).getValue();
+            double gap = -Math.log(1 - random.nextDouble()) / rate;
+            at = at.plusNanos((long) (gap * NANOS_PER_SECOND));
+            if (at.compareTo(length) >= 0) {
+                return requests;
+            }
+            RequestKind kind = draw(random);
+            requests.add(
+                    new PlayedRequest(
+                            at,
+                            random.nextInt(entries),
+                            kind,
+                            kind.prompt().draw(random),
+                            kind.events().draw(random)));
+        }
+    }
+
+    private RequestKind draw(Random random) {
+        double left = random.nextDouble();
+        for (RequestKind kind : kinds) {
+            left -= kind.share();
+            if (left < 0) {
+                return kind;
+            }
+        }
+        return kinds.get(kinds.size() - 1);
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/sequoiahill/bench/admission/PlayedRequest.java
@@ -0,0 +1,32 @@
+package org.sequoiahill.bench.admission;
+
+import java.time.Duration;
+
+/**
+ * A request of a played load.
+ *
+ * @param arrivedAt when its caller first asks
+ * @param entry number of the entry that it comes to
+ * @param kind what it asks for
+ * @param promptTokens tokens to read
+ * @param events events of its answer
+ */
+record PlayedRequest(
+        Duration arrivedAt, int entry, RequestKind kind, int promptTokens, int events) {
+    /** Part of the worth that every request has, whatever its size. */
+    private static final double FIXED_PART = 0.3;
+
+    /** Returns the worth of an answer on time. */
+    double worth() {
+        return kind.worth() * size();
+    }
+
+    /** Returns the worth of a late answer. */
+    double lateWorth() {
+        return kind.lateWorth() * size();
+    }
+
+    private double size() {
+        return FIXED_PART + (1 - FIXED_PART) * promptTokens / kind.prompt().mean();
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/sequoiahill/bench/admission/VirtualTime.java
@@ -0,0 +1,44 @@
+package org.sequoiahill.bench.admission;
+
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.PriorityQueue;
+import org.sequoiahill.daemon.process.time.DelayedRunner;
+import org.sequoiahill.daemon.process.time.MonotonicClock;
+
+/** A clock that jumps from one task to the next, so that a day is played in a moment. */
+final class VirtualTime implements MonotonicClock, DelayedRunner {
+    private final PriorityQueue<Task> mTasks = new PriorityQueue<>(Task.ORDER);
+    private Duration mNow = Duration.ZERO;
+    private long mNextNumber;
+
+    private record Task(Duration at, long number, Runnable work) {
+        static final Comparator<Task> ORDER =
+                Comparator.comparing(Task::at).thenComparingLong(Task::number);
+    }
+
+    @Override
+    public Duration now() {
+        return mNow;
+    }
+
+    @Override
+    public void runAfter(Duration delay, Runnable task) {
+        runAt(mNow.plus(delay), task);
+    }
+
+    /** Runs a task at a time; tasks of one time run in the order in which they were given. */
+    void runAt(Duration at, Runnable task) {
+        mTasks.add(new Task(at.compareTo(mNow) < 0 ? mNow : at, mNextNumber++, task));
+    }
+
+    /** Runs all tasks that are due before a time. */
+    void runUntil(Duration end) {
+        while (!mTasks.isEmpty() && mTasks.peek().at().compareTo(end) < 0) {
+            Task task = mTasks.poll();
+            mNow = task.at();
+            task.work().run();
+        }
+        mNow = end;
+    }
+}
--- /dev/null
+++ b/bench/src/test/java/org/sequoiahill/bench/admission/EntrySchedulerTest.java
@@ -0,0 +1,77 @@
+package org.sequoiahill.bench.admission;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.function.Predicate;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Plays loads through the entries' own dispatchers, and checks what callers get. */
+final class EntrySchedulerTest {
+    /** Requests a second that ten engines bear while all of them serve. */
+    private static final double RATE = 98;
+
+    /** Part of the answers that begin in time, as the target size asks. */
+    private static final double TARGET_PART = 0.95;
+
+    /** Engines that are added to the first six. */
+    private static final int ADDED = 4;
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void play_enginesBearTheLoad_answersBeginInTime(long seed) {
+        Tally tally = play(ADDED, seed, outcome -> isBetween(outcome, 12, 18));
+        assertThat(tally.onTimePart(), greaterThanOrEqualTo(TARGET_PART));
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void play_enginesComeBackEmptyFromALoad_earnsNineTenthsOfWhatFullKnowledgeWould(long seed) {
+        Predicate<Outcome> isDuringLoads = outcome -> isBetween(outcome, 21, 28);
+        Tally entries = play(ADDED, seed, isDuringLoads);
+        Tally bound = playWithFullKnowledge(ADDED, seed, isDuringLoads);
+        assertThat(entries.earnedPart(), greaterThanOrEqualTo(0.9 * bound.earnedPart()));
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void play_moreLoadThanEnginesBear_stillServesMostOfWhatTheyBearInTime(long seed) {
+        Predicate<Outcome> isOverload = outcome -> isBetween(outcome, 11, 18);
+        Tally entries = play(0, seed, isOverload);
+        Tally bound = playWithFullKnowledge(0, seed, isOverload);
+        assertThat(entries.onTimePart(), greaterThanOrEqualTo(0.8 * bound.onTimePart()));
+    }
+
+    private static Tally play(int added, long seed, Predicate<Outcome> filter) {
+        PlayedDay day = PlayedDay.withSwap(RATE, added);
+        int entries = day.load().entries();
+        return tally(
+                day.play(seed, (time, fleet) -> EntryScheduler.start(time, fleet, entries, seed)),
+                filter);
+    }
+
+    private static Tally playWithFullKnowledge(int added, long seed, Predicate<Outcome> filter) {
+        int slots = EngineShape.DENSE.slots();
+        return tally(
+                PlayedDay.withSwap(RATE, added)
+                        .play(
+                                seed,
+                                (time, fleet) -> FullKnowledgeScheduler.start(time, fleet, slots)),
+                filter);
+    }
+
+    private static Tally tally(List<Outcome> outcomes, Predicate<Outcome> filter) {
+        Tally tally = new Tally();
+        outcomes.stream().filter(filter).forEach(tally::add);
+        return tally;
+    }
+
+    private static boolean isBetween(Outcome outcome, int from, int to) {
+        Duration at = outcome.request().arrivedAt();
+        return at.compareTo(Duration.ofSeconds(from)) >= 0
+                && at.compareTo(Duration.ofSeconds(to)) < 0;
+    }
+}
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectExchange.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectExchange.java
@@ -122,6 +122,16 @@
         return mGiveUpAt;
     }
 
+    @Override
+    public int promptTokens() {
+        return mRequest.caller().prompt().map(CallerRequest.Prompt::promptTokens).orElse(0);
+    }
+
+    @Override
+    public Duration answerTarget() {
+        return mRequest.route().answerTarget();
+    }
+
     @Override
     public boolean allows(String region) {
         return mRequest.allows(region);
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/Dispatcher.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/Dispatcher.java
@@ -20,7 +20,12 @@
 
 /**
  * Gives requests their places at endpoints: at once where one has room, else in the order of rank
- * and arrival as places become free, and no later than a place is of use.
+ * as places become free, and no later than a place is of use.
+ *
+ * <p>Among requests of one rank the newest goes first. Where more come than the endpoints bear, a
+ * queue in the order of arrival lets each wait nearly as long as it may, and then all answers are
+ * late; this way those that get a place get it in time, and the others hear soon that there is
+ * none.
  */
 public final class Dispatcher {
     /** Interval at which waiting requests are looked at again when nothing else happens. */
@@ -82,11 +87,11 @@
         static final Comparator<Waiting> ORDER =
                 Comparator.comparingInt((Waiting waiting) -> waiting.ticket().priority())
                         .thenComparing((Waiting waiting) -> waiting.ticket().isLate())
-                        .thenComparingLong(Waiting::arrival);
+                        .thenComparing(Comparator.comparingLong(Waiting::arrival).reversed());
     }
 
     /** Asks for a place; the ticket hears of it on this thread or a later one. */
-    void submit(Ticket ticket) {
+    public void submit(Ticket ticket) {
         synchronized (mLock) {
             queueOf(ticket.service()).add(new Waiting(ticket, mArrivals++));
             mWaiting++;
@@ -134,7 +139,7 @@
     }
 
     /** Takes the load of an endpoint as its agent tells it. */
-    void told(HostPort address, int running, int waiting) {
+    public void told(HostPort address, int running, int waiting) {
         FleetPicture picture = mPicture.get();
         for (List<EndpointInfo> endpoints : picture.endpointsByService().values()) {
             for (EndpointInfo endpoint : endpoints) {
@@ -201,7 +206,7 @@
         }
         Placement.Choice choice = mPlacement.choose(ticket, picture, now);
         if (choice.endpoint().isPresent()) {
-            Place place = take(choice, picture, now);
+            Place place = take(choice, picture, now, ticket.promptTokens());
             outcomes.add(() -> ticket.granted(place));
             return true;
         }
@@ -216,7 +221,8 @@
         return false;
     }
 
-    private Place take(Placement.Choice choice, FleetPicture picture, Duration now) {
+    private Place take(
+            Placement.Choice choice, FleetPicture picture, Duration now, int promptTokens) {
         EndpointInfo endpoint = choice.endpoint().orElseThrow();
         EndpointStatus status = statusOf(endpoint);
         int load = (int) status.load(Placement.entries(picture), now);
@@ -224,7 +230,8 @@
             status.coldPace()
                     .sent(now, mPlacement.coldRate(endpoint, picture), Placement.entries(picture));
         }
-        return new Place(this, endpoint, status, status.sent(now), choice.version(), load);
+        return new Place(
+                this, endpoint, status, status.sent(now, promptTokens), choice.version(), load);
     }
 
     private Ticket.Refused refusal(String reason) {
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/EndpointStatus.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/EndpointStatus.java
@@ -27,7 +27,8 @@
     private static final double OTHERS_PART = 0.5;
 
     private final ColdPace mColdPace = new ColdPace();
-    private final TreeMap<Long, Duration> mUnanswered = new TreeMap<>();
+    private final TreeMap<Long, Unanswered> mUnanswered = new TreeMap<>();
+    private int mUnreadTokens;
     private long mNextSend;
     private int mRunning;
     private int mReported;
@@ -50,8 +51,8 @@
         if (!isTold(now)) {
             return Math.max(mRunning, mReported + mSentSinceReport - mEndedSinceReport);
         }
-        double crowd = 1 + OTHERS_PART * (entries - 1);
-        return Math.max(mRunning, mReported + crowd * mSentSinceReport - mEndedSinceReport);
+        return Math.max(
+                mRunning, mReported + crowd(entries) * mSentSinceReport - mEndedSinceReport);
     }
 
     /** Returns whether the endpoint's agent has told its load of late. */
@@ -80,18 +81,37 @@
         return mColdUntil;
     }
 
+    /** A request without an answer yet. */
+    private record Unanswered(Duration sentAt, int promptTokens) {}
+
+    /**
+     * Returns the prompt tokens that are estimated to be sent there and not read yet, as far as
+     * this entry has sent any.
+     *
+     * @param entries entries that send there too
+     */
+    double unreadTokens(int entries) {
+        return crowd(entries) * mUnreadTokens;
+    }
+
+    /** Returns what all entries do for one thing that this entry does, as all see the same room. */
+    static double crowd(int entries) {
+        return 1 + OTHERS_PART * (entries - 1);
+    }
+
     /** Notes a request; returns its number, which is given back with its answer and its end. */
-    long sent(Duration now) {
+    long sent(Duration now, int promptTokens) {
         mRunning++;
         mSentSinceReport++;
         long number = mNextSend++;
-        mUnanswered.put(number, now);
+        mUnanswered.put(number, new Unanswered(now, promptTokens));
+        mUnreadTokens += promptTokens;
         return number;
     }
 
     /** Notes the head of an answer. */
     void answered(long number, EndpointAnswer answer, Duration now) {
-        mUnanswered.remove(number);
+        forget(number);
         mAnsweredAt = now;
         answer.coldFor().ifPresent(cold -> mColdUntil = now.plus(cold));
         answer.load()
@@ -106,11 +126,18 @@
 
     /** Notes that a request has ended, however it did. */
     void ended(long number) {
-        mUnanswered.remove(number);
+        forget(number);
         mRunning--;
         mEndedSinceReport++;
     }
 
+    private void forget(long number) {
+        Unanswered request = mUnanswered.remove(number);
+        if (request != null) {
+            mUnreadTokens -= request.promptTokens();
+        }
+    }
+
     /** Notes an answer that was whole. */
     void succeeded() {
         mFailures = 0;
@@ -148,7 +175,7 @@
         if (mUnanswered.isEmpty()) {
             return false;
         }
-        Duration oldest = mUnanswered.firstEntry().getValue();
+        Duration oldest = mUnanswered.firstEntry().getValue().sentAt();
         return now.minus(oldest).compareTo(SILENCE) > 0 && mAnsweredAt.compareTo(oldest) < 0;
     }
 }
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/Place.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/Place.java
@@ -5,7 +5,7 @@
 import org.sequoiahill.daemon.process.endpoints.EndpointInfo;
 
 /** A place at an endpoint, held for one sending. */
-final class Place {
+public final class Place {
     private final Dispatcher mDispatcher;
     private final EndpointInfo mEndpoint;
     private final EndpointStatus mStatus;
@@ -30,7 +30,7 @@
     }
 
     /** What became of a sending. */
-    enum End {
+    public enum End {
         /** The answer was whole. */
         SUCCEEDED,
         /** The endpoint failed after it had the request. */
@@ -45,27 +45,27 @@
         CANCELLED
     }
 
-    EndpointInfo endpoint() {
+    public EndpointInfo endpoint() {
         return mEndpoint;
     }
 
     /** Returns the version that the request must name, where that matters. */
-    OptionalLong version() {
+    public OptionalLong version() {
         return mVersion;
     }
 
     /** Returns the estimated load of the endpoint when the place was given. */
-    int load() {
+    public int load() {
         return mLoad;
     }
 
     /** Notes the head of the answer. */
-    void answered(EndpointAnswer answer) {
+    public void answered(EndpointAnswer answer) {
         mDispatcher.answered(mStatus, mNumber, answer);
     }
 
     /** Gives the place back; only the first call counts. */
-    void ended(End end) {
+    public void ended(End end) {
         if (mIsEnded.compareAndSet(false, true)) {
             mDispatcher.ended(mEndpoint, mStatus, mNumber, end);
         }
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/Placement.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/Placement.java
@@ -10,6 +10,7 @@
 import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
 import org.sequoiahill.daemon.process.endpoints.EndpointInfo;
+import org.sequoiahill.daemon.process.fleet.EngineProfile;
 import org.sequoiahill.daemon.process.fleet.FleetPicture;
 import org.sequoiahill.daemon.process.fleet.RoutedService;
 import org.sequoiahill.protocol.gen.Participant;
@@ -20,7 +21,10 @@
  *
  * <p>Answers the load of many entries before few large endpoints: the estimate counts what was sent
  * since the last report, and a random part of up to one and a half requests keeps entries that have
- * the same reports from all choosing the same endpoint.
+ * the same reports from all choosing the same endpoint. Answers the burst that meets an engine
+ * which has just come back with all its slots free: no more prompts are sent there than it reads in
+ * time. Answers more load than the engines bear: a quarter of their slots is kept from requests
+ * that are late anyway, so that others are not late because of them.
  */
 final class Placement {
     /** Random part of a load, in requests. */
@@ -32,12 +36,17 @@
     /** Requests that may wait at an engine beside those in its slots, as a part of the slots. */
     private static final double ENGINE_QUEUE = 0.25;
 
-    /** The same where the engine's agent tells the load, so that no guess needs room. */
-    private static final double TOLD_ENGINE_QUEUE = 0.07;
+    /** Part of an engine's slots up to which it takes requests whose answer is late anyway. */
+    private static final double LATE_PART = 0.75;
 
     /** Requests that may wait at a plain endpoint, as a part of the slots. */
     private static final double PLAIN_QUEUE = 1.0;
 
+    /** Part of the time until an answer that an engine may need to read waiting prompts. */
+    private static final double READ_PART = 0.25;
+
+    private static final double MILLIS_PER_SECOND = 1_000;
+
     private final DirectSettings mSettings;
     private final RandomGenerator mRandom;
     private final Function<EndpointInfo, EndpointStatus> mStatusOf;
@@ -87,7 +96,7 @@
         double bestScore = Double.MAX_VALUE;
         for (EndpointInfo endpoint : candidates) {
             EndpointStatus status = mStatusOf.apply(endpoint);
-            if (status.isResting(now) || !hasRoom(endpoint, status, picture, now)) {
+            if (status.isResting(now) || !hasRoom(ticket, endpoint, status, picture, now)) {
                 continue;
             }
             double score =
@@ -190,18 +199,56 @@
     }
 
     private boolean hasRoom(
-            EndpointInfo endpoint, EndpointStatus status, FleetPicture picture, Duration now) {
+            Ticket ticket,
+            EndpointInfo endpoint,
+            EndpointStatus status,
+            FleetPicture picture,
+            Duration now) {
         if (isCold(endpoint, picture, now) && !status.coldPace().isOpen(now)) {
             return false;
         }
-        boolean isEngine =
+        Optional<EngineProfile> engine =
                 picture.table()
                         .flatMap(table -> table.service(endpoint.service()))
-                        .flatMap(RoutedService::engine)
-                        .isPresent();
-        double engineQueue = status.isTold(now) ? TOLD_ENGINE_QUEUE : ENGINE_QUEUE;
-        double queue = isEngine ? engineQueue : PLAIN_QUEUE;
-        return status.load(entries(picture), now) < Math.max(1, endpoint.slots()) * (1 + queue);
+                        .flatMap(RoutedService::engine);
+        int entries = entries(picture);
+        if (engine.isPresent() && !isReadSoon(ticket, status, engine.get(), entries)) {
+            return false;
+        }
+        return status.load(entries, now)
+                < Math.max(1, endpoint.slots()) * loadPart(ticket, status, engine, now);
+    }
+
+    /**
+     * Returns the load up to which an endpoint takes a request, as a part of its slots. A request
+     * that waits in a full engine is late, and so are those behind it; where the engine's agent
+     * tells the load there is no need to guess, and none waits there.
+     */
+    private static double loadPart(
+            Ticket ticket, EndpointStatus status, Optional<EngineProfile> engine, Duration now) {
+        if (engine.isEmpty()) {
+            return 1 + PLAIN_QUEUE;
+        }
+        if (ticket.isLate()) {
+            return LATE_PART;
+        }
+        return status.isTold(now) ? 1 : 1 + ENGINE_QUEUE;
+    }
+
+    /**
+     * Returns whether an engine would read a prompt soon enough. One that comes back empty after a
+     * load has all its slots free, and were they filled at once, the first events of all would wait
+     * until the prompts of all are read.
+     */
+    private static boolean isReadSoon(
+            Ticket ticket, EndpointStatus status, EngineProfile engine, int entries) {
+        double unread = status.unreadTokens(entries);
+        if (unread == 0) {
+            return true;
+        }
+        double tokens = unread + EndpointStatus.crowd(entries) * ticket.promptTokens();
+        return tokens / engine.readRate() * MILLIS_PER_SECOND
+                <= READ_PART * ticket.answerTarget().toMillis();
     }
 
     private double score(EndpointInfo endpoint, double load) {
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/RequestTimes.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/RequestTimes.java
@@ -15,7 +15,7 @@
  * @param deadline when its answer must have ended
  * @param isLate whether the answer can't be on time any more
  */
-record RequestTimes(Duration arrivedAt, Duration deadline, boolean isLate) {
+public record RequestTimes(Duration arrivedAt, Duration deadline, boolean isLate) {
     /** Part of the time for an answer that may pass before it is sent; the rest is to serve it. */
     private static final double QUEUE_PART = 0.4;
 
@@ -30,7 +30,7 @@
      *
      * @param patience how long the caller waits; one that comes back has less left than at first
      */
-    static RequestTimes of(Duration arrivedAt, Route route, Optional<Duration> patience) {
+    public static RequestTimes of(Duration arrivedAt, Route route, Optional<Duration> patience) {
         Duration timeout = route.timeout();
         Duration left = patience.orElse(timeout);
         boolean isLate = left.compareTo(timeout.minus(route.answerTarget())) < 0;
@@ -38,14 +38,14 @@
     }
 
     /** Returns when a request gives up that has not been sent. */
-    Duration firstGiveUpAt(Duration target) {
+    public Duration firstGiveUpAt(Duration target) {
         Duration wait =
                 isLate ? LATE_WAIT : Duration.ofMillis((long) (target.toMillis() * QUEUE_PART));
         return earlier(arrivedAt.plus(wait), deadline);
     }
 
     /** Returns when a request gives up that is to be sent again. */
-    Duration repeatGiveUpAt(Duration now) {
+    public Duration repeatGiveUpAt(Duration now) {
         return earlier(now.plus(REPEAT_WAIT), deadline);
     }
 
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/Ticket.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/Ticket.java
@@ -5,7 +5,7 @@
 import java.util.Set;
 
 /** A request that wants a place at an endpoint. */
-interface Ticket {
+public interface Ticket {
     /** Returns the service that is to run the request. */
     String service();
 
@@ -21,6 +21,12 @@
     /** Returns whether the answer can't be on time any more, so that it is worth less. */
     boolean isLate();
 
+    /** Returns the tokens that an engine has to read, 0 where that isn't known. */
+    int promptTokens();
+
+    /** Returns the time until the first part of an answer that the caller wants. */
+    Duration answerTarget();
+
     /** Returns the time from which a place is of no use any more. */
     Duration giveUpAt();
 
--- a/daemon/src/main/java/org/sequoiahill/daemon/version/staging/SwapTurns.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/staging/SwapTurns.java
@@ -11,7 +11,7 @@
  * enough of those before it have the version. When the bound comes near an agent goes whatever the
  * others do, since an engine with an old version is of no use after it.
  */
-final class SwapTurns {
+public final class SwapTurns {
     /** Part of the engines that load at the same time. */
     private static final int PARTS = 3;
 
@@ -26,7 +26,7 @@
      * @param age time since the version was named
      * @param lastCall age from which an agent waits for nobody
      */
-    static boolean isTurn(
+    public static boolean isTurn(
             String self, Map<String, Long> versions, long target, Duration age, Duration lastCall) {
         if (age.compareTo(lastCall) >= 0) {
             return true;
--- a/daemon/src/test/java/org/sequoiahill/daemon/request/direct/DispatcherTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/request/direct/DispatcherTest.java
@@ -33,7 +33,12 @@
             Executors.newSingleThreadScheduledExecutor();
     private FleetPicture mPicture = FleetPicture.EMPTY;
     private final Dispatcher mDispatcher =
-            Dispatcher.of(() -> mPicture, Fleets.SETTINGS, mClock, new Random(1), DelayedRunner.of(mScheduler));
+            Dispatcher.of(
+                    () -> mPicture,
+                    Fleets.SETTINGS,
+                    mClock,
+                    new Random(1),
+                    DelayedRunner.of(mScheduler));
 
     @AfterEach
     void stop() {
@@ -135,6 +140,74 @@
         assertThat(later.mPlace.isPresent(), is(false));
     }
 
+    @Test
+    void submit_full_takesTheNewestFirst() {
+        mPicture = new Fleets().endpoint("a", "dc-1", 1).picture();
+        List<Asking> running = submit(2, 1);
+        Asking older = submit(1, 1).get(0);
+        Asking newer = submit(1, 1).get(0);
+        running.get(0).mPlace.orElseThrow().ended(Place.End.SUCCEEDED);
+        assertThat(newer.mPlace.isPresent(), is(true));
+        assertThat(older.mPlace.isPresent(), is(false));
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        // prompt tokens of each request, how many an engine is sent at once
+        "3000, 1",
+        "1000, 3",
+        "100, 8"
+    })
+    void submit_emptyEngine_isSentNoMorePromptsThanItReadsInTime(int tokens, int sent) {
+        mPicture = new Fleets().engines(31_900).endpoint("a", "dc-1", 8).picture();
+        List<Asking> all = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            Asking asking = new Asking(1, mClock.now().plusMillis(160));
+            asking.mPromptTokens = tokens;
+            mDispatcher.submit(asking);
+            all.add(asking);
+        }
+        long granted = all.stream().filter(each -> each.mPlace.isPresent()).count();
+        assertThat(granted, is((long) sent));
+    }
+
+    @Test
+    void submit_engineThatHasReadAPrompt_isSentTheNext() {
+        mPicture = new Fleets().engines(31_900).endpoint("a", "dc-1", 8).picture();
+        Asking first = new Asking(1, mClock.now().plusMillis(160));
+        first.mPromptTokens = 3_000;
+        mDispatcher.submit(first);
+        Asking second = new Asking(1, mClock.now().plusMillis(160));
+        second.mPromptTokens = 3_000;
+        mDispatcher.submit(second);
+        assertThat(second.mPlace.isPresent(), is(false));
+        first.mPlace
+                .orElseThrow()
+                .answered(
+                        new EndpointAnswer(
+                                200,
+                                "",
+                                true,
+                                false,
+                                true,
+                                Optional.empty(),
+                                Optional.empty(),
+                                Optional.empty()));
+        mDispatcher.refresh();
+        assertThat(second.mPlace.isPresent(), is(true));
+    }
+
+    @Test
+    void submit_engineThreeQuartersFull_takesOnlyRequestsThatCanBeOnTime() {
+        mPicture = new Fleets().engines(31_900).endpoint("a", "dc-1", 8).picture();
+        submit(6, 1);
+        Asking late = new Asking(1, mClock.now().plusMillis(800));
+        late.mIsLate = true;
+        mDispatcher.submit(late);
+        assertThat(late.mPlace.isPresent(), is(false));
+        assertThat(submit(1, 1).get(0).mPlace.isPresent(), is(true));
+    }
+
     @Test
     void submit_full_takesThoseThatCanBeOnTimeFirst() {
         mPicture = new Fleets().endpoint("a", "dc-1", 1).picture();
@@ -236,6 +309,7 @@
 
     /** A request that asks for a place. */
     private static final class Asking implements Ticket {
+        private int mPromptTokens;
         private final int mPriority;
         private final Duration mGiveUpAt;
         private final Set<String> mTried = new HashSet<>();
@@ -282,6 +356,16 @@
             return mGiveUpAt;
         }
 
+        @Override
+        public int promptTokens() {
+            return mPromptTokens;
+        }
+
+        @Override
+        public Duration answerTarget() {
+            return Duration.ofMillis(400);
+        }
+
         @Override
         public boolean allows(String region) {
             return true;
--- a/daemon/src/test/java/org/sequoiahill/daemon/request/direct/Fleets.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/request/direct/Fleets.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.sequoiahill.daemon.process.endpoints.EndpointInfo;
+import org.sequoiahill.daemon.process.fleet.EngineProfile;
 import org.sequoiahill.daemon.process.fleet.FleetPicture;
 import org.sequoiahill.daemon.process.fleet.FleetState;
 import org.sequoiahill.daemon.process.fleet.Route;
@@ -38,6 +39,7 @@
     private final Map<String, Long> mOut = new HashMap<>();
     private final List<Participant> mParticipants = new ArrayList<>();
     private double mColdRate;
+    private Optional<EngineProfile> mEngine = Optional.empty();
 
     /** Adds a ready endpoint. */
     Fleets endpoint(String id, String dataCentre, int slots) {
@@ -104,6 +106,24 @@
         return this;
     }
 
+    /** Makes the endpoints model engines that read a number of prompt tokens a second. */
+    Fleets engines(double readRate) {
+        mEngine =
+                Optional.of(
+                        new EngineProfile(
+                                "model",
+                                16,
+                                685_000,
+                                Duration.ofMillis(7),
+                                Duration.ofNanos(38_700),
+                                readRate,
+                                6,
+                                48,
+                                49_152,
+                                Duration.ofMillis(300)));
+        return this;
+    }
+
     Fleets coldRate(double rate) {
         mColdRate = rate;
         return this;
@@ -120,12 +140,7 @@
     FleetPicture picture() {
         RoutedService service =
                 new RoutedService(
-                        "writer",
-                        100,
-                        Duration.ofSeconds(3),
-                        mColdRate,
-                        Optional.empty(),
-                        Optional.empty());
+                        "writer", 100, Duration.ofSeconds(3), mColdRate, Optional.empty(), mEngine);
         return new FleetPicture(
                 new FleetState(1, 1, ByteBuffer.allocate(0), mOut, Map.of(), mVersions),
                 Optional.of(
