Tell callers how long a reload takes while no engine has the model

Cause: after a final fault engines come back without weights and need about 5 s to have them again.

Change: while no engine serves a model, Retry-After is what is left of a reload, counted from the first request that found none; callers honour up to a third of the time they have left. An entry without a routing table, which means that the stores are starting too, says 1.5 s instead of 0.5.

--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectHandler.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectHandler.java
@@ -27,7 +27,7 @@
                     Duration.ofMillis(500));
 
     /** Pause that callers are told while no routing table is known, right after a start. */
-    private static final Duration NO_TABLE_PAUSE = Duration.ofMillis(500);
+    private static final Duration NO_TABLE_PAUSE = Duration.ofMillis(1_500);
 
     private final DirectServices mServices;
     private final Supplier<FleetPicture> mPicture;
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/Dispatcher.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/Dispatcher.java
@@ -53,6 +53,7 @@
     private final Map<Start, EndpointStatus> mStatuses = new HashMap<>();
     private final Map<String, PriorityQueue<Waiting>> mQueues = new HashMap<>();
     private final Map<String, RepeatBudget> mBudgets = new HashMap<>();
+    private final Map<String, ReturnForecast> mForecasts = new HashMap<>();
     private long mArrivals;
     private int mWaiting;
     private boolean mIsRecheckDue;
@@ -206,16 +207,20 @@
         }
         Placement.Choice choice = mPlacement.choose(ticket, picture, now);
         if (choice.endpoint().isPresent()) {
+            forecastOf(ticket).served();
             Place place = take(choice, picture, now, ticket.promptTokens());
             outcomes.add(() -> ticket.granted(place));
             return true;
         }
         if (choice.candidates() == 0) {
-            outcomes.add(() -> ticket.refused(refusal("no_endpoint")));
+            Ticket.Refused refusal = refusal("no_endpoint", untilReturn(ticket, now));
+            outcomes.add(() -> ticket.refused(refusal));
             return true;
         }
+        forecastOf(ticket).served();
         if (now.compareTo(ticket.giveUpAt()) >= 0) {
-            outcomes.add(() -> ticket.refused(refusal("no_room")));
+            Ticket.Refused refusal = refusal("no_room", LEAST_RETRY);
+            outcomes.add(() -> ticket.refused(refusal));
             return true;
         }
         return false;
@@ -234,9 +239,22 @@
                 this, endpoint, status, status.sent(now, promptTokens), choice.version(), load);
     }
 
-    private Ticket.Refused refusal(String reason) {
+    private Ticket.Refused refusal(String reason, Duration pause) {
         long spread = (long) (RETRY_SPREAD.toMillis() * mRandom.nextDouble());
-        return new Ticket.Refused(reason, LEAST_RETRY.plusMillis(spread));
+        return new Ticket.Refused(reason, pause.plusMillis(spread));
+    }
+
+    /** Returns how long it will probably last that no endpoint may run a request. */
+    private Duration untilReturn(Ticket ticket, Duration now) {
+        boolean isAnyVersionServed = ticket.version().isEmpty();
+        return isAnyVersionServed && !ticket.model().isEmpty()
+                ? forecastOf(ticket).gone(now)
+                : LEAST_RETRY;
+    }
+
+    private ReturnForecast forecastOf(Ticket ticket) {
+        return mForecasts.computeIfAbsent(
+                ticket.service(), service -> ReturnForecast.of(LEAST_RETRY));
     }
 
     private void scheduleRecheck(boolean isAnyWaiting) {
--- a/daemon/src/test/java/org/sequoiahill/daemon/request/direct/DispatcherTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/request/direct/DispatcherTest.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsInAnyOrder;
 import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
@@ -127,6 +128,16 @@
         assertThat(refused.retryAfter().toMillis(), greaterThan(0L));
     }
 
+    @Test
+    void submit_noEngineHasTheModel_tellsHowLongAReloadTakes() {
+        mPicture = new Fleets().picture();
+        submit(1, 1);
+        mClock.advanceMillis(2_000);
+        Ticket.Refused refused = submit(1, 1).get(0).mRefused.orElseThrow();
+        assertThat(refused.retryAfter().toMillis(), greaterThanOrEqualTo(3_000L));
+        assertThat(refused.retryAfter().toMillis(), lessThanOrEqualTo(3_800L));
+    }
+
     @Test
     void submit_full_waitsAndTakesTheMoreUrgentFirst() {
         mPicture = new Fleets().endpoint("a", "dc-1", 2).picture();
