Deliver what follows the last whole event of a stream

Cause, found by reading: the end of a sending dropped the bytes after the last blank line before they were passed on, so a stream whose last line has no blank line after it reached the caller cut short, under a clean end.

Change: the rest is taken before the sending is released. Passing events on is a class of its own now, StreamRelay; DirectExchange keeps the life of the request.

--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectExchange.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectExchange.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.net.URI;
-import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.Optional;
@@ -26,13 +25,10 @@
  * <p>All steps run one after another in an invoker, so that callbacks of the caller's connection,
  * the endpoint's connection and the dispatcher need no lock among each other.
  */
-final class DirectExchange implements Ticket, Sending.Events, EventOutput.Listener {
+final class DirectExchange implements Ticket, Sending.Events, StreamRelay.Exchange {
     /** Largest answer that is held until it is whole, in bytes. */
     private static final int MAX_ANSWER_BYTES = 8 << 20;
 
-    /** Bytes that a slow caller leaves unread before the endpoint's stream is read no further. */
-    private static final int MAX_PENDING_BYTES = 256 << 10;
-
     /** Least time left that makes another sending worth its while. */
     private static final Duration LEAST_TIME_LEFT = Duration.ofMillis(150);
 
@@ -48,8 +44,7 @@
     private final Request mCallerRequest;
     private final CallerReply mReply;
     private final SerializedInvoker mInvoker = new SerializedInvoker();
-    private final EventOutput mOutput;
-    private final EventSplitter mSplitter = new EventSplitter();
+    private final StreamRelay mStream;
     private final Set<String> mTried = new HashSet<>();
     private final RequestTimes mTimes;
     private @Nullable Sending mCurrent;
@@ -57,8 +52,6 @@
     private OptionalLong mVersion = OptionalLong.empty();
     private int mSendings;
     private int mRuns;
-    private boolean mIsHeadSent;
-    private boolean mIsPaused;
 
     DirectExchange(
             DirectServices services,
@@ -71,7 +64,7 @@
         mRequest = request;
         mCallerRequest = callerRequest;
         mReply = new CallerReply(services, request, response, callback, arrivedAt);
-        mOutput = new EventOutput(response, mInvoker, this);
+        mStream = StreamRelay.of(response, mInvoker, this);
         mTimes = RequestTimes.of(arrivedAt, request.route(), request.caller().patience());
         mGiveUpAt = mTimes.firstGiveUpAt(request.route().answerTarget());
     }
@@ -194,7 +187,7 @@
                         place.endpoint().id(),
                         mRequest.organisation().map(Organisation::name),
                         timeLeft,
-                        mSplitter.lastId().or(() -> mRequest.caller().lastEventId()),
+                        mStream.lastId().or(() -> mRequest.caller().lastEventId()),
                         place.version(),
                         OptionalInt.of(priority()));
         HttpForwarder.Call call =
@@ -214,7 +207,7 @@
             return;
         }
         String message = "no endpoint can take the request now";
-        if (mIsHeadSent) {
+        if (mStream.hasBegun()) {
             cutOff(refused.reason());
         } else if (mRuns > 0) {
             refuse(Refusal.outcomeUnknown("the endpoint gave no answer"));
@@ -243,11 +236,11 @@
         } else if (!answer.isSealed()) {
             lose(sending, "unsealed_" + answer.status());
         } else if (answer.isSuccess() && answer.isStream()) {
-            if (!mIsHeadSent) {
+            if (!mStream.hasBegun()) {
                 mReply.takeHead(response);
             }
             pinVersion(sending);
-            pump(sending, content);
+            mStream.pump(sending, content);
         } else {
             BodyReader.read(content, MAX_ANSWER_BYTES)
                     .whenComplete(
@@ -286,62 +279,30 @@
         }
     }
 
-    /** Reads what has come of a stream, and passes whole events on. */
-    private void pump(Sending sending, Content.Source content) {
-        while (sending == mCurrent && !mReply.isDone()) {
-            if (mOutput.pendingBytes() > MAX_PENDING_BYTES) {
-                mIsPaused = true;
-                return;
-            }
-            Content.Chunk chunk = content.read();
-            if (chunk == null) {
-                content.demand(() -> mInvoker.run(() -> pump(sending, content)));
-                return;
-            }
-            if (Content.Chunk.isFailure(chunk)) {
-                lose(sending, "cut_stream_" + mSplitter.events());
-                return;
-            }
-            sending.heard(mServices.clock().now());
-            ByteBuffer events = mSplitter.take(chunk.getByteBuffer());
-            boolean isLast = chunk.isLast();
-            chunk.release();
-            if (events.hasRemaining()) {
-                mIsHeadSent = true;
-                mOutput.write(events);
-            }
-            if (isLast) {
-                endStream(sending);
-            }
-        }
+    @Override
+    public boolean isCurrent(Sending sending) {
+        return sending == mCurrent && !mReply.isDone();
     }
 
-    private void endStream(Sending sending) {
-        if (release(sending, Place.End.SUCCEEDED, "events_" + mSplitter.events())) {
-            mIsHeadSent = true;
-            mOutput.write(mSplitter.rest());
-            mOutput.end();
-        }
+    @Override
+    public void heard(Sending sending) {
+        sending.heard(mServices.clock().now());
     }
 
     @Override
-    public void written() {
-        Sending sending = mCurrent;
-        if (mIsPaused && sending != null && mOutput.pendingBytes() <= MAX_PENDING_BYTES) {
-            mIsPaused = false;
-            sending.source().ifPresent(content -> pump(sending, content));
-        }
+    public boolean streamEnded(Sending sending, int events) {
+        return release(sending, Place.End.SUCCEEDED, "events_" + events);
     }
 
     @Override
-    public Callback ending() {
-        mServices.exchanges().end(this);
-        return mReply.endStream();
+    public void streamCut(Sending sending, int events) {
+        lose(sending, "cut_stream_" + events);
     }
 
     @Override
-    public void failed(Throwable failure) {
-        callerGone();
+    public Callback answerEnding() {
+        mServices.exchanges().end(this);
+        return mReply.endStream();
     }
 
     private void pinVersion(Sending sending) {
@@ -366,7 +327,7 @@
             return false;
         }
         mCurrent = null;
-        mSplitter.rest();
+        mStream.dropPartial();
         mReply.trace(sending, what);
         return true;
     }
@@ -390,14 +351,14 @@
                 mServices.dispatcher().submit(this);
             }
             case PASS_ON -> {
-                if (passOn == null || mIsHeadSent) {
+                if (passOn == null || mStream.hasBegun()) {
                     cutOff("broken");
                 } else {
                     passOn.run();
                 }
             }
             case REFUSE, UNKNOWN -> {
-                if (mIsHeadSent) {
+                if (mStream.hasBegun()) {
                     cutOff("broken");
                 } else if (decision == RepeatRule.Decision.UNKNOWN) {
                     refuse(Refusal.outcomeUnknown("the endpoint gave no whole answer"));
@@ -437,7 +398,8 @@
         mReply.cutOff(why);
     }
 
-    private void callerGone() {
+    @Override
+    public void callerGone() {
         if (mReply.isDone()) {
             return;
         }
@@ -468,7 +430,7 @@
     }
 
     private boolean isSilent(Sending sending, Duration now) {
-        return !mIsPaused
+        return !mStream.isPaused()
                 && SilenceRule.isOver(
                         mRequest.route(), mRuns, sending.heardAt(), mTimes.deadline(), now);
     }
@@ -476,7 +438,7 @@
     private void timeOut() {
         boolean mayHaveRun = mRuns > 0 || mCurrent != null;
         cancelCurrent("timeout");
-        if (mIsHeadSent) {
+        if (mStream.hasBegun()) {
             cutOff("timeout");
         } else if (mayHaveRun) {
             refuse(new Refusal(504, "timeout", "no answer in time", false, Duration.ZERO));
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/Sending.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/Sending.java
@@ -1,7 +1,6 @@
 package org.sequoiahill.daemon.request.direct;
 
 import java.time.Duration;
-import java.util.Optional;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.io.Content;
@@ -57,11 +56,6 @@
         return mHeardAt;
     }
 
-    /** Returns the answer's bytes, once its head has come. */
-    Optional<Content.Source> source() {
-        return Optional.ofNullable(mSource);
-    }
-
     boolean hasHead() {
         return mHasHead;
     }
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/StreamRelay.java
@@ -0,0 +1,142 @@
+package org.sequoiahill.daemon.request.direct;
+
+import java.nio.ByteBuffer;
+import java.util.Optional;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.thread.SerializedInvoker;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Passes an endpoint's stream on to the caller in whole events, and reads no faster than the caller
+ * takes them.
+ *
+ * <p>A stream that breaks off may go on with another sending; the caller then gets the events of
+ * both as one answer. All methods run in the exchange's invoker.
+ */
+final class StreamRelay implements EventOutput.Listener {
+    /** Bytes that a slow caller leaves unread before the endpoint's stream is read no further. */
+    private static final int MAX_PENDING_BYTES = 256 << 10;
+
+    private final SerializedInvoker mInvoker;
+    private final Exchange mExchange;
+    private final EventOutput mOutput;
+    private final EventSplitter mSplitter = new EventSplitter();
+    private @Nullable Runnable mPaused;
+    private boolean mHasBegun;
+
+    private StreamRelay(Response response, SerializedInvoker invoker, Exchange exchange) {
+        mInvoker = invoker;
+        mExchange = exchange;
+        mOutput = new EventOutput(response, invoker, this);
+    }
+
+    /** Returns the relay of one exchange. */
+    static StreamRelay of(Response response, SerializedInvoker invoker, Exchange exchange) {
+        return new StreamRelay(response, invoker, exchange);
+    }
+
+    /** The exchange that a stream is part of. */
+    interface Exchange {
+        /** Returns whether the bytes of a sending are still wanted. */
+        boolean isCurrent(Sending sending);
+
+        /** Bytes of a sending's stream have come. */
+        void heard(Sending sending);
+
+        /** A sending's stream has ended whole; returns whether the caller's answer may end too. */
+        boolean streamEnded(Sending sending, int events);
+
+        /** A sending's stream has broken off. */
+        void streamCut(Sending sending, int events);
+
+        /** All events are about to be written; returns what to complete once they are. */
+        Callback answerEnding();
+
+        /** The caller can't be written to. */
+        void callerGone();
+    }
+
+    /** Returns whether the caller has got anything of the stream. */
+    boolean hasBegun() {
+        return mHasBegun;
+    }
+
+    /** Returns whether reading waits for the caller. */
+    boolean isPaused() {
+        return mPaused != null;
+    }
+
+    /** Returns the id of the last whole event. */
+    Optional<String> lastId() {
+        return mSplitter.lastId();
+    }
+
+    /** Forgets what has come of an event that is not whole. */
+    void dropPartial() {
+        mSplitter.rest();
+    }
+
+    /** Reads what has come of a stream, and passes whole events on. */
+    void pump(Sending sending, Content.Source content) {
+        while (mExchange.isCurrent(sending)) {
+            if (mOutput.pendingBytes() > MAX_PENDING_BYTES) {
+                mPaused = () -> pump(sending, content);
+                return;
+            }
+            Content.Chunk chunk = content.read();
+            if (chunk == null) {
+                content.demand(() -> mInvoker.run(() -> pump(sending, content)));
+                return;
+            }
+            if (Content.Chunk.isFailure(chunk)) {
+                mExchange.streamCut(sending, mSplitter.events());
+                return;
+            }
+            mExchange.heard(sending);
+            pass(mSplitter.take(chunk.getByteBuffer()));
+            boolean isLast = chunk.isLast();
+            chunk.release();
+            if (isLast) {
+                end(sending);
+            }
+        }
+    }
+
+    private void pass(ByteBuffer events) {
+        if (events.hasRemaining()) {
+            mHasBegun = true;
+            mOutput.write(events);
+        }
+    }
+
+    private void end(Sending sending) {
+        // What follows the last whole event belongs to the answer, and is dropped with the sending.
+        ByteBuffer rest = mSplitter.rest();
+        if (mExchange.streamEnded(sending, mSplitter.events())) {
+            mHasBegun = true;
+            pass(rest);
+            mOutput.end();
+        }
+    }
+
+    @Override
+    public void written() {
+        Runnable paused = mPaused;
+        if (paused != null && mOutput.pendingBytes() <= MAX_PENDING_BYTES) {
+            mPaused = null;
+            paused.run();
+        }
+    }
+
+    @Override
+    public Callback ending() {
+        return mExchange.answerEnding();
+    }
+
+    @Override
+    public void failed(Throwable failure) {
+        mExchange.callerGone();
+    }
+}
