Take the pieces that lie at engines before any link carries them again

And after all processes are killed, the pieces still lie at the engines, while each agent fetched all of them anew for 3.5 s.

Change: an entry asks an agent of its region whose engine serves the version before it asks the drawing entry or the origin, and compares what comes with the origin's manifest; an agent that gives none, a damaged one or one after 300 ms is not asked again. An agent whose engine holds no weights first takes what lies there as it should.

PieceRelayTest and StagingAgentTest.run_piecesLieAtAnEngineThatCrashed_... were written with the change and not run before it.

--- a/daemon/src/main/java/org/sequoiahill/daemon/process/FleetAgent.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/FleetAgent.java
@@ -12,6 +12,7 @@
 import org.sequoiahill.daemon.process.control.ControlClient;
 import org.sequoiahill.daemon.process.control.ControlServer;
 import org.sequoiahill.daemon.process.control.Identity;
+import org.sequoiahill.daemon.process.control.ServiceStub;
 import org.sequoiahill.daemon.process.fleet.FleetView;
 import org.sequoiahill.daemon.process.fleet.StoreWatcher;
 import org.sequoiahill.daemon.process.settings.FleetSettings;
@@ -20,10 +21,12 @@
 import org.sequoiahill.daemon.version.staging.LoadTeller;
 import org.sequoiahill.daemon.version.staging.PieceFetcher;
 import org.sequoiahill.daemon.version.staging.PieceStore;
+import org.sequoiahill.daemon.version.staging.StagedPieces;
 import org.sequoiahill.daemon.version.staging.StagingAgent;
 import org.sequoiahill.daemon.version.staging.StagingEngine;
 import org.sequoiahill.daemon.version.staging.WeightsOrigin;
 import org.sequoiahill.protocol.gen.Participant;
+import org.sequoiahill.protocol.gen.Pieces;
 
 /** The role that keeps the engine on its VM at the newest version. */
 @Singleton
@@ -34,6 +37,7 @@
     private final AgentState mState;
     private final StagingAgent mAgent;
     private final LoadTeller mLoads;
+    private final StagedPieces mPieces;
     private volatile Runnable mAnnounce = () -> {};
 
     @Inject
@@ -52,6 +56,7 @@
         mLoads =
                 LoadTeller.of(
                         engine, settings.engine().orElseThrow(), view::picture, client, scheduler);
+        mPieces = StagedPieces.of(identity, mState, store, engine);
         WeightsOrigin origin = adapter.origin(http);
         ExecutorService workers =
                 Executors.newFixedThreadPool(
@@ -96,7 +101,7 @@
 
     @Override
     public void register(ControlServer server) {
-        // Agents are not called by other daemons.
+        server.register(ServiceStub.PIECES, new Pieces.Processor<>(mPieces));
     }
 
     @Override
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/FleetEntry.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/FleetEntry.java
@@ -114,7 +114,8 @@
                         settings.regions(),
                         adapter.origin(http),
                         new PieceStore(),
-                        client);
+                        client,
+                        clock);
         ExecutorService drawer =
                 Executors.newSingleThreadExecutor(ProcessModule.daemonThreads("draw"));
         view.addListener(picture -> mPieces.drawAhead(picture, drawer));
--- a/daemon/src/main/java/org/sequoiahill/daemon/version/staging/FleetPieces.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/staging/FleetPieces.java
@@ -1,6 +1,7 @@
 package org.sequoiahill.daemon.version.staging;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.sequoiahill.daemon.process.fleet.FleetPicture;
@@ -15,8 +16,15 @@
  * @param plan through which entries pieces go
  * @param entries control addresses of entries, by name
  * @param origin address of the origin, where the routing table names one
+ * @param agents agents, with the versions that their engines serve
+ * @param regions region of each data centre
  */
-record FleetPieces(PiecePlan plan, Map<String, HostPort> entries, Optional<HostPort> origin) {
+record FleetPieces(
+        PiecePlan plan,
+        Map<String, HostPort> entries,
+        Optional<HostPort> origin,
+        List<Participant> agents,
+        Map<String, String> regions) {
     /**
      * Returns where pieces come from.
      *
@@ -34,7 +42,25 @@
                 picture.table()
                         .flatMap(table -> table.weightsOrigin())
                         .flatMap(RoutedService::origin);
-        return new FleetPieces(PiecePlan.over(regionOf), addresses, origin);
+        return new FleetPieces(
+                PiecePlan.over(regionOf),
+                addresses,
+                origin,
+                picture.participants(ParticipantRole.AGENT),
+                regions);
+    }
+
+    /** Returns the addresses of a region's agents whose engines serve a version. */
+    List<HostPort> holders(String region, String model, long version) {
+        return agents.stream()
+                .filter(agent -> region.equals(regionOf(agent.getDataCentre())))
+                .filter(agent -> agent.getVersions().getOrDefault(model, 0L) == version)
+                .map(agent -> HostPort.parse(agent.getControl()))
+                .toList();
+    }
+
+    private String regionOf(String dataCentre) {
+        return regions.getOrDefault(dataCentre, dataCentre);
     }
 
     /** Returns the address of the entry that gives a piece to the agents of a region. */
--- a/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PieceFetcher.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PieceFetcher.java
@@ -105,6 +105,9 @@
 
     /** Fetches what is missing, and stages it where it can; returns whether all is here. */
     boolean fetch(PieceManifest manifest, FleetPieces from, Pace pace) throws InterruptedException {
+        if (pace == Pace.FULL) {
+            adoptStaged(manifest);
+        }
         PieceQueue missing = PieceQueue.of(missing(manifest), MAX_FAILURES);
         List<Future<?>> workers = new ArrayList<>();
         Semaphore link = new Semaphore(pace.mOnLink, true);
@@ -118,6 +121,28 @@
         return missing(manifest).isEmpty();
     }
 
+    /**
+     * Takes the pieces that already lie at the engine as they should: they outlast a crash of the
+     * engine and of this agent, and need no link.
+     */
+    private void adoptStaged(PieceManifest manifest) {
+        int adopted = 0;
+        try {
+            for (int piece : missing(manifest)) {
+                Optional<byte[]> staged = mEngine.staged(manifest.model(), piece);
+                if (staged.isPresent() && manifest.matches(piece, staged.get())) {
+                    mStore.add(manifest.model(), manifest.version(), piece, staged.get());
+                    adopted++;
+                }
+            }
+        } catch (IOException e) {
+            Logger.debug("what lies at the engine is not known: {}", e.toString());
+        }
+        if (adopted > 0) {
+            Logger.info("{} pieces lay at the engine", adopted);
+        }
+    }
+
     private void drain(
             PieceQueue pieces, PieceManifest manifest, FleetPieces from, Semaphore link, int lane) {
         while (true) {
--- a/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PieceRelay.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PieceRelay.java
@@ -15,6 +15,7 @@
 import org.sequoiahill.daemon.process.control.Identity;
 import org.sequoiahill.daemon.process.fleet.FleetPicture;
 import org.sequoiahill.daemon.process.settings.HostPort;
+import org.sequoiahill.daemon.process.time.MonotonicClock;
 import org.sequoiahill.protocol.gen.ManifestReply;
 import org.sequoiahill.protocol.gen.ManifestRequest;
 import org.sequoiahill.protocol.gen.PieceReply;
@@ -25,13 +26,18 @@
 /**
  * Gives pieces to the agents of an entry's region and to entries elsewhere.
  *
- * <p>A piece that is asked for is fetched once, from the entry that draws it or from the origin,
- * checked, and kept for the next who asks.
+ * <p>A piece that is asked for is fetched once, checked, and kept for the next who asks: from an
+ * agent of the region whose engine serves the version, else from the entry that draws it, else from
+ * the origin.
  */
 public final class PieceRelay implements Pieces.Iface {
-    /** Connections to another entry that are used in turn. */
+    /** Connections to another daemon that are used in turn. */
     private static final int LANES = 4;
 
+    /** Time in which an agent gives a piece that is to be asked again: four on its link at once. */
+    private static final Duration HOLDER_BOUND = Duration.ofMillis(300);
+
+    private final MonotonicClock mClock;
     private final Identity mIdentity;
     private final Supplier<FleetPicture> mPicture;
     private final Map<String, String> mRegions;
@@ -42,13 +48,18 @@
     private final Map<Piece, CompletableFuture<byte[]>> mComing = new ConcurrentHashMap<>();
     private final Set<Version> mDrawn = ConcurrentHashMap.newKeySet();
 
+    /** Agents that gave no piece, or not in time; their links may be narrow or cut. */
+    private final Set<HostPort> mPoorHolders = ConcurrentHashMap.newKeySet();
+
     private PieceRelay(
             Identity identity,
             Supplier<FleetPicture> picture,
             Map<String, String> regions,
             WeightsOrigin origin,
             PieceStore store,
-            ControlClient client) {
+            ControlClient client,
+            MonotonicClock clock) {
+        mClock = clock;
         mIdentity = identity;
         mPicture = picture;
         mRegions = Map.copyOf(regions);
@@ -68,8 +79,9 @@
             Map<String, String> regions,
             WeightsOrigin origin,
             PieceStore store,
-            ControlClient client) {
-        return new PieceRelay(identity, picture, regions, origin, store, client);
+            ControlClient client,
+            MonotonicClock clock) {
+        return new PieceRelay(identity, picture, regions, origin, store, client, clock);
     }
 
     private record Version(String model, long version) {}
@@ -181,6 +193,10 @@
         if (number < 0 || number >= manifest.pieces()) {
             throw new IOException("the version has no piece " + number);
         }
+        Optional<byte[]> near = fromHolder(from, manifest, number);
+        if (near.isPresent()) {
+            return near.get();
+        }
         Optional<String> drawer =
                 from.plan().drawer(number).filter(name -> !name.equals(mIdentity.vm()));
         if (drawer.isPresent() && from.entries().containsKey(drawer.get())) {
@@ -195,6 +211,32 @@
         return manifest.checked(number, content, origin);
     }
 
+    /** Asks an agent of the region that serves the version, if there is one. */
+    private Optional<byte[]> fromHolder(FleetPieces from, PieceManifest manifest, int number) {
+        String dataCentre = mIdentity.dataCentre();
+        String region = mRegions.getOrDefault(dataCentre, dataCentre);
+        List<HostPort> holders =
+                from.holders(region, manifest.model(), manifest.version()).stream()
+                        .filter(holder -> !mPoorHolders.contains(holder))
+                        .toList();
+        if (holders.isEmpty()) {
+            return Optional.empty();
+        }
+        HostPort holder = holders.get(number % holders.size());
+        Duration askedAt = mClock.now();
+        try {
+            byte[] content = mCalls.ask(holder, manifest, number, number % LANES);
+            if (mClock.now().minus(askedAt).compareTo(HOLDER_BOUND) > 0) {
+                mPoorHolders.add(holder);
+            }
+            return Optional.of(content);
+        } catch (IOException e) {
+            Logger.info("piece {} is asked elsewhere: {}", number, e.toString());
+            mPoorHolders.add(holder);
+            return Optional.empty();
+        }
+    }
+
     private PieceManifest manifest(Version version, HostPort origin) throws IOException {
         PieceManifest known = mManifests.get(version);
         if (known == null) {
--- /dev/null
+++ b/daemon/src/test/java/org/sequoiahill/daemon/version/staging/PieceRelayTest.java
@@ -0,0 +1,183 @@
+package org.sequoiahill.daemon.version.staging;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.sequoiahill.daemon.process.control.ControlClient;
+import org.sequoiahill.daemon.process.control.ControlServer;
+import org.sequoiahill.daemon.process.control.ControlTraffic;
+import org.sequoiahill.daemon.process.control.Identity;
+import org.sequoiahill.daemon.process.control.ServiceStub;
+import org.sequoiahill.daemon.process.fleet.FleetPicture;
+import org.sequoiahill.daemon.process.fleet.FleetState;
+import org.sequoiahill.daemon.process.fleet.RoutedService;
+import org.sequoiahill.daemon.process.fleet.RoutingTable;
+import org.sequoiahill.daemon.process.settings.HostPort;
+import org.sequoiahill.daemon.process.time.MonotonicClock;
+import org.sequoiahill.protocol.gen.Participant;
+import org.sequoiahill.protocol.gen.ParticipantRole;
+import org.sequoiahill.protocol.gen.PieceReply;
+import org.sequoiahill.protocol.gen.PieceRequest;
+import org.sequoiahill.protocol.gen.Pieces;
+import org.sequoiahill.protocol.weights.Digests;
+
+/** Tests of {@link PieceRelay} with an agent on loopback. */
+final class PieceRelayTest {
+    private static final String HOST = "127.0.0.1";
+    private static final byte[] CONTENT = "piece".getBytes(StandardCharsets.UTF_8);
+    private static final byte[] DAMAGED = "spoilt".getBytes(StandardCharsets.UTF_8);
+
+    private final ExecutorService mExecutor = Executors.newCachedThreadPool();
+    private final CountingOrigin mOrigin = new CountingOrigin();
+    private HostPort mAgent;
+    private ControlServer mServer;
+    private ControlClient mClient;
+
+    @BeforeEach
+    void start() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(HOST))) {
+            mAgent = new HostPort(HOST, socket.getLocalPort());
+        }
+        mServer =
+                ControlServer.bind(mAgent, mExecutor, ControlTraffic.on(new SimpleMeterRegistry()));
+        mClient = ControlClient.on(mExecutor, ControlTraffic.on(new SimpleMeterRegistry()));
+    }
+
+    @AfterEach
+    void stop() {
+        mClient.close();
+        mServer.close();
+        mExecutor.shutdownNow();
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        // region of the agent, version that its engine serves, what lies there, asks of the origin
+        "dc-1, 1, sound, 0",
+        "dc-1, 1, damaged, 1",
+        "dc-1, 1, nothing, 1",
+        "dc-1, 2, sound, 1",
+        "dc-2, 1, sound, 1"
+    })
+    void piece_agentThat_isAskedBeforeTheOrigin(
+            String dataCentre, long served, String lies, int asks) {
+        Participant agent = agent(dataCentre, served);
+        AgentState state = AgentState.of(agent);
+        mServer.register(
+                ServiceStub.PIECES,
+                new Pieces.Processor<>(
+                        StagedPieces.of(
+                                Identity.of("agent", dataCentre, 1),
+                                state,
+                                new PieceStore(),
+                                new Staged(lies))));
+        mServer.start();
+        Identity identity = Identity.of("entry", "dc-1", 1);
+        PieceRelay relay =
+                PieceRelay.of(
+                        identity,
+                        () -> picture(agent),
+                        Map.of(),
+                        mOrigin,
+                        new PieceStore(),
+                        mClient,
+                        MonotonicClock.system());
+        PieceReply reply = relay.piece(new PieceRequest(identity.sender(), "model", 1, 0));
+        assertThat(new String(reply.getContent(), StandardCharsets.UTF_8), is("piece"));
+        assertThat(mOrigin.mPieces.get(), is(asks));
+    }
+
+    private Participant agent(String dataCentre, long served) {
+        return new Participant(
+                "agent",
+                "agent",
+                ParticipantRole.AGENT,
+                dataCentre,
+                mAgent.toString(),
+                1,
+                1,
+                HOST + ":1",
+                "writer",
+                false,
+                Map.of("model", served));
+    }
+
+    private static FleetPicture picture(Participant agent) {
+        RoutedService origin =
+                new RoutedService(
+                        "weights",
+                        1,
+                        Duration.ZERO,
+                        0,
+                        Optional.of(new HostPort(HOST, 1)),
+                        Optional.empty());
+        return new FleetPicture(
+                new FleetState(1, 1, ByteBuffer.allocate(0), Map.of(), Map.of(), Map.of()),
+                Optional.of(RoutingTable.of(1, List.of(), Map.of("weights", origin), Map.of(), 1)),
+                Map.of(),
+                List.of(agent),
+                Map.of(),
+                1);
+    }
+
+    /** An origin that counts the pieces that it is asked for. */
+    private static final class CountingOrigin implements WeightsOrigin {
+        private final AtomicInteger mPieces = new AtomicInteger();
+
+        @Override
+        public PieceManifest manifest(HostPort origin, String model, long version) {
+            String digest = Digests.of(new String(CONTENT, StandardCharsets.UTF_8));
+            return new PieceManifest(model, version, List.of(digest));
+        }
+
+        @Override
+        public byte[] piece(HostPort origin, String model, long version, int piece) {
+            mPieces.incrementAndGet();
+            return CONTENT;
+        }
+    }
+
+    /** An engine at which one piece lies, or none. */
+    private record Staged(String lies) implements StagingEngine {
+        @Override
+        public Report report() {
+            return new Report(Map.of(), false, 0, 0);
+        }
+
+        @Override
+        public void put(String model, int piece, byte[] content) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public Optional<byte[]> staged(String model, int piece) {
+            return switch (lies) {
+                case "sound" -> Optional.of(CONTENT);
+                case "damaged" -> Optional.of(DAMAGED);
+                default -> Optional.empty();
+            };
+        }
+
+        @Override
+        public boolean start(String model, long version) {
+            throw new UnsupportedOperationException();
+        }
+    }
+}
--- a/daemon/src/test/java/org/sequoiahill/daemon/version/staging/StagingAgentTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/version/staging/StagingAgentTest.java
@@ -95,6 +95,17 @@
         assertThat(mEngine.mLoads.poll(20, TimeUnit.SECONDS), is(textOf(2)));
     }
 
+    @Test
+    void run_piecesLieAtAnEngineThatCrashed_areNotFetchedAgain() throws InterruptedException {
+        for (int piece = 0; piece < PIECES; piece++) {
+            mEngine.mStaged.put(piece, content(2, piece));
+        }
+        mEngine.mStaged.put(3, content(1, 3));
+        start(2);
+        assertThat(mEngine.mLoads.poll(20, TimeUnit.SECONDS), is(textOf(2)));
+        assertThat(mOrigin.asked(), contains(3));
+    }
+
     @Test
     void run_engineServes_fetchesPiecesInTheOrderInWhichEntriesDrawThem()
             throws InterruptedException {
