--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/Dispatcher.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/Dispatcher.java
@@ -131,9 +131,15 @@
 
     /** Looks at all waiting requests again, since endpoints have changed. */
     public void refresh() {
-        List<String> services;
         synchronized (mLock) {
             forgetEndedStarts();
+        }
+        pumpAll();
+    }
+
+    private void pumpAll() {
+        List<String> services;
+        synchronized (mLock) {
             services = List.copyOf(mQueues.keySet());
         }
         services.forEach(this::pump);
@@ -268,7 +274,7 @@
                     synchronized (mLock) {
                         mIsRecheckDue = false;
                     }
-                    refresh();
+                    pumpAll();
                 });
     }
 
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/Place.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/Place.java
@@ -45,6 +45,7 @@
         CANCELLED
     }
 
+    /** Returns the endpoint. */
     public EndpointInfo endpoint() {
         return mEndpoint;
     }
