--- a/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PieceRelay.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PieceRelay.java
@@ -34,8 +34,8 @@
     /** Connections to another daemon that are used in turn. */
     private static final int LANES = 4;
 
-    /** Time in which an agent gives a piece that is to be asked again: four on its link at once. */
-    private static final Duration HOLDER_BOUND = Duration.ofMillis(300);
+    /** Time in which an agent gives a piece that is to be asked again: eight on its link at once. */
+    private static final Duration HOLDER_BOUND = Duration.ofMillis(600);
 
     private final MonotonicClock mClock;
     private final Identity mIdentity;
@@ -226,7 +226,9 @@
         Duration askedAt = mClock.now();
         try {
             byte[] content = mCalls.ask(holder, manifest, number, number % LANES);
-            if (mClock.now().minus(askedAt).compareTo(HOLDER_BOUND) > 0) {
+            Duration took = mClock.now().minus(askedAt);
+            if (took.compareTo(HOLDER_BOUND) > 0) {
+                Logger.info("{} needed {} for a piece and is not asked again", holder, took);
                 mPoorHolders.add(holder);
             }
             return Optional.of(content);
