Fetch ahead of an engine's start only where other engines serve

Change: fetching ahead wants an agent whose engine serves the model. The test run_allEnginesStart_... was written with the change.

--- a/daemon/src/main/java/org/sequoiahill/daemon/version/staging/FleetPieces.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/staging/FleetPieces.java
@@ -50,6 +50,11 @@
                 regions);
     }
 
+    /** Returns whether any engine of the fleet serves a model. */
+    boolean isServed(String model) {
+        return agents.stream().anyMatch(agent -> agent.getVersions().containsKey(model));
+    }
+
     /** Returns the addresses of a region's agents whose engines serve a version. */
     List<HostPort> holders(String region, String model, long version) {
         return agents.stream()
--- a/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PieceRelay.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PieceRelay.java
@@ -34,7 +34,9 @@
     /** Connections to another daemon that are used in turn. */
     private static final int LANES = 4;
 
-    /** Time in which an agent gives a piece that is to be asked again: eight on its link at once. */
+    /**
+     * Time in which an agent gives a piece that is to be asked again: eight on its link at once.
+     */
     private static final Duration HOLDER_BOUND = Duration.ofMillis(600);
 
     private final MonotonicClock mClock;
--- a/daemon/src/main/java/org/sequoiahill/daemon/version/staging/StagingAgent.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/staging/StagingAgent.java
@@ -164,7 +164,8 @@
 
     /**
      * Returns the engine's report; while the engine is still starting, its pieces are fetched, as
-     * that takes most of the time until it serves.
+     * that takes most of the time until it serves. Where no engine of the fleet serves, all are
+     * starting, and most of them find their pieces staged.
      */
     private StagingEngine.Report reportOrFetch(FleetPicture picture, String model, long target)
             throws IOException, InterruptedException {
@@ -172,7 +173,7 @@
             return mServices.engine().report();
         } catch (IOException e) {
             FleetPieces from = FleetPieces.of(picture, mServices.regions());
-            if (from.origin().isPresent()) {
+            if (from.origin().isPresent() && from.isServed(model)) {
                 mServices
                         .fetcher()
                         .fetch(manifest(from, model, target), from, PieceFetcher.Pace.FULL);
--- a/daemon/src/test/java/org/sequoiahill/daemon/version/staging/StagingAgentTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/version/staging/StagingAgentTest.java
@@ -87,14 +87,27 @@
     }
 
     @Test
-    void run_engineThatIsStillStarting_findsItsPiecesFetched() throws InterruptedException {
+    void run_engineStartsInAFleetThatServes_findsItsPiecesFetched() throws InterruptedException {
         mEngine.mIsDown = true;
-        start(2);
+        start(2, List.of(servingAgent()));
         assertThat(mOrigin.mAllAsked.await(20, TimeUnit.SECONDS), is(true));
         mEngine.mIsDown = false;
         assertThat(mEngine.mLoads.poll(20, TimeUnit.SECONDS), is(textOf(2)));
     }
 
+    @Test
+    void run_allEnginesStart_takesWhatLiesAtTheEngine() throws InterruptedException {
+        for (int piece = 0; piece < PIECES; piece++) {
+            mEngine.mStaged.put(piece, content(2, piece));
+        }
+        mEngine.mIsDown = true;
+        start(2, List.of());
+        assertThat(mEngine.mAsked.await(20, TimeUnit.SECONDS), is(true));
+        mEngine.mIsDown = false;
+        assertThat(mEngine.mLoads.poll(20, TimeUnit.SECONDS), is(textOf(2)));
+        assertThat(mOrigin.asked().isEmpty(), is(true));
+    }
+
     @Test
     void run_piecesLieAtAnEngineThatCrashed_areNotFetchedAgain() throws InterruptedException {
         for (int piece = 0; piece < PIECES; piece++) {
@@ -115,7 +128,26 @@
         assertThat(mOrigin.asked(), contains(0, 1, 2, 3, 4, 5));
     }
 
+    private static Participant servingAgent() {
+        return new Participant(
+                "agent-2",
+                "agent-2",
+                ParticipantRole.AGENT,
+                "dc-2",
+                "127.0.0.1:4",
+                1,
+                0,
+                "127.0.0.1:5",
+                "writer",
+                false,
+                Map.of("model", 2L));
+    }
+
     private void start(long version) {
+        start(version, List.of());
+    }
+
+    private void start(long version, List<Participant> others) {
         Identity identity = Identity.of("agent-1", "dc", 1);
         PieceStore store = new PieceStore();
         ControlClient client =
@@ -133,7 +165,7 @@
                         "writer",
                         false,
                         Map.of());
-        FleetPicture picture = picture(version);
+        FleetPicture picture = picture(version, others);
         StagingAgent agent =
                 StagingAgent.of(
                         new StagingAgent.Services(
@@ -151,7 +183,7 @@
         mRunner.execute(agent);
     }
 
-    private static FleetPicture picture(long version) {
+    private static FleetPicture picture(long version, List<Participant> others) {
         EngineProfile engine =
                 new EngineProfile(
                         "model",
@@ -178,7 +210,7 @@
                         1, 1, ByteBuffer.allocate(0), Map.of(), Map.of(), Map.of("model", version)),
                 Optional.of(RoutingTable.of(1, List.of(), services, Map.of(), 1)),
                 Map.of(),
-                List.of(),
+                others,
                 Map.of("model", VersionHistory.NONE.with(version, Duration.ZERO)),
                 1);
     }
@@ -231,11 +263,13 @@
         private final Map<String, Long> mVersions = new HashMap<>();
         private final Map<Integer, byte[]> mStaged = new HashMap<>();
         private final BlockingQueue<String> mLoads = new LinkedBlockingQueue<>();
+        private final CountDownLatch mAsked = new CountDownLatch(3);
         private boolean mSpoilsFirstPut;
         private volatile boolean mIsDown;
 
         @Override
         public synchronized Report report() throws IOException {
+            mAsked.countDown();
             checkUp();
             return new Report(mVersions, false, 0, 0);
         }
@@ -249,6 +283,7 @@
 
         @Override
         public synchronized Optional<byte[]> staged(String model, int piece) throws IOException {
+            checkUp();
             return Optional.ofNullable(mStaged.get(piece));
         }
 
