--- a/daemon/src/test/java/org/sequoiahill/daemon/request/direct/DispatcherTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/request/direct/DispatcherTest.java
@@ -120,6 +120,34 @@
         assertThat(submit(1, 1).get(0).mRefused.isPresent(), is(true));
     }
 
+    @ParameterizedTest
+    @CsvSource({
+        // region that may serve, endpoint that gets the requests while the other one is empty
+        "region-1, a",
+        "region-2, b"
+    })
+    void submit_boundToARegion_neverGoesElsewhere(String region, String endpoint) {
+        mPicture = new Fleets().endpoint("a", "dc-1", 4).endpoint("b", "dc-2", 4).picture();
+        int granted = 0;
+        for (int i = 0; i < 12; i++) {
+            Asking asking = new Asking(1, mClock.now().plusMillis(160));
+            asking.mRegion = Optional.of(region);
+            mDispatcher.submit(asking);
+            granted += asking.mPlace.isPresent() ? 1 : 0;
+            assertThat(asking.mPlace.isEmpty() || asking.isAt(endpoint), is(true));
+        }
+        assertThat(granted, is(8));
+    }
+
+    @Test
+    void submit_boundToARegionWithoutEndpoints_isRefusedAtOnce() {
+        mPicture = new Fleets().endpoint("a", "dc-1", 4).picture();
+        Asking asking = new Asking(1, mClock.now().plusMillis(160));
+        asking.mRegion = Optional.of("region-2");
+        mDispatcher.submit(asking);
+        assertThat(asking.mRefused.orElseThrow().reason(), is("no_endpoint"));
+    }
+
     @Test
     void submit_noEndpoint_refusesAtOnceWithAPause() {
         mPicture = new Fleets().picture();
@@ -321,6 +349,7 @@
     /** A request that asks for a place. */
     private static final class Asking implements Ticket {
         private int mPromptTokens;
+        private Optional<String> mRegion = Optional.empty();
         private final int mPriority;
         private final Duration mGiveUpAt;
         private final Set<String> mTried = new HashSet<>();
@@ -379,7 +408,7 @@
 
         @Override
         public boolean allows(String region) {
-            return true;
+            return mRegion.isEmpty() || mRegion.get().equals(region);
         }
 
         @Override
