Hear of an answer that breaks off while its head is handled

Cause: Jetty's client reports the failure of a response to the content source and to the listener of the exchange. A failure that comes between the head of an answer and the first read of its body was lost to the reader, and the forwarder dropped the listener's result once the head had been taken, so the exchange learned of it at its deadline: 504 instead of 502 (row 22 of RequestPathTest, once in ten runs beside load).

Ruled out: a late close by the stand-in; its close shows in the client's log at once.

Change: the forwarder tells the listener of any failed response, and the exchange ends the sending as lost if it is still the current one.

--- a/daemon/src/main/java/org/sequoiahill/daemon/request/HttpForwarder.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/HttpForwarder.java
@@ -59,13 +59,22 @@
         }
     }
 
-    /** Receives what becomes of a call; exactly one of the methods is called, once. */
+    /**
+     * Receives what becomes of a call: an answer or a failure, and whether the answer broke off.
+     */
     public interface Listener {
         /** Decides on an answer whose headers have come; {@code content} must be read. */
         void onAnswer(Response answer, Content.Source content);
 
         /** Takes a call that failed before any byte of an answer. */
         void onFailure(Throwable failure, boolean isNotRun);
+
+        /**
+         * Takes an answer that broke off. The content says so too, but not always: a failure that
+         * comes while the answer's headers are handled can be lost to a reader that asks for
+         * content at that moment.
+         */
+        default void onBroken(Throwable failure) {}
     }
 
     /**
@@ -100,6 +109,8 @@
                     if (result.isFailed() && !answered.get()) {
                         Throwable failure = result.getFailure();
                         listener.onFailure(failure, !begun.get() || isNotRun(failure));
+                    } else if (result.getResponseFailure() != null) {
+                        listener.onBroken(result.getResponseFailure());
                     }
                 });
         return request;
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectExchange.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectExchange.java
@@ -168,6 +168,16 @@
                 });
     }
 
+    @Override
+    public void broken(Sending sending, Throwable failure) {
+        mInvoker.run(
+                () -> {
+                    if (isCurrent(sending)) {
+                        lose(sending, "broken_" + failure.getClass().getSimpleName());
+                    }
+                });
+    }
+
     private void send(Place place) {
         Duration now = mServices.clock().now();
         if (mReply.isDone()) {
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/Sending.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/Sending.java
@@ -29,6 +29,9 @@
         /** The head of an answer has come. */
         void answered(Sending sending, Response answer, Content.Source content);
 
+        /** An answer whose head has come broke off. */
+        void broken(Sending sending, Throwable failure);
+
         /** No answer came. */
         void failed(Sending sending, Throwable failure, boolean isUnsent);
     }
@@ -43,6 +46,11 @@
         mEvents.failed(this, failure, isNotRun);
     }
 
+    @Override
+    public void onBroken(Throwable failure) {
+        mEvents.broken(this, failure);
+    }
+
     Place place() {
         return mPlace;
     }
