--- a/bench/src/main/java/org/sequoiahill/bench/admission/EntryScheduler.java
+++ b/bench/src/main/java/org/sequoiahill/bench/admission/EntryScheduler.java
@@ -15,6 +15,7 @@
 import org.sequoiahill.daemon.request.direct.Place;
 import org.sequoiahill.daemon.request.direct.RequestTimes;
 import org.sequoiahill.daemon.request.direct.Ticket;
+import org.sequoiahill.daemon.request.direct.ToldLoad;
 
 /** Lets the dispatchers of several entries decide, each by what its entry knows. */
 final class EntryScheduler implements Scheduler {
@@ -62,6 +63,7 @@
     private static DirectSettings settings(int entry) {
         Map<String, String> regions = Map.of("dc-0", "r-0", "dc-1", "r-1", "dc-2", "r-2");
         return new DirectSettings(
+                "entry-" + entry,
                 regions,
                 "r-" + entry % regions.size(),
                 REPEAT_RATIO,
@@ -84,13 +86,13 @@
 
     private void tellLoads() {
         for (PlayedFleet.Member member : mFleet.members()) {
-            int running = member.engine().running();
-            int waiting = member.engine().waiting();
+            ToldLoad load =
+                    new ToldLoad(
+                            member.address(),
+                            member.engine().running() + member.engine().waiting(),
+                            mTime.now());
             mTime.runAfter(
-                    TELL_DELAY,
-                    () ->
-                            mDispatchers.forEach(
-                                    each -> each.told(member.address(), running, waiting)));
+                    TELL_DELAY, () -> mDispatchers.forEach(each -> each.told(List.of(load))));
         }
         mTime.runAfter(TELL_INTERVAL, this::tellLoads);
     }
@@ -225,6 +227,8 @@
                         true,
                         Optional.empty(),
                         Optional.empty(),
+                        Optional.empty(),
+                        false,
                         Optional.empty());
 
         @Override
--- a/bench/src/main/java/org/sequoiahill/bench/admission/PlayedFleet.java
+++ b/bench/src/main/java/org/sequoiahill/bench/admission/PlayedFleet.java
@@ -208,7 +208,7 @@
                             false,
                             Map.of()));
         }
-        return new FleetPicture(
+        return FleetPicture.of(
                 new FleetState(
                         1, 1, ByteBuffer.allocate(0), Map.of(), Map.of(), Map.of(MODEL, mTarget)),
                 Optional.of(table()),
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/FleetAgent.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/FleetAgent.java
@@ -55,7 +55,12 @@
         StagingEngine engine = adapter.engine(http, settings.engine().orElseThrow());
         mLoads =
                 LoadTeller.of(
-                        engine, settings.engine().orElseThrow(), view::picture, client, scheduler);
+                        engine,
+                        settings.engine().orElseThrow(),
+                        settings.dataCentre(),
+                        view::picture,
+                        client,
+                        scheduler);
         mPieces = StagedPieces.of(identity, mState, store, engine);
         WeightsOrigin origin = adapter.origin(http);
         ExecutorService workers =
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/FleetEntry.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/FleetEntry.java
@@ -5,6 +5,7 @@
 import jakarta.inject.Singleton;
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -22,6 +23,7 @@
 import org.sequoiahill.daemon.process.control.ServiceStub;
 import org.sequoiahill.daemon.process.fleet.FleetView;
 import org.sequoiahill.daemon.process.settings.FleetSettings;
+import org.sequoiahill.daemon.process.settings.HostPort;
 import org.sequoiahill.daemon.process.time.DelayedRunner;
 import org.sequoiahill.daemon.process.time.MonotonicClock;
 import org.sequoiahill.daemon.request.HttpForwarder;
@@ -29,10 +31,11 @@
 import org.sequoiahill.daemon.request.direct.DirectServices;
 import org.sequoiahill.daemon.request.direct.DirectSettings;
 import org.sequoiahill.daemon.request.direct.Dispatcher;
-import org.sequoiahill.daemon.request.direct.LoadHandler;
 import org.sequoiahill.daemon.request.direct.RunningExchanges;
+import org.sequoiahill.daemon.request.load.LoadExchange;
 import org.sequoiahill.daemon.version.staging.PieceRelay;
 import org.sequoiahill.daemon.version.staging.PieceStore;
+import org.sequoiahill.protocol.gen.LoadDigest;
 import org.sequoiahill.protocol.gen.Loads;
 import org.sequoiahill.protocol.gen.Participant;
 import org.sequoiahill.protocol.gen.Pieces;
@@ -61,7 +64,7 @@
     private final FleetView mView;
     private final DrainHandler mDrain;
     private final PieceRelay mPieces;
-    private final LoadHandler mLoads;
+    private final LoadExchange mLoads;
     private volatile boolean mIsLeaving;
 
     @Inject
@@ -84,6 +87,7 @@
         FleetSettings.FleetBounds bounds = settings.bounds();
         DirectSettings direct =
                 new DirectSettings(
+                        settings.vm(),
                         settings.regions(),
                         settings.region(),
                         bounds.repeatRatio(),
@@ -93,7 +97,14 @@
                         partOf(bounds.version(), LAST_START_PART));
         Dispatcher dispatcher =
                 Dispatcher.of(view::picture, direct, clock, random, DelayedRunner.of(scheduler));
-        mLoads = LoadHandler.of(dispatcher);
+        mLoads =
+                LoadExchange.of(
+                        identity,
+                        view::picture,
+                        dispatcher,
+                        (entry, digest) -> passLoadsOn(client, entry, digest),
+                        DelayedRunner.of(scheduler),
+                        clock);
         RunningExchanges exchanges = RunningExchanges.on(scheduler);
         metrics.gauge("sequoia.entry.running", exchanges, RunningExchanges::size);
         metrics.gauge("sequoia.entry.waiting", dispatcher, Dispatcher::waiting);
@@ -164,6 +175,17 @@
                 .join();
     }
 
+    private static CompletableFuture<?> passLoadsOn(
+            ControlClient client, HostPort entry, LoadDigest digest) {
+        return client.call(
+                entry,
+                ServiceStub.LOADS,
+                loads -> {
+                    loads.passedOn(digest);
+                    return digest;
+                });
+    }
+
     private static Duration partOf(Duration time, double part) {
         return Duration.ofMillis((long) (time.toMillis() * part));
     }
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/fleet/FleetView.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/fleet/FleetView.java
@@ -223,7 +223,7 @@
             byService.computeIfAbsent(endpoint.service(), name -> new ArrayList<>()).add(endpoint);
         }
         mPicture =
-                new FleetPicture(
+                FleetPicture.of(
                         state,
                         table,
                         byService,
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/ColdPace.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/ColdPace.java
@@ -6,30 +6,51 @@
  * Spaces the requests that one entry sends to a cold endpoint.
  *
  * <p>All entries together must stay below what a cold endpoint bears in any second, and they don't
- * talk about single requests; so each sends at an equal part of the rate, one request at a time.
- * Not safe for several threads.
+ * talk about single requests. So they take turns by the clock: each may send one request in a short
+ * slot of its own, the slots of all follow one another, and a slot that passes unused is lost, as
+ * entries that saved theirs up would use them at the same moment. The end of the cold phase, which
+ * every entry knows from the same report, is where the slots are counted from. Not safe for several
+ * threads.
  */
 final class ColdPace {
     private static final double NANOS_PER_SECOND = 1e9;
 
-    private Duration mNextAt = Duration.ZERO;
+    /** Part of the rate that is used; the rest is for entries that count the others wrongly. */
+    private static final double USED_PART = 0.8;
 
-    /** Returns whether a request may be sent now. */
-    boolean isOpen(Duration now) {
-        return now.compareTo(mNextAt) >= 0;
-    }
+    /** Part of the time between two of its slots for which an entry's slot lasts. */
+    private static final double SLOT_PART = 0.15;
 
-    /** Returns when the next request may be sent. */
-    Duration nextAt() {
-        return mNextAt;
-    }
+    /** Longest slot; as many slots as begin within it may be used in one second more. */
+    private static final Duration MAX_SLOT = Duration.ofMillis(400);
+
+    /** Change of the end of a cold phase from which it counts as another phase. */
+    private static final Duration SAME_PHASE = Duration.ofSeconds(1);
+
+    private Duration mCountedFrom = Duration.ZERO;
+    private Duration mSentAt = Duration.ZERO;
+    private boolean mHasSent;
 
     /**
-     * Notes a request.
+     * Returns whether a request may be sent now.
      *
+     * @param coldUntil end of the cold phase
      * @param rate requests a second that the endpoint bears from all entries
      */
-    void sent(Duration now, double rate, int entries) {
-        mNextAt = now.plusNanos((long) (NANOS_PER_SECOND * Math.max(1, entries) / rate));
+    boolean isOpen(Duration now, Duration coldUntil, double rate, EntryShare share) {
+        if (coldUntil.minus(mCountedFrom).abs().compareTo(SAME_PHASE) > 0) {
+            mCountedFrom = coldUntil;
+        }
+        long interval = (long) (NANOS_PER_SECOND * share.entries() / (rate * USED_PART));
+        long slot = Math.min((long) (interval * SLOT_PART), MAX_SLOT.toNanos());
+        long offset = interval / share.entries() * share.rank();
+        long position = Math.floorMod(now.minus(mCountedFrom).toNanos() - offset, interval);
+        return position < slot && !(mHasSent && now.minus(mSentAt).toNanos() < interval - slot);
+    }
+
+    /** Notes a request. */
+    void sent(Duration now) {
+        mSentAt = now;
+        mHasSent = true;
     }
 }
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectSettings.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectSettings.java
@@ -6,6 +6,7 @@
 /**
  * Bounds of an entry that sends straight to endpoints.
  *
+ * @param vm name of this entry's VM
  * @param regionsByDataCentre region of each data centre
  * @param region region of this entry
  * @param repeatRatio repeats of a service's requests that all entries together may add
@@ -15,6 +16,7 @@
  * @param lastStart age of a version from which requests that an older one hasn't begun are recalled
  */
 public record DirectSettings(
+        String vm,
         Map<String, String> regionsByDataCentre,
         String region,
         double repeatRatio,
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/Dispatcher.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/Dispatcher.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -14,7 +15,6 @@
 import java.util.random.RandomGenerator;
 import org.sequoiahill.daemon.process.endpoints.EndpointInfo;
 import org.sequoiahill.daemon.process.fleet.FleetPicture;
-import org.sequoiahill.daemon.process.settings.HostPort;
 import org.sequoiahill.daemon.process.time.DelayedRunner;
 import org.sequoiahill.daemon.process.time.MonotonicClock;
 
@@ -145,20 +145,21 @@
         services.forEach(this::pump);
     }
 
-    /** Takes the load of an endpoint as its agent tells it. */
-    public void told(HostPort address, int running, int waiting) {
+    /** Takes loads of endpoints as their agents tell them. */
+    public void told(Collection<ToldLoad> loads) {
         FleetPicture picture = mPicture.get();
-        for (List<EndpointInfo> endpoints : picture.endpointsByService().values()) {
-            for (EndpointInfo endpoint : endpoints) {
-                if (endpoint.address().equals(address)) {
-                    synchronized (mLock) {
-                        statusOf(endpoint).told(running, waiting, mClock.now());
-                    }
-                    pump(endpoint.service());
-                    return;
-                }
+        Set<String> services = new HashSet<>();
+        synchronized (mLock) {
+            for (ToldLoad load : loads) {
+                picture.endpointAt(load.engine())
+                        .ifPresent(
+                                endpoint -> {
+                                    statusOf(endpoint).told(load);
+                                    services.add(endpoint.service());
+                                });
             }
         }
+        services.forEach(this::pump);
     }
 
     void answered(EndpointStatus status, long number, EndpointAnswer answer) {
@@ -170,7 +171,7 @@
     void ended(EndpointInfo endpoint, EndpointStatus status, long number, Place.End end) {
         synchronized (mLock) {
             Duration now = mClock.now();
-            status.ended(number);
+            status.ended(number, now);
             switch (end) {
                 case SUCCEEDED -> status.succeeded();
                 case FAILED -> status.failed(now);
@@ -224,6 +225,16 @@
             return true;
         }
         forecastOf(ticket).served();
+        boolean isPausedTooLong =
+                choice.pausedUntil()
+                        .filter(end -> end.compareTo(ticket.giveUpAt()) >= 0)
+                        .isPresent();
+        if (isPausedTooLong) {
+            Duration pause = choice.pausedUntil().orElseThrow().minus(now);
+            Ticket.Refused refusal = refusal("endpoints_pause", pause);
+            outcomes.add(() -> ticket.refused(refusal));
+            return true;
+        }
         if (now.compareTo(ticket.giveUpAt()) >= 0) {
             Ticket.Refused refusal = refusal("no_room", LEAST_RETRY);
             outcomes.add(() -> ticket.refused(refusal));
@@ -238,8 +249,7 @@
         EndpointStatus status = statusOf(endpoint);
         int load = (int) status.load(Placement.entries(picture), now);
         if (mPlacement.isCold(endpoint, picture, now)) {
-            status.coldPace()
-                    .sent(now, mPlacement.coldRate(endpoint, picture), Placement.entries(picture));
+            status.coldPace().sent(now);
         }
         return new Place(
                 this, endpoint, status, status.sent(now, promptTokens), choice.version(), load);
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/EndpointAnswer.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/EndpointAnswer.java
@@ -14,6 +14,8 @@
  * @param endpointId id of the endpoint, where it tells
  * @param load load of the endpoint, where it tells
  * @param coldFor how long the endpoint stays cold, where it tells
+ * @param isLeaving whether the endpoint says that it leaves
+ * @param pause how long the endpoint wants nothing from this entry, where it tells
  */
 public record EndpointAnswer(
         int status,
@@ -23,7 +25,9 @@
         boolean isStream,
         Optional<String> endpointId,
         Optional<Load> load,
-        Optional<Duration> coldFor) {
+        Optional<Duration> coldFor,
+        boolean isLeaving,
+        Optional<Duration> pause) {
     private static final int FIRST_SUCCESS = 200;
     private static final int FIRST_REDIRECT = 300;
 
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/EndpointStatus.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/EndpointStatus.java
@@ -15,6 +15,10 @@
     private static final int FAILURES_TO_REST = 2;
 
     private static final Duration FIRST_REST = Duration.ofMillis(500);
+
+    /** Longest pause that an endpoint is given; it may ask again with its next answer. */
+    private static final Duration MAX_PAUSE = Duration.ofMinutes(2);
+
     private static final int MAX_REST_DOUBLINGS = 3;
 
     /** Silence on a waiting request, without any answer since, that makes an endpoint suspect. */
@@ -28,6 +32,8 @@
 
     private final ColdPace mColdPace = new ColdPace();
     private final TreeMap<Long, Unanswered> mUnanswered = new TreeMap<>();
+    private final RecentTimes mSends = new RecentTimes();
+    private final RecentTimes mEnds = new RecentTimes();
     private int mUnreadTokens;
     private long mNextSend;
     private int mRunning;
@@ -40,6 +46,8 @@
     private Duration mToldAt = Duration.ZERO.minus(TOLD_FOR);
     private Duration mColdUntil = Duration.ZERO;
     private Duration mTurnedAwayUntil = Duration.ZERO;
+    private Duration mPausedUntil = Duration.ZERO;
+    private boolean mIsLeaving;
 
     /**
      * Returns requests that are estimated to run and wait there.
@@ -60,12 +68,18 @@
         return now.minus(mToldAt).compareTo(TOLD_FOR) < 0;
     }
 
-    /** Notes the load that the endpoint's agent tells. */
-    void told(int running, int waiting, Duration now) {
-        mReported = running + waiting;
-        mSentSinceReport = 0;
-        mEndedSinceReport = 0;
-        mToldAt = now;
+    /**
+     * Notes the load that the endpoint's agent tells; what was sent there while it was on its way
+     * is not part of it.
+     */
+    void told(ToldLoad load) {
+        if (load.reportedAt().compareTo(mToldAt) <= 0) {
+            return;
+        }
+        mReported = load.requests();
+        mSentSinceReport = mSends.after(load.reportedAt());
+        mEndedSinceReport = mEnds.after(load.reportedAt());
+        mToldAt = load.reportedAt();
     }
 
     /** Returns this entry's own requests there. */
@@ -103,6 +117,7 @@
     long sent(Duration now, int promptTokens) {
         mRunning++;
         mSentSinceReport++;
+        mSends.add(now);
         long number = mNextSend++;
         mUnanswered.put(number, new Unanswered(now, promptTokens));
         mUnreadTokens += promptTokens;
@@ -113,7 +128,9 @@
     void answered(long number, EndpointAnswer answer, Duration now) {
         forget(number);
         mAnsweredAt = now;
+        mIsLeaving |= answer.isLeaving();
         answer.coldFor().ifPresent(cold -> mColdUntil = now.plus(cold));
+        answer.pause().ifPresent(pause -> pause(pause, now));
         answer.load()
                 .filter(load -> !isTold(now))
                 .ifPresent(
@@ -124,11 +141,33 @@
                         });
     }
 
+    private void pause(Duration asked, Duration now) {
+        Duration end = now.plus(asked.compareTo(MAX_PAUSE) < 0 ? asked : MAX_PAUSE);
+        if (end.compareTo(mPausedUntil) > 0) {
+            mPausedUntil = end;
+        }
+    }
+
+    /** Returns whether the endpoint has asked for nothing more until a time that is to come. */
+    boolean isPaused(Duration now) {
+        return now.compareTo(mPausedUntil) < 0;
+    }
+
+    Duration pausedUntil() {
+        return mPausedUntil;
+    }
+
+    /** Returns whether the endpoint has said in an answer that it leaves; this is final. */
+    boolean isLeaving() {
+        return mIsLeaving;
+    }
+
     /** Notes that a request has ended, however it did. */
-    void ended(long number) {
+    void ended(long number, Duration now) {
         forget(number);
         mRunning--;
         mEndedSinceReport++;
+        mEnds.add(now);
     }
 
     private void forget(long number) {
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/Placement.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/Placement.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Function;
@@ -45,6 +44,9 @@
     /** Part of the time until an answer that an engine may need to read waiting prompts. */
     private static final double READ_PART = 0.25;
 
+    /** Part of an endpoint's connections that is used; the rest is for ones that are closing. */
+    private static final double CONNECTIONS_PART = 0.8;
+
     private static final double MILLIS_PER_SECOND = 1_000;
 
     private final DirectSettings mSettings;
@@ -72,9 +74,14 @@
      *
      * @param endpoint endpoint to send to, where one has room
      * @param candidates endpoints that may run the request, with room or without
+     * @param pausedUntil earliest end of a pause, where all candidates asked for one
      * @param version version that the request must name
      */
-    record Choice(Optional<EndpointInfo> endpoint, int candidates, OptionalLong version) {}
+    record Choice(
+            Optional<EndpointInfo> endpoint,
+            int candidates,
+            Optional<Duration> pausedUntil,
+            OptionalLong version) {}
 
     /** Versions that may answer: from the least that is due, or exactly one. */
     private record Allowed(OptionalLong least, OptionalLong exact) {
@@ -94,8 +101,19 @@
         List<EndpointInfo> candidates = candidates(ticket, picture, allowed);
         EndpointInfo best = null;
         double bestScore = Double.MAX_VALUE;
+        Duration firstPauseEnd = null;
+        boolean areAllPaused = !candidates.isEmpty();
         for (EndpointInfo endpoint : candidates) {
             EndpointStatus status = mStatusOf.apply(endpoint);
+            if (status.isPaused(now)) {
+                Duration end = status.pausedUntil();
+                firstPauseEnd =
+                        firstPauseEnd == null || end.compareTo(firstPauseEnd) < 0
+                                ? end
+                                : firstPauseEnd;
+                continue;
+            }
+            areAllPaused = false;
             if (status.isResting(now) || !hasRoom(ticket, endpoint, status, picture, now)) {
                 continue;
             }
@@ -111,18 +129,26 @@
                 best != null && allowed.isBounded()
                         ? heldBy(best, picture, ticket.model())
                         : OptionalLong.empty();
-        return new Choice(Optional.ofNullable(best), candidates.size(), version);
+        return new Choice(
+                Optional.ofNullable(best),
+                candidates.size(),
+                areAllPaused ? Optional.ofNullable(firstPauseEnd) : Optional.empty(),
+                version);
     }
 
     /** Returns whether a request to an endpoint must keep the pace of a cold one. */
     boolean isCold(EndpointInfo endpoint, FleetPicture picture, Duration now) {
         return coldRate(endpoint, picture) > 0
-                && (endpoint.coldUntil().compareTo(now) > 0
-                        || mStatusOf.apply(endpoint).coldUntil().compareTo(now) > 0);
+                && coldUntil(endpoint, mStatusOf.apply(endpoint)).compareTo(now) > 0;
+    }
+
+    private static Duration coldUntil(EndpointInfo endpoint, EndpointStatus status) {
+        return endpoint.coldUntil().compareTo(status.coldUntil()) > 0
+                ? endpoint.coldUntil()
+                : status.coldUntil();
     }
 
-    /** Returns the requests a second that a cold endpoint bears, 0 where there is no bound. */
-    double coldRate(EndpointInfo endpoint, FleetPicture picture) {
+    private static double coldRate(EndpointInfo endpoint, FleetPicture picture) {
         return picture.table()
                 .flatMap(table -> table.service(endpoint.service()))
                 .map(RoutedService::coldRate)
@@ -143,12 +169,12 @@
     }
 
     private List<EndpointInfo> candidates(Ticket ticket, FleetPicture picture, Allowed allowed) {
-        Map<String, Participant> agents = picture.agentsByEndpoint();
         List<EndpointInfo> candidates = new ArrayList<>();
         for (EndpointInfo endpoint : picture.endpoints(ticket.service())) {
-            Participant agent = agents.get(endpoint.address().toString());
+            Participant agent = picture.agentBeside(endpoint).orElse(null);
             boolean isUsable =
                     endpoint.isReady()
+                            && !mStatusOf.apply(endpoint).isLeaving()
                             && !picture.state().isOut(endpoint.dataCentre())
                             && ticket.allows(regionOf(endpoint))
                             && holds(endpoint, agent, ticket.model(), allowed)
@@ -171,8 +197,7 @@
     }
 
     private static OptionalLong heldBy(EndpointInfo endpoint, FleetPicture picture, String model) {
-        String address = endpoint.address().toString();
-        return held(endpoint, picture.agentsByEndpoint().get(address), model);
+        return held(endpoint, picture.agentBeside(endpoint).orElse(null), model);
     }
 
     /** Returns the version that an endpoint has loaded; its agent knows it sooner. */
@@ -204,7 +229,10 @@
             EndpointStatus status,
             FleetPicture picture,
             Duration now) {
-        if (isCold(endpoint, picture, now) && !status.coldPace().isOpen(now)) {
+        if (isCold(endpoint, picture, now) && !isColdPaceOpen(endpoint, status, picture, now)) {
+            return false;
+        }
+        if (status.running() >= connectionShare(endpoint, picture)) {
             return false;
         }
         Optional<EngineProfile> engine =
@@ -219,6 +247,31 @@
                 < Math.max(1, endpoint.slots()) * loadPart(ticket, status, engine, now);
     }
 
+    private boolean isColdPaceOpen(
+            EndpointInfo endpoint, EndpointStatus status, FleetPicture picture, Duration now) {
+        return status.coldPace()
+                .isOpen(
+                        now,
+                        coldUntil(endpoint, status),
+                        coldRate(endpoint, picture),
+                        EntryShare.of(picture, mSettings.vm()));
+    }
+
+    /**
+     * Returns how many requests this entry may have at an endpoint, each on a connection of its
+     * own: the endpoint resets what all entries together open beyond its bound.
+     */
+    private static int connectionShare(EndpointInfo endpoint, FleetPicture picture) {
+        int most =
+                picture.table()
+                        .flatMap(table -> table.service(endpoint.service()))
+                        .map(RoutedService::maxConnections)
+                        .orElse(0);
+        return most == 0
+                ? Integer.MAX_VALUE
+                : Math.max(1, (int) (most * CONNECTIONS_PART / entries(picture)));
+    }
+
     /**
      * Returns the load up to which an endpoint takes a request, as a part of its slots. A request
      * that waits in a full engine is late, and so are those behind it; where the engine's agent
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/RecentTimes.java
@@ -0,0 +1,33 @@
+package org.sequoiahill.daemon.request.direct;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/** Times at which something happened of late. Not safe for several threads. */
+final class RecentTimes {
+    /** Age from which a time is forgotten; loads that are told are younger. */
+    private static final Duration KEPT_FOR = Duration.ofSeconds(1);
+
+    private final Deque<Duration> mTimes = new ArrayDeque<>();
+
+    void add(Duration now) {
+        Duration oldest = now.minus(KEPT_FOR);
+        while (!mTimes.isEmpty() && mTimes.peekFirst().compareTo(oldest) < 0) {
+            mTimes.removeFirst();
+        }
+        mTimes.addLast(now);
+    }
+
+    /** Returns how many of the kept times are later than a time. */
+    int after(Duration time) {
+        int count = 0;
+        for (var i = mTimes.descendingIterator(); i.hasNext(); ) {
+            if (i.next().compareTo(time) <= 0) {
+                break;
+            }
+            count++;
+        }
+        return count;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/load/LoadExchange.java
@@ -0,0 +1,168 @@
+package org.sequoiahill.daemon.request.load;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
+import org.sequoiahill.daemon.process.control.Identity;
+import org.sequoiahill.daemon.process.fleet.FleetPicture;
+import org.sequoiahill.daemon.process.settings.HostPort;
+import org.sequoiahill.daemon.process.time.DelayedRunner;
+import org.sequoiahill.daemon.process.time.MonotonicClock;
+import org.sequoiahill.daemon.request.direct.Dispatcher;
+import org.sequoiahill.daemon.request.direct.ToldLoad;
+import org.sequoiahill.protocol.gen.EngineLoad;
+import org.sequoiahill.protocol.gen.LoadDigest;
+import org.sequoiahill.protocol.gen.Loads;
+import org.sequoiahill.protocol.gen.Participant;
+import org.sequoiahill.protocol.gen.ParticipantRole;
+import org.tinylog.Logger;
+
+/**
+ * Takes the loads of engines at an entry, and passes on those that this entry collects.
+ *
+ * <p>What agents tell goes to the entries of this data centre and to the collectors of the others;
+ * what a collector of another data centre passes on goes to the entries of this one only.
+ */
+public final class LoadExchange implements Loads.Iface {
+    /** Time for which loads are collected, for each entry of the fleet; bounds the calls. */
+    private static final Duration COLLECT_PER_ENTRY = Duration.ofMillis(2);
+
+    private static final Duration MAX_COLLECT = Duration.ofMillis(150);
+
+    private final Object mLock = new Object();
+    private final Identity mSelf;
+    private final Supplier<FleetPicture> mPicture;
+    private final Dispatcher mDispatcher;
+    private final Sender mSender;
+    private final DelayedRunner mRunner;
+    private final MonotonicClock mClock;
+    private final LoadOutbox mOutbox = new LoadOutbox();
+    private final Set<String> mBusyReceivers = new HashSet<>();
+    private final Map<String, Integer> mFailures = new HashMap<>();
+    private boolean mIsFlushDue;
+
+    private LoadExchange(
+            Identity self,
+            Supplier<FleetPicture> picture,
+            Dispatcher dispatcher,
+            Sender sender,
+            DelayedRunner runner,
+            MonotonicClock clock) {
+        mSelf = self;
+        mPicture = picture;
+        mDispatcher = dispatcher;
+        mSender = sender;
+        mRunner = runner;
+        mClock = clock;
+    }
+
+    /** Returns the exchange of one entry. */
+    public static LoadExchange of(
+            Identity self,
+            Supplier<FleetPicture> picture,
+            Dispatcher dispatcher,
+            Sender sender,
+            DelayedRunner runner,
+            MonotonicClock clock) {
+        return new LoadExchange(self, picture, dispatcher, sender, runner, clock);
+    }
+
+    /** Sends loads to another entry. */
+    @FunctionalInterface
+    public interface Sender {
+        /** Returns a future that fails where the entry can't be reached. */
+        CompletableFuture<?> send(HostPort entry, LoadDigest digest);
+    }
+
+    @Override
+    public void told(EngineLoad load) {
+        take(List.of(load), true, true);
+    }
+
+    @Override
+    public void passedOn(LoadDigest digest) {
+        boolean isFromElsewhere = !digest.getDataCentre().equals(mSelf.dataCentre());
+        take(digest.getLoads(), isFromElsewhere, false);
+    }
+
+    private void take(List<EngineLoad> loads, boolean isPassedOn, boolean isNear) {
+        Duration now = mClock.now();
+        mDispatcher.told(loads.stream().map(load -> toldAt(now, load)).toList());
+        if (!isPassedOn) {
+            return;
+        }
+        synchronized (mLock) {
+            loads.forEach(load -> mOutbox.put(load, isNear, now));
+            scheduleFlush();
+        }
+    }
+
+    private static ToldLoad toldAt(Duration now, EngineLoad load) {
+        return new ToldLoad(
+                HostPort.parse(load.getEndpoint()),
+                load.getRunning() + load.getWaiting(),
+                now.minusMillis(load.getAgeMillis()));
+    }
+
+    private void scheduleFlush() {
+        if (mIsFlushDue) {
+            return;
+        }
+        mIsFlushDue = true;
+        int entries = mPicture.get().participants(ParticipantRole.ENTRY).size();
+        Duration collect = COLLECT_PER_ENTRY.multipliedBy(entries);
+        mRunner.runAfter(collect.compareTo(MAX_COLLECT) < 0 ? collect : MAX_COLLECT, this::flush);
+    }
+
+    private void flush() {
+        LoadPaths paths = LoadPaths.among(mPicture.get().participants(ParticipantRole.ENTRY));
+        Duration now = mClock.now();
+        synchronized (mLock) {
+            mIsFlushDue = false;
+            mOutbox.forgetOld(now);
+            Set<String> receivers = new HashSet<>();
+            for (Participant entry : paths.beside(mSelf.vm(), mSelf.dataCentre())) {
+                receivers.add(entry.getVm());
+                send(entry.getVm(), entry, false, now);
+            }
+            for (String dataCentre : paths.otherDataCentres(mSelf.dataCentre())) {
+                receivers.add(dataCentre);
+                paths.collector(dataCentre, mFailures.getOrDefault(dataCentre, 0))
+                        .ifPresent(entry -> send(dataCentre, entry, true, now));
+            }
+            mOutbox.keepReceivers(receivers);
+        }
+    }
+
+    private void send(String receiver, Participant entry, boolean isNearOnly, Duration now) {
+        if (mBusyReceivers.contains(receiver)) {
+            return;
+        }
+        List<EngineLoad> loads = mOutbox.take(receiver, isNearOnly, now);
+        if (loads.isEmpty()) {
+            return;
+        }
+        mBusyReceivers.add(receiver);
+        HostPort address = HostPort.parse(entry.getControl());
+        mSender.send(address, new LoadDigest(mSelf.dataCentre(), loads))
+                .whenComplete((done, failure) -> sent(receiver, address, failure));
+    }
+
+    private void sent(String receiver, HostPort address, @Nullable Throwable failure) {
+        synchronized (mLock) {
+            mBusyReceivers.remove(receiver);
+            if (failure != null) {
+                mFailures.merge(receiver, 1, Integer::sum);
+            }
+        }
+        if (failure != null) {
+            Logger.debug("{} was not passed loads: {}", address, failure.toString());
+        }
+    }
+}
--- a/daemon/src/main/java/org/sequoiahill/daemon/version/staging/LoadTeller.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/staging/LoadTeller.java
@@ -2,21 +2,24 @@
 
 import java.io.IOException;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
 import org.sequoiahill.daemon.process.control.ControlClient;
 import org.sequoiahill.daemon.process.control.ServiceStub;
 import org.sequoiahill.daemon.process.fleet.FleetPicture;
 import org.sequoiahill.daemon.process.settings.HostPort;
+import org.sequoiahill.daemon.request.load.LoadPaths;
 import org.sequoiahill.protocol.gen.EngineLoad;
 import org.sequoiahill.protocol.gen.Participant;
 import org.sequoiahill.protocol.gen.ParticipantRole;
 import org.tinylog.Logger;
 
 /**
- * Tells all entries what the engine beside an agent does, often while that changes and seldom while
- * it does not.
+ * Tells the entry that collects loads what the engine beside an agent does, often while that
+ * changes and seldom while it does not.
  *
  * <p>Answers tell an entry of the load too, but only of the engines that it sends to, and at the
  * time of their first event. On a day at the engines' limit, entries that decide by loads half a
@@ -26,25 +29,27 @@
     private static final Duration BUSY_INTERVAL = Duration.ofMillis(120);
     private static final Duration IDLE_INTERVAL = Duration.ofMillis(500);
 
-    /** Connection for loads, apart from the one for pieces. */
-    private static final int LANE = 20;
-
     private final StagingEngine mEngine;
     private final HostPort mAddress;
     private final Supplier<FleetPicture> mPicture;
     private final ControlClient mClient;
     private final ScheduledExecutorService mScheduler;
-    private EngineLoad mTold = new EngineLoad("", 0, 0);
+    private final String mDataCentre;
+    private EngineLoad mTold = new EngineLoad("", 0, 0, 0);
     private boolean mIsLost;
+    private volatile boolean mIsTelling;
+    private volatile int mFailures;
 
     private LoadTeller(
             StagingEngine engine,
             HostPort address,
+            String dataCentre,
             Supplier<FleetPicture> picture,
             ControlClient client,
             ScheduledExecutorService scheduler) {
         mEngine = engine;
         mAddress = address;
+        mDataCentre = dataCentre;
         mPicture = picture;
         mClient = client;
         mScheduler = scheduler;
@@ -54,10 +59,11 @@
     public static LoadTeller of(
             StagingEngine engine,
             HostPort address,
+            String dataCentre,
             Supplier<FleetPicture> picture,
             ControlClient client,
             ScheduledExecutorService scheduler) {
-        return new LoadTeller(engine, address, picture, client, scheduler);
+        return new LoadTeller(engine, address, dataCentre, picture, client, scheduler);
     }
 
     /** Starts to tell. */
@@ -74,7 +80,7 @@
         try {
             StagingEngine.Report report = mEngine.report();
             EngineLoad load =
-                    new EngineLoad(mAddress.toString(), report.running(), report.waiting());
+                    new EngineLoad(mAddress.toString(), report.running(), report.waiting(), 0);
             boolean isBusy = report.running() > 0 || report.waiting() > 0;
             if (isBusy || !load.equals(mTold)) {
                 tell(load);
@@ -92,23 +98,32 @@
         }
     }
 
+    /** Tells a load, unless the collector has not yet taken the one before. */
     private void tell(EngineLoad load) {
-        for (Participant entry : mPicture.get().participants(ParticipantRole.ENTRY)) {
-            HostPort address = HostPort.parse(entry.getControl());
-            mClient.call(
-                            address,
-                            ServiceStub.LOADS,
-                            LANE,
-                            client -> {
-                                client.told(load);
-                                return load;
-                            })
-                    .whenComplete(
-                            (told, failure) -> {
-                                if (failure != null) {
-                                    Logger.debug("{} was not told: {}", address, failure);
-                                }
-                            });
+        Optional<Participant> collector =
+                LoadPaths.among(mPicture.get().participants(ParticipantRole.ENTRY))
+                        .collector(mDataCentre, mFailures);
+        if (mIsTelling || collector.isEmpty()) {
+            return;
+        }
+        mIsTelling = true;
+        HostPort address = HostPort.parse(collector.get().getControl());
+        mClient.call(
+                        address,
+                        ServiceStub.LOADS,
+                        client -> {
+                            client.told(load);
+                            return load;
+                        })
+                .whenComplete((told, failure) -> told(address, failure));
+    }
+
+    private void told(HostPort address, @Nullable Throwable failure) {
+        mIsTelling = false;
+        if (failure != null) {
+            // The next entry collects from now on, until that one can't be reached either.
+            mFailures++;
+            Logger.info("{} does not collect loads: {}", address, failure.toString());
         }
     }
 }
--- a/daemon/src/test/java/org/sequoiahill/daemon/request/direct/Fleets.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/request/direct/Fleets.java
@@ -25,6 +25,7 @@
 final class Fleets {
     static final DirectSettings SETTINGS =
             new DirectSettings(
+                    "entry-0",
                     Map.of("dc-1", "region-1", "dc-2", "region-2"),
                     "region-1",
                     0.2,
@@ -39,6 +40,7 @@
     private final Map<String, Long> mOut = new HashMap<>();
     private final List<Participant> mParticipants = new ArrayList<>();
     private double mColdRate;
+    private int mConnections = 10_000;
     private Optional<EngineProfile> mEngine = Optional.empty();
 
     /** Adds a ready endpoint. */
@@ -124,6 +126,12 @@
         return this;
     }
 
+    /** Sets how many connections each endpoint takes from all entries. */
+    Fleets connections(int most) {
+        mConnections = most;
+        return this;
+    }
+
     Fleets coldRate(double rate) {
         mColdRate = rate;
         return this;
@@ -140,8 +148,13 @@
     FleetPicture picture() {
         RoutedService service =
                 new RoutedService(
-                        "writer", 100, Duration.ofSeconds(3), mColdRate, Optional.empty(), mEngine);
-        return new FleetPicture(
+                        "writer",
+                        mConnections,
+                        Duration.ofSeconds(3),
+                        mColdRate,
+                        Optional.empty(),
+                        mEngine);
+        return FleetPicture.of(
                 new FleetState(1, 1, ByteBuffer.allocate(0), mOut, Map.of(), mVersions),
                 Optional.of(
                         RoutingTable.of(
--- /dev/null
+++ b/daemon/src/test/java/org/sequoiahill/daemon/request/load/LoadExchangeTest.java
@@ -0,0 +1,208 @@
+package org.sequoiahill.daemon.request.load;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.sequoiahill.daemon.process.control.Identity;
+import org.sequoiahill.daemon.process.fleet.FleetPicture;
+import org.sequoiahill.daemon.process.fleet.FleetState;
+import org.sequoiahill.daemon.process.settings.HostPort;
+import org.sequoiahill.daemon.process.time.ManualClock;
+import org.sequoiahill.daemon.request.direct.DirectSettings;
+import org.sequoiahill.daemon.request.direct.Dispatcher;
+import org.sequoiahill.protocol.gen.EngineLoad;
+import org.sequoiahill.protocol.gen.LoadDigest;
+import org.sequoiahill.protocol.gen.Participant;
+import org.sequoiahill.protocol.gen.ParticipantRole;
+
+/** Tests of {@link LoadExchange}: who is passed which loads, how often, and how old they are. */
+final class LoadExchangeTest {
+    private final ManualClock mClock = new ManualClock();
+    private final List<Runnable> mDue = new ArrayList<>();
+    private final List<String> mSent = new ArrayList<>();
+    private final List<LoadDigest> mDigests = new ArrayList<>();
+    private CompletableFuture<?> mAnswer = CompletableFuture.completedFuture("taken");
+    private FleetPicture mPicture =
+            fleet("a1:dc-a", "a2:dc-a", "a3:dc-a", "b1:dc-b", "b2:dc-b", "c1:dc-c");
+    private final LoadExchange mExchange =
+            LoadExchange.of(
+                    Identity.of("a1", "dc-a", 1),
+                    () -> mPicture,
+                    Dispatcher.of(
+                            () -> mPicture,
+                            new DirectSettings(
+                                    "a1",
+                                    Map.of(),
+                                    "r",
+                                    0.2,
+                                    Duration.ZERO,
+                                    1,
+                                    Duration.ZERO,
+                                    Duration.ZERO),
+                            mClock,
+                            new Random(1),
+                            (delay, task) -> {}),
+                    this::send,
+                    (delay, task) -> mDue.add(task),
+                    mClock);
+
+    @Test
+    void told_byAgent_goesToEntriesBesideAndToOneOfEachOtherDataCentre() {
+        mExchange.told(load("e1", 3, 0));
+        flush();
+        assertThat(mSent, contains("a2", "a3", "b1", "c1"));
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        // data centre of the entry that passes loads on, how many entries get them from this one
+        "dc-b, 2",
+        "dc-a, 0"
+    })
+    void passedOn_goesNoFurtherThanThisDataCentre(String from, int receivers) {
+        mExchange.passedOn(new LoadDigest(from, List.of(load("e1", 3, 0))));
+        flush();
+        assertThat(mSent, hasSize(receivers));
+    }
+
+    @Test
+    void told_oftenBeforeThePassingOn_isOneCallWithTheNewest() {
+        for (int running = 0; running < 10; running++) {
+            mExchange.told(load("e1", running, 0));
+        }
+        assertThat(mDue, hasSize(1));
+        flush();
+        assertThat(mDigests.get(0).getLoads(), hasSize(1));
+        assertThat(mDigests.get(0).getLoads().get(0).getRunning(), is(9));
+    }
+
+    @Test
+    void passedOn_heldForAWhile_saysHowOldItIs() {
+        mExchange.told(load("e1", 3, 5));
+        mClock.advanceMillis(40);
+        flush();
+        assertThat(mDigests.get(0).getLoads().get(0).getAgeMillis(), is(45));
+    }
+
+    @Test
+    void told_tooOldToBeOfUse_isNotPassedOn() {
+        mExchange.told(load("e1", 3, 0));
+        mClock.advanceMillis(1_001);
+        flush();
+        assertThat(mSent, empty());
+    }
+
+    @Test
+    void flush_receiverHasNotTakenTheLast_sendsItNothingMore() {
+        mAnswer = new CompletableFuture<>();
+        mExchange.told(load("e1", 3, 0));
+        flush();
+        mExchange.told(load("e1", 4, 0));
+        flush();
+        assertThat(mSent, hasSize(4));
+        mAnswer.complete(null);
+        mExchange.told(load("e2", 1, 0));
+        flush();
+        assertThat(mSent, hasSize(8));
+        assertThat(mDigests.get(7).getLoads(), hasSize(2));
+    }
+
+    @Test
+    void flush_collectorOfAnotherDataCentreIsLost_triesTheNext() {
+        mAnswer = CompletableFuture.failedFuture(new IOException("lost"));
+        mExchange.told(load("e1", 3, 0));
+        flush();
+        mExchange.told(load("e1", 4, 0));
+        flush();
+        assertThat(mSent, contains("a2", "a3", "b1", "c1", "a2", "a3", "b2", "c1"));
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        // entries, data centres, agents: calls for one load of each engine, at most
+        "6, 3, 11",
+        "49, 5, 63",
+        "350, 7, 940"
+    })
+    void calls_growWithEntriesAndAgents_notWithTheirProduct(
+            int entries, int dataCentres, int agents) {
+        String[] names = new String[entries];
+        for (int i = 0; i < entries; i++) {
+            names[i] = "e" + i + ":dc-" + i % dataCentres;
+        }
+        LoadPaths paths = LoadPaths.among(fleet(names).participants(ParticipantRole.ENTRY));
+        int calls = agents;
+        for (int i = 0; i < dataCentres; i++) {
+            String collector = paths.collector("dc-" + i, 0).orElseThrow().getVm();
+            // Its own digest, and one for each collector of another data centre.
+            calls += paths.beside(collector, "dc-" + i).size() * dataCentres;
+            calls += paths.otherDataCentres("dc-" + i).size();
+        }
+        assertThat(
+                calls,
+                lessThanOrEqualTo(agents + entries * dataCentres + dataCentres * dataCentres));
+    }
+
+    @Test
+    void collector_dataCentreWithoutEntries_isInAnother() {
+        LoadPaths paths = LoadPaths.among(mPicture.participants(ParticipantRole.ENTRY));
+        assertThat(paths.collector("dc-z", 0).map(Participant::getVm), is(Optional.of("a1")));
+        assertThat(LoadPaths.among(List.of()).collector("dc-a", 0), is(Optional.empty()));
+    }
+
+    private CompletableFuture<?> send(HostPort entry, LoadDigest digest) {
+        mPicture.participants(ParticipantRole.ENTRY).stream()
+                .filter(each -> each.getControl().equals(entry.toString()))
+                .forEach(each -> mSent.add(each.getVm()));
+        mDigests.add(digest);
+        return mAnswer;
+    }
+
+    private void flush() {
+        List<Runnable> due = List.copyOf(mDue);
+        mDue.clear();
+        due.forEach(Runnable::run);
+    }
+
+    private static EngineLoad load(String engine, int running, int ageMillis) {
+        return new EngineLoad("10.0.0." + engine.substring(1) + ":80", running, 0, ageMillis);
+    }
+
+    /** Returns a fleet of entries, each named as name:data centre. */
+    private static FleetPicture fleet(String... entries) {
+        List<Participant> participants = new ArrayList<>();
+        for (String entry : entries) {
+            String[] parts = entry.split(":", -1);
+            participants.add(
+                    new Participant(
+                            parts[0],
+                            parts[0],
+                            ParticipantRole.ENTRY,
+                            parts[1],
+                            "127.0.0.1:" + (1_000 + participants.size()),
+                            1,
+                            1,
+                            "",
+                            "",
+                            false,
+                            Map.of()));
+        }
+        return FleetPicture.of(
+                FleetState.EMPTY, Optional.empty(), Map.of(), participants, Map.of(), 0);
+    }
+}
--- a/daemon/src/test/java/org/sequoiahill/daemon/version/staging/PieceRelayTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/version/staging/PieceRelayTest.java
@@ -128,7 +128,7 @@
                         0,
                         Optional.of(new HostPort(HOST, 1)),
                         Optional.empty());
-        return new FleetPicture(
+        return FleetPicture.of(
                 new FleetState(1, 1, ByteBuffer.allocate(0), Map.of(), Map.of(), Map.of()),
                 Optional.of(RoutingTable.of(1, List.of(), Map.of("weights", origin), Map.of(), 1)),
                 Map.of(),
--- a/daemon/src/test/java/org/sequoiahill/daemon/version/staging/StagingAgentTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/version/staging/StagingAgentTest.java
@@ -205,7 +205,7 @@
                 "weights",
                 new RoutedService(
                         "weights", 1, Duration.ZERO, 0, Optional.of(ORIGIN), Optional.empty()));
-        return new FleetPicture(
+        return FleetPicture.of(
                 new FleetState(
                         1, 1, ByteBuffer.allocate(0), Map.of(), Map.of(), Map.of("model", version)),
                 Optional.of(RoutingTable.of(1, List.of(), services, Map.of(), 1)),
--- a/protocol/src/main/java/org/sequoiahill/protocol/gen/EngineLoad.java
+++ b/protocol/src/main/java/org/sequoiahill/protocol/gen/EngineLoad.java
@@ -7,7 +7,7 @@
 package org.sequoiahill.protocol.gen;
 
 /**
- * What an engine does now, as its agent sees it.
+ * What an engine did a moment ago, as its agent saw it.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class EngineLoad implements org.apache.thrift.TBase<EngineLoad, EngineLoad._Fields>, java.io.Serializable, Cloneable, Comparable<EngineLoad> {
@@ -16,6 +16,7 @@
   private static final org.apache.thrift.protocol.TField ENDPOINT_FIELD_DESC = new org.apache.thrift.protocol.TField("endpoint", org.apache.thrift.protocol.TType.STRING, (short)1);
   private static final org.apache.thrift.protocol.TField RUNNING_FIELD_DESC = new org.apache.thrift.protocol.TField("running", org.apache.thrift.protocol.TType.I32, (short)2);
   private static final org.apache.thrift.protocol.TField WAITING_FIELD_DESC = new org.apache.thrift.protocol.TField("waiting", org.apache.thrift.protocol.TType.I32, (short)3);
+  private static final org.apache.thrift.protocol.TField AGE_MILLIS_FIELD_DESC = new org.apache.thrift.protocol.TField("ageMillis", org.apache.thrift.protocol.TType.I32, (short)4);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new EngineLoadStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new EngineLoadTupleSchemeFactory();
@@ -23,6 +24,7 @@
   private @org.apache.thrift.annotation.Nullable java.lang.String endpoint; // required
   private int running; // required
   private int waiting; // required
+  private int ageMillis; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -31,7 +33,11 @@
      */
     ENDPOINT((short)1, "endpoint"),
     RUNNING((short)2, "running"),
-    WAITING((short)3, "waiting");
+    WAITING((short)3, "waiting"),
+    /**
+     * Time since the engine reported it; whoever passes a load on adds the time that it held it.
+     */
+    AGE_MILLIS((short)4, "ageMillis");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -53,6 +59,8 @@
           return RUNNING;
         case 3: // WAITING
           return WAITING;
+        case 4: // AGE_MILLIS
+          return AGE_MILLIS;
         default:
           return null;
       }
@@ -98,6 +106,7 @@
   // isset id assignments
   private static final int __RUNNING_ISSET_ID = 0;
   private static final int __WAITING_ISSET_ID = 1;
+  private static final int __AGEMILLIS_ISSET_ID = 2;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
@@ -108,6 +117,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
     tmpMap.put(_Fields.WAITING, new org.apache.thrift.meta_data.FieldMetaData("waiting", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
+    tmpMap.put(_Fields.AGE_MILLIS, new org.apache.thrift.meta_data.FieldMetaData("ageMillis", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(EngineLoad.class, metaDataMap);
   }
@@ -118,7 +129,8 @@
   public EngineLoad(
     java.lang.String endpoint,
     int running,
-    int waiting)
+    int waiting,
+    int ageMillis)
   {
     this();
     this.endpoint = endpoint;
@@ -126,6 +138,8 @@
     setRunningIsSet(true);
     this.waiting = waiting;
     setWaitingIsSet(true);
+    this.ageMillis = ageMillis;
+    setAgeMillisIsSet(true);
   }
 
   /**
@@ -138,6 +152,7 @@
     }
     this.running = other.running;
     this.waiting = other.waiting;
+    this.ageMillis = other.ageMillis;
   }
 
   @Override
@@ -152,6 +167,8 @@
     this.running = 0;
     setWaitingIsSet(false);
     this.waiting = 0;
+    setAgeMillisIsSet(false);
+    this.ageMillis = 0;
   }
 
   /**
@@ -231,6 +248,35 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __WAITING_ISSET_ID, value);
   }
 
+  /**
+   * Time since the engine reported it; whoever passes a load on adds the time that it held it.
+   */
+  public int getAgeMillis() {
+    return this.ageMillis;
+  }
+
+  /**
+   * Time since the engine reported it; whoever passes a load on adds the time that it held it.
+   */
+  public EngineLoad setAgeMillis(int ageMillis) {
+    this.ageMillis = ageMillis;
+    setAgeMillisIsSet(true);
+    return this;
+  }
+
+  public void unsetAgeMillis() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __AGEMILLIS_ISSET_ID);
+  }
+
+  /** Returns true if field ageMillis is set (has been assigned a value) and false otherwise */
+  public boolean isSetAgeMillis() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __AGEMILLIS_ISSET_ID);
+  }
+
+  public void setAgeMillisIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __AGEMILLIS_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -258,6 +304,14 @@
       }
       break;
 
+    case AGE_MILLIS:
+      if (value == null) {
+        unsetAgeMillis();
+      } else {
+        setAgeMillis((java.lang.Integer)value);
+      }
+      break;
+
     }
   }
 
@@ -274,6 +328,9 @@
     case WAITING:
       return getWaiting();
 
+    case AGE_MILLIS:
+      return getAgeMillis();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -292,6 +349,8 @@
       return isSetRunning();
     case WAITING:
       return isSetWaiting();
+    case AGE_MILLIS:
+      return isSetAgeMillis();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -336,6 +395,15 @@
         return false;
     }
 
+    boolean this_present_ageMillis = true;
+    boolean that_present_ageMillis = true;
+    if (this_present_ageMillis || that_present_ageMillis) {
+      if (!(this_present_ageMillis && that_present_ageMillis))
+        return false;
+      if (this.ageMillis != that.ageMillis)
+        return false;
+    }
+
     return true;
   }
 
@@ -351,6 +419,8 @@
 
     hashCode = hashCode * 8191 + waiting;
 
+    hashCode = hashCode * 8191 + ageMillis;
+
     return hashCode;
   }
 
@@ -392,6 +462,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetAgeMillis(), other.isSetAgeMillis());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetAgeMillis()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.ageMillis, other.ageMillis);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -431,6 +511,10 @@
     sb.append("waiting:");
     sb.append(this.waiting);
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("ageMillis:");
+    sb.append(this.ageMillis);
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -502,6 +586,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 4: // AGE_MILLIS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
+              struct.ageMillis = iprot.readI32();
+              struct.setAgeMillisIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -529,6 +621,9 @@
       oprot.writeFieldBegin(WAITING_FIELD_DESC);
       oprot.writeI32(struct.waiting);
       oprot.writeFieldEnd();
+      oprot.writeFieldBegin(AGE_MILLIS_FIELD_DESC);
+      oprot.writeI32(struct.ageMillis);
+      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -557,7 +652,10 @@
       if (struct.isSetWaiting()) {
         optionals.set(2);
       }
-      oprot.writeBitSet(optionals, 3);
+      if (struct.isSetAgeMillis()) {
+        optionals.set(3);
+      }
+      oprot.writeBitSet(optionals, 4);
       if (struct.isSetEndpoint()) {
         oprot.writeString(struct.endpoint);
       }
@@ -567,12 +665,15 @@
       if (struct.isSetWaiting()) {
         oprot.writeI32(struct.waiting);
       }
+      if (struct.isSetAgeMillis()) {
+        oprot.writeI32(struct.ageMillis);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, EngineLoad struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(3);
+      java.util.BitSet incoming = iprot.readBitSet(4);
       if (incoming.get(0)) {
         struct.endpoint = iprot.readString();
         struct.setEndpointIsSet(true);
@@ -585,6 +686,10 @@
         struct.waiting = iprot.readI32();
         struct.setWaitingIsSet(true);
       }
+      if (incoming.get(3)) {
+        struct.ageMillis = iprot.readI32();
+        struct.setAgeMillisIsSet(true);
+      }
     }
   }
 
--- a/protocol/src/main/java/org/sequoiahill/protocol/gen/Loads.java
+++ b/protocol/src/main/java/org/sequoiahill/protocol/gen/Loads.java
@@ -9,21 +9,33 @@
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class Loads {
 
+  /**
+   * Loads of engines; a lost one is made up for by the next.
+   */
   public interface Iface {
 
     /**
-     * Tells a load; a lost one is made up for by the next.
+     * Tells the load of the engine beside an agent.
      * 
      * @param load
      */
     public void told(EngineLoad load) throws org.apache.thrift.TException;
 
+    /**
+     * Passes loads on; they go further only from one data centre to the next.
+     * 
+     * @param digest
+     */
+    public void passedOn(LoadDigest digest) throws org.apache.thrift.TException;
+
   }
 
   public interface AsyncIface {
 
     public void told(EngineLoad load, org.apache.thrift.async.AsyncMethodCallback<Void> resultHandler) throws org.apache.thrift.TException;
 
+    public void passedOn(LoadDigest digest, org.apache.thrift.async.AsyncMethodCallback<Void> resultHandler) throws org.apache.thrift.TException;
+
   }
 
   public static class Client extends org.apache.thrift.TServiceClient implements Iface {
@@ -52,13 +64,42 @@
     public void told(EngineLoad load) throws org.apache.thrift.TException
     {
       send_told(load);
+      recv_told();
     }
 
     public void send_told(EngineLoad load) throws org.apache.thrift.TException
     {
       told_args args = new told_args();
       args.setLoad(load);
-      sendBaseOneway("told", args);
+      sendBase("told", args);
+    }
+
+    public void recv_told() throws org.apache.thrift.TException
+    {
+      told_result result = new told_result();
+      receiveBase(result, "told");
+      return;
+    }
+
+    @Override
+    public void passedOn(LoadDigest digest) throws org.apache.thrift.TException
+    {
+      send_passedOn(digest);
+      recv_passedOn();
+    }
+
+    public void send_passedOn(LoadDigest digest) throws org.apache.thrift.TException
+    {
+      passedOn_args args = new passedOn_args();
+      args.setDigest(digest);
+      sendBase("passedOn", args);
+    }
+
+    public void recv_passedOn() throws org.apache.thrift.TException
+    {
+      passedOn_result result = new passedOn_result();
+      receiveBase(result, "passedOn");
+      return;
     }
 
   }
@@ -91,13 +132,13 @@
     public static class told_call extends org.apache.thrift.async.TAsyncMethodCall<Void> {
       private EngineLoad load;
       public told_call(EngineLoad load, org.apache.thrift.async.AsyncMethodCallback<Void> resultHandler, org.apache.thrift.async.TAsyncClient client, org.apache.thrift.protocol.TProtocolFactory protocolFactory, org.apache.thrift.transport.TNonblockingTransport transport) throws org.apache.thrift.TException {
-        super(client, protocolFactory, transport, resultHandler, true);
+        super(client, protocolFactory, transport, resultHandler, false);
         this.load = load;
       }
 
       @Override
       public void write_args(org.apache.thrift.protocol.TProtocol prot) throws org.apache.thrift.TException {
-        prot.writeMessageBegin(new org.apache.thrift.protocol.TMessage("told", org.apache.thrift.protocol.TMessageType.ONEWAY, 0));
+        prot.writeMessageBegin(new org.apache.thrift.protocol.TMessage("told", org.apache.thrift.protocol.TMessageType.CALL, 0));
         told_args args = new told_args();
         args.setLoad(load);
         args.write(prot);
@@ -111,6 +152,43 @@
         }
         org.apache.thrift.transport.TMemoryInputTransport memoryTransport = new org.apache.thrift.transport.TMemoryInputTransport(getFrameBuffer().array());
         org.apache.thrift.protocol.TProtocol prot = client.getProtocolFactory().getProtocol(memoryTransport);
+        (new Client(prot)).recv_told();
+        return null;
+      }
+    }
+
+    @Override
+    public void passedOn(LoadDigest digest, org.apache.thrift.async.AsyncMethodCallback<Void> resultHandler) throws org.apache.thrift.TException {
+      checkReady();
+      passedOn_call method_call = new passedOn_call(digest, resultHandler, this, ___protocolFactory, ___transport);
+      this.___currentMethod = method_call;
+      ___manager.call(method_call);
+    }
+
+    public static class passedOn_call extends org.apache.thrift.async.TAsyncMethodCall<Void> {
+      private LoadDigest digest;
+      public passedOn_call(LoadDigest digest, org.apache.thrift.async.AsyncMethodCallback<Void> resultHandler, org.apache.thrift.async.TAsyncClient client, org.apache.thrift.protocol.TProtocolFactory protocolFactory, org.apache.thrift.transport.TNonblockingTransport transport) throws org.apache.thrift.TException {
+        super(client, protocolFactory, transport, resultHandler, false);
+        this.digest = digest;
+      }
+
+      @Override
+      public void write_args(org.apache.thrift.protocol.TProtocol prot) throws org.apache.thrift.TException {
+        prot.writeMessageBegin(new org.apache.thrift.protocol.TMessage("passedOn", org.apache.thrift.protocol.TMessageType.CALL, 0));
+        passedOn_args args = new passedOn_args();
+        args.setDigest(digest);
+        args.write(prot);
+        prot.writeMessageEnd();
+      }
+
+      @Override
+      public Void getResult() throws org.apache.thrift.TException {
+        if (getState() != org.apache.thrift.async.TAsyncMethodCall.State.RESPONSE_READ) {
+          throw new java.lang.IllegalStateException("Method call not finished!");
+        }
+        org.apache.thrift.transport.TMemoryInputTransport memoryTransport = new org.apache.thrift.transport.TMemoryInputTransport(getFrameBuffer().array());
+        org.apache.thrift.protocol.TProtocol prot = client.getProtocolFactory().getProtocol(memoryTransport);
+        (new Client(prot)).recv_passedOn();
         return null;
       }
     }
@@ -129,6 +207,7 @@
 
     private static <I extends Iface> java.util.Map<java.lang.String,  org.apache.thrift.ProcessFunction<I, ? extends org.apache.thrift.TBase>> getProcessMap(java.util.Map<java.lang.String, org.apache.thrift.ProcessFunction<I, ? extends  org.apache.thrift.TBase>> processMap) {
       processMap.put("told", new told());
+      processMap.put("passedOn", new passedOn());
       return processMap;
     }
 
@@ -144,7 +223,7 @@
 
       @Override
       protected boolean isOneway() {
-        return true;
+        return false;
       }
 
       @Override
@@ -153,9 +232,38 @@
       }
 
       @Override
-      public org.apache.thrift.TBase getResult(I iface, told_args args) throws org.apache.thrift.TException {
+      public told_result getResult(I iface, told_args args) throws org.apache.thrift.TException {
+        told_result result = new told_result();
         iface.told(args.load);
-        return null;
+        return result;
+      }
+    }
+
+    public static class passedOn<I extends Iface> extends org.apache.thrift.ProcessFunction<I, passedOn_args> {
+      public passedOn() {
+        super("passedOn");
+      }
+
+      @Override
+      public passedOn_args getEmptyArgsInstance() {
+        return new passedOn_args();
+      }
+
+      @Override
+      protected boolean isOneway() {
+        return false;
+      }
+
+      @Override
+      protected boolean rethrowUnhandledExceptions() {
+        return false;
+      }
+
+      @Override
+      public passedOn_result getResult(I iface, passedOn_args args) throws org.apache.thrift.TException {
+        passedOn_result result = new passedOn_result();
+        iface.passedOn(args.digest);
+        return result;
       }
     }
 
@@ -173,6 +281,7 @@
 
     private static <I extends AsyncIface> java.util.Map<java.lang.String,  org.apache.thrift.AsyncProcessFunction<I, ? extends  org.apache.thrift.TBase,?>> getProcessMap(java.util.Map<java.lang.String,  org.apache.thrift.AsyncProcessFunction<I, ? extends  org.apache.thrift.TBase, ?>> processMap) {
       processMap.put("told", new told());
+      processMap.put("passedOn", new passedOn());
       return processMap;
     }
 
@@ -192,14 +301,40 @@
         return new org.apache.thrift.async.AsyncMethodCallback<Void>() { 
           @Override
           public void onComplete(Void o) {
+            told_result result = new told_result();
+            try {
+              fcall.sendResponse(fb, result, org.apache.thrift.protocol.TMessageType.REPLY,seqid);
+            } catch (org.apache.thrift.transport.TTransportException e) {
+              _LOGGER.error("TTransportException writing to internal frame buffer", e);
+              fb.close();
+            } catch (java.lang.Exception e) {
+              _LOGGER.error("Exception writing to internal frame buffer", e);
+              onError(e);
+            }
           }
           @Override
           public void onError(java.lang.Exception e) {
+            byte msgType = org.apache.thrift.protocol.TMessageType.REPLY;
+            org.apache.thrift.TSerializable msg;
+            told_result result = new told_result();
             if (e instanceof org.apache.thrift.transport.TTransportException) {
               _LOGGER.error("TTransportException inside handler", e);
               fb.close();
+              return;
+            } else if (e instanceof org.apache.thrift.TApplicationException) {
+              _LOGGER.error("TApplicationException inside handler", e);
+              msgType = org.apache.thrift.protocol.TMessageType.EXCEPTION;
+              msg = (org.apache.thrift.TApplicationException)e;
             } else {
-              _LOGGER.error("Exception inside oneway handler", e);
+              _LOGGER.error("Exception inside handler", e);
+              msgType = org.apache.thrift.protocol.TMessageType.EXCEPTION;
+              msg = new org.apache.thrift.TApplicationException(org.apache.thrift.TApplicationException.INTERNAL_ERROR, e.getMessage());
+            }
+            try {
+              fcall.sendResponse(fb,msg,msgType,seqid);
+            } catch (java.lang.Exception ex) {
+              _LOGGER.error("Exception writing to internal frame buffer", ex);
+              fb.close();
             }
           }
         };
@@ -207,7 +342,7 @@
 
       @Override
       protected boolean isOneway() {
-        return true;
+        return false;
       }
 
       @Override
@@ -216,6 +351,72 @@
       }
     }
 
+    public static class passedOn<I extends AsyncIface> extends org.apache.thrift.AsyncProcessFunction<I, passedOn_args, Void> {
+      public passedOn() {
+        super("passedOn");
+      }
+
+      @Override
+      public passedOn_args getEmptyArgsInstance() {
+        return new passedOn_args();
+      }
+
+      @Override
+      public org.apache.thrift.async.AsyncMethodCallback<Void> getResultHandler(final org.apache.thrift.server.AbstractNonblockingServer.AsyncFrameBuffer fb, final int seqid) {
+        final org.apache.thrift.AsyncProcessFunction fcall = this;
+        return new org.apache.thrift.async.AsyncMethodCallback<Void>() { 
+          @Override
+          public void onComplete(Void o) {
+            passedOn_result result = new passedOn_result();
+            try {
+              fcall.sendResponse(fb, result, org.apache.thrift.protocol.TMessageType.REPLY,seqid);
+            } catch (org.apache.thrift.transport.TTransportException e) {
+              _LOGGER.error("TTransportException writing to internal frame buffer", e);
+              fb.close();
+            } catch (java.lang.Exception e) {
+              _LOGGER.error("Exception writing to internal frame buffer", e);
+              onError(e);
+            }
+          }
+          @Override
+          public void onError(java.lang.Exception e) {
+            byte msgType = org.apache.thrift.protocol.TMessageType.REPLY;
+            org.apache.thrift.TSerializable msg;
+            passedOn_result result = new passedOn_result();
+            if (e instanceof org.apache.thrift.transport.TTransportException) {
+              _LOGGER.error("TTransportException inside handler", e);
+              fb.close();
+              return;
+            } else if (e instanceof org.apache.thrift.TApplicationException) {
+              _LOGGER.error("TApplicationException inside handler", e);
+              msgType = org.apache.thrift.protocol.TMessageType.EXCEPTION;
+              msg = (org.apache.thrift.TApplicationException)e;
+            } else {
+              _LOGGER.error("Exception inside handler", e);
+              msgType = org.apache.thrift.protocol.TMessageType.EXCEPTION;
+              msg = new org.apache.thrift.TApplicationException(org.apache.thrift.TApplicationException.INTERNAL_ERROR, e.getMessage());
+            }
+            try {
+              fcall.sendResponse(fb,msg,msgType,seqid);
+            } catch (java.lang.Exception ex) {
+              _LOGGER.error("Exception writing to internal frame buffer", ex);
+              fb.close();
+            }
+          }
+        };
+      }
+
+      @Override
+      protected boolean isOneway() {
+        return false;
+      }
+
+      @Override
+      public void start(I iface, passedOn_args args, org.apache.thrift.async.AsyncMethodCallback<Void> resultHandler) throws org.apache.thrift.TException {
+        iface.passedOn(args.digest,resultHandler);
+      }
+    }
+
   }
 
   @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
@@ -602,4 +803,918 @@
     }
   }
 
+  @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
+  public static class told_result implements org.apache.thrift.TBase<told_result, told_result._Fields>, java.io.Serializable, Cloneable, Comparable<told_result>   {
+    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("told_result");
+
+
+    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new told_resultStandardSchemeFactory();
+    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new told_resultTupleSchemeFactory();
+
+
+    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+;
+
+      private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
+
+      static {
+        for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+          byName.put(field.getFieldName(), field);
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByThriftId(int fieldId) {
+        switch(fieldId) {
+          default:
+            return null;
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, throwing an exception
+       * if it is not found.
+       */
+      public static _Fields findByThriftIdOrThrow(int fieldId) {
+        _Fields fields = findByThriftId(fieldId);
+        if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+        return fields;
+      }
+
+      /**
+       * Find the _Fields constant that matches name, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByName(java.lang.String name) {
+        return byName.get(name);
+      }
+
+      private final short _thriftId;
+      private final java.lang.String _fieldName;
+
+      _Fields(short thriftId, java.lang.String fieldName) {
+        _thriftId = thriftId;
+        _fieldName = fieldName;
+      }
+
+      @Override
+      public short getThriftFieldId() {
+        return _thriftId;
+      }
+
+      @Override
+      public java.lang.String getFieldName() {
+        return _fieldName;
+      }
+    }
+    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    static {
+      java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+      metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+      org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(told_result.class, metaDataMap);
+    }
+
+    public told_result() {
+    }
+
+    /**
+     * Performs a deep copy on <i>other</i>.
+     */
+    public told_result(told_result other) {
+    }
+
+    @Override
+    public told_result deepCopy() {
+      return new told_result(this);
+    }
+
+    @Override
+    public void clear() {
+    }
+
+    @Override
+    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+      switch (field) {
+      }
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public java.lang.Object getFieldValue(_Fields field) {
+      switch (field) {
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+    @Override
+    public boolean isSet(_Fields field) {
+      if (field == null) {
+        throw new java.lang.IllegalArgumentException();
+      }
+
+      switch (field) {
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    @Override
+    public boolean equals(java.lang.Object that) {
+      if (that instanceof told_result)
+        return this.equals((told_result)that);
+      return false;
+    }
+
+    public boolean equals(told_result that) {
+      if (that == null)
+        return false;
+      if (this == that)
+        return true;
+
+      return true;
+    }
+
+    @Override
+    public int hashCode() {
+      int hashCode = 1;
+
+      return hashCode;
+    }
+
+    @Override
+    public int compareTo(told_result other) {
+      if (!getClass().equals(other.getClass())) {
+        return getClass().getName().compareTo(other.getClass().getName());
+      }
+
+      int lastComparison = 0;
+
+      return 0;
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public _Fields fieldForId(int fieldId) {
+      return _Fields.findByThriftId(fieldId);
+    }
+
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+      scheme(iprot).read(iprot, this);
+    }
+
+    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+      scheme(oprot).write(oprot, this);
+      }
+
+    @Override
+    public java.lang.String toString() {
+      java.lang.StringBuilder sb = new java.lang.StringBuilder("told_result(");
+      boolean first = true;
+
+      sb.append(")");
+      return sb.toString();
+    }
+
+    public void validate() throws org.apache.thrift.TException {
+      // check for required fields
+      // check for sub-struct validity
+    }
+
+    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+      try {
+        write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+      try {
+        read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private static class told_resultStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public told_resultStandardScheme getScheme() {
+        return new told_resultStandardScheme();
+      }
+    }
+
+    private static class told_resultStandardScheme extends org.apache.thrift.scheme.StandardScheme<told_result> {
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol iprot, told_result struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TField schemeField;
+        iprot.readStructBegin();
+        while (true)
+        {
+          schemeField = iprot.readFieldBegin();
+          if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+            break;
+          }
+          switch (schemeField.id) {
+            default:
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+          }
+          iprot.readFieldEnd();
+        }
+        iprot.readStructEnd();
+
+        // check for required fields of primitive type, which can't be checked in the validate method
+        struct.validate();
+      }
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol oprot, told_result struct) throws org.apache.thrift.TException {
+        struct.validate();
+
+        oprot.writeStructBegin(STRUCT_DESC);
+        oprot.writeFieldStop();
+        oprot.writeStructEnd();
+      }
+
+    }
+
+    private static class told_resultTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public told_resultTupleScheme getScheme() {
+        return new told_resultTupleScheme();
+      }
+    }
+
+    private static class told_resultTupleScheme extends org.apache.thrift.scheme.TupleScheme<told_result> {
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol prot, told_result struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      }
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol prot, told_result struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      }
+    }
+
+    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+      return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+    }
+  }
+
+  @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
+  public static class passedOn_args implements org.apache.thrift.TBase<passedOn_args, passedOn_args._Fields>, java.io.Serializable, Cloneable, Comparable<passedOn_args>   {
+    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("passedOn_args");
+
+    private static final org.apache.thrift.protocol.TField DIGEST_FIELD_DESC = new org.apache.thrift.protocol.TField("digest", org.apache.thrift.protocol.TType.STRUCT, (short)1);
+
+    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new passedOn_argsStandardSchemeFactory();
+    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new passedOn_argsTupleSchemeFactory();
+
+    private @org.apache.thrift.annotation.Nullable LoadDigest digest; // required
+
+    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+      DIGEST((short)1, "digest");
+
+      private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
+
+      static {
+        for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+          byName.put(field.getFieldName(), field);
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByThriftId(int fieldId) {
+        switch(fieldId) {
+          case 1: // DIGEST
+            return DIGEST;
+          default:
+            return null;
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, throwing an exception
+       * if it is not found.
+       */
+      public static _Fields findByThriftIdOrThrow(int fieldId) {
+        _Fields fields = findByThriftId(fieldId);
+        if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+        return fields;
+      }
+
+      /**
+       * Find the _Fields constant that matches name, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByName(java.lang.String name) {
+        return byName.get(name);
+      }
+
+      private final short _thriftId;
+      private final java.lang.String _fieldName;
+
+      _Fields(short thriftId, java.lang.String fieldName) {
+        _thriftId = thriftId;
+        _fieldName = fieldName;
+      }
+
+      @Override
+      public short getThriftFieldId() {
+        return _thriftId;
+      }
+
+      @Override
+      public java.lang.String getFieldName() {
+        return _fieldName;
+      }
+    }
+
+    // isset id assignments
+    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    static {
+      java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+      tmpMap.put(_Fields.DIGEST, new org.apache.thrift.meta_data.FieldMetaData("digest", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+          new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, LoadDigest.class)));
+      metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+      org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(passedOn_args.class, metaDataMap);
+    }
+
+    public passedOn_args() {
+    }
+
+    public passedOn_args(
+      LoadDigest digest)
+    {
+      this();
+      this.digest = digest;
+    }
+
+    /**
+     * Performs a deep copy on <i>other</i>.
+     */
+    public passedOn_args(passedOn_args other) {
+      if (other.isSetDigest()) {
+        this.digest = new LoadDigest(other.digest);
+      }
+    }
+
+    @Override
+    public passedOn_args deepCopy() {
+      return new passedOn_args(this);
+    }
+
+    @Override
+    public void clear() {
+      this.digest = null;
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    public LoadDigest getDigest() {
+      return this.digest;
+    }
+
+    public passedOn_args setDigest(@org.apache.thrift.annotation.Nullable LoadDigest digest) {
+      this.digest = digest;
+      return this;
+    }
+
+    public void unsetDigest() {
+      this.digest = null;
+    }
+
+    /** Returns true if field digest is set (has been assigned a value) and false otherwise */
+    public boolean isSetDigest() {
+      return this.digest != null;
+    }
+
+    public void setDigestIsSet(boolean value) {
+      if (!value) {
+        this.digest = null;
+      }
+    }
+
+    @Override
+    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+      switch (field) {
+      case DIGEST:
+        if (value == null) {
+          unsetDigest();
+        } else {
+          setDigest((LoadDigest)value);
+        }
+        break;
+
+      }
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public java.lang.Object getFieldValue(_Fields field) {
+      switch (field) {
+      case DIGEST:
+        return getDigest();
+
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+    @Override
+    public boolean isSet(_Fields field) {
+      if (field == null) {
+        throw new java.lang.IllegalArgumentException();
+      }
+
+      switch (field) {
+      case DIGEST:
+        return isSetDigest();
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    @Override
+    public boolean equals(java.lang.Object that) {
+      if (that instanceof passedOn_args)
+        return this.equals((passedOn_args)that);
+      return false;
+    }
+
+    public boolean equals(passedOn_args that) {
+      if (that == null)
+        return false;
+      if (this == that)
+        return true;
+
+      boolean this_present_digest = true && this.isSetDigest();
+      boolean that_present_digest = true && that.isSetDigest();
+      if (this_present_digest || that_present_digest) {
+        if (!(this_present_digest && that_present_digest))
+          return false;
+        if (!this.digest.equals(that.digest))
+          return false;
+      }
+
+      return true;
+    }
+
+    @Override
+    public int hashCode() {
+      int hashCode = 1;
+
+      hashCode = hashCode * 8191 + ((isSetDigest()) ? 131071 : 524287);
+      if (isSetDigest())
+        hashCode = hashCode * 8191 + digest.hashCode();
+
+      return hashCode;
+    }
+
+    @Override
+    public int compareTo(passedOn_args other) {
+      if (!getClass().equals(other.getClass())) {
+        return getClass().getName().compareTo(other.getClass().getName());
+      }
+
+      int lastComparison = 0;
+
+      lastComparison = java.lang.Boolean.compare(isSetDigest(), other.isSetDigest());
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+      if (isSetDigest()) {
+        lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.digest, other.digest);
+        if (lastComparison != 0) {
+          return lastComparison;
+        }
+      }
+      return 0;
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public _Fields fieldForId(int fieldId) {
+      return _Fields.findByThriftId(fieldId);
+    }
+
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+      scheme(iprot).read(iprot, this);
+    }
+
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+      scheme(oprot).write(oprot, this);
+    }
+
+    @Override
+    public java.lang.String toString() {
+      java.lang.StringBuilder sb = new java.lang.StringBuilder("passedOn_args(");
+      boolean first = true;
+
+      sb.append("digest:");
+      if (this.digest == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.digest);
+      }
+      first = false;
+      sb.append(")");
+      return sb.toString();
+    }
+
+    public void validate() throws org.apache.thrift.TException {
+      // check for required fields
+      // check for sub-struct validity
+      if (digest != null) {
+        digest.validate();
+      }
+    }
+
+    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+      try {
+        write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+      try {
+        read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private static class passedOn_argsStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public passedOn_argsStandardScheme getScheme() {
+        return new passedOn_argsStandardScheme();
+      }
+    }
+
+    private static class passedOn_argsStandardScheme extends org.apache.thrift.scheme.StandardScheme<passedOn_args> {
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol iprot, passedOn_args struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TField schemeField;
+        iprot.readStructBegin();
+        while (true)
+        {
+          schemeField = iprot.readFieldBegin();
+          if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+            break;
+          }
+          switch (schemeField.id) {
+            case 1: // DIGEST
+              if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+                struct.digest = new LoadDigest();
+                struct.digest.read(iprot);
+                struct.setDigestIsSet(true);
+              } else { 
+                org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+              }
+              break;
+            default:
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+          }
+          iprot.readFieldEnd();
+        }
+        iprot.readStructEnd();
+
+        // check for required fields of primitive type, which can't be checked in the validate method
+        struct.validate();
+      }
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol oprot, passedOn_args struct) throws org.apache.thrift.TException {
+        struct.validate();
+
+        oprot.writeStructBegin(STRUCT_DESC);
+        if (struct.digest != null) {
+          oprot.writeFieldBegin(DIGEST_FIELD_DESC);
+          struct.digest.write(oprot);
+          oprot.writeFieldEnd();
+        }
+        oprot.writeFieldStop();
+        oprot.writeStructEnd();
+      }
+
+    }
+
+    private static class passedOn_argsTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public passedOn_argsTupleScheme getScheme() {
+        return new passedOn_argsTupleScheme();
+      }
+    }
+
+    private static class passedOn_argsTupleScheme extends org.apache.thrift.scheme.TupleScheme<passedOn_args> {
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol prot, passedOn_args struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+        java.util.BitSet optionals = new java.util.BitSet();
+        if (struct.isSetDigest()) {
+          optionals.set(0);
+        }
+        oprot.writeBitSet(optionals, 1);
+        if (struct.isSetDigest()) {
+          struct.digest.write(oprot);
+        }
+      }
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol prot, passedOn_args struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+        java.util.BitSet incoming = iprot.readBitSet(1);
+        if (incoming.get(0)) {
+          struct.digest = new LoadDigest();
+          struct.digest.read(iprot);
+          struct.setDigestIsSet(true);
+        }
+      }
+    }
+
+    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+      return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+    }
+  }
+
+  @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
+  public static class passedOn_result implements org.apache.thrift.TBase<passedOn_result, passedOn_result._Fields>, java.io.Serializable, Cloneable, Comparable<passedOn_result>   {
+    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("passedOn_result");
+
+
+    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new passedOn_resultStandardSchemeFactory();
+    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new passedOn_resultTupleSchemeFactory();
+
+
+    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+;
+
+      private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
+
+      static {
+        for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+          byName.put(field.getFieldName(), field);
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByThriftId(int fieldId) {
+        switch(fieldId) {
+          default:
+            return null;
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, throwing an exception
+       * if it is not found.
+       */
+      public static _Fields findByThriftIdOrThrow(int fieldId) {
+        _Fields fields = findByThriftId(fieldId);
+        if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+        return fields;
+      }
+
+      /**
+       * Find the _Fields constant that matches name, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByName(java.lang.String name) {
+        return byName.get(name);
+      }
+
+      private final short _thriftId;
+      private final java.lang.String _fieldName;
+
+      _Fields(short thriftId, java.lang.String fieldName) {
+        _thriftId = thriftId;
+        _fieldName = fieldName;
+      }
+
+      @Override
+      public short getThriftFieldId() {
+        return _thriftId;
+      }
+
+      @Override
+      public java.lang.String getFieldName() {
+        return _fieldName;
+      }
+    }
+    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    static {
+      java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+      metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+      org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(passedOn_result.class, metaDataMap);
+    }
+
+    public passedOn_result() {
+    }
+
+    /**
+     * Performs a deep copy on <i>other</i>.
+     */
+    public passedOn_result(passedOn_result other) {
+    }
+
+    @Override
+    public passedOn_result deepCopy() {
+      return new passedOn_result(this);
+    }
+
+    @Override
+    public void clear() {
+    }
+
+    @Override
+    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+      switch (field) {
+      }
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public java.lang.Object getFieldValue(_Fields field) {
+      switch (field) {
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+    @Override
+    public boolean isSet(_Fields field) {
+      if (field == null) {
+        throw new java.lang.IllegalArgumentException();
+      }
+
+      switch (field) {
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    @Override
+    public boolean equals(java.lang.Object that) {
+      if (that instanceof passedOn_result)
+        return this.equals((passedOn_result)that);
+      return false;
+    }
+
+    public boolean equals(passedOn_result that) {
+      if (that == null)
+        return false;
+      if (this == that)
+        return true;
+
+      return true;
+    }
+
+    @Override
+    public int hashCode() {
+      int hashCode = 1;
+
+      return hashCode;
+    }
+
+    @Override
+    public int compareTo(passedOn_result other) {
+      if (!getClass().equals(other.getClass())) {
+        return getClass().getName().compareTo(other.getClass().getName());
+      }
+
+      int lastComparison = 0;
+
+      return 0;
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public _Fields fieldForId(int fieldId) {
+      return _Fields.findByThriftId(fieldId);
+    }
+
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+      scheme(iprot).read(iprot, this);
+    }
+
+    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+      scheme(oprot).write(oprot, this);
+      }
+
+    @Override
+    public java.lang.String toString() {
+      java.lang.StringBuilder sb = new java.lang.StringBuilder("passedOn_result(");
+      boolean first = true;
+
+      sb.append(")");
+      return sb.toString();
+    }
+
+    public void validate() throws org.apache.thrift.TException {
+      // check for required fields
+      // check for sub-struct validity
+    }
+
+    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+      try {
+        write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+      try {
+        read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private static class passedOn_resultStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public passedOn_resultStandardScheme getScheme() {
+        return new passedOn_resultStandardScheme();
+      }
+    }
+
+    private static class passedOn_resultStandardScheme extends org.apache.thrift.scheme.StandardScheme<passedOn_result> {
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol iprot, passedOn_result struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TField schemeField;
+        iprot.readStructBegin();
+        while (true)
+        {
+          schemeField = iprot.readFieldBegin();
+          if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+            break;
+          }
+          switch (schemeField.id) {
+            default:
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+          }
+          iprot.readFieldEnd();
+        }
+        iprot.readStructEnd();
+
+        // check for required fields of primitive type, which can't be checked in the validate method
+        struct.validate();
+      }
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol oprot, passedOn_result struct) throws org.apache.thrift.TException {
+        struct.validate();
+
+        oprot.writeStructBegin(STRUCT_DESC);
+        oprot.writeFieldStop();
+        oprot.writeStructEnd();
+      }
+
+    }
+
+    private static class passedOn_resultTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public passedOn_resultTupleScheme getScheme() {
+        return new passedOn_resultTupleScheme();
+      }
+    }
+
+    private static class passedOn_resultTupleScheme extends org.apache.thrift.scheme.TupleScheme<passedOn_result> {
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol prot, passedOn_result struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      }
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol prot, passedOn_result struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      }
+    }
+
+    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+      return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+    }
+  }
+
 }
--- a/protocol/src/main/thrift/fleet.thrift
+++ b/protocol/src/main/thrift/fleet.thrift
@@ -183,15 +183,27 @@
   PieceReply piece(1: PieceRequest request)
 }
 
-/** What an engine does now, as its agent sees it. */
+/** What an engine did a moment ago, as its agent saw it. */
 struct EngineLoad {
   /** Address of the engine, as host:port. */
   1: string endpoint
   2: i32 running
   3: i32 waiting
+  /** Time since the engine reported it; whoever passes a load on adds the time that it held it. */
+  4: i32 ageMillis
 }
 
+/** Loads that one entry passes on to another. */
+struct LoadDigest {
+  /** Data centre of the entry that passes them on. */
+  1: string dataCentre
+  2: list<EngineLoad> loads
+}
+
+/** Loads of engines; a lost one is made up for by the next. */
 service Loads {
-  /** Tells a load; a lost one is made up for by the next. */
-  oneway void told(1: EngineLoad load)
+  /** Tells the load of the engine beside an agent. */
+  void told(1: EngineLoad load)
+  /** Passes loads on; they go further only from one data centre to the next. */
+  void passedOn(1: LoadDigest digest)
 }
