Collect the changes of a feed before telling them

Each change of one daemon woke every reader at every store and was a reply of its own; when 119 daemons start together that is 119 by 119 by 5 replies. Each reply made a new picture, and each picture woke every agent, which asked its engine for a report.

A store collects changes for 0.5 ms for each daemon that it knows, at most 150 ms, before it tells a reader; what the stores agree on is told at once. An agent looks when what the stores agree on changes, or while it waits for its turn.

--- a/daemon/src/main/java/org/sequoiahill/daemon/process/FleetAgent.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/FleetAgent.java
@@ -86,7 +86,7 @@
                                 clock),
                         settings.service(),
                         lastCall(settings));
-        view.addListener(picture -> mAgent.wake());
+        view.addListener(mAgent::changed);
     }
 
     /** Sets how all stores are told what the agent says of itself. */
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/endpoints/EndpointRegistry.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/endpoints/EndpointRegistry.java
@@ -27,6 +27,11 @@
 public final class EndpointRegistry {
     private static final int MAX_MARKERS = 4_096;
 
+    /** Time for which news is collected, for each daemon that reads it; bounds the replies. */
+    private static final Duration COLLECT_PER_READER = Duration.ofNanos(500_000);
+
+    private static final Duration MAX_COLLECT = Duration.ofMillis(150);
+
     /** Change of the end of a cold phase, in milliseconds, that entries are told of. */
     private static final long COLD_TOLERANCE_MILLIS = 500;
 
@@ -36,6 +41,10 @@
     private final long mFeed;
     private final ReentrantLock mLock = new ReentrantLock();
     private final Condition mChanged = mLock.newCondition();
+
+    /** Never signalled; readers that collect news wait on it. */
+    private final Condition mCollected = mLock.newCondition();
+
     private final ChangeFeed mItems = ChangeFeed.remembering(MAX_MARKERS);
     private final Map<String, Heard<EndpointReport>> mEndpoints = new HashMap<>();
     private final Map<String, Heard<Participant>> mParticipants = new HashMap<>();
@@ -148,7 +157,9 @@
     }
 
     /**
-     * Fills a reply with what a reader does not know, after a wait for news.
+     * Fills a reply with what a reader does not know, after a wait for news. Once there is some,
+     * the reply waits a moment for more: when many daemons start or load a version, each change
+     * would otherwise be one reply to every reader.
      *
      * @param feed feed that the reader has read from, 0 for none
      * @param change last change that the reader knows
@@ -166,6 +177,9 @@
                     && left > 0) {
                 left = mChanged.awaitNanos(left);
             }
+            if (known > 0 && known != mItems.change() && !hasOtherNews.getAsBoolean()) {
+                awaitCollected(left);
+            }
             ChangeFeed.Changes changes = mItems.since(known);
             reply.setFeed(mFeed);
             reply.setChange(changes.change());
@@ -180,6 +194,14 @@
         }
     }
 
+    private void awaitCollected(long mostNanos) throws InterruptedException {
+        long collect = COLLECT_PER_READER.multipliedBy(mParticipants.size()).toNanos();
+        long left = Math.min(mostNanos, Math.min(collect, MAX_COLLECT.toNanos()));
+        while (left > 0) {
+            left = mCollected.awaitNanos(left);
+        }
+    }
+
     /** Returns the daemons that are heard. */
     public int participants() {
         mLock.lock();
--- a/daemon/src/main/java/org/sequoiahill/daemon/version/staging/StagingAgent.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/staging/StagingAgent.java
@@ -43,6 +43,8 @@
     private final ReentrantLock mLock = new ReentrantLock();
     private final Condition mWoken = mLock.newCondition();
     private boolean mIsWoken;
+    private long mKnownIndex;
+    private volatile boolean mIsAwaitingTurn;
     private Optional<PieceManifest> mManifest = Optional.empty();
     private boolean mIsEngineLost;
 
@@ -89,10 +91,18 @@
         return new StagingAgent(services, service, lastCall);
     }
 
-    /** Lets the agent look at once, since the fleet has changed. */
-    public void wake() {
+    /**
+     * Lets the agent look at once where a change of the fleet matters to it: one of what the stores
+     * agree on or, while it waits for its turn, any. Daemons that come and go do not.
+     */
+    public void changed(FleetPicture picture) {
         mLock.lock();
         try {
+            long index = picture.state().index();
+            if (index == mKnownIndex && !mIsAwaitingTurn) {
+                return;
+            }
+            mKnownIndex = index;
             mIsWoken = true;
             mWoken.signalAll();
         } finally {
@@ -155,7 +165,8 @@
             Logger.warn("version {} of {} is not here whole yet", target, model);
             return false;
         }
-        if (held > 0 && !isTurn(model, target)) {
+        mIsAwaitingTurn = held > 0 && !isTurn(model, target);
+        if (mIsAwaitingTurn) {
             return false;
         }
         load(manifest, held > 0);
