Bound answers without an end, and keep connections to endpoints

An endpoint may send without end, in a head, a body or an event. A body was held up to 8 MiB for each request, more than an entry's heap for twenty of them; an event without an end was held without any bound, and its bytes were copied anew with each piece.

Bodies that are not whole share 24 MiB, one has at most 4 MiB, an event 256 KiB; over that the connection is closed and the request goes on as after any lost answer. Connections are kept for ten seconds, those of requests that may run once for two as before, since one that rested for longer may be dead and nobody could tell whether the request ran.

--- a/daemon/src/main/java/org/sequoiahill/daemon/connection/BodyReader.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/connection/BodyReader.java
@@ -9,20 +9,22 @@
 public final class BodyReader {
     private final Content.Source mSource;
     private final int mMaxBytes;
+    private final HeldBytes mHeld;
     private final ByteArrayOutputStream mBytes = new ByteArrayOutputStream();
     private final CompletableFuture<byte[]> mResult = new CompletableFuture<>();
 
-    private BodyReader(Content.Source source, int maxBytes) {
+    private BodyReader(Content.Source source, int maxBytes, HeldBytes held) {
         mSource = source;
         mMaxBytes = maxBytes;
+        mHeld = held;
     }
 
     /** Signals that a body has more bytes than are taken. */
     public static final class BodyTooLargeException extends Exception {
         private static final long serialVersionUID = 1L;
 
-        BodyTooLargeException(int maxBytes) {
-            super("a body has at most " + maxBytes + " bytes");
+        BodyTooLargeException(String message) {
+            super(message);
         }
     }
 
@@ -31,9 +33,18 @@
      * with the cause where the peer cuts the body short.
      */
     public static CompletableFuture<byte[]> read(Content.Source source, int maxBytes) {
-        BodyReader reader = new BodyReader(source, maxBytes);
+        return read(source, maxBytes, HeldBytes.unbounded());
+    }
+
+    /**
+     * Reads as {@link #read(Content.Source, int)} does, and fails also where the process holds too
+     * many bytes of all bodies.
+     */
+    public static CompletableFuture<byte[]> read(
+            Content.Source source, int maxBytes, HeldBytes held) {
+        BodyReader reader = new BodyReader(source, maxBytes, held);
         reader.readOn();
-        return reader.mResult;
+        return reader.mResult.whenComplete((body, failure) -> held.giveBack(reader.mBytes.size()));
     }
 
     private void readOn() {
@@ -47,10 +58,14 @@
                 mResult.completeExceptionally(chunk.getFailure());
                 return;
             }
-            take(chunk.getByteBuffer());
+            boolean isTaken = take(chunk.getByteBuffer());
             chunk.release();
-            if (mBytes.size() > mMaxBytes) {
-                BodyTooLargeException failure = new BodyTooLargeException(mMaxBytes);
+            if (!isTaken) {
+                BodyTooLargeException failure =
+                        new BodyTooLargeException(
+                                "a body has more than "
+                                        + mMaxBytes
+                                        + " bytes, or all bodies have too many");
                 mSource.fail(failure);
                 mResult.completeExceptionally(failure);
                 return;
@@ -62,9 +77,13 @@
         }
     }
 
-    private void take(ByteBuffer buffer) {
+    private boolean take(ByteBuffer buffer) {
         byte[] bytes = new byte[buffer.remaining()];
+        if (mBytes.size() + bytes.length > mMaxBytes || !mHeld.take(bytes.length)) {
+            return false;
+        }
         buffer.get(bytes);
         mBytes.write(bytes, 0, bytes.length);
+        return true;
     }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/connection/EndpointTransport.java
@@ -0,0 +1,49 @@
+package org.sequoiahill.daemon.connection;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.Map;
+import org.eclipse.jetty.client.Destination;
+import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
+import org.eclipse.jetty.io.ClientConnector;
+import org.eclipse.jetty.io.Connection;
+import org.eclipse.jetty.io.EndPoint;
+
+/**
+ * Keeps idle connections to endpoints in two kinds: for requests that may be sent again as long as
+ * the client keeps them, for others only briefly.
+ *
+ * <p>An endpoint may drop an idle connection without a word, and resets what is sent on it next. A
+ * request that may run once is then lost, since nobody knows whether it ran.
+ */
+public final class EndpointTransport extends HttpClientTransportOverHTTP {
+    /** Tag of requests whose connections are kept briefly. */
+    public static final String BRIEFLY_KEPT = "briefly-kept";
+
+    private final Duration mBriefIdleTime;
+
+    private EndpointTransport(ClientConnector connector, Duration briefIdleTime) {
+        super(connector);
+        mBriefIdleTime = briefIdleTime;
+    }
+
+    /**
+     * Returns a transport.
+     *
+     * @param briefIdleTime idle time after which a connection that is kept briefly is closed
+     */
+    public static EndpointTransport over(ClientConnector connector, Duration briefIdleTime) {
+        return new EndpointTransport(connector, briefIdleTime);
+    }
+
+    @Override
+    public Connection newConnection(EndPoint endPoint, Map<String, Object> context)
+            throws IOException {
+        Object destination = context.get(HTTP_DESTINATION_CONTEXT_KEY);
+        if (destination instanceof Destination known
+                && BRIEFLY_KEPT.equals(known.getOrigin().getTag())) {
+            endPoint.setIdleTimeout(mBriefIdleTime.toMillis());
+        }
+        return super.newConnection(endPoint, context);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiahill/daemon/connection/HeldBytes.java
@@ -0,0 +1,42 @@
+package org.sequoiahill.daemon.connection;
+
+import java.util.concurrent.atomic.AtomicLong;
+
+/** Bounds the bytes that a process holds of bodies that are not whole yet, all taken together. */
+public final class HeldBytes {
+    private final long mMost;
+    private final AtomicLong mHeld = new AtomicLong();
+
+    private HeldBytes(long most) {
+        mMost = most;
+    }
+
+    /** Returns a bound with nothing held. */
+    public static HeldBytes upTo(long most) {
+        return new HeldBytes(most);
+    }
+
+    /** Returns a count that bounds nothing. */
+    public static HeldBytes unbounded() {
+        return upTo(Long.MAX_VALUE);
+    }
+
+    /** Takes bytes; returns whether there was room for them. */
+    boolean take(int bytes) {
+        if (mHeld.addAndGet(bytes) <= mMost) {
+            return true;
+        }
+        mHeld.addAndGet(-bytes);
+        return false;
+    }
+
+    /** Gives bytes back. */
+    void giveBack(long bytes) {
+        mHeld.addAndGet(-bytes);
+    }
+
+    /** Returns the bytes that are held. */
+    public long held() {
+        return mHeld.get();
+    }
+}
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/FleetEntry.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/FleetEntry.java
@@ -17,6 +17,7 @@
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
+import org.sequoiahill.daemon.connection.HeldBytes;
 import org.sequoiahill.daemon.process.control.ControlClient;
 import org.sequoiahill.daemon.process.control.ControlServer;
 import org.sequoiahill.daemon.process.control.Identity;
@@ -49,6 +50,9 @@
     /** Time in which a balancer that asks every second has noticed that an entry leaves. */
     private static final Duration LINGER = Duration.ofMillis(2_500);
 
+    /** Bytes of answers that are not whole yet; a sixth of the memory that an entry is run with. */
+    private static final long MAX_ANSWER_BYTES = 24 << 20;
+
     /** Part of the drain bound that is left for the end of the process. */
     private static final Duration END_MARGIN = Duration.ofMillis(700);
 
@@ -108,12 +112,15 @@
         RunningExchanges exchanges = RunningExchanges.on(scheduler);
         metrics.gauge("sequoia.entry.running", exchanges, RunningExchanges::size);
         metrics.gauge("sequoia.entry.waiting", dispatcher, Dispatcher::waiting);
+        HeldBytes answerBytes = HeldBytes.upTo(MAX_ANSWER_BYTES);
+        metrics.gauge("sequoia.entry.answer.bytes", answerBytes, HeldBytes::held);
         DirectServices services =
                 new DirectServices(
                         adapter.callers(),
                         dispatcher,
                         forwarder,
                         exchanges,
+                        answerBytes,
                         BoundedRequestLog.of(metrics, clock),
                         clock);
         mDrain = new DrainHandler(DirectHandler.of(services, view::picture, random));
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/FleetModule.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/FleetModule.java
@@ -16,9 +16,9 @@
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.eclipse.jetty.client.HttpClient;
-import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.http.HttpCookieStore;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.sequoiahill.daemon.connection.EndpointTransport;
 import org.sequoiahill.daemon.connection.ResetAwareConnector;
 import org.sequoiahill.daemon.process.control.ControlClient;
 import org.sequoiahill.daemon.process.control.ControlServer;
@@ -47,8 +47,14 @@
     /** Time for a connection; the next endpoint is tried after it. */
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(400);
 
-    /** Idle time after which a connection to an endpoint is closed from here. */
-    private static final Duration ENDPOINT_IDLE_TIMEOUT = Duration.ofSeconds(2);
+    /**
+     * Idle time after which a connection to an endpoint is closed from here; in a fleet of hundreds
+     * an entry comes back to an endpoint after seconds.
+     */
+    private static final Duration ENDPOINT_IDLE_TIMEOUT = Duration.ofSeconds(10);
+
+    /** The same for connections of requests that may run once. */
+    private static final Duration BRIEF_IDLE_TIMEOUT = Duration.ofSeconds(2);
 
     private static final int MAX_RESPONSE_HEADER_BYTES = 32 << 10;
 
@@ -141,7 +147,7 @@
     static HttpClient httpClient(QueuedThreadPool threads) {
         ResetAwareConnector connector = new ResetAwareConnector();
         connector.setSelectors(1);
-        HttpClient client = new HttpClient(new HttpClientTransportOverHTTP(connector));
+        HttpClient client = new HttpClient(EndpointTransport.over(connector, BRIEF_IDLE_TIMEOUT));
         client.setExecutor(threads);
         client.setFollowRedirects(false);
         client.setUserAgentField(null);
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/HttpForwarder.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/HttpForwarder.java
@@ -18,6 +18,7 @@
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.util.Callback;
+import org.sequoiahill.daemon.connection.EndpointTransport;
 import org.sequoiahill.daemon.connection.ExchangeLostException;
 
 /** Sends one buffered request on and streams its answer back with backpressure. */
@@ -44,6 +45,8 @@
      * @param body whole body
      * @param timeout time until the whole answer must have come
      * @param host host that the caller named, where the endpoint must see it
+     * @param isOnce whether the call may run once only, so that it needs a connection that was used
+     *     a moment ago or is new
      */
     public record Call(
             String method,
@@ -51,11 +54,12 @@
             HttpFields headers,
             ByteBuffer body,
             Duration timeout,
-            Optional<String> host) {
+            Optional<String> host,
+            boolean isOnce) {
         /** Returns a call that names the target's own host. */
         public static Call of(
                 String method, URI target, HttpFields headers, ByteBuffer body, Duration timeout) {
-            return new Call(method, target, headers, body, timeout, Optional.empty());
+            return new Call(method, target, headers, body, timeout, Optional.empty(), false);
         }
     }
 
@@ -92,6 +96,9 @@
                         .onRequestBegin(started -> begun.set(true))
                         .idleTimeout(call.timeout().toMillis(), TimeUnit.MILLISECONDS)
                         .timeout(call.timeout().toMillis(), TimeUnit.MILLISECONDS);
+        if (call.isOnce()) {
+            request.tag(EndpointTransport.BRIEFLY_KEPT);
+        }
         String contentType = call.headers().get("Content-Type");
         if (call.body().hasRemaining()) {
             request.body(
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectExchange.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectExchange.java
@@ -27,7 +27,7 @@
  */
 final class DirectExchange implements Ticket, Sending.Events, StreamRelay.Exchange {
     /** Largest answer that is held until it is whole, in bytes. */
-    private static final int MAX_ANSWER_BYTES = 8 << 20;
+    private static final int MAX_ANSWER_BYTES = 4 << 20;
 
     /** Least time left that makes another sending worth its while. */
     private static final Duration LEAST_TIME_LEFT = Duration.ofMillis(150);
@@ -208,7 +208,8 @@
                         mServices.dialect().outgoing(mRequest.headers(), dispatch),
                         mRequest.body(),
                         timeLeft.plus(SENDING_SLACK),
-                        Optional.of(mRequest.host()));
+                        Optional.of(mRequest.host()),
+                        !mRequest.route().isRepeatable());
         sending.begun(mServices.forwarder().send(call, sending));
     }
 
@@ -252,7 +253,7 @@
             pinVersion(sending);
             mStream.pump(sending, content);
         } else {
-            BodyReader.read(content, MAX_ANSWER_BYTES)
+            BodyReader.read(content, MAX_ANSWER_BYTES, mServices.answerBytes())
                     .whenComplete(
                             (body, failure) ->
                                     mInvoker.run(() -> takeWhole(sending, response, answer, body)));
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectServices.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectServices.java
@@ -1,5 +1,6 @@
 package org.sequoiahill.daemon.request.direct;
 
+import org.sequoiahill.daemon.connection.HeldBytes;
 import org.sequoiahill.daemon.process.time.MonotonicClock;
 import org.sequoiahill.daemon.request.HttpForwarder;
 
@@ -10,6 +11,7 @@
  * @param dispatcher gives places at endpoints
  * @param forwarder sends to endpoints
  * @param exchanges requests that run
+ * @param answerBytes bounds the bytes of answers that are not whole yet
  * @param log tells what became of requests
  * @param clock monotonic clock
  */
@@ -18,5 +20,6 @@
         Dispatcher dispatcher,
         HttpForwarder forwarder,
         RunningExchanges exchanges,
+        HeldBytes answerBytes,
         RequestLog log,
         MonotonicClock clock) {}
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/EventSplitter.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/EventSplitter.java
@@ -1,8 +1,8 @@
 package org.sequoiahill.daemon.request.direct;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.Optional;
 
 /**
@@ -12,33 +12,51 @@
 final class EventSplitter {
     private static final String ID_FIELD = "id:";
 
-    private ByteArrayOutputStream mPartial = new ByteArrayOutputStream();
+    private static final int LEAST_CAPACITY = 256;
+
+    private byte[] mBuffer = new byte[0];
+    private int mLength;
     private Optional<String> mLastId = Optional.empty();
     private int mEvents;
 
     /** Returns the whole events that these bytes complete, empty where they complete none. */
     ByteBuffer take(ByteBuffer bytes) {
-        byte[] added = new byte[bytes.remaining()];
-        bytes.get(added);
-        mPartial.writeBytes(added);
-        byte[] all = mPartial.toByteArray();
-        int end = endOfLastEvent(all);
+        int known = mLength;
+        append(bytes);
+        int end = endOfLastEvent(known);
         if (end == 0) {
             return ByteBuffer.allocate(0);
         }
-        noteEvents(new String(all, 0, end, StandardCharsets.UTF_8));
-        mPartial = new ByteArrayOutputStream();
-        mPartial.write(all, end, all.length - end);
-        return ByteBuffer.wrap(all, 0, end);
+        ByteBuffer whole = ByteBuffer.wrap(Arrays.copyOf(mBuffer, end));
+        noteEvents(new String(whole.array(), StandardCharsets.UTF_8));
+        mBuffer = Arrays.copyOfRange(mBuffer, end, mLength);
+        mLength = mBuffer.length;
+        return whole;
+    }
+
+    /** Returns how many bytes have come of an event that is not whole. */
+    int partialBytes() {
+        return mLength;
     }
 
     /** Returns what follows the last whole event, and forgets it. */
     ByteBuffer rest() {
-        ByteBuffer rest = ByteBuffer.wrap(mPartial.toByteArray());
-        mPartial = new ByteArrayOutputStream();
+        ByteBuffer rest = ByteBuffer.wrap(mBuffer, 0, mLength);
+        mBuffer = new byte[0];
+        mLength = 0;
         return rest;
     }
 
+    /** Appends bytes; the buffer doubles, so that many small pieces cost no more than few. */
+    private void append(ByteBuffer bytes) {
+        int length = mLength + bytes.remaining();
+        if (length > mBuffer.length) {
+            mBuffer = Arrays.copyOf(mBuffer, Math.max(LEAST_CAPACITY, 2 * length));
+        }
+        bytes.get(mBuffer, mLength, bytes.remaining());
+        mLength = length;
+    }
+
     /** Returns the id of the last whole event. */
     Optional<String> lastId() {
         return mLastId;
@@ -62,14 +80,19 @@
         }
     }
 
-    /** Returns the index after the last blank line, 0 where there is none. */
-    private static int endOfLastEvent(byte[] bytes) {
-        for (int i = bytes.length - 1; i > 0; i--) {
-            if (bytes[i] != '\n') {
+    /**
+     * Returns the index after the last blank line, 0 where there is none.
+     *
+     * @param searched bytes that have been searched before
+     */
+    private int endOfLastEvent(int searched) {
+        for (int i = mLength - 1; i > 0 && i >= searched; i--) {
+            if (mBuffer[i] != '\n') {
                 continue;
             }
             boolean isBlank =
-                    bytes[i - 1] == '\n' || (i > 1 && bytes[i - 1] == '\r' && bytes[i - 2] == '\n');
+                    mBuffer[i - 1] == '\n'
+                            || (i > 1 && mBuffer[i - 1] == '\r' && mBuffer[i - 2] == '\n');
             if (isBlank) {
                 return i + 1;
             }
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/StreamRelay.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/StreamRelay.java
@@ -19,6 +19,9 @@
     /** Bytes that a slow caller leaves unread before the endpoint's stream is read no further. */
     private static final int MAX_PENDING_BYTES = 256 << 10;
 
+    /** Largest event in bytes; what goes on without an end is no stream of events. */
+    private static final int MAX_EVENT_BYTES = 256 << 10;
+
     private final SerializedInvoker mInvoker;
     private final Exchange mExchange;
     private final EventOutput mOutput;
@@ -98,6 +101,10 @@
             pass(mSplitter.take(chunk.getByteBuffer()));
             boolean isLast = chunk.isLast();
             chunk.release();
+            if (mSplitter.partialBytes() > MAX_EVENT_BYTES) {
+                mExchange.streamCut(sending, mSplitter.events());
+                return;
+            }
             if (isLast) {
                 end(sending);
             }
--- a/daemon/src/test/java/org/sequoiahill/daemon/request/HttpForwarderTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/request/HttpForwarderTest.java
@@ -3,7 +3,9 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
 
+import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStreamReader;
 import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -66,6 +68,14 @@
 
     private void sendHead() {
         try (Socket socket = mEndpoint.accept()) {
+            // An answer that comes before its request belongs to none.
+            BufferedReader reader =
+                    new BufferedReader(
+                            new InputStreamReader(
+                                    socket.getInputStream(), StandardCharsets.US_ASCII));
+            for (String line = reader.readLine(); line != null && !line.isEmpty(); ) {
+                line = reader.readLine();
+            }
             socket.getOutputStream().write(HEAD.getBytes(StandardCharsets.US_ASCII));
             // Ends once the client has closed the connection.
             socket.getInputStream().transferTo(OutputStream.nullOutputStream());
