Prefer an arc of the region's endpoints, and look at few others

Each entry prefers an arc of the ring of its region's endpoints, so that each endpoint is preferred by equally many entries, and else looks at two drawn at random.

--- a/bench/src/main/java/org/sequoiahill/bench/admission/AdmissionExperiment.java
+++ b/bench/src/main/java/org/sequoiahill/bench/admission/AdmissionExperiment.java
@@ -14,6 +14,9 @@
     @Parameter(names = "--added", description = "engines that are added to the first six")
     private int mAdded = 4;
 
+    @Parameter(names = "--many", description = "a fleet of 49 entries before 63 narrow engines")
+    private boolean mIsMany;
+
     @Parameter(names = "--seeds", description = "days played")
     private int mSeeds = 5;
 
@@ -22,14 +25,16 @@
 
     @Override
     public boolean run() {
-        PlayedDay day = PlayedDay.withSwap(mRate, mAdded);
+        PlayedDay day =
+                mIsMany
+                        ? PlayedDay.ofManyEntries(mRate, mAdded)
+                        : PlayedDay.withSwap(mRate, mAdded);
         int entries = day.load().entries();
         print("entries", day, (time, fleet) -> EntryScheduler.start(time, fleet, entries, 1));
         print(
                 "full knowledge",
                 day,
-                (time, fleet) ->
-                        FullKnowledgeScheduler.start(time, fleet, EngineShape.DENSE.slots()));
+                (time, fleet) -> FullKnowledgeScheduler.start(time, fleet, day.shape().slots()));
         return true;
     }
 
--- a/bench/src/main/java/org/sequoiahill/bench/admission/EngineShape.java
+++ b/bench/src/main/java/org/sequoiahill/bench/admission/EngineShape.java
@@ -29,4 +29,8 @@
     /** A dense model of 70 billion parameters on four accelerators. */
     static final EngineShape DENSE =
             new EngineShape(16, 32, 7.4, 0.0387, 0.0203, 31.9, 2048, 6, Duration.ofMillis(300));
+
+    /** The same model on less of an accelerator: fewer slots, each slower. */
+    static final EngineShape NARROW =
+            new EngineShape(8, 16, 11.1, 0.058, 0.0305, 21.3, 2048, 6, Duration.ofMillis(300));
 }
--- a/bench/src/main/java/org/sequoiahill/bench/admission/EntryScheduler.java
+++ b/bench/src/main/java/org/sequoiahill/bench/admission/EntryScheduler.java
@@ -25,6 +25,11 @@
     /** Time from an engine's report to the entry that takes it. */
     private static final Duration TELL_DELAY = Duration.ofMillis(4);
 
+    /** Times of {@code LoadExchange}. */
+    private static final Duration COLLECT_PER_ENTRY = Duration.ofMillis(1);
+
+    private static final Duration MAX_COLLECT = Duration.ofMillis(150);
+
     /** Repeats as a part of requests, the window they are counted in, and what may come besides. */
     private static final double REPEAT_RATIO = 0.2;
 
@@ -91,12 +96,23 @@
                             member.address(),
                             member.engine().running() + member.engine().waiting(),
                             mTime.now());
-            mTime.runAfter(
-                    TELL_DELAY, () -> mDispatchers.forEach(each -> each.told(List.of(load))));
+            for (int entry = 0; entry < mDispatchers.size(); entry++) {
+                boolean isNear = member.dataCentre().equals(PlayedFleet.dataCentreOf(entry));
+                Dispatcher dispatcher = mDispatchers.get(entry);
+                mTime.runAfter(
+                        TELL_DELAY.plus(collectTime().multipliedBy(isNear ? 1 : 2)),
+                        () -> dispatcher.told(List.of(load)));
+            }
         }
         mTime.runAfter(TELL_INTERVAL, this::tellLoads);
     }
 
+    /** Returns how long each collector holds loads, as {@code LoadExchange} does. */
+    private Duration collectTime() {
+        Duration collect = COLLECT_PER_ENTRY.multipliedBy(mDispatchers.size());
+        return collect.compareTo(MAX_COLLECT) < 0 ? collect : MAX_COLLECT;
+    }
+
     /** One try of a caller, who comes back once after a refusal. */
     private final class CallerTicket implements Ticket {
         private final Outcome mOutcome;
--- a/bench/src/main/java/org/sequoiahill/bench/admission/PlayedDay.java
+++ b/bench/src/main/java/org/sequoiahill/bench/admission/PlayedDay.java
@@ -8,6 +8,7 @@
  * A day on which engines are added while the load rises, and a version is swapped in under it.
  *
  * @param load requests that come
+ * @param shape how fast an engine works
  * @param engines engines at the start
  * @param added engines that serve from {@code addedAt} on
  * @param addedAt when the added engines serve
@@ -17,6 +18,7 @@
  */
 record PlayedDay(
         PlayedLoad load,
+        EngineShape shape,
         int engines,
         int added,
         Duration addedAt,
@@ -27,6 +29,11 @@
     private static final int ENTRIES = 6;
 
     private static final int ENGINES = 6;
+
+    /** Entries and engines of the users' fleet of 119 VMs. */
+    private static final int MANY_ENTRIES = 49;
+
+    private static final int MANY_ENGINES = 63;
     private static final Duration LENGTH = Duration.ofSeconds(34);
     private static final Duration ADDED_AT = Duration.ofMillis(9_500);
     private static final Duration VERSION_AT = Duration.ofSeconds(18);
@@ -42,6 +49,7 @@
     static PlayedDay withSwap(double perSecond, int added) {
         return new PlayedDay(
                 PlayedLoad.rising(perSecond, LENGTH, ENTRIES),
+                EngineShape.DENSE,
                 ENGINES,
                 added,
                 ADDED_AT,
@@ -50,6 +58,19 @@
                 LAST_CALL);
     }
 
+    /** A day of a fleet with many entries before many narrow engines, as above. */
+    static PlayedDay ofManyEntries(double perSecond, int added) {
+        return new PlayedDay(
+                PlayedLoad.risingSlower(perSecond, LENGTH, MANY_ENTRIES),
+                EngineShape.NARROW,
+                MANY_ENGINES,
+                added,
+                ADDED_AT,
+                VERSION_AT,
+                UNTIL_STAGED,
+                LAST_CALL);
+    }
+
     /** Starts the scheduler of a day. */
     @FunctionalInterface
     interface SchedulerStart {
@@ -64,7 +85,7 @@
     /** Plays the day; returns what each caller got. */
     List<Outcome> play(long seed, SchedulerStart schedulers) {
         VirtualTime time = new VirtualTime();
-        PlayedFleet fleet = new PlayedFleet(time, EngineShape.DENSE, load.entries());
+        PlayedFleet fleet = new PlayedFleet(time, shape, load.entries());
         fleet.add(engines);
         time.runUntil(PlayedFleet.NEWS);
         Scheduler scheduler = schedulers.start(time, fleet);
--- a/bench/src/main/java/org/sequoiahill/bench/admission/PlayedFleet.java
+++ b/bench/src/main/java/org/sequoiahill/bench/admission/PlayedFleet.java
@@ -81,11 +81,19 @@
             return mIsSwapping;
         }
 
+        String dataCentre() {
+            return dataCentreOf(mNumber);
+        }
+
         private String agent() {
             return "agent-" + mNumber;
         }
     }
 
+    static String dataCentreOf(int number) {
+        return "dc-" + number % DATA_CENTRES;
+    }
+
     /** Adds engines that serve from now on. */
     void add(int count) {
         for (int i = 0; i < count; i++) {
@@ -163,7 +171,7 @@
         List<EndpointInfo> endpoints = new ArrayList<>();
         List<Participant> participants = new ArrayList<>();
         for (Member member : mMembers) {
-            String dataCentre = "dc-" + member.mNumber % DATA_CENTRES;
+            String dataCentre = member.dataCentre();
             String address = member.address().toString();
             Map<String, Long> versions = Map.of(MODEL, member.mVersion);
             endpoints.add(
@@ -199,7 +207,7 @@
                             name,
                             name,
                             ParticipantRole.ENTRY,
-                            "dc-" + entry % DATA_CENTRES,
+                            dataCentreOf(entry),
                             "10.0.2.1:1",
                             1,
                             1,
--- a/bench/src/main/java/org/sequoiahill/bench/admission/PlayedLoad.java
+++ b/bench/src/main/java/org/sequoiahill/bench/admission/PlayedLoad.java
@@ -25,6 +25,9 @@
         List<RequestKind> kinds) {
     private static final double NANOS_PER_SECOND = 1e9;
 
+    /** Callers for each entry; a balancer spreads them by a hash, and so unevenly. */
+    private static final double CALLERS_PER_ENTRY = 2.7;
+
     /** When the first request may come, once entries know the engines. */
     private static final Duration START = Duration.ofMillis(500);
 
@@ -34,7 +37,10 @@
         Duration pause = Duration.ofMillis(300);
         Duration target = Duration.ofMillis(400);
         Sizes answer = new Sizes(20.6, 0.8, 51);
-        List<RequestKind> kinds =
+        return rising(
+                perSecond,
+                length,
+                entries,
                 List.of(
                         new RequestKind(
                                 0.40,
@@ -62,7 +68,53 @@
                                 1.4,
                                 0.35,
                                 new Sizes(607, 0.96, 2640),
-                                new Sizes(11.6, 0.9, 51)));
+                                new Sizes(11.6, 0.9, 51))));
+    }
+
+    /**
+     * The same kinds with shorter answers and more time to begin them, for engines that are slower.
+     */
+    static PlayedLoad risingSlower(double perSecond, Duration length, int entries) {
+        Duration patience = Duration.ofSeconds(6);
+        Duration pause = Duration.ofMillis(400);
+        Duration target = Duration.ofMillis(500);
+        Sizes answer = new Sizes(14.6, 0.8, 36.5);
+        return rising(
+                perSecond,
+                length,
+                entries,
+                List.of(
+                        new RequestKind(
+                                0.44,
+                                target,
+                                pause,
+                                patience,
+                                2.2,
+                                0.56,
+                                new Sizes(1290, 1, 3880),
+                                answer),
+                        new RequestKind(
+                                0.30,
+                                target,
+                                pause,
+                                patience,
+                                2.0,
+                                0.5,
+                                new Sizes(787, 1, 3330),
+                                answer),
+                        new RequestKind(
+                                0.26,
+                                Duration.ofMillis(400),
+                                pause,
+                                patience,
+                                1.6,
+                                0.4,
+                                new Sizes(607, 0.96, 2640),
+                                new Sizes(11.6, 0.9, 36.5))));
+    }
+
+    private static PlayedLoad rising(
+            double perSecond, Duration length, int entries, List<RequestKind> kinds) {
         NavigableMap<Duration, Double> steps =
                 new TreeMap<>(
                         Map.of(
@@ -80,6 +132,8 @@
     /** Returns the requests of one seed in the order of their arrival. */
     List<PlayedRequest> requests(long seed) {
         Random random = new Random(seed);
+        int[] entryOfCaller =
+                random.ints((long) (entries * CALLERS_PER_ENTRY), 0, entries).toArray();
         List<PlayedRequest> requests = new ArrayList<>();
         Duration at = START;
         while (true) {
@@ -93,7 +147,7 @@
             requests.add(
                     new PlayedRequest(
                             at,
-                            random.nextInt(entries),
+                            entryOfCaller[random.nextInt(entryOfCaller.length)],
                             kind,
                             kind.prompt().draw(random),
                             kind.events().draw(random)));
--- a/bench/src/test/java/org/sequoiahill/bench/admission/EntrySchedulerTest.java
+++ b/bench/src/test/java/org/sequoiahill/bench/admission/EntrySchedulerTest.java
@@ -14,6 +14,9 @@
     /** Requests a second that ten engines bear while all of them serve. */
     private static final double RATE = 98;
 
+    /** Requests a second that leave the 63 engines of the many entries a quarter to spare. */
+    private static final double MANY_RATE = 330;
+
     /** Part of the answers that begin in time, as the target size asks. */
     private static final double TARGET_PART = 0.95;
 
@@ -45,6 +48,28 @@
         assertThat(entries.onTimePart(), greaterThanOrEqualTo(0.8 * bound.onTimePart()));
     }
 
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void play_manyEntriesBeforeManyEngines_earnNineTenthsOfWhatFullKnowledgeWould(long seed) {
+        PlayedDay day = PlayedDay.ofManyEntries(MANY_RATE, 0);
+        Predicate<Outcome> isFullRate = outcome -> isBetween(outcome, 10, 18);
+        int entries = day.load().entries();
+        Tally played =
+                tally(
+                        day.play(
+                                seed,
+                                (time, fleet) -> EntryScheduler.start(time, fleet, entries, seed)),
+                        isFullRate);
+        int slots = day.shape().slots();
+        Tally bound =
+                tally(
+                        day.play(
+                                seed,
+                                (time, fleet) -> FullKnowledgeScheduler.start(time, fleet, slots)),
+                        isFullRate);
+        assertThat(played.earnedPart(), greaterThanOrEqualTo(0.9 * bound.earnedPart()));
+    }
+
     private static Tally play(int added, long seed, Predicate<Outcome> filter) {
         PlayedDay day = PlayedDay.withSwap(RATE, added);
         int entries = day.load().entries();
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectSettings.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectSettings.java
@@ -28,4 +28,9 @@
     public DirectSettings {
         regionsByDataCentre = Map.copyOf(regionsByDataCentre);
     }
+
+    /** Returns the region of a data centre; one that the settings don't name is its own. */
+    String regionOf(String dataCentre) {
+        return regionsByDataCentre.getOrDefault(dataCentre, dataCentre);
+    }
 }
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/Placement.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/Placement.java
@@ -2,7 +2,10 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Function;
@@ -20,10 +23,12 @@
  *
  * <p>Answers the load of many entries before few large endpoints: the estimate counts what was sent
  * since the last report, and a random part of up to one and a half requests keeps entries that have
- * the same reports from all choosing the same endpoint. Answers the burst that meets an engine
- * which has just come back with all its slots free: no more prompts are sent there than it reads in
- * time. Answers more load than the engines bear: a quarter of their slots is kept from requests
- * that are late anyway, so that others are not late because of them.
+ * the same reports from all choosing the same endpoint. Answers hundreds of VMs: an entry looks at
+ * its {@link Aperture} and at a few endpoints drawn at random, as the least loaded one of the whole
+ * fleet is what all entries would choose until its next report. Answers the burst that meets an
+ * engine which has just come back with all its slots free: no more prompts are sent there than it
+ * reads in time. Answers more load than the engines bear: a quarter of their slots is kept from
+ * requests that are late anyway, so that others are not late because of them.
  */
 final class Placement {
     /** Random part of a load, in requests. */
@@ -32,6 +37,12 @@
     /** Load, as a part of the slots, that a request is spared by staying in its region. */
     private static final double REGION_BONUS = 0.12;
 
+    /** Load, as a part of the slots, that a request is spared in this entry's aperture. */
+    private static final double APERTURE_BONUS = 0.25;
+
+    /** Endpoints outside the aperture that are looked at, drawn anew for each request. */
+    private static final int SAMPLED = 2;
+
     /** Requests that may wait at an engine beside those in its slots, as a part of the slots. */
     private static final double ENGINE_QUEUE = 0.25;
 
@@ -52,6 +63,8 @@
     private final DirectSettings mSettings;
     private final RandomGenerator mRandom;
     private final Function<EndpointInfo, EndpointStatus> mStatusOf;
+    private final Map<String, Aperture> mApertures = new HashMap<>();
+    private FleetPicture mAperturesOf = FleetPicture.EMPTY;
 
     private Placement(
             DirectSettings settings,
@@ -101,6 +114,7 @@
         List<EndpointInfo> candidates = candidates(ticket, picture, allowed);
         EndpointInfo best = null;
         double bestScore = Double.MAX_VALUE;
+        List<EndpointInfo> usable = new ArrayList<>();
         Duration firstPauseEnd = null;
         boolean areAllPaused = !candidates.isEmpty();
         for (EndpointInfo endpoint : candidates) {
@@ -114,12 +128,22 @@
                 continue;
             }
             areAllPaused = false;
-            if (status.isResting(now) || !hasRoom(ticket, endpoint, status, picture, now)) {
-                continue;
+            if (!status.isResting(now) && hasRoom(ticket, endpoint, status, picture, now)) {
+                usable.add(endpoint);
             }
+        }
+        int preferred = preferredFirst(usable, apertureOf(ticket.service(), picture));
+        int considered = Math.min(usable.size(), preferred + SAMPLED);
+        for (int i = 0; i < considered; i++) {
+            if (i >= preferred) {
+                Collections.swap(usable, i, i + mRandom.nextInt(usable.size() - i));
+            }
+            EndpointInfo endpoint = usable.get(i);
+            double load = mStatusOf.apply(endpoint).load(entries(picture), now);
             double score =
-                    score(endpoint, status.load(entries(picture), now))
-                            + (ticket.tried().contains(endpoint.id()) ? 1 : 0);
+                    score(endpoint, load)
+                            + (ticket.tried().contains(endpoint.id()) ? 1 : 0)
+                            - (i < preferred ? APERTURE_BONUS : 0);
             if (score < bestScore) {
                 best = endpoint;
                 bestScore = score;
@@ -136,6 +160,25 @@
                 version);
     }
 
+    private Aperture apertureOf(String service, FleetPicture picture) {
+        if (picture != mAperturesOf) {
+            mApertures.clear();
+            mAperturesOf = picture;
+        }
+        return mApertures.computeIfAbsent(service, name -> Aperture.of(picture, name, mSettings));
+    }
+
+    /** Moves the endpoints of an aperture to the front; returns how many there are. */
+    private static int preferredFirst(List<EndpointInfo> endpoints, Aperture aperture) {
+        int preferred = 0;
+        for (int i = 0; i < endpoints.size(); i++) {
+            if (aperture.contains(endpoints.get(i))) {
+                Collections.swap(endpoints, i, preferred++);
+            }
+        }
+        return preferred;
+    }
+
     /** Returns whether a request to an endpoint must keep the pace of a cold one. */
     boolean isCold(EndpointInfo endpoint, FleetPicture picture, Duration now) {
         return coldRate(endpoint, picture) > 0
@@ -176,7 +219,7 @@
                     endpoint.isReady()
                             && !mStatusOf.apply(endpoint).isLeaving()
                             && !picture.state().isOut(endpoint.dataCentre())
-                            && ticket.allows(regionOf(endpoint))
+                            && ticket.allows(mSettings.regionOf(endpoint.dataCentre()))
                             && holds(endpoint, agent, ticket.model(), allowed)
                             && (agent == null || !agent.isSwapping());
             if (isUsable) {
@@ -307,13 +350,7 @@
     private double score(EndpointInfo endpoint, double load) {
         double slots = Math.max(1, endpoint.slots());
         double part = (load + LOAD_NOISE * mRandom.nextDouble()) / slots;
-        boolean isHome = regionOf(endpoint).equals(mSettings.region());
+        boolean isHome = mSettings.regionOf(endpoint.dataCentre()).equals(mSettings.region());
         return isHome ? part - REGION_BONUS : part;
     }
-
-    private String regionOf(EndpointInfo endpoint) {
-        return mSettings
-                .regionsByDataCentre()
-                .getOrDefault(endpoint.dataCentre(), endpoint.dataCentre());
-    }
 }
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/load/LoadExchange.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/load/LoadExchange.java
@@ -31,7 +31,7 @@
  */
 public final class LoadExchange implements Loads.Iface {
     /** Time for which loads are collected, for each entry of the fleet; bounds the calls. */
-    private static final Duration COLLECT_PER_ENTRY = Duration.ofMillis(2);
+    private static final Duration COLLECT_PER_ENTRY = Duration.ofMillis(1);
 
     private static final Duration MAX_COLLECT = Duration.ofMillis(150);
 
