Make one picture of the changes of a moment

Every store tells a daemon of every change, so in a fleet with five stores each change of one daemon made five pictures in every other daemon, each from all that all stores had told: 250 members by five feeds.

Ruled out: telling daemons by fewer stores, as any one store must be enough when others are lost.

A daemon collects changes of members for 0.2 ms for each of them, at most 100 ms; what the stores agree on is in its picture at once.

Tests: FleetViewTest (one picture for forty replies; content while members are collected).

--- a/daemon/src/main/java/org/sequoiahill/daemon/process/FleetModule.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/FleetModule.java
@@ -26,6 +26,7 @@
 import org.sequoiahill.daemon.process.control.Identity;
 import org.sequoiahill.daemon.process.fleet.FleetView;
 import org.sequoiahill.daemon.process.settings.FleetSettings;
+import org.sequoiahill.daemon.process.time.DelayedRunner;
 import org.sequoiahill.daemon.process.time.MonotonicClock;
 import org.sequoiahill.daemon.request.HttpForwarder;
 
@@ -170,8 +171,9 @@
 
     @Provides
     @Singleton
-    static FleetView view(MonotonicClock clock, FleetAdapter adapter) {
-        return FleetView.of(clock, adapter.tables());
+    static FleetView view(
+            MonotonicClock clock, FleetAdapter adapter, ScheduledExecutorService scheduler) {
+        return FleetView.of(clock, adapter.tables(), DelayedRunner.of(scheduler));
     }
 
     static ExecutorService threads(String name, int most, RejectedExecutionHandler whenFull) {
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/fleet/FleetView.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/fleet/FleetView.java
@@ -14,8 +14,10 @@
 import org.sequoiahill.daemon.process.endpoints.EndpointMerge;
 import org.sequoiahill.daemon.process.endpoints.FeedMirror;
 import org.sequoiahill.daemon.process.settings.HostPort;
+import org.sequoiahill.daemon.process.time.DelayedRunner;
 import org.sequoiahill.daemon.process.time.MonotonicClock;
 import org.sequoiahill.protocol.gen.FleetContent;
+import org.sequoiahill.protocol.gen.Participant;
 import org.sequoiahill.protocol.gen.WatchReply;
 import org.sequoiahill.protocol.gen.WatchRequest;
 import org.sequoiahill.protocol.json.Checked;
@@ -24,17 +26,27 @@
 /**
  * Makes one picture of the fleet from what all stores say, and keeps the newest of it.
  *
+ * <p>What single daemons and endpoints say of themselves is collected for a moment before a new
+ * picture is made of it: every store tells each change, and a picture of hundreds of VMs is made
+ * from all that all of them have told. What the stores agree on is in the picture at once.
+ *
  * <p>Neither the state nor the routing table ever goes back, whichever store answers.
  */
 public final class FleetView {
     /** Time after which the text of a table is asked from any store, not just the nearest. */
     private static final Duration NEAREST_PATIENCE = Duration.ofMillis(400);
 
+    /** Time for which changes are collected, for each daemon and endpoint; bounds the pictures. */
+    private static final Duration COLLECT_PER_MEMBER = Duration.ofNanos(200_000);
+
+    private static final Duration MAX_COLLECT = Duration.ofMillis(100);
+
     /** Age of a first state that counts as known for long, so that its bounds are over. */
     private static final Duration LONG_AGO = Duration.ofDays(1);
 
     private final MonotonicClock mClock;
     private final RoutingTableFormat mFormat;
+    private final DelayedRunner mRunner;
     private final List<Consumer<FleetPicture>> mListeners = new CopyOnWriteArrayList<>();
     private final Map<HostPort, FeedMirror> mMirrors = new HashMap<>();
     private final EndpointMerge mMerge = new EndpointMerge();
@@ -42,16 +54,20 @@
     private Set<HostPort> mStores = new LinkedHashSet<>();
     private Duration mTableMissingSince = Duration.ZERO;
     private long mNewestNumber;
+    private int mMembers;
+    private boolean mIsRebuildDue;
     private volatile FleetPicture mPicture = FleetPicture.EMPTY;
 
-    private FleetView(MonotonicClock clock, RoutingTableFormat format) {
+    private FleetView(MonotonicClock clock, RoutingTableFormat format, DelayedRunner runner) {
         mClock = clock;
         mFormat = format;
+        mRunner = runner;
     }
 
     /** Returns a view that knows nothing yet. */
-    public static FleetView of(MonotonicClock clock, RoutingTableFormat format) {
-        return new FleetView(clock, format);
+    public static FleetView of(
+            MonotonicClock clock, RoutingTableFormat format, DelayedRunner runner) {
+        return new FleetView(clock, format, runner);
     }
 
     /** Returns what is known now. */
@@ -104,8 +120,31 @@
             Duration now = mClock.now();
             FeedMirror mirror = mMirrors.computeIfAbsent(store, address -> new FeedMirror());
             boolean isChanged = mirror.take(reply, now);
-            isChanged |= takeAgreed(reply);
-            if (!isChanged) {
+            if (!takeAgreed(reply)) {
+                if (isChanged) {
+                    scheduleRebuild();
+                }
+                return;
+            }
+            picture = mPicture;
+        }
+        mListeners.forEach(listener -> listener.accept(picture));
+    }
+
+    private void scheduleRebuild() {
+        if (mIsRebuildDue) {
+            return;
+        }
+        mIsRebuildDue = true;
+        Duration collect = COLLECT_PER_MEMBER.multipliedBy(mMembers);
+        mRunner.runAfter(
+                collect.compareTo(MAX_COLLECT) < 0 ? collect : MAX_COLLECT, this::rebuildDue);
+    }
+
+    private void rebuildDue() {
+        FleetPicture picture;
+        synchronized (this) {
+            if (!mIsRebuildDue) {
                 return;
             }
             picture = rebuild(mPicture.state(), mPicture.table());
@@ -218,18 +257,15 @@
     }
 
     private FleetPicture rebuild(FleetState state, Optional<RoutingTable> table) {
+        mIsRebuildDue = false;
         Map<String, List<EndpointInfo>> byService = new HashMap<>();
-        for (EndpointInfo endpoint : mMerge.endpoints(mMirrors.values())) {
+        List<EndpointInfo> endpoints = mMerge.endpoints(mMirrors.values());
+        List<Participant> participants = EndpointMerge.participants(mMirrors.values());
+        mMembers = endpoints.size() + participants.size();
+        for (EndpointInfo endpoint : endpoints) {
             byService.computeIfAbsent(endpoint.service(), name -> new ArrayList<>()).add(endpoint);
         }
-        mPicture =
-                FleetPicture.of(
-                        state,
-                        table,
-                        byService,
-                        EndpointMerge.participants(mMirrors.values()),
-                        mVersions,
-                        mNewestNumber);
+        mPicture = FleetPicture.of(state, table, byService, participants, mVersions, mNewestNumber);
         return mPicture;
     }
 }
--- a/daemon/src/test/java/org/sequoiahill/daemon/process/fleet/FleetViewTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/process/fleet/FleetViewTest.java
@@ -14,7 +14,10 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.sequoiahill.daemon.process.settings.HostPort;
 import org.sequoiahill.daemon.process.time.ManualClock;
+import org.sequoiahill.protocol.gen.FeedItem;
 import org.sequoiahill.protocol.gen.FleetContent;
+import org.sequoiahill.protocol.gen.Participant;
+import org.sequoiahill.protocol.gen.ParticipantRole;
 import org.sequoiahill.protocol.gen.WatchReply;
 import org.sequoiahill.protocol.gen.WatchRequest;
 import org.sequoiahill.protocol.json.Checked;
@@ -25,7 +28,36 @@
     private static final HostPort FAR = new HostPort("127.0.0.2", 1);
 
     private final ManualClock mClock = new ManualClock();
-    private final FleetView mView = FleetView.of(mClock, FleetViewTest::parse);
+    private final List<Runnable> mDue = new ArrayList<>();
+    private final FleetView mView =
+            FleetView.of(mClock, FleetViewTest::parse, (delay, task) -> mDue.add(task));
+
+    @Test
+    void take_manyDaemonsFromAllStores_makesOnePicture() {
+        List<FleetPicture> pictures = new ArrayList<>();
+        mView.addListener(pictures::add);
+        for (int i = 0; i < 20; i++) {
+            mView.take(NEAR, daemon("vm-" + i, i + 1));
+            mView.take(FAR, daemon("vm-" + i, i + 1));
+        }
+        assertThat(mDue.size(), is(1));
+        assertThat(pictures.size(), is(0));
+        mDue.get(0).run();
+        assertThat(pictures.size(), is(1));
+        assertThat(pictures.get(0).participants(ParticipantRole.ENTRY).size(), is(20));
+    }
+
+    @Test
+    void take_contentWhileDaemonsAreCollected_isInThePictureAtOnceAndWithThem() {
+        mView.take(NEAR, daemon("vm-1", 1));
+        mView.take(NEAR, reply(true, content(5, 7, true)));
+        assertThat(mView.picture().state().index(), is(5L));
+        assertThat(mView.picture().participants(ParticipantRole.ENTRY).size(), is(1));
+        List<FleetPicture> later = new ArrayList<>();
+        mView.addListener(later::add);
+        mDue.get(0).run();
+        assertThat(later.size(), is(0));
+    }
 
     @Test
     void take_olderContentOfAnotherStore_changesNothing() {
@@ -106,6 +138,29 @@
         return content;
     }
 
+    private static WatchReply daemon(String vm, long change) {
+        Participant daemon =
+                new Participant(
+                        vm,
+                        vm,
+                        ParticipantRole.ENTRY,
+                        "dc",
+                        "127.0.0.1:1",
+                        1,
+                        1,
+                        "",
+                        "",
+                        false,
+                        Map.of());
+        FeedItem item = new FeedItem().setKey("vm/" + vm).setParticipant(daemon);
+        return new WatchReply()
+                .setFeed(1)
+                .setChange(change)
+                .setItems(List.of(item))
+                .setStores(List.of())
+                .setDataCentre("dc");
+    }
+
     private static WatchReply reply(boolean isCurrent, FleetContent content) {
         return new WatchReply()
                 .setFeed(1)
--- a/daemon/src/test/java/org/sequoiahill/daemon/process/fleet/StoreWatcherTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/process/fleet/StoreWatcherTest.java
@@ -51,7 +51,11 @@
     private final ScheduledExecutorService mScheduler =
             Executors.newSingleThreadScheduledExecutor();
     private final CountDownLatch mIsOver = new CountDownLatch(1);
-    private final FleetView mView = FleetView.of(MonotonicClock.system(), StoreWatcherTest::parse);
+    private final FleetView mView =
+            FleetView.of(
+                    MonotonicClock.system(),
+                    StoreWatcherTest::parse,
+                    (delay, task) -> CompletableFuture.runAsync(task));
     private HostPort mFar;
     private ControlServer mServer;
     private ControlClient mClient;
