Confirm reads by a round of messages, never by a lease

A leader answered "is this the newest configuration" from its lease, and leases are counted on the monotonic clock, which stands still while a VM is suspended. A leader that wakes after seconds could hold a lease that had run out, and give an older configuration than one acknowledged meanwhile. Found by looking for the story of a paused process that acts on a permission that has run out.

Ruled out: a clock that counts suspended time (Java has none), the time of day (it may jump).

A read is ready once a quorum has answered messages that were sent after it; reads share rounds. The lease only says where changes are tried.

Test: the fault table suspends stores, with clocks that don't count it.

--- a/daemon/src/main/java/org/sequoiahill/daemon/process/log/Leadership.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/log/Leadership.java
@@ -151,8 +151,7 @@
         }
         long readIndex = Math.max(mState.log().commitIndex(), mTermStart);
         mReads.add(new PendingRead(id, readIndex, mState.now()));
-        if (!isLeaseValid()) {
-            mNextBeat = mState.now();
+        if (mReads.size() == 1) {
             beat();
         }
         answerReads();
@@ -176,10 +175,6 @@
         return quorumAckedAt().plus(mState.timing().lease());
     }
 
-    boolean isLeaseValid() {
-        return leaseUntil().compareTo(mState.now()) > 0;
-    }
-
     /** Sends what is new to every member that has room. */
     void flush() {
         mProgress.forEach(mReplication::sendNew);
@@ -239,18 +234,24 @@
         if (mReads.isEmpty()) {
             return;
         }
-        boolean isLeased = isLeaseValid();
+        // A round of messages sent after the question decides, and no lease: the monotonic clock
+        // stands still while a VM is suspended, and a lease that has run out looks valid then.
         Duration acked = quorumAckedAt();
-        mReads.removeIf(
-                read -> {
-                    boolean isReady =
-                            mState.log().commitIndex() >= read.readIndex()
-                                    && (isLeased || acked.compareTo(read.at()) >= 0);
-                    if (isReady) {
-                        mState.readReady(read.id());
-                    }
-                    return isReady;
-                });
+        boolean isAnyReady =
+                mReads.removeIf(
+                        read -> {
+                            boolean isReady =
+                                    mState.log().commitIndex() >= read.readIndex()
+                                            && acked.compareTo(read.at()) >= 0;
+                            if (isReady) {
+                                mState.readReady(read.id());
+                            }
+                            return isReady;
+                        });
+        if (isAnyReady && !mReads.isEmpty()) {
+            // Those that came after the round began need another one.
+            beat();
+        }
     }
 
     private void handOverIfCaughtUp(StoreId successor) {
--- a/daemon/src/test/java/org/sequoiahill/daemon/process/log/LogFaultTableTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/process/log/LogFaultTableTest.java
@@ -30,6 +30,7 @@
         ONE_WAY_CUT,
         ISOLATE,
         FREEZE,
+        SUSPEND,
         RESTART,
         FAILED_SYNC,
         LOST_DISK,
@@ -42,6 +43,8 @@
         CUTS(Fault.CUT, Fault.ONE_WAY_CUT, Fault.LOSS),
         ISOLATED_LEADERS(Fault.ISOLATE, Fault.RESTART),
         FREEZES(Fault.FREEZE, Fault.ONE_WAY_CUT),
+        SUSPENDS(Fault.SUSPEND),
+        SUSPENDS_AND_CUTS(Fault.SUSPEND, Fault.CUT, Fault.LOSS),
         RESTARTS(Fault.RESTART, Fault.LOSS),
         FAILED_SYNCS(Fault.FAILED_SYNC, Fault.RESTART),
         LOST_DISKS(Fault.LOST_DISK, Fault.LOSS),
@@ -195,6 +198,10 @@
                 case ONE_WAY_CUT -> mGroup.cut(store.vm(), any().vm());
                 case ISOLATE -> isolate(leaderOr(store));
                 case FREEZE -> leaderOr(store).freeze(mGroup.now() + mRandom.nextInt(1_500));
+                case SUSPEND ->
+                        leaderOr(store)
+                                .suspend(
+                                        mGroup.now(), mGroup.now() + 1 + mRandom.nextInt(3_000));
                 case RESTART -> leaderOr(store).folder().crashAfterSyncs(mRandom.nextInt(4));
                 case FAILED_SYNC -> leaderOr(store).folder().failAfterSyncs(mRandom.nextInt(4));
                 case LOST_DISK -> loseDiskIfRepaired(leaderOr(store));
