Count a stream as silent until an event with data has come whole

Any byte of a stream counted as a sign of life, so an endpoint that stands still and sends a comment or a byte now and then kept its caller until the deadline, though the stream may go on elsewhere after its last event.

Ruled out: a shorter deadline, which would cut slow but sound streams; events of those come every few hundred milliseconds, the bound of silence is 1.5 s.

Change: only a whole event that carries data counts.

--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/EventSplitter.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/EventSplitter.java
@@ -11,6 +11,7 @@
  */
 final class EventSplitter {
     private static final String ID_FIELD = "id:";
+    private static final String DATA_FIELD = "data";
 
     private static final int LEAST_CAPACITY = 256;
 
@@ -18,6 +19,7 @@
     private int mLength;
     private Optional<String> mLastId = Optional.empty();
     private int mEvents;
+    private int mDataEvents;
 
     /** Returns the whole events that these bytes complete, empty where they complete none. */
     ByteBuffer take(ByteBuffer bytes) {
@@ -67,14 +69,23 @@
         return mEvents;
     }
 
+    /** Returns the number of whole events that carry data; blocks of comments carry none. */
+    int dataEvents() {
+        return mDataEvents;
+    }
+
     private void noteEvents(String events) {
         boolean isInEvent = false;
+        boolean hasData = false;
         for (String line : events.split("\r?\n", -1)) {
             if (line.startsWith(ID_FIELD)) {
                 mLastId = Optional.of(line.substring(ID_FIELD.length()).trim());
             }
+            hasData |= line.startsWith(DATA_FIELD);
             if (line.isEmpty() && isInEvent) {
                 mEvents++;
+                mDataEvents += hasData ? 1 : 0;
+                hasData = false;
             }
             isInEvent = !line.isEmpty();
         }
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/StreamRelay.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/StreamRelay.java
@@ -45,7 +45,7 @@
         /** Returns whether the bytes of a sending are still wanted. */
         boolean isCurrent(Sending sending);
 
-        /** Bytes of a sending's stream have come. */
+        /** An event of a sending's stream has come whole. */
         void heard(Sending sending);
 
         /** A sending's stream has ended whole; returns whether the caller's answer may end too. */
@@ -97,8 +97,12 @@
                 mExchange.streamCut(sending, mSplitter.events());
                 return;
             }
-            mExchange.heard(sending);
+            int events = mSplitter.dataEvents();
             pass(mSplitter.take(chunk.getByteBuffer()));
+            if (mSplitter.dataEvents() > events) {
+                // Comments and parts of an event may drip from an endpoint that stands still.
+                mExchange.heard(sending);
+            }
             boolean isLast = chunk.isLast();
             chunk.release();
             if (mSplitter.partialBytes() > MAX_EVENT_BYTES) {
--- a/daemon/src/test/java/org/sequoiahill/daemon/process/log/LogFaultTableTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/process/log/LogFaultTableTest.java
@@ -200,8 +200,7 @@
                 case FREEZE -> leaderOr(store).freeze(mGroup.now() + mRandom.nextInt(1_500));
                 case SUSPEND ->
                         leaderOr(store)
-                                .suspend(
-                                        mGroup.now(), mGroup.now() + 1 + mRandom.nextInt(3_000));
+                                .suspend(mGroup.now(), mGroup.now() + 1 + mRandom.nextInt(3_000));
                 case RESTART -> leaderOr(store).folder().crashAfterSyncs(mRandom.nextInt(4));
                 case FAILED_SYNC -> leaderOr(store).folder().failAfterSyncs(mRandom.nextInt(4));
                 case LOST_DISK -> loseDiskIfRepaired(leaderOr(store));
