Split the choice of an endpoint into what may be used and what is picked

No change of what it does: the method that chooses had grown to fifty lines. DispatcherTest, ApertureTest and ColdPaceTest pass.

--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/Placement.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/Placement.java
@@ -112,28 +112,37 @@
     Choice choose(Ticket ticket, FleetPicture picture, Duration now) {
         Allowed allowed = allowedFor(ticket, picture, now);
         List<EndpointInfo> candidates = candidates(ticket, picture, allowed);
-        EndpointInfo best = null;
-        double bestScore = Double.MAX_VALUE;
         List<EndpointInfo> usable = new ArrayList<>();
-        Duration firstPauseEnd = null;
-        boolean areAllPaused = !candidates.isEmpty();
         for (EndpointInfo endpoint : candidates) {
             EndpointStatus status = mStatusOf.apply(endpoint);
-            if (status.isPaused(now)) {
-                Duration end = status.pausedUntil();
-                firstPauseEnd =
-                        firstPauseEnd == null || end.compareTo(firstPauseEnd) < 0
-                                ? end
-                                : firstPauseEnd;
-                continue;
-            }
-            areAllPaused = false;
-            if (!status.isResting(now) && hasRoom(ticket, endpoint, status, picture, now)) {
+            boolean isLeftAlone = status.isPaused(now) || status.isResting(now);
+            if (!isLeftAlone && hasRoom(ticket, endpoint, status, picture, now)) {
                 usable.add(endpoint);
             }
         }
+        Optional<EndpointInfo> best = pick(ticket, usable, picture, now);
+        OptionalLong version =
+                best.isPresent() && allowed.isBounded()
+                        ? heldBy(best.get(), picture, ticket.model())
+                        : OptionalLong.empty();
+        return new Choice(best, candidates.size(), pausedUntil(candidates, now), version);
+    }
+
+    /** Returns the earliest end of a pause, empty where not all endpoints asked for one. */
+    private Optional<Duration> pausedUntil(List<EndpointInfo> endpoints, Duration now) {
+        List<EndpointStatus> statuses = endpoints.stream().map(mStatusOf).toList();
+        return statuses.stream().allMatch(status -> status.isPaused(now))
+                ? statuses.stream().map(EndpointStatus::pausedUntil).min(Duration::compareTo)
+                : Optional.empty();
+    }
+
+    /** Returns the least loaded of the aperture's endpoints and of a few others. */
+    private Optional<EndpointInfo> pick(
+            Ticket ticket, List<EndpointInfo> usable, FleetPicture picture, Duration now) {
         int preferred = preferredFirst(usable, apertureOf(ticket.service(), picture));
         int considered = Math.min(usable.size(), preferred + SAMPLED);
+        Optional<EndpointInfo> best = Optional.empty();
+        double bestScore = Double.MAX_VALUE;
         for (int i = 0; i < considered; i++) {
             if (i >= preferred) {
                 Collections.swap(usable, i, i + mRandom.nextInt(usable.size() - i));
@@ -145,19 +154,11 @@
                             + (ticket.tried().contains(endpoint.id()) ? 1 : 0)
                             - (i < preferred ? APERTURE_BONUS : 0);
             if (score < bestScore) {
-                best = endpoint;
+                best = Optional.of(endpoint);
                 bestScore = score;
             }
         }
-        OptionalLong version =
-                best != null && allowed.isBounded()
-                        ? heldBy(best, picture, ticket.model())
-                        : OptionalLong.empty();
-        return new Choice(
-                Optional.ofNullable(best),
-                candidates.size(),
-                areAllPaused ? Optional.ofNullable(firstPauseEnd) : Optional.empty(),
-                version);
+        return best;
     }
 
     private Aperture apertureOf(String service, FleetPicture picture) {
