--- a/daemon/src/main/java/org/sequoiahill/daemon/version/staging/LoadTeller.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/staging/LoadTeller.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 import org.sequoiahill.daemon.process.control.ControlClient;
@@ -38,7 +39,7 @@
     private EngineLoad mTold = new EngineLoad("", 0, 0, 0);
     private boolean mIsLost;
     private volatile boolean mIsTelling;
-    private volatile int mFailures;
+    private final AtomicInteger mFailures = new AtomicInteger();
 
     private LoadTeller(
             StagingEngine engine,
@@ -102,7 +103,7 @@
     private void tell(EngineLoad load) {
         Optional<Participant> collector =
                 LoadPaths.among(mPicture.get().participants(ParticipantRole.ENTRY))
-                        .collector(mDataCentre, mFailures);
+                        .collector(mDataCentre, mFailures.get());
         if (mIsTelling || collector.isEmpty()) {
             return;
         }
@@ -122,7 +123,7 @@
         mIsTelling = false;
         if (failure != null) {
             // The next entry collects from now on, until that one can't be reached either.
-            mFailures++;
+            mFailures.incrementAndGet();
             Logger.info("{} does not collect loads: {}", address, failure.toString());
         }
     }
--- /dev/null
+++ b/daemon/src/test/java/org/sequoiahill/daemon/request/direct/DispatcherAnswersTest.java
@@ -0,0 +1,169 @@
+package org.sequoiahill.daemon.request.direct;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.sequoiahill.daemon.process.fleet.FleetPicture;
+import org.sequoiahill.daemon.process.time.DelayedRunner;
+import org.sequoiahill.daemon.process.time.ManualClock;
+
+/**
+ * Tests of {@link Dispatcher}: what endpoints say in answers, and how many connections they take.
+ */
+final class DispatcherAnswersTest {
+    private final ManualClock mClock = new ManualClock();
+    private final ScheduledExecutorService mScheduler =
+            Executors.newSingleThreadScheduledExecutor();
+    private FleetPicture mPicture = FleetPicture.EMPTY;
+    private final Dispatcher mDispatcher =
+            Dispatcher.of(
+                    () -> mPicture,
+                    Fleets.SETTINGS,
+                    mClock,
+                    new Random(1),
+                    DelayedRunner.of(mScheduler));
+
+    @AfterEach
+    void stop() {
+        mScheduler.shutdownNow();
+    }
+
+    @Test
+    void submit_endpointSaidInAnAnswerThatItLeaves_getsNothingMore() {
+        mPicture = new Fleets().endpoint("a", "dc-1", 8).endpoint("b", "dc-1", 8).picture();
+        List<Asking> first = submit(8, 1);
+        answer(first, "a", 200, true, Optional.empty());
+        mClock.advanceMillis(60_000);
+        assertThat(submit(4, 1).stream().noneMatch(each -> each.isAt("a")), is(true));
+    }
+
+    @Test
+    void submit_onlyEndpointSaidThatItLeaves_isRefusedAtOnce() {
+        mPicture = new Fleets().endpoint("a", "dc-1", 8).picture();
+        answer(submit(1, 1), "a", 200, true, Optional.empty());
+        assertThat(submit(1, 1).get(0).mRefused.orElseThrow().reason(), is("no_endpoint"));
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        // pause that the endpoint asks for, time since, milliseconds; whether it is sent to
+        "2000, 1, false",
+        "2000, 500, false",
+        "2000, 1999, false",
+        "2000, 2000, true",
+        "0, 100, true",
+        "90000000, 119000, false",
+        "90000000, 120000, true"
+    })
+    void submit_endpointAskedForAPause_getsNothingUntilItsEnd(
+            long pauseMillis, long sinceMillis, boolean isSent) {
+        mPicture = new Fleets().endpoint("a", "dc-1", 8).endpoint("b", "dc-1", 8).picture();
+        List<Asking> first = submit(8, 1);
+        answer(first, "a", 503, false, Optional.of(Duration.ofMillis(pauseMillis)));
+        mClock.advanceMillis(sinceMillis);
+        first.forEach(each -> each.mPlace.orElseThrow().ended(Place.End.SUCCEEDED));
+        assertThat(submit(8, 1).stream().anyMatch(each -> each.isAt("a")), is(isSent));
+    }
+
+    @Test
+    void submit_shorterPauseAfterALongerOne_doesNotEndIt() {
+        mPicture = new Fleets().endpoint("a", "dc-1", 8).picture();
+        List<Asking> first = submit(1, 1);
+        answer(first, "a", 503, false, Optional.of(Duration.ofSeconds(5)));
+        answer(first, "a", 503, false, Optional.of(Duration.ofSeconds(1)));
+        mClock.advanceMillis(2_000);
+        assertThat(submit(1, 1).get(0).mPlace.isPresent(), is(false));
+    }
+
+    @Test
+    void submit_allEndpointsPauseForLong_isRefusedAtOnceUntilTheFirstReturns() {
+        mPicture = new Fleets().endpoint("a", "dc-1", 8).endpoint("b", "dc-1", 8).picture();
+        List<Asking> first = submit(8, 1);
+        answer(first, "a", 503, false, Optional.of(Duration.ofSeconds(5)));
+        answer(first, "b", 503, false, Optional.of(Duration.ofSeconds(3)));
+        Ticket.Refused refused = submit(1, 1).get(0).mRefused.orElseThrow();
+        assertThat(refused.reason(), is("endpoints_pause"));
+        assertThat(refused.retryAfter().toMillis(), greaterThanOrEqualTo(3_000L));
+        assertThat(refused.retryAfter().toMillis(), lessThanOrEqualTo(3_800L));
+    }
+
+    @Test
+    void submit_allEndpointsPauseShortly_waitsForTheEnd() {
+        mPicture = new Fleets().endpoint("a", "dc-1", 8).picture();
+        List<Asking> first = submit(1, 1);
+        answer(first, "a", 503, false, Optional.of(Duration.ofMillis(100)));
+        Asking waiting = submit(1, 1).get(0);
+        assertThat(waiting.mRefused.isPresent(), is(false));
+        mClock.advanceMillis(100);
+        mDispatcher.refresh();
+        assertThat(waiting.mPlace.isPresent(), is(true));
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        // connections that an endpoint takes, entries; requests that this entry has there at most
+        "712, 49, 11",
+        "110, 8, 11",
+        "48, 100, 1"
+    })
+    void submit_manyEntries_keepWithinTheConnectionsOfAnEndpoint(
+            int connections, int entries, int most) {
+        mPicture =
+                new Fleets()
+                        .endpoint("a", "dc-1", 1_000)
+                        .connections(connections)
+                        .entries(entries)
+                        .picture();
+        long granted = submit(50, 1).stream().filter(each -> each.mPlace.isPresent()).count();
+        assertThat(granted, is((long) most));
+    }
+
+    /** Lets the first request at an endpoint be answered. */
+    private static void answer(
+            List<Asking> all,
+            String endpoint,
+            int status,
+            boolean isLeaving,
+            Optional<Duration> pause) {
+        all.stream()
+                .filter(each -> each.isAt(endpoint))
+                .findFirst()
+                .flatMap(each -> each.mPlace)
+                .orElseThrow()
+                .answered(
+                        new EndpointAnswer(
+                                status,
+                                "",
+                                true,
+                                false,
+                                false,
+                                Optional.empty(),
+                                Optional.empty(),
+                                Optional.empty(),
+                                isLeaving,
+                                pause));
+    }
+
+    private List<Asking> submit(int count, int priority) {
+        List<Asking> all = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            Asking asking = new Asking(priority, mClock.now().plusMillis(400));
+            all.add(asking);
+            mDispatcher.submit(asking);
+        }
+        return all;
+    }
+}
