Say in a request's line whose head its answer bears

A refusal under an endpoint's seal could not be told from others by the logs: a line had the status and the outcome, not where the head came from.

--- a/daemon/src/main/java/org/sequoiahill/daemon/process/BoundedRequestLog.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/BoundedRequestLog.java
@@ -53,6 +53,7 @@
         event.put("request", line.id());
         event.put("outcome", line.outcome());
         event.put("status", line.status());
+        event.put("answered_by", line.answeredBy());
         event.put("route", line.route());
         event.put("organisation", line.organisation());
         event.put("table", line.tableNumber());
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/CallerReply.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/CallerReply.java
@@ -24,6 +24,7 @@
     private final StringBuilder mTrace = new StringBuilder();
     private @Nullable CallerWatch mWatch;
     private Duration mQueued = Duration.ZERO;
+    private String mAnsweredBy = "";
     private volatile boolean mIsDone;
 
     CallerReply(
@@ -75,16 +76,17 @@
     }
 
     /** Answers with a whole answer of an endpoint. */
-    void passOn(Response answer, byte[] body) {
-        takeHead(answer);
+    void passOn(Sending sending, Response answer, byte[] body) {
+        takeHead(sending, answer);
         end("answered", answer.getStatus());
         mResponse.write(true, ByteBuffer.wrap(body), mCallback);
     }
 
     /** Takes the head of a stream; it is sent with the first events. */
-    void takeHead(Response answer) {
+    void takeHead(Sending sending, Response answer) {
         // An earlier endpoint may have broken off after its head, which was not sent.
         mResponse.reset();
+        mAnsweredBy = sending.place().endpoint().id();
         HttpForwarder.copyHead(answer, mResponse);
     }
 
@@ -127,6 +129,7 @@
                                 mRequest.decidedBy().stateIndex(),
                                 status,
                                 outcome,
+                                mAnsweredBy,
                                 mTrace.toString().trim(),
                                 mQueued,
                                 mServices.clock().now().minus(mArrivedAt)));
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectExchange.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectExchange.java
@@ -248,7 +248,7 @@
             lose(sending, "unsealed_" + answer.status());
         } else if (answer.isSuccess() && answer.isStream()) {
             if (!mStream.hasBegun()) {
-                mReply.takeHead(response);
+                mReply.takeHead(sending, response);
             }
             pinVersion(sending);
             mStream.pump(sending, content);
@@ -284,9 +284,9 @@
             return;
         }
         if (!isFailure) {
-            passOn(response, body);
+            passOn(sending, response, body);
         } else {
-            follow(RepeatRule.Cause.FAILED, () -> passOnFailure(response, answer, body));
+            follow(RepeatRule.Cause.FAILED, () -> passOnFailure(sending, response, answer, body));
         }
     }
 
@@ -385,17 +385,18 @@
         }
     }
 
-    private void passOn(Response response, byte[] body) {
+    private void passOn(Sending sending, Response response, byte[] body) {
         mServices.exchanges().end(this);
-        mReply.passOn(response, body);
+        mReply.passOn(sending, response, body);
     }
 
     /** Passes an endpoint's failure on, unless its status would deny that the request ran. */
-    private void passOnFailure(Response response, EndpointAnswer answer, byte[] body) {
+    private void passOnFailure(
+            Sending sending, Response response, EndpointAnswer answer, byte[] body) {
         if (STATUSES_OF_UNRUN.contains(answer.status())) {
             refuse(Refusal.outcomeUnknown("the endpoint failed with " + answer.status()));
         } else {
-            passOn(response, body);
+            passOn(sending, response, body);
         }
     }
 
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectHandler.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectHandler.java
@@ -157,6 +157,7 @@
                                 refusal.status(),
                                 refusal.code(),
                                 "",
+                                "",
                                 Duration.ZERO,
                                 Duration.ZERO));
         refusal.write(response, mServices.dialect().retryAfter(refusal.retryAfter()), callback);
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/RequestLog.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/RequestLog.java
@@ -22,6 +22,7 @@
      * @param stateIndex index of the fleet's state that decided
      * @param status status that the caller got, 0 where it got none
      * @param outcome short name of the outcome
+     * @param answeredBy endpoint whose head the answer bears, empty where the entry gave its own
      * @param sendings what became of each sending, in order
      * @param queued time in the queue
      * @param time time from the arrival to the end
@@ -34,6 +35,7 @@
             long stateIndex,
             int status,
             String outcome,
+            String answeredBy,
             String sendings,
             Duration queued,
             Duration time) {}
