Take the head of a stream with its first event

Cause: status and headers of a stream's answer were copied into the caller's response as soon as the head came, and sent with the first event. When the sending was lost between the two and no other followed, the refusal was written over what had been copied; only the next head dropped it. Of the same kind: a request was bound to the version of an endpoint of which its caller had got nothing.

Why it works: the head is a value of the sending until the first bytes for the caller are written, and is copied at that moment. Before it, the response is empty, and whoever ends the exchange fills it alone.

--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/CallerReply.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/CallerReply.java
@@ -82,10 +82,8 @@
         mResponse.write(true, ByteBuffer.wrap(body), mCallback);
     }
 
-    /** Takes the head of a stream; it is sent with the first events. */
+    /** Takes the head of an endpoint's answer, of which something is about to be written. */
     void takeHead(Sending sending, Response answer) {
-        // An earlier endpoint may have broken off after its head, which was not sent.
-        mResponse.reset();
         mAnsweredBy = sending.place().endpoint().id();
         HttpForwarder.copyHead(answer, mResponse);
     }
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectExchange.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectExchange.java
@@ -247,11 +247,7 @@
         } else if (!answer.isSealed()) {
             lose(sending, "unsealed_" + answer.status());
         } else if (answer.isSuccess() && answer.isStream()) {
-            if (!mStream.hasBegun()) {
-                mReply.takeHead(sending, response);
-            }
-            pinVersion(sending);
-            mStream.pump(sending, content);
+            mStream.pump(sending, response, content);
         } else {
             BodyReader.read(content, MAX_ANSWER_BYTES, mServices.answerBytes())
                     .whenComplete(
@@ -300,6 +296,12 @@
         sending.heard(mServices.clock().now());
     }
 
+    @Override
+    public void streamBegins(Sending sending, Response head) {
+        mReply.takeHead(sending, head);
+        pinVersion(sending);
+    }
+
     @Override
     public boolean streamEnded(Sending sending, int events) {
         return release(sending, Place.End.SUCCEEDED, "events_" + events);
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/StreamRelay.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/StreamRelay.java
@@ -2,8 +2,8 @@
 
 import java.nio.ByteBuffer;
 import java.util.Optional;
+import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.io.Content;
-import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.thread.SerializedInvoker;
 import org.jspecify.annotations.Nullable;
@@ -29,14 +29,20 @@
     private @Nullable Runnable mPaused;
     private boolean mHasBegun;
 
-    private StreamRelay(Response response, SerializedInvoker invoker, Exchange exchange) {
+    private StreamRelay(
+            org.eclipse.jetty.server.Response response,
+            SerializedInvoker invoker,
+            Exchange exchange) {
         mInvoker = invoker;
         mExchange = exchange;
         mOutput = new EventOutput(response, invoker, this);
     }
 
     /** Returns the relay of one exchange. */
-    static StreamRelay of(Response response, SerializedInvoker invoker, Exchange exchange) {
+    static StreamRelay of(
+            org.eclipse.jetty.server.Response response,
+            SerializedInvoker invoker,
+            Exchange exchange) {
         return new StreamRelay(response, invoker, exchange);
     }
 
@@ -48,6 +54,9 @@
         /** An event of a sending's stream has come whole. */
         void heard(Sending sending);
 
+        /** The first bytes for the caller are about to be written, under this sending's head. */
+        void streamBegins(Sending sending, Response head);
+
         /** A sending's stream has ended whole; returns whether the caller's answer may end too. */
         boolean streamEnded(Sending sending, int events);
 
@@ -81,16 +90,21 @@
         mSplitter.rest();
     }
 
-    /** Reads what has come of a stream, and passes whole events on. */
-    void pump(Sending sending, Content.Source content) {
+    /**
+     * Reads what has come of a stream, and passes whole events on.
+     *
+     * @param head head of the endpoint's answer; the caller gets that of the first sending of which
+     *     it gets an event
+     */
+    void pump(Sending sending, Response head, Content.Source content) {
         while (mExchange.isCurrent(sending)) {
             if (mOutput.pendingBytes() > MAX_PENDING_BYTES) {
-                mPaused = () -> pump(sending, content);
+                mPaused = () -> pump(sending, head, content);
                 return;
             }
             Content.Chunk chunk = content.read();
             if (chunk == null) {
-                content.demand(() -> mInvoker.run(() -> pump(sending, content)));
+                content.demand(() -> mInvoker.run(() -> pump(sending, head, content)));
                 return;
             }
             if (Content.Chunk.isFailure(chunk)) {
@@ -98,7 +112,7 @@
                 return;
             }
             int events = mSplitter.dataEvents();
-            pass(mSplitter.take(chunk.getByteBuffer()));
+            pass(sending, head, mSplitter.take(chunk.getByteBuffer()));
             if (mSplitter.dataEvents() > events) {
                 // Comments and parts of an event may drip from an endpoint that stands still.
                 mExchange.heard(sending);
@@ -110,24 +124,31 @@
                 return;
             }
             if (isLast) {
-                end(sending);
+                end(sending, head);
             }
         }
     }
 
-    private void pass(ByteBuffer events) {
+    private void pass(Sending sending, Response head, ByteBuffer events) {
         if (events.hasRemaining()) {
-            mHasBegun = true;
+            begin(sending, head);
             mOutput.write(events);
         }
     }
 
-    private void end(Sending sending) {
+    private void begin(Sending sending, Response head) {
+        if (!mHasBegun) {
+            mHasBegun = true;
+            mExchange.streamBegins(sending, head);
+        }
+    }
+
+    private void end(Sending sending, Response head) {
         // What follows the last whole event belongs to the answer, and is dropped with the sending.
         ByteBuffer rest = mSplitter.rest();
         if (mExchange.streamEnded(sending, mSplitter.events())) {
-            mHasBegun = true;
-            pass(rest);
+            begin(sending, head);
+            pass(sending, head, rest);
             mOutput.end();
         }
     }
