Test entries with the HTTP client that they run

RequestPathTest made a client of its own: the plain transport, one pool of connections an endpoint, and Jetty's handlers of redirects and challenges, which a fleet's processes clear. EndpointClient makes the client of both.

--- a/daemon/src/main/java/org/sequoiahill/daemon/process/FleetDaemon.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/FleetDaemon.java
@@ -95,7 +95,6 @@
         mControlServer.start();
         mServer.start();
         mHttpClient.start();
-        mHttpClient.getProtocolHandlers().clear();
         if (mSettings.role() != FleetRole.STORE) {
             mWatcher.start();
         }
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/FleetModule.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/FleetModule.java
@@ -16,10 +16,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.eclipse.jetty.client.HttpClient;
-import org.eclipse.jetty.http.HttpCookieStore;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
-import org.sequoiahill.daemon.connection.EndpointTransport;
-import org.sequoiahill.daemon.connection.ResetAwareConnector;
+import org.sequoiahill.daemon.connection.EndpointClient;
 import org.sequoiahill.daemon.process.control.ControlClient;
 import org.sequoiahill.daemon.process.control.ControlServer;
 import org.sequoiahill.daemon.process.control.ControlTraffic;
@@ -40,25 +38,6 @@
     private static final long IDLE_THREAD_SECONDS = 20;
     private static final int SCHEDULER_THREADS = 1;
 
-    /** Connections to one endpoint that an entry may have; endpoints bound their sum. */
-    private static final int MAX_CONNECTIONS_PER_ENDPOINT = 48;
-
-    private static final int MAX_QUEUED_PER_ENDPOINT = 256;
-
-    /** Time for a connection; the next endpoint is tried after it. */
-    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(400);
-
-    /**
-     * Idle time after which a connection to an endpoint is closed from here; in a fleet of hundreds
-     * an entry comes back to an endpoint after seconds.
-     */
-    private static final Duration ENDPOINT_IDLE_TIMEOUT = Duration.ofSeconds(10);
-
-    /** The same for connections of requests that may run once. */
-    private static final Duration BRIEF_IDLE_TIMEOUT = Duration.ofSeconds(2);
-
-    private static final int MAX_RESPONSE_HEADER_BYTES = 32 << 10;
-
     /** Timeouts of control calls; a waiting call of {@code StoreWatcher} lasts 900 ms. */
     private static final ControlClient.Timeouts CONTROL_TIMEOUTS =
             new ControlClient.Timeouts(Duration.ofMillis(500), Duration.ofMillis(1_400));
@@ -146,21 +125,7 @@
     @Provides
     @Singleton
     static HttpClient httpClient(QueuedThreadPool threads) {
-        ResetAwareConnector connector = new ResetAwareConnector();
-        connector.setSelectors(1);
-        HttpClient client = new HttpClient(EndpointTransport.over(connector, BRIEF_IDLE_TIMEOUT));
-        client.setExecutor(threads);
-        client.setFollowRedirects(false);
-        client.setUserAgentField(null);
-        client.setHttpCookieStore(new HttpCookieStore.Empty());
-        client.setConnectTimeout(CONNECT_TIMEOUT.toMillis());
-        client.setIdleTimeout(ENDPOINT_IDLE_TIMEOUT.toMillis());
-        client.setMaxConnectionsPerDestination(MAX_CONNECTIONS_PER_ENDPOINT);
-        client.setMaxRequestsQueuedPerDestination(MAX_QUEUED_PER_ENDPOINT);
-        client.setMaxResponseHeadersSize(MAX_RESPONSE_HEADER_BYTES);
-        client.setRequestBufferSize(MAX_RESPONSE_HEADER_BYTES);
-        client.getContentDecoderFactories().clear();
-        return client;
+        return EndpointClient.on(threads);
     }
 
     @Provides
