Say on what connection each sending of a request went

Each sending now ends in /new, /kept, /same or /none; /same is a connection that had carried this very request.

--- a/daemon/src/main/java/org/sequoiahill/daemon/request/HttpForwarder.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/HttpForwarder.java
@@ -18,6 +18,7 @@
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.util.Callback;
+import org.sequoiahill.daemon.connection.ConnectionUse;
 import org.sequoiahill.daemon.connection.EndpointTransport;
 import org.sequoiahill.daemon.connection.ExchangeLostException;
 
@@ -67,6 +68,9 @@
      * Receives what becomes of a call: an answer or a failure, and whether the answer broke off.
      */
     public interface Listener {
+        /** Takes the connection on which a call goes, before any byte is sent. */
+        default void onBegin(ConnectionUse connection) {}
+
         /** Decides on an answer whose headers have come; {@code content} must be read. */
         void onAnswer(Response answer, Content.Source content);
 
@@ -93,7 +97,14 @@
                 mClient.newRequest(call.target())
                         .method(call.method())
                         .headers(fields -> copyHeaders(call, fields))
-                        .onRequestBegin(started -> begun.set(true))
+                        .onRequestBegin(
+                                started -> {
+                                    begun.set(true);
+                                    ConnectionUse connection = ConnectionUse.of(started);
+                                    if (connection != null) {
+                                        listener.onBegin(connection);
+                                    }
+                                })
                         .idleTimeout(call.timeout().toMillis(), TimeUnit.MILLISECONDS)
                         .timeout(call.timeout().toMillis(), TimeUnit.MILLISECONDS);
         if (call.isOnce()) {
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/CallerReply.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/CallerReply.java
@@ -3,10 +3,13 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.time.Duration;
+import java.util.HashSet;
+import java.util.Set;
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.util.Callback;
 import org.jspecify.annotations.Nullable;
+import org.sequoiahill.daemon.connection.ConnectionUse;
 import org.sequoiahill.daemon.process.fleet.Organisation;
 import org.sequoiahill.daemon.request.HttpForwarder;
 import org.sequoiahill.daemon.request.Refusal;
@@ -22,6 +25,7 @@
     private final Callback mCallback;
     private final Duration mArrivedAt;
     private final StringBuilder mTrace = new StringBuilder();
+    private final Set<Object> mConnections = new HashSet<>();
     private @Nullable CallerWatch mWatch;
     private Duration mQueued = Duration.ZERO;
     private String mAnsweredBy = "";
@@ -67,7 +71,21 @@
                 .append(what)
                 .append('@')
                 .append(mServices.clock().now().minus(sending.sentAt()).toMillis())
-                .append("ms ");
+                .append("ms/")
+                .append(connectionOf(sending))
+                .append(' ');
+    }
+
+    /** Tells whether a sending's connection was new, kept, or one that had carried the request. */
+    private String connectionOf(Sending sending) {
+        ConnectionUse use = sending.connection();
+        if (use == null) {
+            return "none";
+        }
+        if (!mConnections.add(use.connection())) {
+            return "same";
+        }
+        return use.isNew() ? "new" : "kept";
     }
 
     /** Notes a decision. */
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/RequestLog.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/RequestLog.java
@@ -23,7 +23,7 @@
      * @param status status that the caller got, 0 where it got none
      * @param outcome short name of the outcome
      * @param answeredBy endpoint whose head the answer bears, empty where the entry gave its own
-     * @param sendings what became of each sending, in order
+     * @param sendings what became of each sending, in order, and on what connection it went
      * @param queued time in the queue
      * @param time time from the arrival to the end
      */
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/Sending.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/Sending.java
@@ -5,6 +5,7 @@
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.io.Content;
 import org.jspecify.annotations.Nullable;
+import org.sequoiahill.daemon.connection.ConnectionUse;
 import org.sequoiahill.daemon.request.HttpForwarder;
 
 /** One sending of a request to an endpoint, as the exchange follows it. */
@@ -14,6 +15,7 @@
     private final Events mEvents;
     private @Nullable Request mRequest;
     private Content.@Nullable Source mSource;
+    private volatile @Nullable ConnectionUse mConnection;
     private boolean mHasHead;
     private Duration mHeardAt;
 
@@ -36,6 +38,11 @@
         void failed(Sending sending, Throwable failure, boolean isUnsent);
     }
 
+    @Override
+    public void onBegin(ConnectionUse connection) {
+        mConnection = connection;
+    }
+
     @Override
     public void onAnswer(Response answer, Content.Source content) {
         mEvents.answered(this, answer, content);
@@ -64,6 +71,11 @@
         return mHeardAt;
     }
 
+    /** Returns the connection on which it went, null as long as it has none. */
+    @Nullable ConnectionUse connection() {
+        return mConnection;
+    }
+
     boolean hasHead() {
         return mHasHead;
     }
