Test which lost sendings count as unsent

The table runs refused and broken connections over real sockets: after the first byte, half of the body or the whole request, and on a kept connection, a loss counts as one that may have run; only a refused connection is unsent.

--- a/daemon/src/test/java/org/sequoiahill/daemon/request/HttpForwarderTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/request/HttpForwarderTest.java
@@ -1,11 +1,14 @@
 package org.sequoiahill.daemon.request;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+import static org.junit.jupiter.api.Named.named;
+import static org.junit.jupiter.params.provider.Arguments.arguments;
 
-import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
+import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -16,87 +19,208 @@
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.stream.Stream;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.sequoiahill.daemon.connection.BodyReader;
+import org.sequoiahill.daemon.connection.EndpointClient;
 
-/** Tests of {@link HttpForwarder} against an endpoint that sends a head and nothing more. */
+/** Tests of {@link HttpForwarder} against endpoints that break off. */
 final class HttpForwarderTest {
     private static final String HEAD = "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\n";
+    private static final String WHOLE = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    private static final int BODY_BYTES = 1 << 20;
 
-    private final HttpClient mClient = new HttpClient();
-    private ServerSocket mEndpoint;
+    private final HttpClient mClient = EndpointClient.on(new QueuedThreadPool());
+    private ServerSocket mServer;
 
     @BeforeEach
     void start() throws Exception {
         mClient.start();
-        mEndpoint = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
-        Thread thread = new Thread(this::sendHead, "endpoint");
-        thread.setDaemon(true);
-        thread.start();
+        mServer = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
     }
 
     @AfterEach
     void stop() throws Exception {
         mClient.stop();
-        mEndpoint.close();
+        mServer.close();
+    }
+
+    /** What an endpoint does with its first connection, and the only one. */
+    @FunctionalInterface
+    private interface Endpoint {
+        void serve(Socket socket) throws IOException;
     }
 
     @Test
     void send_answerBreaksOffUnread_isTold() throws Exception {
+        serve(
+                socket -> {
+                    readHead(socket.getInputStream());
+                    write(socket, HEAD);
+                    // Ends once the client has closed the connection.
+                    socket.getInputStream().transferTo(OutputStream.nullOutputStream());
+                });
         Answer answer = new Answer();
-        Request request =
-                HttpForwarder.over(mClient)
-                        .send(
-                                HttpForwarder.Call.of(
-                                        "GET",
-                                        URI.create("http://127.0.0.1:" + mEndpoint.getLocalPort()),
-                                        HttpFields.EMPTY,
-                                        ByteBuffer.allocate(0),
-                                        Duration.ofSeconds(20)),
-                                answer);
+        Request request = send(0, answer);
         answer.mHasHead.get(10, TimeUnit.SECONDS);
         IOException cause = new IOException("cut");
         request.abort(cause);
         assertThat(answer.mBroken.get(10, TimeUnit.SECONDS), is(cause));
     }
 
-    private void sendHead() {
-        try (Socket socket = mEndpoint.accept()) {
-            // An answer that comes before its request belongs to none.
-            BufferedReader reader =
-                    new BufferedReader(
-                            new InputStreamReader(
-                                    socket.getInputStream(), StandardCharsets.US_ASCII));
-            for (String line = reader.readLine(); line != null && !line.isEmpty(); ) {
-                line = reader.readLine();
-            }
-            socket.getOutputStream().write(HEAD.getBytes(StandardCharsets.US_ASCII));
-            // Ends once the client has closed the connection.
-            socket.getInputStream().transferTo(OutputStream.nullOutputStream());
-        } catch (IOException e) {
-            // The test has ended.
+    static Stream<Arguments> lossesAfterTheFirstByte() {
+        return Stream.of(
+                arguments(
+                        named(
+                                "reset after the first byte",
+                                (Endpoint)
+                                        socket -> {
+                                            socket.getInputStream().readNBytes(1);
+                                            reset(socket);
+                                        })),
+                arguments(
+                        named(
+                                "reset after half of the body",
+                                (Endpoint)
+                                        socket -> {
+                                            readHead(socket.getInputStream());
+                                            socket.getInputStream().readNBytes(BODY_BYTES / 2);
+                                            reset(socket);
+                                        })),
+                arguments(
+                        named(
+                                "reset after the whole request",
+                                (Endpoint)
+                                        socket -> {
+                                            readHead(socket.getInputStream());
+                                            socket.getInputStream().readNBytes(BODY_BYTES);
+                                            reset(socket);
+                                        })),
+                arguments(
+                        named(
+                                "end after the whole request",
+                                (Endpoint)
+                                        socket -> {
+                                            readHead(socket.getInputStream());
+                                            socket.getInputStream().readNBytes(BODY_BYTES);
+                                            socket.close();
+                                        })));
+    }
+
+    @ParameterizedTest
+    @MethodSource("lossesAfterTheFirstByte")
+    void send_lostAfterItsFirstByteWasRead_mayHaveRun(Endpoint endpoint) throws Exception {
+        serve(endpoint);
+        Answer answer = new Answer();
+        send(BODY_BYTES, answer);
+        assertThat(answer.mIsNotRun.get(30, TimeUnit.SECONDS), is(false));
+    }
+
+    @Test
+    void send_lostOnAKeptConnection_mayHaveRun() throws Exception {
+        serve(
+                socket -> {
+                    readHead(socket.getInputStream());
+                    write(socket, WHOLE);
+                    readHead(socket.getInputStream());
+                    reset(socket);
+                });
+        // The second request waits until the only connection is free.
+        mClient.setMaxConnectionsPerDestination(1);
+        Answer first = new Answer();
+        send(0, first);
+        first.mBody.get(10, TimeUnit.SECONDS);
+        Answer second = new Answer();
+        send(0, second);
+        assertThat(second.mIsNotRun.get(30, TimeUnit.SECONDS), is(false));
+        assertThat(second.mFailure.get(), not(instanceOf(TimeoutException.class)));
+    }
+
+    @Test
+    void send_connectionRefused_hasNotRun() throws Exception {
+        mServer.close();
+        Answer answer = new Answer();
+        send(BODY_BYTES, answer);
+        assertThat(answer.mIsNotRun.get(30, TimeUnit.SECONDS), is(true));
+    }
+
+    private Request send(int bodyBytes, Answer answer) {
+        return HttpForwarder.over(mClient)
+                .send(
+                        HttpForwarder.Call.of(
+                                "POST",
+                                URI.create("http://127.0.0.1:" + mServer.getLocalPort()),
+                                HttpFields.EMPTY,
+                                ByteBuffer.allocate(bodyBytes),
+                                Duration.ofSeconds(20)),
+                        answer);
+    }
+
+    private void serve(Endpoint endpoint) {
+        Thread thread =
+                new Thread(
+                        () -> {
+                            try (Socket socket = mServer.accept()) {
+                                endpoint.serve(socket);
+                            } catch (IOException e) {
+                                // The test has ended.
+                            }
+                        },
+                        "endpoint");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private static void readHead(InputStream in) throws IOException {
+        int newlines = 0;
+        for (int next = in.read(); next >= 0 && newlines < 2; ) {
+            newlines = next == '\n' ? newlines + 1 : next == '\r' ? newlines : 0;
+            next = newlines < 2 ? in.read() : next;
         }
     }
 
-    /** An answer that nobody reads. */
+    private static void write(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+    }
+
+    private static void reset(Socket socket) throws IOException {
+        socket.setSoLinger(true, 0);
+        socket.close();
+    }
+
+    /** What became of a request; the body of an answer with a length is left unread. */
     private static final class Answer implements HttpForwarder.Listener {
         private final CompletableFuture<Boolean> mHasHead = new CompletableFuture<>();
+        private final CompletableFuture<byte[]> mBody = new CompletableFuture<>();
         private final CompletableFuture<Throwable> mBroken = new CompletableFuture<>();
+        private final CompletableFuture<Throwable> mFailure = new CompletableFuture<>();
+        private final CompletableFuture<Boolean> mIsNotRun = new CompletableFuture<>();
 
         @Override
         public void onAnswer(Response answer, Content.Source content) {
             mHasHead.complete(true);
+            if (answer.getHeaders().getLongField("Content-Length") == 0) {
+                BodyReader.read(content, 0).thenAccept(mBody::complete);
+            }
         }
 
         @Override
         public void onFailure(Throwable failure, boolean isNotRun) {
             mHasHead.completeExceptionally(failure);
+            mFailure.complete(failure);
+            mIsNotRun.complete(isNotRun);
         }
 
         @Override
