Keep repeats of a request off the connections that carried it

Callers got the answer of a first sending as that of its repeat: a request that had run was answered as not run, or sent and run a third time, and a failure of the first run was passed on while the second run was answered with success.

The kind of a connection now counts which sending to its address its requests are. It tags the requests, and the client keeps a pool for each tag, so no connection carries a request twice. First sendings to another endpoint, the usual repeat, still use kept connections.

--- a/daemon/src/main/java/org/sequoiahill/daemon/connection/EndpointTransport.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/connection/EndpointTransport.java
@@ -10,16 +10,13 @@
 import org.eclipse.jetty.io.EndPoint;
 
 /**
- * Keeps idle connections to endpoints in two kinds: for requests that may be sent again as long as
- * the client keeps them, for others only briefly.
+ * Keeps idle connections to endpoints by the kind that tags their requests: those of ordinary
+ * requests as long as the client keeps them, others only briefly.
  *
  * <p>An endpoint may drop an idle connection without a word, and resets what is sent on it next. A
  * request that may run once is then lost, since nobody knows whether it ran.
  */
 public final class EndpointTransport extends HttpClientTransportOverHTTP {
-    /** Tag of requests whose connections are kept briefly. */
-    public static final String BRIEFLY_KEPT = "briefly-kept";
-
     private final Duration mBriefIdleTime;
 
     private EndpointTransport(ClientConnector connector, Duration briefIdleTime) {
@@ -41,7 +38,8 @@
             throws IOException {
         Object destination = context.get(HTTP_DESTINATION_CONTEXT_KEY);
         if (destination instanceof Destination known
-                && BRIEFLY_KEPT.equals(known.getOrigin().getTag())) {
+                && known.getOrigin().getTag() instanceof ConnectionKind kind
+                && kind.isKeptBriefly()) {
             endPoint.setIdleTimeout(mBriefIdleTime.toMillis());
         }
         return super.newConnection(endPoint, context);
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/HttpForwarder.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/HttpForwarder.java
@@ -18,8 +18,8 @@
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.util.Callback;
+import org.sequoiahill.daemon.connection.ConnectionKind;
 import org.sequoiahill.daemon.connection.ConnectionUse;
-import org.sequoiahill.daemon.connection.EndpointTransport;
 import org.sequoiahill.daemon.connection.ExchangeLostException;
 
 /** Sends one buffered request on and streams its answer back with backpressure. */
@@ -46,8 +46,7 @@
      * @param body whole body
      * @param timeout time until the whole answer must have come
      * @param host host that the caller named, where the endpoint must see it
-     * @param isOnce whether the call may run once only, so that it needs a connection that was used
-     *     a moment ago or is new
+     * @param kind kind of the connection that it may go on
      */
     public record Call(
             String method,
@@ -56,11 +55,18 @@
             ByteBuffer body,
             Duration timeout,
             Optional<String> host,
-            boolean isOnce) {
+            ConnectionKind kind) {
         /** Returns a call that names the target's own host. */
         public static Call of(
                 String method, URI target, HttpFields headers, ByteBuffer body, Duration timeout) {
-            return new Call(method, target, headers, body, timeout, Optional.empty(), false);
+            return new Call(
+                    method,
+                    target,
+                    headers,
+                    body,
+                    timeout,
+                    Optional.empty(),
+                    ConnectionKind.ORDINARY);
         }
     }
 
@@ -107,8 +113,8 @@
                                 })
                         .idleTimeout(call.timeout().toMillis(), TimeUnit.MILLISECONDS)
                         .timeout(call.timeout().toMillis(), TimeUnit.MILLISECONDS);
-        if (call.isOnce()) {
-            request.tag(EndpointTransport.BRIEFLY_KEPT);
+        if (!call.kind().equals(ConnectionKind.ORDINARY)) {
+            request.tag(call.kind());
         }
         String contentType = call.headers().get("Content-Type");
         if (call.body().hasRemaining()) {
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectExchange.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectExchange.java
@@ -3,7 +3,9 @@
 import java.io.IOException;
 import java.net.URI;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
@@ -15,7 +17,9 @@
 import org.eclipse.jetty.util.thread.SerializedInvoker;
 import org.jspecify.annotations.Nullable;
 import org.sequoiahill.daemon.connection.BodyReader;
+import org.sequoiahill.daemon.connection.ConnectionKind;
 import org.sequoiahill.daemon.process.fleet.Organisation;
+import org.sequoiahill.daemon.process.settings.HostPort;
 import org.sequoiahill.daemon.request.HttpForwarder;
 import org.sequoiahill.daemon.request.Refusal;
 
@@ -46,6 +50,7 @@
     private final SerializedInvoker mInvoker = new SerializedInvoker();
     private final StreamRelay mStream;
     private final Set<String> mTried = new HashSet<>();
+    private final Map<HostPort, Integer> mSendingsByAddress = new HashMap<>();
     private final RequestTimes mTimes;
     private @Nullable Sending mCurrent;
     private Duration mGiveUpAt;
@@ -189,6 +194,8 @@
         }
         mSendings++;
         mTried.add(place.endpoint().id());
+        HostPort address = place.endpoint().address();
+        int sendingThere = mSendingsByAddress.merge(address, 1, Integer::sum);
         Sending sending = new Sending(place, now, this);
         mCurrent = sending;
         Duration timeLeft = mTimes.deadline().minus(now);
@@ -203,13 +210,12 @@
         HttpForwarder.Call call =
                 new HttpForwarder.Call(
                         mRequest.method(),
-                        URI.create(
-                                "http://" + place.endpoint().address() + mRequest.pathAndQuery()),
+                        URI.create("http://" + address + mRequest.pathAndQuery()),
                         mServices.dialect().outgoing(mRequest.headers(), dispatch),
                         mRequest.body(),
                         timeLeft.plus(SENDING_SLACK),
                         Optional.of(mRequest.host()),
-                        !mRequest.route().isRepeatable());
+                        new ConnectionKind(!mRequest.route().isRepeatable(), sendingThere));
         sending.begun(mServices.forwarder().send(call, sending));
     }
 
