Believe "not run" without an id only on a connection's first request

A request that may run once was run twice: on a kept connection it read a late copy of an earlier request's answer that said "not run" and named no request, and was sent again while its first sending ran.

Endpoints echo the id of a request, and the id is what tells an answer that comes late from the one that is due. An answer without one is now taken for the request at hand only where no earlier request can have left it, that is on a connection's first request; elsewhere it counts as another request's. A 421 of another incarnation comes on a new connection, since those of the one before ended with it.

--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectExchange.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectExchange.java
@@ -243,7 +243,8 @@
         sending.headCame(content, mServices.clock().now());
         boolean isUnrun = answer.isNotRun() || answer.status() == MISDIRECTED;
         boolean isOurs = answer.requestId().equals(mRequest.caller().id());
-        if (!isOurs && !(isUnrun && answer.requestId().isEmpty())) {
+        boolean mayLackId = answer.requestId().isEmpty() && sending.isFirstOnItsConnection();
+        if (!isOurs && !(isUnrun && mayLackId)) {
             lose(sending, "foreign_answer");
             return;
         }
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/Sending.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/Sending.java
@@ -76,6 +76,12 @@
         return mConnection;
     }
 
+    /** Returns whether no earlier request can have left an answer on the connection. */
+    boolean isFirstOnItsConnection() {
+        ConnectionUse use = mConnection;
+        return use != null && use.isNew();
+    }
+
     boolean hasHead() {
         return mHasHead;
     }
