Frame relayed answers by chunks also on a connection that closes

Cause: the length of a relayed body is not known when its first bytes are written. The server frames such a body by chunks on a connection that is kept, but ends it by closing the connection where that is closed anyway. A stream that was cut off then ended as a whole one ends.

Ruled out: connections that are kept. Their last chunk is missing (stream_thatCannotGoOn_doesNotLookWhole, row 1, passed before). Whole answers of a known length have it stated in both cases.

Evidence: stream_thatCannotGoOn_doesNotLookWhole with 'Connection: close' failed before, 'Expected: is <false> but: was <true>' for whether the answer looks whole. AgentAnswerTest#answer_brokenOffBehindItsFirstBytes_doesNotLookWhole, both rows with 'close', failed before: 'Expected: a string containing "Transfer-Encoding: chunked"'. All pass now.

Why it works: the one place through which all relayed bodies are written states chunks where no length is stated, and the server ends such an answer by its last chunk only. A caller that speaks HTTP/1.0 has no chunks, and can't be told.

--- a/daemon/src/main/java/org/sequoiahill/daemon/request/AgentHandler.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/AgentHandler.java
@@ -16,6 +16,7 @@
 import org.eclipse.jetty.util.Callback;
 import org.jspecify.annotations.Nullable;
 import org.sequoiahill.daemon.connection.BodyReader;
+import org.sequoiahill.daemon.connection.FramedResponse;
 import org.sequoiahill.daemon.process.config.ConfigurationView;
 import org.sequoiahill.daemon.process.control.Identity;
 import org.sequoiahill.daemon.process.settings.DaemonSettings.AgentSettings;
@@ -88,7 +89,8 @@
         if (entrance instanceof EndpointGate.Permit permit) {
             Callback leaving = Callback.from(callback, () -> mGate.leave(permit));
             String route = path.substring(prefix.length());
-            new EndpointCall(request, response, leaving, permit).start(route);
+            new EndpointCall(request, FramedResponse.of(request, response), leaving, permit)
+                    .start(route);
         } else if (entrance instanceof EndpointGate.Refused refused) {
             refuse(refusalOf(refused.cause()), response, callback);
         }
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/EntryHandler.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/EntryHandler.java
@@ -9,6 +9,7 @@
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
 import org.sequoiahill.daemon.connection.BodyReader;
+import org.sequoiahill.daemon.connection.FramedResponse;
 import org.sequoiahill.daemon.process.config.ConfigurationView;
 import org.sequoiahill.protocol.document.ServiceDocument;
 import org.sequoiahill.protocol.weights.Digests;
@@ -105,7 +106,12 @@
                                 return;
                             }
                             ByteBuffer body = ByteBuffer.wrap(bytes).asReadOnlyBuffer();
-                            new Exchange(mServices, route.apply(body), response, callback).start();
+                            new Exchange(
+                                            mServices,
+                                            route.apply(body),
+                                            FramedResponse.of(request, response),
+                                            callback)
+                                    .start();
                         });
     }
 
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectHandler.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectHandler.java
@@ -11,6 +11,7 @@
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
 import org.sequoiahill.daemon.connection.BodyReader;
+import org.sequoiahill.daemon.connection.FramedResponse;
 import org.sequoiahill.daemon.process.fleet.FleetPicture;
 import org.sequoiahill.daemon.process.fleet.Organisation;
 import org.sequoiahill.daemon.process.fleet.Route;
@@ -92,7 +93,11 @@
                                             ByteBuffer.wrap(bytes).asReadOnlyBuffer(),
                                             decidedBy);
                             new DirectExchange(
-                                            mServices, direct, request, response, callback,
+                                            mServices,
+                                            direct,
+                                            request,
+                                            FramedResponse.of(request, response),
+                                            callback,
                                             arrivedAt)
                                     .start();
                         });
--- /dev/null
+++ b/daemon/src/test/java/org/sequoiahill/daemon/request/AgentAnswerTest.java
@@ -0,0 +1,160 @@
+package org.sequoiahill.daemon.request;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.endsWith;
+import static org.hamcrest.Matchers.not;
+import static org.hamcrest.Matchers.startsWith;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.time.Instant;
+import java.time.InstantSource;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.sequoiahill.daemon.connection.ExchangeHandler;
+import org.sequoiahill.daemon.connection.ExchangeTable;
+import org.sequoiahill.daemon.process.config.ConfigurationView;
+import org.sequoiahill.daemon.process.control.Identity;
+import org.sequoiahill.daemon.process.settings.DaemonSettings.AgentSettings;
+import org.sequoiahill.daemon.process.time.MonotonicClock;
+import org.sequoiahill.daemon.request.gate.SlowStart;
+import org.sequoiahill.daemon.request.once.AttemptHooks;
+import org.sequoiahill.daemon.request.once.AttemptTable;
+
+/** Tests of {@link AgentHandler} between bytes of an entry and bytes of an endpoint. */
+final class AgentAnswerTest {
+    private static final long INCARNATION = 7;
+    private static final int MAX_RECORDS = 100;
+    private static final int READ_TIMEOUT_MILLIS = 10_000;
+    private static final InstantSource CLOCK =
+            InstantSource.fixed(Instant.ofEpochMilli(1_000_000_000L));
+    private static final String LAST_CHUNK = "0\r\n\r\n";
+    private static final String WEIGHTS = "ab".repeat(32);
+
+    private final HttpClient mClient = new HttpClient();
+    private final Server mAgent = new Server();
+    private final ServerConnector mConnector = new ServerConnector(mAgent, 1, 1);
+    private ServerSocket mEndpoint;
+
+    @BeforeEach
+    void start() throws Exception {
+        mEndpoint = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
+        mClient.start();
+        MonotonicClock clock = MonotonicClock.system();
+        Identity identity = Identity.of("agent-1", "ma-a", INCARNATION);
+        EndpointGate gate =
+                EndpointGate.closed(clock, 1 << 20, SlowStart.cold(8, SlowStart.WarmUp.none()));
+        gate.open(WEIGHTS);
+        URI engine = URI.create("http://127.0.0.1:" + mEndpoint.getLocalPort());
+        AgentSettings settings =
+                new AgentSettings(
+                        "writer",
+                        engine,
+                        engine,
+                        8,
+                        SlowStart.WarmUp.none(),
+                        1 << 20,
+                        false,
+                        1 << 20,
+                        1 << 20);
+        AttemptTable attempts = AttemptTable.of(INCARNATION, CLOCK, MAX_RECORDS, 1 << 20);
+        mConnector.setHost("127.0.0.1");
+        mAgent.addConnector(mConnector);
+        mAgent.setHandler(
+                ExchangeHandler.around(
+                        RequestHeaders.REQUEST_ID,
+                        request -> true,
+                        ExchangeTable.of(clock, MAX_RECORDS),
+                        (response, callback) -> {},
+                        AgentHandler.of(
+                                identity,
+                                settings,
+                                ConfigurationView.of(identity),
+                                gate,
+                                HttpForwarder.over(mClient),
+                                AttemptHooks.over(attempts))));
+        mAgent.start();
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        mAgent.stop();
+        mClient.stop();
+        mEndpoint.close();
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        // framing and body of the endpoint's answer, what the entry does with its connection
+        "Content-Length: 50, hel, keep-alive",
+        "Content-Length: 50, hel, close",
+        "Transfer-Encoding: chunked, 3;hel;, keep-alive",
+        "Transfer-Encoding: chunked, 3;hel;, close"
+    })
+    void answer_brokenOffBehindItsFirstBytes_doesNotLookWhole(
+            String framing, String body, String connection) throws Exception {
+        answerOnce(framing, body);
+        String answer = call("Connection: " + connection);
+        assertThat(answer, startsWith("HTTP/1.1 200 OK\r\n"));
+        assertThat(answer, containsString("Transfer-Encoding: chunked\r\n"));
+        assertThat(answer, not(endsWith(LAST_CHUNK)));
+    }
+
+    /** Returns all bytes of the answer to an entry's request. */
+    private String call(String header) throws IOException {
+        try (Socket socket = new Socket("127.0.0.1", mConnector.getLocalPort())) {
+            socket.setSoTimeout(READ_TIMEOUT_MILLIS);
+            String request =
+                    "POST /services/writer/x HTTP/1.1\r\nHost: a\r\n"
+                            + "Sequoia-Request-Id: id-1\r\nContent-Length: 0\r\n"
+                            + header
+                            + "\r\n\r\n";
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+            socket.shutdownOutput();
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+        }
+    }
+
+    /** Answers the next request, and breaks off. */
+    private void answerOnce(String framing, String body) {
+        String answer =
+                "HTTP/1.1 200 OK\r\nX-Of-Endpoint: 1\r\n"
+                        + framing
+                        + "\r\n\r\n"
+                        + body.replace(";", "\r\n");
+        Thread thread =
+                new Thread(
+                        () -> {
+                            try (Socket socket = mEndpoint.accept()) {
+                                BufferedReader reader =
+                                        new BufferedReader(
+                                                new InputStreamReader(
+                                                        socket.getInputStream(),
+                                                        StandardCharsets.US_ASCII));
+                                for (String line = reader.readLine();
+                                        line != null && !line.isEmpty(); ) {
+                                    line = reader.readLine();
+                                }
+                                socket.getOutputStream()
+                                        .write(answer.getBytes(StandardCharsets.US_ASCII));
+                            } catch (IOException e) {
+                                // The test has ended.
+                            }
+                        },
+                        "endpoint");
+        thread.setDaemon(true);
+        thread.start();
+    }
+}
