Take the head of a relayed answer with its first bytes

Callers of a service saw a whole 500 of the server's own, with the text of an exception in it, for an answer of an endpoint that had broken off after its head. Entries saw the weights of an endpoint on the refusal of a claimed call whose answer had broken off.

Cause: a relay copied the head into the response before it had read anything of the body, and the agent put the endpoint's weights there before that. When the body broke off first, nothing was sent yet, the relay failed the exchange, and the server made up an answer without the request's id; or a refusal was written over what had been put there.

Ruled out: an answer that breaks off behind its first bytes. It ends without its last chunk (answer_brokenOffBehindItsFirstBytes_doesNotLookWhole).

Why it works: the head, with the weights that the agent adds to it, stays a value until the first bytes are written, and is copied at that moment. Before it, the response is empty, and an answer that broke off is refused as one whose request may have run, which an entry can send again where that is allowed.

--- a/daemon/src/main/java/org/sequoiahill/daemon/request/AgentHandler.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/AgentHandler.java
@@ -1,10 +1,8 @@
 package org.sequoiahill.daemon.request;
 
-import java.io.EOFException;
 import java.io.IOException;
 import java.net.URI;
 import java.nio.ByteBuffer;
-import java.nio.channels.ClosedChannelException;
 import java.time.Duration;
 import java.util.Optional;
 import org.eclipse.jetty.client.Response;
@@ -185,8 +183,15 @@
                 mGate.answered(mPermit);
             }
             tellLoad(mResponse);
-            mResponse.getHeaders().put(RequestHeaders.WEIGHTS, mPermit.digest());
-            mHooks.relay(mRequest, answer, content, mResponse, mCallback);
+            HttpFields headers =
+                    HttpFields.build(answer.getHeaders())
+                            .put(RequestHeaders.WEIGHTS, mPermit.digest());
+            mHooks.relay(
+                    mRequest,
+                    new AnswerHead(answer.getStatus(), headers),
+                    content,
+                    mResponse,
+                    mCallback);
         }
 
         @Override
@@ -197,14 +202,7 @@
             refuse(
                     isNotRun
                             ? Refusal.unavailable("engine_down", "no engine listens")
-                            : lost(failure));
-        }
-
-        /** An engine that closed the connection has died; a slow or crossed one has not. */
-        private Refusal lost(Throwable failure) {
-            return failure instanceof EOFException || failure instanceof ClosedChannelException
-                    ? Refusal.endpointDied("the engine died")
-                    : Refusal.outcomeUnknown("the engine was lost");
+                            : Refusal.endpointLost(failure));
         }
 
         private void refuse(Refusal refusal) {
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/once/RecordedResponse.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/AnswerHead.java
@@ -1,4 +1,4 @@
-package org.sequoiahill.daemon.request.once;
+package org.sequoiahill.daemon.request;
 
 import java.util.concurrent.CompletableFuture;
 import org.eclipse.jetty.client.Request;
@@ -8,12 +8,12 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * An answer from the record in the form of one that has just come.
+ * Status and headers of an answer that is not, or not only, what an endpoint has just sent.
  *
  * @param status HTTP status
  * @param headers headers
  */
-record RecordedResponse(int status, HttpFields headers) implements Response {
+public record AnswerHead(int status, HttpFields headers) implements Response {
     @Override
     public @Nullable Request getRequest() {
         return null;
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/HttpForwarder.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/HttpForwarder.java
@@ -21,6 +21,7 @@
 import org.sequoiahill.daemon.connection.ConnectionKind;
 import org.sequoiahill.daemon.connection.ConnectionUse;
 import org.sequoiahill.daemon.connection.ExchangeLostException;
+import org.tinylog.Logger;
 
 /** Sends one buffered request on and streams its answer back with backpressure. */
 public final class HttpForwarder {
@@ -145,14 +146,37 @@
         call.host().ifPresent(host -> fields.put(HttpHeader.HOST, host));
     }
 
-    /** Copies an answer to the caller's response and completes the callback at its end. */
+    /**
+     * Copies an answer to the caller's response and completes the callback at its end.
+     *
+     * <p>The response takes the head with the first bytes, so that an answer that breaks off before
+     * them leaves nothing behind, and is refused.
+     */
     public static void relay(
             Response answer,
             Content.Source content,
             org.eclipse.jetty.server.Response response,
             Callback callback) {
-        copyHead(answer, response);
-        Content.copy(content, response, callback);
+        Content.copy(
+                content,
+                (isLast, bytes, written) -> {
+                    if (!response.isCommitted()) {
+                        copyHead(answer, response);
+                    }
+                    response.write(isLast, bytes, written);
+                },
+                Callback.from(
+                        callback::succeeded, failure -> breakOff(failure, response, callback)));
+    }
+
+    private static void breakOff(
+            Throwable failure, org.eclipse.jetty.server.Response response, Callback callback) {
+        if (response.isCommitted()) {
+            callback.failed(failure);
+            return;
+        }
+        Logger.info("an answer broke off before its first byte: {}", failure.toString());
+        Refusal.endpointLost(failure).write(response, callback);
     }
 
     /** Copies status and headers, but the identity, which belongs to the asked side's hop. */
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/Refusal.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/Refusal.java
@@ -2,7 +2,9 @@
 
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.EOFException;
 import java.nio.ByteBuffer;
+import java.nio.channels.ClosedChannelException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import org.eclipse.jetty.http.HttpHeader;
@@ -48,9 +50,16 @@
         return new Refusal(BAD_GATEWAY, "outcome_unknown", message, false, Duration.ZERO);
     }
 
-    /** Returns the answer to a request that may have run on an endpoint that has died. */
-    public static Refusal endpointDied(String message) {
-        return new Refusal(BAD_GATEWAY, ENDPOINT_DIED, message, false, Duration.ZERO);
+    /**
+     * Returns the answer to a request that may have run on an endpoint that was lost. One that
+     * closed the connection has died; a slow or crossed one has not.
+     */
+    public static Refusal endpointLost(Throwable failure) {
+        boolean hasDied =
+                failure instanceof EOFException || failure instanceof ClosedChannelException;
+        return hasDied
+                ? new Refusal(BAD_GATEWAY, ENDPOINT_DIED, "the endpoint died", false, Duration.ZERO)
+                : outcomeUnknown("the endpoint was lost");
     }
 
     /** Returns this refusal for a request of which an earlier attempt may have run. */
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/once/ClaimedCalls.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/once/ClaimedCalls.java
@@ -17,6 +17,7 @@
 import org.sequoiahill.daemon.process.control.Identity;
 import org.sequoiahill.daemon.process.directory.Endpoint;
 import org.sequoiahill.daemon.process.time.MonotonicClock;
+import org.sequoiahill.daemon.request.AnswerHead;
 import org.sequoiahill.daemon.request.Attempt;
 import org.sequoiahill.daemon.request.Outcome;
 import org.sequoiahill.daemon.request.Refusal;
@@ -189,7 +190,7 @@
             ByteBuffer body = answer.answer().body().slice();
             Content.Source content = new ByteBufferContentSource(body);
             return new Outcome.Answered(
-                    new RecordedResponse(answer.answer().status(), headersOf(answer)), content);
+                    new AnswerHead(answer.answer().status(), headersOf(answer)), content);
         } else if (action instanceof RunOnceAction.NotRun) {
             return new Outcome.NotRun("barred", Duration.ZERO);
         } else if (action instanceof RunOnceAction.Refuse refuse) {
--- a/daemon/src/test/java/org/sequoiahill/daemon/request/AgentAnswerTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/request/AgentAnswerTest.java
@@ -16,6 +16,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.Random;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
@@ -31,7 +32,9 @@
 import org.sequoiahill.daemon.process.time.MonotonicClock;
 import org.sequoiahill.daemon.request.gate.SlowStart;
 import org.sequoiahill.daemon.request.once.AttemptHooks;
+import org.sequoiahill.daemon.request.once.AttemptNumbers;
 import org.sequoiahill.daemon.request.once.AttemptTable;
+import org.sequoiahill.daemon.request.once.AttemptTicket;
 
 /** Tests of {@link AgentHandler} between bytes of an entry and bytes of an endpoint. */
 final class AgentAnswerTest {
@@ -112,6 +115,26 @@
         assertThat(answer, not(endsWith(LAST_CHUNK)));
     }
 
+    @ParameterizedTest
+    @CsvSource({
+        // whether the call is claimed, framing and body of the endpoint's answer
+        "false, Content-Length: 50, ''",
+        "false, Transfer-Encoding: chunked, ''",
+        "true, Content-Length: 50, ''",
+        "true, Content-Length: 50, hel",
+        "true, Transfer-Encoding: chunked, 3;hel;"
+    })
+    void answer_brokenOffBeforeItWasBegun_bearsNothingOfTheEndpoint(
+            boolean isClaimed, String framing, String body) throws Exception {
+        answerOnce(framing, body);
+        String answer = call(isClaimed ? AttemptTicket.HEADER + ": " + ticket() : "X-Unused: 1");
+        assertThat(answer, startsWith("HTTP/1.1 502 Bad Gateway\r\n"));
+        assertThat(answer, containsString(RequestHeaders.REQUEST_ID + ": id-1\r\n"));
+        assertThat(answer, containsString(RequestHeaders.OUTCOME_UNKNOWN + ": "));
+        assertThat(answer, not(containsString(RequestHeaders.WEIGHTS)));
+        assertThat(answer, not(containsString("X-Of-Endpoint")));
+    }
+
     /** Returns all bytes of the answer to an entry's request. */
     private String call(String header) throws IOException {
         try (Socket socket = new Socket("127.0.0.1", mConnector.getLocalPort())) {
@@ -127,6 +150,11 @@
         }
     }
 
+    private static AttemptTicket ticket() {
+        long attempt = AttemptNumbers.of(CLOCK, new Random(1)).next();
+        return new AttemptTicket(INCARNATION, attempt, "0".repeat(64));
+    }
+
     /** Answers the next request, and breaks off. */
     private void answerOnce(String framing, String body) {
         String answer =
