Count repeats by cause and by what paid for them, and log what a budget decides by

Each entry now counts first sendings and repeats by cause and by what allowed them, has the divisor and its part of the slack as gauges, and logs a line when the divisor changes and at a service's first denial in a window.

--- a/daemon/src/main/java/org/sequoiahill/daemon/process/FleetEntry.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/FleetEntry.java
@@ -32,6 +32,7 @@
 import org.sequoiahill.daemon.request.direct.DirectServices;
 import org.sequoiahill.daemon.request.direct.DirectSettings;
 import org.sequoiahill.daemon.request.direct.Dispatcher;
+import org.sequoiahill.daemon.request.direct.RepeatBudgets;
 import org.sequoiahill.daemon.request.direct.RunningExchanges;
 import org.sequoiahill.daemon.request.load.LoadExchange;
 import org.sequoiahill.daemon.version.staging.PieceRelay;
@@ -118,6 +119,7 @@
                 new DirectServices(
                         adapter.callers(),
                         dispatcher,
+                        RepeatBudgets.of(direct, view::picture, clock, metrics),
                         forwarder,
                         exchanges,
                         answerBytes,
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectExchange.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectExchange.java
@@ -80,7 +80,7 @@
                 () -> {
                     mServices.exchanges().begin(this);
                     mReply.watch(mCallerRequest, () -> mInvoker.run(this::callerGone));
-                    mServices.dispatcher().noteFirst(service());
+                    mServices.repeats().noteFirst(service());
                     mServices.dispatcher().submit(this);
                 });
     }
@@ -361,10 +361,13 @@
         RepeatRule.Decision decision =
                 RepeatRule.decide(cause, mRequest.route(), mSendings, mRuns, isTimeLeft);
         if (decision == RepeatRule.Decision.REPEAT_IN_BUDGET
-                && !mServices.dispatcher().takeRepeat(service())) {
+                && !mServices.repeats().take(service(), cause)) {
             mReply.trace("no_budget");
             decision = RepeatRule.otherwise(cause, mRuns);
         }
+        if (decision == RepeatRule.Decision.REPEAT) {
+            mServices.repeats().noteUnbudgeted(cause);
+        }
         switch (decision) {
             case REPEAT, REPEAT_IN_BUDGET -> {
                 mGiveUpAt = mTimes.repeatGiveUpAt(now);
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectServices.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectServices.java
@@ -9,6 +9,7 @@
  *
  * @param dialect names of headers
  * @param dispatcher gives places at endpoints
+ * @param repeats bounds the repeats of requests
  * @param forwarder sends to endpoints
  * @param exchanges requests that run
  * @param answerBytes bounds the bytes of answers that are not whole yet
@@ -18,6 +19,7 @@
 public record DirectServices(
         CallerDialect dialect,
         Dispatcher dispatcher,
+        RepeatBudgets repeats,
         HttpForwarder forwarder,
         RunningExchanges exchanges,
         HeldBytes answerBytes,
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/Dispatcher.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/Dispatcher.java
@@ -45,14 +45,12 @@
 
     private final Object mLock = new Object();
     private final Supplier<FleetPicture> mPicture;
-    private final DirectSettings mSettings;
     private final MonotonicClock mClock;
     private final RandomGenerator mRandom;
     private final DelayedRunner mRunner;
     private final Placement mPlacement;
     private final Map<Start, EndpointStatus> mStatuses = new HashMap<>();
     private final Map<String, PriorityQueue<Waiting>> mQueues = new HashMap<>();
-    private final Map<String, RepeatBudget> mBudgets = new HashMap<>();
     private final Map<String, ReturnForecast> mForecasts = new HashMap<>();
     private long mArrivals;
     private int mWaiting;
@@ -65,7 +63,6 @@
             RandomGenerator random,
             DelayedRunner runner) {
         mPicture = picture;
-        mSettings = settings;
         mClock = clock;
         mRandom = random;
         mRunner = runner;
@@ -108,20 +105,6 @@
         return mPlacement.isOutdated(ticket, endpoint, mPicture.get(), mClock.now());
     }
 
-    /** Takes one repeat from the budget of a service. */
-    boolean takeRepeat(String service) {
-        synchronized (mLock) {
-            return budgetOf(service).take(mClock.now(), Placement.entries(mPicture.get()));
-        }
-    }
-
-    /** Notes the first sending of a request. */
-    void noteFirst(String service) {
-        synchronized (mLock) {
-            budgetOf(service).noteFirst(mClock.now());
-        }
-    }
-
     /** Returns how many requests wait. */
     public int waiting() {
         synchronized (mLock) {
@@ -314,8 +297,4 @@
     private PriorityQueue<Waiting> queueOf(String service) {
         return mQueues.computeIfAbsent(service, name -> new PriorityQueue<>(Waiting.ORDER));
     }
-
-    private RepeatBudget budgetOf(String service) {
-        return mBudgets.computeIfAbsent(service, name -> RepeatBudget.of(mSettings));
-    }
 }
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/RepeatBudget.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/RepeatBudget.java
@@ -19,6 +19,26 @@
     private final Deque<Duration> mRequests = new ArrayDeque<>();
     private final Deque<Duration> mRepeats = new ArrayDeque<>();
 
+    /** What a budget decided on a repeat. */
+    enum Verdict {
+        /** Allowed, and paid by requests. */
+        RATIO,
+        /** Allowed, and paid at least partly by the slack. */
+        SLACK,
+        /** Not allowed. */
+        DENIED
+    }
+
+    /**
+     * What a budget decides by.
+     *
+     * @param now monotonic time of the decision
+     * @param requests requests in the window
+     * @param repeats repeats in the window
+     * @param entries entries by which the slack is divided
+     */
+    record Usage(Duration now, int requests, int repeats, int entries) {}
+
     private RepeatBudget(DirectSettings settings) {
         mSettings = settings;
     }
@@ -34,17 +54,21 @@
     }
 
     /** Takes one repeat where the budget has room, among a number of entries. */
-    boolean take(Duration now, int entries) {
+    Verdict take(Duration now, int entries) {
         forget(now);
-        double allowed =
-                USED_PART
-                        * (mSettings.repeatRatio() * mRequests.size()
-                                + mSettings.repeatSlack() / Math.max(1, entries));
+        double byRatio = USED_PART * mSettings.repeatRatio() * mRequests.size();
+        double allowed = byRatio + USED_PART * mSettings.repeatSlack() / Math.max(1, entries);
         if (mRepeats.size() + 1 > allowed) {
-            return false;
+            return Verdict.DENIED;
         }
         mRepeats.addLast(now);
-        return true;
+        return mRepeats.size() <= byRatio ? Verdict.RATIO : Verdict.SLACK;
+    }
+
+    /** Returns what the budget decides by. */
+    Usage usage(Duration now, int entries) {
+        forget(now);
+        return new Usage(now, mRequests.size(), mRepeats.size(), entries);
     }
 
     private void forget(Duration now) {
--- a/daemon/src/test/java/org/sequoiahill/daemon/request/direct/RepeatBudgetTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/request/direct/RepeatBudgetTest.java
@@ -30,7 +30,7 @@
             RepeatBudget budget = budgets.get(random.nextInt(entries));
             budget.noteFirst(now);
             requests.add(now);
-            if (budget.take(now, entries)) {
+            if (budget.take(now, entries) != RepeatBudget.Verdict.DENIED) {
                 repeats.add(now);
             }
         }
