--- a/daemon/src/test/java/org/sequoiahill/daemon/request/direct/Fleets.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/request/direct/Fleets.java
@@ -23,16 +23,7 @@
 
 /** Pictures of a fleet for tests: one service {@code writer} in the data centres dc-1 and dc-2. */
 final class Fleets {
-    static final DirectSettings SETTINGS =
-            new DirectSettings(
-                    "entry-0",
-                    Map.of("dc-1", "region-1", "dc-2", "region-2"),
-                    "region-1",
-                    0.2,
-                    Duration.ofSeconds(10),
-                    100,
-                    Duration.ofSeconds(7),
-                    Duration.ofMillis(7_500));
+    static final DirectSettings SETTINGS = withSlack(100);
 
     private final List<EndpointInfo> mEndpoints = new ArrayList<>();
     private final Map<String, VersionHistory> mHistories = new HashMap<>();
@@ -43,6 +34,19 @@
     private int mConnections = 10_000;
     private Optional<EngineProfile> mEngine = Optional.empty();
 
+    /** Returns settings with a slack of repeats. */
+    static DirectSettings withSlack(double slack) {
+        return new DirectSettings(
+                "entry-0",
+                Map.of("dc-1", "region-1", "dc-2", "region-2"),
+                "region-1",
+                0.2,
+                Duration.ofSeconds(10),
+                slack,
+                Duration.ofSeconds(7),
+                Duration.ofMillis(7_500));
+    }
+
     /** Adds a ready endpoint. */
     Fleets endpoint(String id, String dataCentre, int slots) {
         return endpoint(id, dataCentre, slots, EndpointState.READY, Duration.ZERO);
--- /dev/null
+++ b/daemon/src/test/java/org/sequoiahill/daemon/request/direct/PlayedEntries.java
@@ -0,0 +1,244 @@
+package org.sequoiahill.daemon.request.direct;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.function.IntPredicate;
+import java.util.stream.IntStream;
+import org.sequoiahill.daemon.process.endpoints.EndpointRegistry;
+import org.sequoiahill.daemon.process.fleet.FleetView;
+import org.sequoiahill.daemon.process.fleet.RoutingTable;
+import org.sequoiahill.daemon.process.settings.HostPort;
+import org.sequoiahill.daemon.process.time.ManualClock;
+import org.sequoiahill.protocol.gen.Participant;
+import org.sequoiahill.protocol.gen.ParticipantRole;
+import org.sequoiahill.protocol.gen.WatchReply;
+import org.sequoiahill.protocol.gen.WatchRequest;
+import org.sequoiahill.protocol.json.Checked;
+
+/**
+ * Entries before three stores in virtual time, all of whose sendings fail during a storm.
+ *
+ * <p>Registries of the stores, views and budgets are the real ones; only calls are played. Each
+ * entry and store is in a part of the network and reaches what is in the same one.
+ */
+final class PlayedEntries {
+    static final int STEPS_PER_SECOND = 10;
+    private static final int STORES = 3;
+    private static final int CALL_STEPS = 9;
+    private static final int FORGET_STEPS = 120;
+    private static final int RESTART_STEPS = 5;
+    private static final int MAX_DELAY_STEPS = 5;
+    private static final int REPEATS_A_REQUEST = 2;
+    private static final Duration STEP = Duration.ofMillis(1_000 / STEPS_PER_SECOND);
+    private static final Duration PARTICIPANT_LEASE = Duration.ofSeconds(4);
+
+    private final DirectSettings mSettings;
+    private final ManualClock mClock = new ManualClock();
+    private final Random mRandom;
+    private final List<EndpointRegistry> mStores = new ArrayList<>();
+    private final int[] mStoreParts = new int[STORES];
+    private final List<Played> mEntries = new ArrayList<>();
+    private final int[] mRequests;
+    private final int[] mRepeats;
+    private int mStep;
+
+    PlayedEntries(DirectSettings settings, int entries, int seconds, long seed) {
+        mSettings = settings;
+        mRandom = new Random(seed);
+        mRequests = new int[seconds * STEPS_PER_SECOND + MAX_DELAY_STEPS + 1];
+        mRepeats = new int[mRequests.length];
+        for (int i = 0; i < STORES; i++) {
+            mStores.add(EndpointRegistry.of(mClock, PARTICIPANT_LEASE, PARTICIPANT_LEASE, i + 1));
+        }
+        add(entries);
+    }
+
+    /** Runs for a time; the requests of each second go to the entries that run. */
+    void run(double seconds, double requestsPerSecond, boolean isStorm) {
+        int end = mStep + (int) Math.round(seconds * STEPS_PER_SECOND);
+        double due = 0;
+        while (mStep < end) {
+            mClock.advance(STEP);
+            mStep++;
+            mStores.forEach(EndpointRegistry::expire);
+            mEntries.forEach(Played::step);
+            List<Played> running = mEntries.stream().filter(Played::isRunning).toList();
+            due += requestsPerSecond / STEPS_PER_SECOND;
+            while (due >= 1) {
+                due--;
+                mRequests[mStep]++;
+                if (!running.isEmpty()) {
+                    running.get(mRandom.nextInt(running.size())).request(isStorm);
+                }
+            }
+        }
+    }
+
+    /** Adds entries that start now. */
+    void add(int entries) {
+        for (int i = 0; i < entries; i++) {
+            mEntries.add(new Played(mEntries.size()));
+        }
+    }
+
+    /** Kills entries and starts them again. */
+    void restart(IntPredicate which) {
+        chosen(which).forEach(entry -> entry.restartAt(mStep + RESTART_STEPS));
+    }
+
+    /** Ends entries for good. */
+    void remove(IntPredicate which) {
+        chosen(which).forEach(entry -> entry.restartAt(Integer.MAX_VALUE));
+    }
+
+    /** Puts entries and stores into a part of the network. */
+    void move(IntPredicate entries, IntPredicate stores, int part) {
+        chosen(entries).forEach(entry -> entry.mPart = part);
+        IntStream.range(0, STORES).filter(stores).forEach(store -> mStoreParts[store] = part);
+    }
+
+    /**
+     * Returns the most by which repeats were over the bound in any window; 0 where they kept it.
+     */
+    double excess() {
+        int window = (int) mSettings.repeatWindow().toSeconds() * STEPS_PER_SECOND;
+        double excess = 0;
+        for (int start = window; start < mRequests.length - window; start++) {
+            int requests =
+                    Math.max(
+                            sum(mRequests, start, window),
+                            Math.max(
+                                    sum(mRequests, start - window, window),
+                                    sum(mRequests, start - window / 2, window)));
+            double bound = mSettings.repeatRatio() * requests + mSettings.repeatSlack();
+            excess = Math.max(excess, sum(mRepeats, start, window) - bound);
+        }
+        return excess;
+    }
+
+    /** Returns the repeats that arrived from a second on. */
+    int repeatsSince(int second) {
+        int start = second * STEPS_PER_SECOND;
+        return sum(mRepeats, start, mRepeats.length - start);
+    }
+
+    private List<Played> chosen(IntPredicate which) {
+        return mEntries.stream().filter(entry -> which.test(entry.mNumber)).toList();
+    }
+
+    private static int sum(int[] counts, int start, int length) {
+        return IntStream.range(start, start + length).map(i -> counts[i]).sum();
+    }
+
+    private boolean isCurrent(int store) {
+        return IntStream.of(mStoreParts).filter(part -> part == mStoreParts[store]).count() * 2
+                > STORES;
+    }
+
+    private static HostPort address(int store) {
+        return new HostPort("10.0.0." + store, 1);
+    }
+
+    /** One entry, which may have several processes one after another. */
+    private final class Played {
+        private final int mNumber;
+        private final Map<Integer, Integer> mAnsweredAt = new HashMap<>();
+        private int mPart;
+        private int mIncarnation;
+        private int mStartsAt;
+        private FleetView mView = newView();
+        private RepeatBudget mBudget = RepeatBudget.of(mSettings);
+
+        Played(int number) {
+            mNumber = number;
+            mStartsAt = mStep + 1;
+        }
+
+        private FleetView newView() {
+            return FleetView.of(
+                    mClock,
+                    text -> Checked.of(RoutingTable.of(1, List.of(), Map.of(), Map.of(), 0)),
+                    (delay, task) -> task.run());
+        }
+
+        boolean isRunning() {
+            return mStep >= mStartsAt;
+        }
+
+        void restartAt(int step) {
+            mStartsAt = step;
+            mIncarnation++;
+            mAnsweredAt.clear();
+            mView = newView();
+            mBudget = RepeatBudget.of(mSettings);
+        }
+
+        void step() {
+            if (!isRunning()) {
+                return;
+            }
+            for (int store = 0; store < STORES; store++) {
+                boolean isDue = (mStep + mNumber + store) % CALL_STEPS == 0;
+                if (mPart == mStoreParts[store] && (isDue || !mAnsweredAt.containsKey(store))) {
+                    call(store);
+                    mAnsweredAt.put(store, mStep);
+                } else if (mStep - mAnsweredAt.getOrDefault(store, mStep) > FORGET_STEPS) {
+                    mView.forget(address(store));
+                    mAnsweredAt.remove(store);
+                }
+            }
+        }
+
+        private void call(int store) {
+            WatchRequest request = new WatchRequest();
+            mView.prepare(request, address(store), false);
+            mStores.get(store).heard(participant());
+            WatchReply reply = new WatchReply().setItems(new ArrayList<>());
+            mStores.get(store)
+                    .await(
+                            reply,
+                            request.getFeed(),
+                            request.getChange(),
+                            Duration.ZERO,
+                            () -> false);
+            reply.setCurrent(isCurrent(store));
+            reply.setStores(
+                    IntStream.range(0, STORES).mapToObj(each -> address(each).toString()).toList());
+            reply.setDataCentre("dc-" + store);
+            mView.take(address(store), reply);
+        }
+
+        void request(boolean isStorm) {
+            mBudget.noteFirst(mClock.now());
+            for (int i = 0; isStorm && i < REPEATS_A_REQUEST; i++) {
+                if (take()) {
+                    mRepeats[mStep + mRandom.nextInt(MAX_DELAY_STEPS + 1)]++;
+                }
+            }
+        }
+
+        private boolean take() {
+            return mBudget.take(mClock.now(), Placement.entries(mView.picture()))
+                    != RepeatBudget.Verdict.DENIED;
+        }
+
+        private Participant participant() {
+            return new Participant(
+                    "entry-" + mNumber,
+                    "entry",
+                    ParticipantRole.ENTRY,
+                    "dc-1",
+                    "10.1.0.1:1",
+                    mIncarnation + 1,
+                    1,
+                    "",
+                    "",
+                    false,
+                    Map.of());
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/sequoiahill/daemon/request/direct/SharedRepeatsTest.java
@@ -0,0 +1,131 @@
+package org.sequoiahill.daemon.request.direct;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Plays storms of failures over whole fleets of entries, and checks the bound in every window. */
+final class SharedRepeatsTest {
+    private static final int CALM_SECONDS = 40;
+    private static final int SECONDS = 120;
+    private static final long SEED = 1;
+
+    /** What happens to the entries of a fleet around the start of a storm. */
+    private enum Trouble {
+        NONE,
+        RESTART_IN_TURN,
+        RESTART_ALL,
+        RESTART_ALL_REPEATEDLY,
+        CUT_IN_HALVES,
+        CUT_IN_THREE,
+        CUT_AND_RESTART_OF_THE_MAJORITY,
+        CUT_AND_RESTART_OF_THE_MINORITY,
+        LOSE_A_THIRD,
+        LOSE_TWO_THIRDS,
+        CUT_OFF_TWO_THIRDS,
+        ADD_AS_MANY
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "NONE, 7, 300",
+        "RESTART_IN_TURN, 7, 300",
+        "RESTART_IN_TURN, 46, 300",
+        "RESTART_ALL, 7, 300",
+        "RESTART_ALL, 46, 300",
+        "RESTART_ALL_REPEATEDLY, 7, 300",
+        "RESTART_ALL_REPEATEDLY, 46, 300",
+        "LOSE_TWO_THIRDS, 7, 300",
+        "LOSE_TWO_THIRDS, 46, 300"
+    })
+    void storm_withoutSlackWhileLoadMovesToOtherProcesses_keepsTheRatioInEveryWindow(
+            Trouble trouble, int entries, double perSecond) {
+        PlayedEntries played = new PlayedEntries(Fleets.withSlack(0), entries, SECONDS, SEED);
+        played.run(CALM_SECONDS, perSecond, false);
+        happen(played, trouble, entries, perSecond);
+        played.run(30, perSecond, true);
+        assertThat("repeats over the bound", played.excess(), is(0.0));
+        assertThat(played.repeatsSince(CALM_SECONDS), greaterThan(0));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"7, 30, 0", "7, 0, 30", "7, 200, 30", "46, 300, 20"})
+    void storm_loadFallsOrRisesAtOnce_keepsTheRatioInEveryWindow(
+            int entries, double before, double after) {
+        PlayedEntries played = new PlayedEntries(Fleets.withSlack(0), entries, SECONDS, SEED);
+        played.run(CALM_SECONDS, before, false);
+        played.run(0.5, before, true);
+        played.run(30, after, true);
+        assertThat("repeats over the bound", played.excess(), is(0.0));
+    }
+
+    private static void happen(
+            PlayedEntries played, Trouble trouble, int entries, double perSecond) {
+        switch (trouble) {
+            case NONE -> {}
+            case RESTART_IN_TURN -> {
+                for (int i = 0; i < 7; i++) {
+                    int turn = i;
+                    played.run(1, perSecond, true);
+                    played.restart(entry -> entry % 7 == turn);
+                }
+            }
+            case RESTART_ALL -> {
+                played.run(1, perSecond, true);
+                played.restart(entry -> true);
+            }
+            case RESTART_ALL_REPEATEDLY -> {
+                for (int i = 0; i < 4; i++) {
+                    played.run(2.5, perSecond, true);
+                    played.restart(entry -> true);
+                }
+            }
+            case CUT_IN_HALVES -> {
+                played.move(entry -> entry % 2 == 1, store -> store == 2, 1);
+                played.run(15, perSecond, true);
+                played.move(entry -> true, store -> true, 0);
+            }
+            case CUT_IN_THREE -> {
+                played.move(entry -> entry % 3 == 1, store -> store == 1, 1);
+                played.move(entry -> entry % 3 == 2, store -> store == 2, 2);
+                played.run(25, perSecond, true);
+                played.move(entry -> true, store -> true, 0);
+            }
+            case CUT_AND_RESTART_OF_THE_MAJORITY -> {
+                played.move(entry -> entry % 2 == 1, store -> store == 2, 1);
+                played.run(1, perSecond, false);
+                played.restart(entry -> entry % 2 == 0);
+                played.run(30, perSecond, true);
+                played.move(entry -> true, store -> true, 0);
+            }
+            case CUT_AND_RESTART_OF_THE_MINORITY -> {
+                played.move(entry -> entry % 2 == 1, store -> store == 2, 1);
+                played.run(1, perSecond, true);
+                played.restart(entry -> entry % 2 == 1);
+                played.run(25, perSecond, true);
+                played.move(entry -> true, store -> true, 0);
+            }
+            case LOSE_A_THIRD -> {
+                played.run(1, perSecond, true);
+                played.remove(entry -> entry % 3 == 0);
+            }
+            case LOSE_TWO_THIRDS -> {
+                played.run(1, perSecond, true);
+                played.remove(entry -> entry % 3 != 0);
+            }
+            case CUT_OFF_TWO_THIRDS -> {
+                played.move(entry -> entry % 3 != 0, store -> false, 1);
+                played.run(25, perSecond, true);
+                played.move(entry -> true, store -> true, 0);
+            }
+            case ADD_AS_MANY -> {
+                played.add(entries);
+                played.run(20, perSecond, true);
+            }
+            default -> throw new IllegalStateException("unknown trouble " + trouble);
+        }
+    }
+}
