Take no answer without a whole body for a success

Operators saw exit status 0 and no output for an answer of which only the head had come, or behind whose body other bytes followed.

Cause: an empty body and one with bytes behind it were read as JSON without an error, and only the status decided.

Ruled out: a body that is shorter than its stated length, or breaks off within its JSON. Both already gave another exit status (rows 5 and 6 passed before).

Evidence: BrokenAnswerTest#list_answerThatBrokeOff_isNoSuccess, rows 3, 4 and 7 failed before: 'Expected: is <FAILED> but: was <OK>'. All pass now.

Why it works: a success must hold exactly one JSON value; everything else is an unexpected answer, which has an exit status of its own.

--- a/cli/src/main/java/org/sequoiahill/cli/OperatorsClient.java
+++ b/cli/src/main/java/org/sequoiahill/cli/OperatorsClient.java
@@ -1,5 +1,6 @@
 package org.sequoiahill.cli;
 
+import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import java.io.IOException;
@@ -21,7 +22,8 @@
 /** Calls the operators' address of a daemon. */
 public final class OperatorsClient implements AutoCloseable {
     private static final int TIMEOUT_SECONDS = 10;
-    private static final JsonMapper MAPPER = JsonMapper.builder().build();
+    private static final JsonMapper MAPPER =
+            JsonMapper.builder().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS).build();
 
     private final List<String> mServers;
     private final String mToken;
@@ -113,7 +115,11 @@
                 request.headers(h -> h.put(HttpHeader.AUTHORIZATION, "Bearer " + mToken))
                         .timeout(TIMEOUT_SECONDS, TimeUnit.SECONDS)
                         .send();
-        return new Answer(response.getStatus(), MAPPER.readTree(response.getContent()));
+        Answer answer = new Answer(response.getStatus(), MAPPER.readTree(response.getContent()));
+        if (answer.isOk() && answer.body().isMissingNode()) {
+            throw new IOException("the answer of " + request.getURI() + " has no body");
+        }
+        return answer;
     }
 
     @Override
--- /dev/null
+++ b/cli/src/test/java/org/sequoiahill/cli/BrokenAnswerTest.java
@@ -0,0 +1,70 @@
+package org.sequoiahill.cli;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Tests of what commands make of a daemon's answers that are not whole. */
+final class BrokenAnswerTest {
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            quoteCharacter = '~',
+            value = {
+                // status, Content-Length where one is stated, bytes of the answer; exit code
+                "200 OK|2|[]|OK",
+                "200 OK||[]|OK",
+                "200 OK|0|~~|FAILED",
+                "200 OK||~~|FAILED",
+                "200 OK|50|[]|UNAVAILABLE",
+                "200 OK||[{|FAILED",
+                "200 OK||[][]|FAILED",
+                "503 Busy|0|~~|UNAVAILABLE"
+            })
+    void list_answerThatBrokeOff_isNoSuccess(
+            String status, Integer length, String body, ExitCode expected) throws Exception {
+        String head = length == null ? "" : "Content-Length: " + length + "\r\n";
+        assertThat(
+                run("service list", "HTTP/1.1 " + status + "\r\n" + head + "\r\n" + body),
+                is(expected));
+    }
+
+    /** Runs a command against a daemon that gives these answers, one a connection. */
+    private static ExitCode run(String command, String... answers) throws IOException {
+        try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            Thread thread = new Thread(() -> answer(server, List.of(answers)), "daemon");
+            thread.setDaemon(true);
+            thread.start();
+            String address = "127.0.0.1:" + server.getLocalPort();
+            return new SequoiaCli().run((command + " --server " + address).split(" ", -1));
+        }
+    }
+
+    private static void answer(ServerSocket server, List<String> answers) {
+        for (String answer : answers) {
+            try (Socket socket = server.accept()) {
+                BufferedReader reader =
+                        new BufferedReader(
+                                new InputStreamReader(
+                                        socket.getInputStream(), StandardCharsets.US_ASCII));
+                String line = reader.readLine();
+                while (line != null && !line.isEmpty()) {
+                    line = reader.readLine();
+                }
+                socket.getOutputStream().write(answer.getBytes(StandardCharsets.US_ASCII));
+            } catch (IOException e) {
+                // The test has ended.
+            }
+        }
+    }
+}
