Take no trail whose end falls between its pages for a whole one

Operators saw exit status 0 and a list of changes that lacked the newest ones.

Cause: each page of the audit trail is asked of the first server that answers. A page of a server whose store is behind ends the list, although an earlier page said that the trail goes on.

Ruled out: a trail that grows between two pages, which is no fault (row 2).

Evidence: BrokenAnswerTest#audit_pagesOfServersThatDiffer_areNoWholeTrail, row 3 failed before: 'Expected: is <FAILED> but: was <OK>'. All pass now.

Why it works: the newest entry that a page states can only rise while a trail is read; where it falls, the command fails and says so.

--- a/cli/src/main/java/org/sequoiahill/cli/AuditCommand.java
+++ b/cli/src/main/java/org/sequoiahill/cli/AuditCommand.java
@@ -127,8 +127,15 @@
         ArrayNode entries = JsonNodeFactory.instance.arrayNode();
         String separator = path.contains("?") ? "&" : "?";
         long after = 0;
+        long known = 0;
         OperatorsClient.Answer answer = context.client().read(path);
         for (int page = 0; page < MAX_PAGES; page++) {
+            long newest = answer.body().path("lastSequence").asLong();
+            if (answer.isOk() && newest < known) {
+                // Another server may have answered, whose trail ends before that of the first.
+                throw new IOException("the trail ends at " + newest + ", but went on to " + known);
+            }
+            known = newest;
             for (JsonNode entry : answer.body().path("entries")) {
                 entries.add(entry);
                 after = entry.path("sequence").asLong();
--- a/cli/src/test/java/org/sequoiahill/cli/BrokenAnswerTest.java
+++ b/cli/src/test/java/org/sequoiahill/cli/BrokenAnswerTest.java
@@ -39,6 +39,27 @@
                 is(expected));
     }
 
+    @ParameterizedTest
+    @CsvSource({
+        // newest entry and whether more follow, by the first page and by the second; exit code
+        "4, true, 4, false, OK",
+        "4, true, 5, false, OK",
+        "4, true, 3, false, FAILED"
+    })
+    void audit_pagesOfServersThatDiffer_areNoWholeTrail(
+            long newest, boolean hasMore, long newestThen, boolean hasMoreThen, ExitCode expected)
+            throws Exception {
+        assertThat(
+                run("audit", page(newest, hasMore), page(newestThen, hasMoreThen)), is(expected));
+    }
+
+    private static String page(long newest, boolean hasMore) {
+        return ("HTTP/1.1 200 OK\r\n\r\n{'entries':[],'firstSequence':1,'lastSequence':%d,"
+                        + "'lastHash':'','hasMore':%b}")
+                .formatted(newest, hasMore)
+                .replace('\'', '"');
+    }
+
     /** Runs a command against a daemon that gives these answers, one a connection. */
     private static ExitCode run(String command, String... answers) throws IOException {
         try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
