Play the push of a version in virtual time, beside its bound

bin/bench push plays a push to 10, 36, 63 and 290 engines over links of the large deployments, through PiecePlan, PieceQueue and SwapTurns; entries and agents ask as PieceRelay and PieceFetcher do (one piece at a time beside an engine that serves, 1.4 s without a first byte, an origin with a bound of connections that callers keep idle for 10 s). Troubles: narrow links, suspended daemons, a restart of all agents.

Not modelled: the processor, pieces from agents that serve the version, more than one lane to an entry, a region that is cut from the origin.

--- a/bench/src/main/java/org/sequoiahill/bench/Bench.java
+++ b/bench/src/main/java/org/sequoiahill/bench/Bench.java
@@ -13,6 +13,7 @@
 import org.sequoiahill.bench.claims.ClaimsExperiment;
 import org.sequoiahill.bench.config.ConfigExperiment;
 import org.sequoiahill.bench.faults.FaultExperiment;
+import org.sequoiahill.bench.push.PushExperiment;
 import org.sequoiahill.bench.report.ReportExperiment;
 import org.sequoiahill.bench.request.ColdExperiment;
 import org.sequoiahill.bench.request.DrainExperiment;
@@ -50,6 +51,7 @@
         experiments.put("once", new OnceExperiment());
         experiments.put("slow-readers", new SlowReadersExperiment());
         experiments.put("report", new ReportExperiment());
+        experiments.put("push", new PushExperiment());
         experiments.put("request", new RequestExperiment());
         experiments.put("drain", new DrainExperiment());
         experiments.put("cold", new ColdExperiment());
--- a/bench/src/main/java/org/sequoiahill/bench/admission/VirtualTime.java
+++ b/bench/src/main/java/org/sequoiahill/bench/admission/VirtualTime.java
@@ -7,7 +7,7 @@
 import org.sequoiahill.daemon.process.time.MonotonicClock;
 
 /** A clock that jumps from one task to the next, so that a day is played in a moment. */
-final class VirtualTime implements MonotonicClock, DelayedRunner {
+public final class VirtualTime implements MonotonicClock, DelayedRunner {
     private final PriorityQueue<Task> mTasks = new PriorityQueue<>(Task.ORDER);
     private Duration mNow = Duration.ZERO;
     private long mNextNumber;
@@ -28,12 +28,12 @@
     }
 
     /** Runs a task at a time; tasks of one time run in the order in which they were given. */
-    void runAt(Duration at, Runnable task) {
+    public void runAt(Duration at, Runnable task) {
         mTasks.add(new Task(at.compareTo(mNow) < 0 ? mNow : at, mNextNumber++, task));
     }
 
     /** Runs all tasks that are due before a time. */
-    void runUntil(Duration end) {
+    public void runUntil(Duration end) {
         while (!mTasks.isEmpty() && mTasks.peek().at().compareTo(end) < 0) {
             Task task = mTasks.poll();
             mNow = task.at();
--- /dev/null
+++ b/bench/src/main/java/org/sequoiahill/bench/push/PlayedVm.java
@@ -0,0 +1,52 @@
+package org.sequoiahill.bench.push;
+
+import java.time.Duration;
+import org.sequoiahill.bench.admission.VirtualTime;
+
+/** A VM of the played fleet: its links, and whether it is suspended. */
+final class PlayedVm {
+    private final VirtualTime mTime;
+    private final String mName;
+    private final int mRegion;
+    private final SharedLinks.Link mIn;
+    private final SharedLinks.Link mOut;
+    private Duration mSuspendedUntil = Duration.ZERO;
+
+    PlayedVm(VirtualTime time, String name, int region, double bitsPerSecond) {
+        mTime = time;
+        mName = name;
+        mRegion = region;
+        mIn = new SharedLinks.Link(bitsPerSecond);
+        mOut = new SharedLinks.Link(bitsPerSecond);
+    }
+
+    String name() {
+        return mName;
+    }
+
+    int region() {
+        return mRegion;
+    }
+
+    SharedLinks.Link in() {
+        return mIn;
+    }
+
+    SharedLinks.Link out() {
+        return mOut;
+    }
+
+    /** Lets the VM do nothing for a time. */
+    void suspend(Duration length) {
+        mSuspendedUntil = mTime.now().plus(length);
+    }
+
+    /** Runs a task as soon as the VM is not suspended. */
+    void whenAwake(Runnable task) {
+        if (mTime.now().compareTo(mSuspendedUntil) < 0) {
+            mTime.runAt(mSuspendedUntil, () -> whenAwake(task));
+        } else {
+            task.run();
+        }
+    }
+}
--- a/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PiecePlan.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PiecePlan.java
@@ -15,7 +15,7 @@
  * piece leaves the origin once and crosses between two regions once, and an agent's link carries
  * nothing but its own copy.
  */
-final class PiecePlan {
+public final class PiecePlan {
     private final List<String> mEntries;
     private final Map<String, String> mRegions;
     private final Map<String, List<String>> mEntriesByRegion = new TreeMap<>();
@@ -35,12 +35,12 @@
      *
      * @param regions region of each entry
      */
-    static PiecePlan over(Map<String, String> regions) {
+    public static PiecePlan over(Map<String, String> regions) {
         return new PiecePlan(regions);
     }
 
     /** Returns the entry that draws a piece from the origin. */
-    Optional<String> drawer(int piece) {
+    public Optional<String> drawer(int piece) {
         return mEntries.isEmpty()
                 ? Optional.empty()
                 : Optional.of(mEntries.get(piece % mEntries.size()));
@@ -51,7 +51,7 @@
      *
      * @param failures how often the piece did not come; another entry is named after each
      */
-    Optional<String> supplier(String region, int piece, int failures) {
+    public Optional<String> supplier(String region, int piece, int failures) {
         List<String> near = mEntriesByRegion.getOrDefault(region, mEntries);
         if (near.isEmpty()) {
             return Optional.empty();
--- a/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PieceQueue.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PieceQueue.java
@@ -8,7 +8,7 @@
 import org.jspecify.annotations.Nullable;
 
 /** Pieces that several workers fetch; one that did not come goes to the end. */
-final class PieceQueue {
+public final class PieceQueue {
     private final Deque<Integer> mWaiting;
     private final Map<Integer, Integer> mFailures = new HashMap<>();
     private final int mMaxFailures;
@@ -26,7 +26,7 @@
      *
      * @param maxFailures failures of all pieces together after which no more are handed out
      */
-    static PieceQueue of(Collection<Integer> pieces, int maxFailures) {
+    public static PieceQueue of(Collection<Integer> pieces, int maxFailures) {
         return new PieceQueue(pieces, maxFailures);
     }
 
@@ -34,7 +34,7 @@
      * Returns a piece to fetch, after a wait where all are being fetched; null once all have come
      * or too many did not.
      */
-    synchronized @Nullable Integer take() {
+    public synchronized @Nullable Integer take() {
         try {
             while (mWaiting.isEmpty() && mMissing > 0 && mAllFailures < mMaxFailures) {
                 wait();
@@ -47,14 +47,14 @@
     }
 
     /** Notes that a piece has come. */
-    synchronized void came(int piece) {
+    public synchronized void came(int piece) {
         mFailures.remove(piece);
         mMissing--;
         notifyAll();
     }
 
     /** Notes that a piece did not come; returns how often that was so. */
-    synchronized int failed(int piece) {
+    public synchronized int failed(int piece) {
         mAllFailures++;
         mWaiting.addLast(piece);
         notifyAll();
@@ -62,7 +62,7 @@
     }
 
     /** Returns how often a piece did not come. */
-    synchronized int failures(int piece) {
+    public synchronized int failures(int piece) {
         return mFailures.getOrDefault(piece, 0);
     }
 }
