Say when an agent begins and ends to fetch a version, and how often a piece did not come

The log told the order of a load and not what came before it. A fetch that is slow without failures waits for links; one with failures waits for entries or the origin.

--- a/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PieceFetcher.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PieceFetcher.java
@@ -108,7 +108,12 @@
         if (pace == Pace.FULL) {
             adoptStaged(manifest);
         }
-        PieceQueue missing = PieceQueue.of(missing(manifest), MAX_FAILURES);
+        List<Integer> wanted = missing(manifest);
+        if (wanted.isEmpty()) {
+            return true;
+        }
+        Logger.info("fetching {} pieces of version {}", wanted.size(), manifest.version());
+        PieceQueue missing = PieceQueue.of(wanted, MAX_FAILURES);
         List<Future<?>> workers = new ArrayList<>();
         Semaphore link = new Semaphore(pace.mOnLink, true);
         for (int i = 0; i < WORKERS; i++) {
@@ -118,6 +123,10 @@
         for (Future<?> worker : workers) {
             join(worker);
         }
+        Logger.info(
+                "fetched pieces of version {}, {} times one did not come",
+                manifest.version(),
+                missing.allFailures());
         return missing(manifest).isEmpty();
     }
 
--- a/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PieceQueue.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PieceQueue.java
@@ -61,6 +61,11 @@
         return mFailures.merge(piece, 1, Integer::sum);
     }
 
+    /** Returns how often any piece did not come. */
+    synchronized int allFailures() {
+        return mAllFailures;
+    }
+
     /** Returns how often a piece did not come. */
     public synchronized int failures(int piece) {
         return mFailures.getOrDefault(piece, 0);
