Draw a version through few entries, and ask them for its manifest

The origin takes 48 connections, and a caller keeps one open for 10 s. Over 48 it resets; an entry that is reset can't give its piece, agents that failed three times go to the origin themselves and are reset as well, each 50 ms. All draws at once also end at once, after 1.3 s, so no agent's link is used before.

Change: a quarter of the origin's connections draw, through entries of all regions; the others ask them for the manifest as for pieces. An entry brings what it gives to its region here ahead, so that an entry that is suspended costs one time-out and not one a piece, and a drawer that gave nothing is passed over for that version. Within a region the entries that draw give what they drew and the others the rest.

Evidence: PlayedPushTest failed on the code before ("Expected: is <0> but: was <293>" resets at 63 engines, 31 at 36, 613 at 290), and PieceRelayTest ("Expected: is <0> but: was <1>" manifests asked of the origin though another entry has it); both pass.

--- a/bench/src/main/java/org/sequoiahill/bench/push/PlayedEntry.java
+++ b/bench/src/main/java/org/sequoiahill/bench/push/PlayedEntry.java
@@ -6,10 +6,8 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
-import org.sequoiahill.daemon.version.staging.PiecePlan;
 
 /** An entry that draws and relays pieces as {@code PieceRelay} does while no engine has them. */
 final class PlayedEntry {
@@ -20,6 +18,8 @@
     private final PlayedPush mPush;
     private final Set<Integer> mHeld = new HashSet<>();
     private final Map<Integer, List<Consumer<Boolean>>> mComing = new HashMap<>();
+    private final Set<String> mSilentDrawers = new HashSet<>();
+    private final List<Consumer<Boolean>> mAwaitManifest = new ArrayList<>();
     private boolean mHasManifest;
 
     PlayedEntry(PlayedPush push, PlayedVm vm) {
@@ -31,15 +31,14 @@
         return mVm;
     }
 
-    /** Draws this entry's pieces one after the other, until one can't be drawn. */
+    /** Brings this entry's pieces here, one after the other. */
     void drawAhead() {
-        PiecePlan plan = mPush.plan();
-        List<Integer> own = new ArrayList<>();
-        for (int piece = 0; piece < mPush.shape().pieces(); piece++) {
-            if (plan.drawer(piece).equals(Optional.of(mVm.name()))) {
-                own.add(piece);
-            }
-        }
+        List<Integer> own =
+                mPush.plan()
+                        .own(
+                                mVm.name(),
+                                PlayedPush.regionName(mVm.region()),
+                                mPush.shape().pieces());
         manifest(
                 isHere -> {
                     if (isHere) {
@@ -50,13 +49,7 @@
 
     private void drawNext(List<Integer> own, int next) {
         if (next < own.size()) {
-            get(
-                    own.get(next),
-                    isHere -> {
-                        if (isHere) {
-                            drawNext(own, next + 1);
-                        }
-                    });
+            get(own.get(next), isHere -> drawNext(own, next + 1));
         }
     }
 
@@ -66,16 +59,44 @@
             done.accept(true);
             return;
         }
-        mPush.origin()
-                .get(
+        mAwaitManifest.add(done);
+        if (mAwaitManifest.size() > 1) {
+            return;
+        }
+        String drawer = mPush.plan().drawer(0).orElse(mVm.name());
+        if (drawer.equals(mVm.name()) || mSilentDrawers.contains(drawer)) {
+            drawManifest();
+            return;
+        }
+        PlayedEntry peer = mPush.entry(drawer);
+        mPush.network()
+                .ask(
                         mVm,
+                        peer.mVm,
+                        READ_BOUND,
                         PlayedPush.MANIFEST_BITS,
+                        peer::manifest,
                         isHere -> {
-                            mHasManifest |= isHere;
-                            done.accept(isHere);
+                            if (isHere) {
+                                manifestEnded(true);
+                            } else {
+                                mSilentDrawers.add(drawer);
+                                drawManifest();
+                            }
                         });
     }
 
+    private void drawManifest() {
+        mPush.origin().get(mVm, PlayedPush.MANIFEST_BITS, this::manifestEnded);
+    }
+
+    private void manifestEnded(boolean isHere) {
+        mHasManifest |= isHere;
+        List<Consumer<Boolean>> waiting = List.copyOf(mAwaitManifest);
+        mAwaitManifest.clear();
+        waiting.forEach(each -> each.accept(isHere));
+    }
+
     /** Brings a piece here, once for all who ask meanwhile. */
     void get(int piece, Consumer<Boolean> done) {
         if (mHeld.contains(piece)) {
@@ -100,7 +121,7 @@
 
     private void fetch(int piece) {
         String drawer = mPush.plan().drawer(piece).orElse(mVm.name());
-        if (drawer.equals(mVm.name())) {
+        if (drawer.equals(mVm.name()) || mSilentDrawers.contains(drawer)) {
             draw(piece);
             return;
         }
@@ -116,6 +137,7 @@
                             if (isHere) {
                                 ended(piece, true);
                             } else {
+                                mSilentDrawers.add(drawer);
                                 draw(piece);
                             }
                         });
--- a/bench/src/main/java/org/sequoiahill/bench/push/PlayedPush.java
+++ b/bench/src/main/java/org/sequoiahill/bench/push/PlayedPush.java
@@ -60,7 +60,7 @@
             mEntries.put(vm.name(), new PlayedEntry(this, vm));
             regionOf.put(vm.name(), regionName(vm.region()));
         }
-        mPlan = PiecePlan.over(regionOf);
+        mPlan = PiecePlan.over(regionOf, shape.originConnections());
         for (int i = 0; i < shape.engines(); i++) {
             PlayedVm vm = vm("agent", i, shape.agent());
             mAgents.put(vm.name(), new PlayedAgent(this, vm));
@@ -172,7 +172,7 @@
         return new PlayedVm(mTime, name, region, bitsPerSecond);
     }
 
-    private static String regionName(int region) {
+    static String regionName(int region) {
         return "region-" + region;
     }
 }
--- a/bench/src/main/java/org/sequoiahill/bench/push/PushTrouble.java
+++ b/bench/src/main/java/org/sequoiahill/bench/push/PushTrouble.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.function.Predicate;
 
 /** What happens to a fleet while a version is on its way. */
 enum PushTrouble {
@@ -69,7 +70,7 @@
     }
 
     /** Every so many-th, beginning with the first. */
-    private static final class EachOf implements java.util.function.Predicate<Object> {
+    private static final class EachOf implements Predicate<Object> {
         private final int mOf;
         private int mSeen;
 
--- /dev/null
+++ b/bench/src/test/java/org/sequoiahill/bench/push/PlayedPushTest.java
@@ -0,0 +1,39 @@
+package org.sequoiahill.bench.push;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Plays pushes in virtual time, beside their bound. */
+final class PlayedPushTest {
+    @ParameterizedTest
+    @CsvSource({
+        "3, 8, 10, NONE",
+        "4, 44, 36, NONE",
+        "4, 44, 36, SQUEEZED",
+        "4, 44, 36, RESTARTED",
+        "5, 49, 63, NONE",
+        "5, 49, 63, SQUEEZED",
+        "5, 49, 63, RESTARTED",
+        "5, 49, 290, NONE"
+    })
+    void play_moreDaemonsThanTheOriginTakesConnections_sendsEachPieceOnceAndResetsNone(
+            int regions, int entries, int engines, PushTrouble trouble) {
+        PushShape shape = PushShape.of(regions, entries, engines);
+        PlayedPush.Result result = PlayedPush.play(shape, trouble, 1);
+        assertThat(result.resets(), is(0));
+        assertThat(result.originCopies(), lessThanOrEqualTo(1.05));
+        assertThat(result.served().size(), is(engines));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"5, 49, 63, SUSPENDED", "5, 49, 63, SQUEEZED", "5, 49, 63, RESTARTED"})
+    void play_trouble_endsWithAllEnginesOnTheVersion(
+            int regions, int entries, int engines, PushTrouble trouble) {
+        PushShape shape = PushShape.of(regions, entries, engines);
+        assertThat(PlayedPush.play(shape, trouble, 1).served().size(), is(engines));
+    }
+}
--- a/daemon/src/main/java/org/sequoiahill/daemon/version/staging/FleetPieces.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/staging/FleetPieces.java
@@ -38,14 +38,12 @@
             regionOf.put(entry.getVm(), regions.getOrDefault(dataCentre, dataCentre));
             addresses.put(entry.getVm(), HostPort.parse(entry.getControl()));
         }
-        Optional<HostPort> origin =
-                picture.table()
-                        .flatMap(table -> table.weightsOrigin())
-                        .flatMap(RoutedService::origin);
+        Optional<RoutedService> origin = picture.table().flatMap(table -> table.weightsOrigin());
+        int connections = origin.map(RoutedService::maxConnections).orElse(0);
         return new FleetPieces(
-                PiecePlan.over(regionOf),
+                PiecePlan.over(regionOf, connections),
                 addresses,
-                origin,
+                origin.flatMap(RoutedService::origin),
                 picture.participants(ParticipantRole.AGENT),
                 regions);
     }
@@ -68,6 +66,13 @@
         return regions.getOrDefault(dataCentre, dataCentre);
     }
 
+    /** Returns the address of the entry that draws a piece, unless it is the one that asks. */
+    Optional<HostPort> drawer(int piece, String self) {
+        return plan.drawer(piece)
+                .filter(name -> !name.equals(self))
+                .flatMap(name -> Optional.ofNullable(entries.get(name)));
+    }
+
     /** Returns the address of the entry that gives a piece to the agents of a region. */
     Optional<HostPort> supplier(String region, int piece, int failures) {
         return plan.supplier(region, piece, failures)
--- a/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PiecePlan.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PiecePlan.java
@@ -1,49 +1,92 @@
 package org.sequoiahill.daemon.version.staging;
 
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 
 /**
  * Through which entries the pieces of a version reach the agents.
  *
  * <p>Links of endpoint VMs are narrow and carry answers, those of entry VMs are wide. So the pieces
- * go round all entries, each of which draws its part from the origin; in each other region one
- * entry gets a piece from the one that drew it, and the agents of a region get it from there. A
- * piece leaves the origin once and crosses between two regions once, and an agent's link carries
- * nothing but its own copy.
+ * go round entries that draw them from the origin; in each other region one entry gets a piece from
+ * the one that drew it, and the agents of a region get it from there. A piece leaves the origin
+ * once and crosses between two regions once, and an agent's link carries nothing but its own copy.
+ *
+ * <p>Few entries draw, so that pieces come early one after the other rather than all at the end,
+ * and the origin has connections left for those who find no entry.
  */
 public final class PiecePlan {
+    /** Part of the origin's connections on which entries draw. */
+    private static final int CONNECTIONS_A_DRAWER = 4;
+
+    private final List<String> mDrawers;
     private final List<String> mEntries;
-    private final Map<String, String> mRegions;
     private final Map<String, List<String>> mEntriesByRegion = new TreeMap<>();
 
-    private PiecePlan(Map<String, String> regions) {
-        mRegions = Map.copyOf(regions);
+    /** The entries of each region that give the pieces which another region draws. */
+    private final Map<String, List<String>> mRelaysByRegion = new TreeMap<>();
+
+    private PiecePlan(Map<String, String> regions, int mostDrawers) {
         mEntries = regions.keySet().stream().sorted().toList();
         for (String entry : mEntries) {
             mEntriesByRegion
-                    .computeIfAbsent(regionOf(entry), region -> new ArrayList<>())
+                    .computeIfAbsent(regions.getOrDefault(entry, ""), region -> new ArrayList<>())
                     .add(entry);
         }
+        mDrawers =
+                mEntries.size() <= mostDrawers
+                        ? mEntries
+                        : spread(mEntriesByRegion.values(), mostDrawers);
+        mEntriesByRegion.forEach((region, near) -> mRelaysByRegion.put(region, relays(near)));
     }
 
     /**
-     * Returns a plan.
+     * Returns a plan by which each entry draws.
      *
      * @param regions region of each entry
      */
     public static PiecePlan over(Map<String, String> regions) {
-        return new PiecePlan(regions);
+        return new PiecePlan(regions, Integer.MAX_VALUE);
+    }
+
+    /**
+     * Returns a plan by which a part of the entries draws.
+     *
+     * @param regions region of each entry
+     * @param originConnections connections that the origin takes
+     */
+    public static PiecePlan over(Map<String, String> regions, int originConnections) {
+        return new PiecePlan(regions, Math.max(1, originConnections / CONNECTIONS_A_DRAWER));
+    }
+
+    /** Returns entries of all regions in turn. */
+    private static List<String> spread(Collection<List<String>> regions, int most) {
+        List<String> spread = new ArrayList<>();
+        for (int i = 0; spread.size() < most; i++) {
+            for (List<String> near : regions) {
+                if (i < near.size() && spread.size() < most) {
+                    spread.add(near.get(i));
+                }
+            }
+        }
+        return spread;
+    }
+
+    private List<String> relays(List<String> near) {
+        List<String> others = near.stream().filter(name -> !mDrawers.contains(name)).toList();
+        return others.isEmpty() ? near : others;
     }
 
     /** Returns the entry that draws a piece from the origin. */
     public Optional<String> drawer(int piece) {
-        return mEntries.isEmpty()
+        return mDrawers.isEmpty()
                 ? Optional.empty()
-                : Optional.of(mEntries.get(piece % mEntries.size()));
+                : Optional.of(mDrawers.get(piece % mDrawers.size()));
     }
 
     /**
@@ -56,14 +99,34 @@
         if (near.isEmpty()) {
             return Optional.empty();
         }
-        Optional<String> drawer = drawer(piece);
-        if (failures == 0 && drawer.filter(near::contains).isPresent()) {
-            return drawer;
+        List<String> relays = mRelaysByRegion.getOrDefault(region, mEntries);
+        String first =
+                drawer(piece).filter(near::contains).orElse(relays.get(piece % relays.size()));
+        return Optional.of(near.get((near.indexOf(first) + failures) % near.size()));
+    }
+
+    /**
+     * Returns the pieces that an entry draws, and then those that it gives to its region.
+     *
+     * @param pieces pieces of a version
+     */
+    public List<Integer> own(String entry, String region, int pieces) {
+        Set<Integer> own = new LinkedHashSet<>();
+        for (int piece = 0; piece < pieces; piece++) {
+            if (drawer(piece).equals(Optional.of(entry))) {
+                own.add(piece);
+            }
+        }
+        for (int piece = 0; piece < pieces; piece++) {
+            if (supplier(region, piece, 0).equals(Optional.of(entry))) {
+                own.add(piece);
+            }
         }
-        return Optional.of(near.get((piece + failures) % near.size()));
+        return List.copyOf(own);
     }
 
-    private String regionOf(String entry) {
-        return mRegions.getOrDefault(entry, "");
+    /** Returns how many entries give pieces to the agents of a region. */
+    public int suppliers(String region) {
+        return mEntriesByRegion.getOrDefault(region, mEntries).size();
     }
 }
--- a/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PieceRelay.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PieceRelay.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
+import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.Supplier;
 import org.sequoiahill.daemon.process.control.ControlClient;
 import org.sequoiahill.daemon.process.control.Identity;
@@ -53,6 +54,11 @@
     /** Agents that gave no piece, or not in time; their links may be narrow or cut. */
     private final Set<HostPort> mPoorHolders = ConcurrentHashMap.newKeySet();
 
+    /** Entries that did not give what they draw of a version; they are passed over for it. */
+    private final Set<SilentDrawer> mSilentDrawers = ConcurrentHashMap.newKeySet();
+
+    private final ReentrantLock mManifestLock = new ReentrantLock();
+
     private PieceRelay(
             Identity identity,
             Supplier<FleetPicture> picture,
@@ -90,11 +96,13 @@
 
     private record Piece(Version version, int number) {}
 
+    private record SilentDrawer(Version version, HostPort entry) {}
+
     /**
-     * Draws this entry's part of each newly named version at once, so that the origin is needed for
-     * as short a time as its link allows.
+     * Brings this entry's part of each newly named version here at once: what it draws from the
+     * origin, and what it gives to the agents of its region.
      *
-     * @param worker thread that draws
+     * @param worker thread that fetches
      */
     public void drawAhead(FleetPicture picture, Executor worker) {
         picture.state()
@@ -103,43 +111,46 @@
                         (model, number) -> {
                             Version version = new Version(model, number);
                             if (mDrawn.add(version)) {
-                                worker.execute(() -> drawOwn(version));
+                                worker.execute(() -> fetchOwn(version));
                             }
                         });
     }
 
-    private void drawOwn(Version version) {
+    private void fetchOwn(Version version) {
+        FleetPieces from = FleetPieces.of(mPicture.get(), mRegions);
+        if (from.origin().isEmpty()) {
+            mDrawn.remove(version);
+            return;
+        }
         try {
-            FleetPieces from = FleetPieces.of(mPicture.get(), mRegions);
-            if (from.origin().isEmpty()) {
-                mDrawn.remove(version);
-                return;
+            int pieces = manifest(version, from).pieces();
+            for (int number : from.plan().own(mIdentity.vm(), region(), pieces)) {
+                fetchAhead(new Piece(version, number));
             }
-            PieceManifest manifest = manifest(version, from.origin().get());
-            for (int number = 0; number < manifest.pieces(); number++) {
-                if (from.plan().drawer(number).equals(Optional.of(mIdentity.vm()))) {
-                    get(new Piece(version, number));
-                }
-            }
-        } catch (IOException | CompletionException e) {
-            // Agents ask for the rest, and each ask tries again.
-            Logger.info("{} can't be drawn ahead: {}", version, e.toString());
+        } catch (IOException e) {
+            // Agents ask for the pieces, and each ask tries again.
+            Logger.info("{} can't be fetched ahead: {}", version, e.toString());
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
 
+    private void fetchAhead(Piece piece) throws InterruptedException {
+        try {
+            get(piece);
+        } catch (IOException | CompletionException e) {
+            Logger.info("{} can't be fetched ahead: {}", piece, e.toString());
+        }
+    }
+
     @Override
     public ManifestReply manifest(ManifestRequest request) {
         ManifestReply reply =
                 new ManifestReply().setSender(mIdentity.sender()).setDigests(List.of());
         Version version = new Version(request.getModel(), request.getVersion());
         try {
-            HostPort origin =
-                    FleetPieces.of(mPicture.get(), mRegions)
-                            .origin()
-                            .orElseThrow(() -> new IOException("no origin is known"));
-            reply.setDigests(manifest(version, origin).digests());
+            FleetPieces from = FleetPieces.of(mPicture.get(), mRegions);
+            reply.setDigests(manifest(version, from).digests());
         } catch (IOException e) {
             Logger.info("the manifest of {} can't be given: {}", version, e.toString());
         }
@@ -190,7 +201,7 @@
     private byte[] fetch(Piece piece) throws IOException {
         FleetPieces from = FleetPieces.of(mPicture.get(), mRegions);
         HostPort origin = from.origin().orElseThrow(() -> new IOException("no origin is known"));
-        PieceManifest manifest = manifest(piece.version(), origin);
+        PieceManifest manifest = manifest(piece.version(), from);
         int number = piece.number();
         if (number < 0 || number >= manifest.pieces()) {
             throw new IOException("the version has no piece " + number);
@@ -199,14 +210,13 @@
         if (near.isPresent()) {
             return near.get();
         }
-        Optional<String> drawer =
-                from.plan().drawer(number).filter(name -> !name.equals(mIdentity.vm()));
-        if (drawer.isPresent() && from.entries().containsKey(drawer.get())) {
-            HostPort peer = from.entries().get(drawer.get());
+        Optional<HostPort> drawer = drawer(piece.version(), from, number);
+        if (drawer.isPresent()) {
             try {
-                return mCalls.ask(peer, manifest, number, number % LANES);
+                return mCalls.ask(drawer.get(), manifest, number, number % LANES);
             } catch (IOException e) {
                 Logger.info("piece {} is drawn here instead: {}", number, e.toString());
+                mSilentDrawers.add(new SilentDrawer(piece.version(), drawer.get()));
             }
         }
         byte[] content = mOrigin.piece(origin, manifest.model(), manifest.version(), number);
@@ -215,10 +225,8 @@
 
     /** Asks an agent of the region that serves the version, if there is one. */
     private Optional<byte[]> fromHolder(FleetPieces from, PieceManifest manifest, int number) {
-        String dataCentre = mIdentity.dataCentre();
-        String region = mRegions.getOrDefault(dataCentre, dataCentre);
         List<HostPort> holders =
-                from.holders(region, manifest.model(), manifest.version()).stream()
+                from.holders(region(), manifest.model(), manifest.version()).stream()
                         .filter(holder -> !mPoorHolders.contains(holder))
                         .toList();
         if (holders.isEmpty()) {
@@ -241,12 +249,42 @@
         }
     }
 
-    private PieceManifest manifest(Version version, HostPort origin) throws IOException {
-        PieceManifest known = mManifests.get(version);
-        if (known == null) {
-            known = mOrigin.manifest(origin, version.model(), version.version());
-            mManifests.put(version, known);
+    /** Returns a manifest, which one entry gets from the origin and all others from that one. */
+    private PieceManifest manifest(Version version, FleetPieces from) throws IOException {
+        mManifestLock.lock();
+        try {
+            PieceManifest known = mManifests.get(version);
+            if (known == null) {
+                known = askManifest(version, from);
+                mManifests.put(version, known);
+            }
+            return known;
+        } finally {
+            mManifestLock.unlock();
+        }
+    }
+
+    private PieceManifest askManifest(Version version, FleetPieces from) throws IOException {
+        Optional<HostPort> drawer = drawer(version, from, 0);
+        if (drawer.isPresent()) {
+            try {
+                return mCalls.manifest(drawer.get(), version.model(), version.version());
+            } catch (IOException e) {
+                Logger.info("the manifest of {} is drawn here: {}", version, e.toString());
+                mSilentDrawers.add(new SilentDrawer(version, drawer.get()));
+            }
         }
-        return known;
+        HostPort origin = from.origin().orElseThrow(() -> new IOException("no origin is known"));
+        return mOrigin.manifest(origin, version.model(), version.version());
+    }
+
+    /** Returns the entry to ask for a piece; empty where this one has to draw it. */
+    private Optional<HostPort> drawer(Version version, FleetPieces from, int piece) {
+        return from.drawer(piece, mIdentity.vm())
+                .filter(entry -> !mSilentDrawers.contains(new SilentDrawer(version, entry)));
+    }
+
+    private String region() {
+        return mRegions.getOrDefault(mIdentity.dataCentre(), mIdentity.dataCentre());
     }
 }
--- a/daemon/src/test/java/org/sequoiahill/daemon/version/staging/PiecePlanTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/version/staging/PiecePlanTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
@@ -41,6 +42,32 @@
         assertThat(most, lessThanOrEqualTo((PIECES + entries - 1) / entries));
     }
 
+    @ParameterizedTest
+    @CsvSource({"8, 3, 8", "44, 4, 12", "49, 5, 12", "104, 5, 12"})
+    void drawer_manyEntries_fewDrawAndAllOfARegionGiveAlike(int entries, int regions, int drawers) {
+        Map<String, String> regionOf = fleet(entries, regions);
+        PiecePlan plan = PiecePlan.over(regionOf, 48);
+        Set<Optional<String>> drawing = new HashSet<>();
+        Set<String> drawnIn = new HashSet<>();
+        for (int piece = 0; piece < PIECES; piece++) {
+            drawing.add(plan.drawer(piece));
+            drawnIn.add(regionOf.get(plan.drawer(piece).orElseThrow()));
+        }
+        assertThat(drawing.size(), is(drawers));
+        assertThat(drawnIn.size(), is(regions));
+        for (int region = 0; region < regions; region++) {
+            Map<String, Integer> given = new HashMap<>();
+            for (int piece = 0; piece < PIECES; piece++) {
+                String supplier = plan.supplier("region-" + region, piece, 0).orElseThrow();
+                assertThat(plan.own(supplier, "region-" + region, PIECES), hasItem(piece));
+                given.merge(supplier, 1, Integer::sum);
+            }
+            int near = plan.suppliers("region-" + region);
+            int most = given.values().stream().mapToInt(Integer::intValue).max().orElse(0);
+            assertThat(most, lessThanOrEqualTo(2 * (PIECES + near - 1) / near));
+        }
+    }
+
     @Test
     void supplier_afterFailures_isAnotherEntryOfTheRegion() {
         PiecePlan plan = PiecePlan.over(fleet(9, 3));
--- a/daemon/src/test/java/org/sequoiahill/daemon/version/staging/PieceRelayTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/version/staging/PieceRelayTest.java
@@ -31,6 +31,8 @@
 import org.sequoiahill.daemon.process.fleet.RoutingTable;
 import org.sequoiahill.daemon.process.settings.HostPort;
 import org.sequoiahill.daemon.process.time.MonotonicClock;
+import org.sequoiahill.protocol.gen.ManifestReply;
+import org.sequoiahill.protocol.gen.ManifestRequest;
 import org.sequoiahill.protocol.gen.Participant;
 import org.sequoiahill.protocol.gen.ParticipantRole;
 import org.sequoiahill.protocol.gen.PieceReply;
@@ -41,6 +43,7 @@
 /** Tests of {@link PieceRelay} with an agent on loopback. */
 final class PieceRelayTest {
     private static final String HOST = "127.0.0.1";
+    private static final HostPort FREE = new HostPort(HOST, 1);
     private static final byte[] CONTENT = "piece".getBytes(StandardCharsets.UTF_8);
     private static final byte[] DAMAGED = "spoilt".getBytes(StandardCharsets.UTF_8);
 
@@ -104,6 +107,53 @@
         assertThat(mOrigin.mPieces.get(), is(asks));
     }
 
+    @ParameterizedTest
+    @CsvSource({
+        // what the entry that draws has, calls of it, manifests and pieces asked of the origin
+        "all, 3, 0, 0",
+        "damaged, 2, 0, 2",
+        "nothing, 1, 1, 2"
+    })
+    void piece_anotherEntryDraws_isAskedOfTheOriginOnlyWhereThatOneHasNone(
+            String has, int calls, int manifests, int pieces) {
+        AtomicInteger asked = new AtomicInteger();
+        mServer.register(ServiceStub.PIECES, new Pieces.Processor<>(new Drawer(has, asked)));
+        mServer.start();
+        Identity identity = Identity.of("entry-2", "dc-1", 1);
+        FleetPicture picture = picture(entry("entry-1", mAgent), entry("entry-2", FREE));
+        PieceRelay relay =
+                PieceRelay.of(
+                        identity,
+                        () -> picture,
+                        Map.of(),
+                        mOrigin,
+                        new PieceStore(),
+                        mClient,
+                        MonotonicClock.system());
+        for (int piece = 0; piece < 2; piece++) {
+            PieceReply reply = relay.piece(new PieceRequest(identity.sender(), "model", 1, piece));
+            assertThat(new String(reply.getContent(), StandardCharsets.UTF_8), is("piece"));
+        }
+        assertThat(mOrigin.mManifests.get(), is(manifests));
+        assertThat(mOrigin.mPieces.get(), is(pieces));
+        assertThat("calls of the entry that draws", asked.get(), is(calls));
+    }
+
+    private static Participant entry(String name, HostPort control) {
+        return new Participant(
+                name,
+                name,
+                ParticipantRole.ENTRY,
+                "dc-1",
+                control.toString(),
+                1,
+                1,
+                "",
+                "",
+                false,
+                Map.of());
+    }
+
     private Participant agent(String dataCentre, long served) {
         return new Participant(
                 "agent",
@@ -119,7 +169,7 @@
                 Map.of("model", served));
     }
 
-    private static FleetPicture picture(Participant agent) {
+    private static FleetPicture picture(Participant... participants) {
         RoutedService origin =
                 new RoutedService(
                         "weights",
@@ -132,19 +182,43 @@
                 new FleetState(1, 1, ByteBuffer.allocate(0), Map.of(), Map.of(), Map.of()),
                 Optional.of(RoutingTable.of(1, List.of(), Map.of("weights", origin), Map.of(), 1)),
                 Map.of(),
-                List.of(agent),
+                List.of(participants),
                 Map.of(),
                 1);
     }
 
-    /** An origin that counts the pieces that it is asked for. */
+    private static List<String> digests() {
+        String digest = Digests.of(new String(CONTENT, StandardCharsets.UTF_8));
+        return List.of(digest, digest);
+    }
+
+    /** The entry that draws, and counts what it is asked for. */
+    private record Drawer(String has, AtomicInteger calls) implements Pieces.Iface {
+        @Override
+        public ManifestReply manifest(ManifestRequest request) {
+            calls.incrementAndGet();
+            return new ManifestReply()
+                    .setSender(request.getSender())
+                    .setDigests(has.equals("nothing") ? List.of() : digests());
+        }
+
+        @Override
+        public PieceReply piece(PieceRequest request) {
+            calls.incrementAndGet();
+            PieceReply reply = new PieceReply().setSender(request.getSender());
+            return has.equals("all") ? reply.setContent(CONTENT) : reply.setContent(DAMAGED);
+        }
+    }
+
+    /** An origin that counts what it is asked for. */
     private static final class CountingOrigin implements WeightsOrigin {
+        private final AtomicInteger mManifests = new AtomicInteger();
         private final AtomicInteger mPieces = new AtomicInteger();
 
         @Override
         public PieceManifest manifest(HostPort origin, String model, long version) {
-            String digest = Digests.of(new String(CONTENT, StandardCharsets.UTF_8));
-            return new PieceManifest(model, version, List.of(digest));
+            mManifests.incrementAndGet();
+            return new PieceManifest(model, version, digests());
         }
 
         @Override
