Let an agent that restarts beside a serving engine keep the pieces that lie there

Callers saw: after a restart of all agents while a version was on its way, each fetched the whole version again over its narrow link.

Cause: pieces are laid at the engine as they come and outlast the agent, but they were taken from there only where the engine served nothing.

Change: the first fetch of a process looks at what lies at the engine, whatever that serves; pieces are compared with the manifest as before. Later fetches don't look, so that a push to agents that run costs nothing more.

Evidence: StagingAgentTest run_agentRestartsWhileItsEngineServes_goesOnWithThePiecesAtTheEngine failed before ("Expected: iterable containing [<3>, <4>, <5>] but: item 0: was <0>").

--- a/bench/src/main/java/org/sequoiahill/bench/push/PlayedAgent.java
+++ b/bench/src/main/java/org/sequoiahill/bench/push/PlayedAgent.java
@@ -46,10 +46,9 @@
         manifest(mIncarnation, 0);
     }
 
-    /** Ends the process; the next one starts after a time, without what this one had in memory. */
+    /** Ends the process; the next one starts after a time with the pieces at the engine. */
     void restart(Duration after) {
         mIncarnation++;
-        mHeld.clear();
         mHasManifest = false;
         int incarnation = mIncarnation;
         mPush.time().runAfter(after, () -> manifest(incarnation, 0));
--- a/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PieceFetcher.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PieceFetcher.java
@@ -37,6 +37,9 @@
     private final StagingEngine mEngine;
     private final ExecutorService mWorkers;
 
+    /** Whether this process has looked at what an earlier one laid at the engine. */
+    private boolean mHasLooked;
+
     private PieceFetcher(
             Identity identity,
             String region,
@@ -107,7 +110,7 @@
 
     /** Fetches what is missing, and stages it where it can; returns whether all is here. */
     boolean fetch(PieceManifest manifest, FleetPieces from, Pace pace) throws InterruptedException {
-        if (pace == Pace.FULL) {
+        if (pace == Pace.FULL || !mHasLooked) {
             adoptStaged(manifest, from);
         }
         List<Integer> wanted = missing(manifest, from);
@@ -146,6 +149,7 @@
                     adopted++;
                 }
             }
+            mHasLooked = true;
         } catch (IOException e) {
             Logger.debug("what lies at the engine is not known: {}", e.toString());
         }
--- a/daemon/src/test/java/org/sequoiahill/daemon/version/staging/StagingAgentTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/version/staging/StagingAgentTest.java
@@ -119,6 +119,18 @@
         assertThat(mOrigin.asked(), contains(3));
     }
 
+    @Test
+    void run_agentRestartsWhileItsEngineServes_goesOnWithThePiecesAtTheEngine()
+            throws InterruptedException {
+        mEngine.mVersions.put("model", 1L);
+        for (int piece = 0; piece < PIECES; piece++) {
+            mEngine.mStaged.put(piece, content(piece < 3 ? 2 : 1, piece));
+        }
+        start(2);
+        assertThat(mEngine.mLoads.poll(20, TimeUnit.SECONDS), is(textOf(2)));
+        assertThat(mOrigin.asked(), contains(3, 4, 5));
+    }
+
     @Test
     void run_engineServes_fetchesPiecesInTheOrderInWhichEntriesDrawThem()
             throws InterruptedException {
