End a stream that another kind of answer would go on

Callers could get an answer of two sources (MIXED): the first events of a stream, then the whole body of another answer, ended as if all were one.

Cause: an endpoint that is asked for the rest of a stream may answer with something else than a stream, such as a 404. Such an answer was passed on whatever the caller had got: its body was written behind the events.

Ruled out: a failure (500) as that answer. It was passed on only where the stream had not begun.

Evidence: stream_thatCannotGoOn_doesNotLookWhole, both rows 'stream_cut ok', failed before: 'Expected: is <false> but: was <true>' for whether the answer looks whole.

Why it works: once the caller has got an event, only more events are taken; any other answer loses its sending, and an answer that can't go on is cut off.

--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectExchange.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectExchange.java
@@ -255,6 +255,9 @@
             lose(sending, "unsealed_" + answer.status());
         } else if (answer.isSuccess() && answer.isStream()) {
             mStream.pump(sending, response, content);
+        } else if (mStream.hasBegun()) {
+            // Only more events of the stream can follow what the caller has got of it.
+            lose(sending, "no_stream_" + answer.status());
         } else {
             BodyReader.read(content, MAX_ANSWER_BYTES, mServices.answerBytes())
                     .whenComplete(
