--- a/daemon/src/main/java/org/sequoiahill/daemon/connection/EndpointTransport.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/connection/EndpointTransport.java
@@ -14,6 +14,8 @@
  *
  * <p>An endpoint may drop an idle connection without a word, and resets what is sent on it next. A
  * request that may run once is then lost, since nobody knows whether it ran.
+ *
+ * <p>The connection of an exchange that is given up is closed at once, whatever the endpoint sends.
  */
 public final class EndpointTransport extends HttpClientTransportOverHTTP {
     private final Duration mBriefIdleTime;
