Read past interim heads of endpoints

Callers got a 502 or 504 where an endpoint had sent an interim head (102, 103) before its answer.

Cause: the client of a fleet's processes drops all of Jetty's handlers of answers, so that redirects and challenges are passed on, and among them those that read past interim heads: such a head was taken for the answer.

--- a/daemon/src/main/java/org/sequoiahill/daemon/connection/EndpointClient.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/connection/EndpointClient.java
@@ -1,7 +1,11 @@
 package org.sequoiahill.daemon.connection;
 
 import java.time.Duration;
+import org.eclipse.jetty.client.ContinueProtocolHandler;
+import org.eclipse.jetty.client.EarlyHintsProtocolHandler;
 import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.ProcessingProtocolHandler;
+import org.eclipse.jetty.client.ProtocolHandlers;
 import org.eclipse.jetty.http.HttpCookieStore;
 import org.eclipse.jetty.util.component.LifeCycle;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
@@ -52,7 +56,11 @@
                     @Override
                     public void lifeCycleStarted(LifeCycle started) {
                         // The start adds handlers that answer redirects and challenges themselves.
-                        client.getProtocolHandlers().clear();
+                        ProtocolHandlers handlers = client.getProtocolHandlers();
+                        handlers.clear();
+                        handlers.put(new ContinueProtocolHandler());
+                        handlers.put(new ProcessingProtocolHandler());
+                        handlers.put(new EarlyHintsProtocolHandler());
                     }
                 });
         return client;
