Give each read of an endpoint's connection a buffer of its own

Callers lost answers of sound endpoints (a 504 after the whole of their time, or a 502 for bytes that could not be parsed) at the moment at which another endpoint reset its connection; what came on one connection could be taken or wiped by another.

Cause: an answer whose connection breaks while its head is handled fails within Jetty's parser. The read gives its buffer back to the pool, and the frames below clear it afterwards; meanwhile another connection has got the same buffer and has read an answer into it. Traced in a scratch copy: both connections show the same buffer, the second has read 106 bytes into it, and they are gone before it parses them. The entry notices the break in these very frames and sends the request anew from there, so that its own repeat is the likeliest victim.

Why it works: buffers of this client are not pooled, so what is cleared too late belongs to nobody else. They lie on the heap, as direct ones that are not pooled are slow to make.

--- a/daemon/src/main/java/org/sequoiahill/daemon/connection/EndpointClient.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/connection/EndpointClient.java
@@ -7,6 +7,7 @@
 import org.eclipse.jetty.client.ProcessingProtocolHandler;
 import org.eclipse.jetty.client.ProtocolHandlers;
 import org.eclipse.jetty.http.HttpCookieStore;
+import org.eclipse.jetty.io.ByteBufferPool;
 import org.eclipse.jetty.util.component.LifeCycle;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 
@@ -41,6 +42,11 @@
         connector.setSelectors(1);
         HttpClient client = new HttpClient(EndpointTransport.over(connector, BRIEF_IDLE_TIMEOUT));
         client.setExecutor(threads);
+        // After an answer that fails while its head is handled, Jetty 12.0.25 clears a buffer that
+        // it has given back. From a pool it would be the buffer of another connection by then.
+        client.setByteBufferPool(new ByteBufferPool.NonPooling());
+        client.setUseInputDirectByteBuffers(false);
+        client.setUseOutputDirectByteBuffers(false);
         client.setFollowRedirects(false);
         client.setUserAgentField(null);
         client.setHttpCookieStore(new HttpCookieStore.Empty());
