Log how the body of a stream was framed and why it ended

Now it names the framing, the bytes behind the last event, and the failure of a broken stream, which was dropped without a trace. No logic changes.

--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectExchange.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectExchange.java
@@ -323,13 +323,13 @@
     }
 
     @Override
-    public boolean onStreamEnd(EndpointAttempt attempt, int events) {
-        return endAttempt(attempt, Result.SUCCEEDED, "events_" + events);
+    public boolean onStreamEnd(EndpointAttempt attempt, String detail) {
+        return endAttempt(attempt, Result.SUCCEEDED, "events_" + detail);
     }
 
     @Override
-    public void onStreamBroken(EndpointAttempt attempt, int events) {
-        failAttempt(attempt, "cut_stream_" + events);
+    public void onStreamBroken(EndpointAttempt attempt, String detail) {
+        failAttempt(attempt, "cut_stream_" + detail);
     }
 
     @Override
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectStreamRelay.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectStreamRelay.java
@@ -7,6 +7,7 @@
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.thread.SerializedInvoker;
 import org.jspecify.annotations.Nullable;
+import org.sequoiahill.daemon.connection.ResponseFraming;
 
 /**
  * Forwards an endpoint's event stream to the caller in complete events, and reads no faster than
@@ -64,16 +65,18 @@
          * Called when an attempt's stream has ended completely; returns whether the caller's
          * response may end too.
          *
-         * @param events number of complete events of all attempts so far
+         * @param detail number of complete events of all attempts so far, framing of the response
+         *     and size of an incomplete event, for the request log
          */
-        boolean onStreamEnd(EndpointAttempt attempt, int events);
+        boolean onStreamEnd(EndpointAttempt attempt, String detail);
 
         /**
          * Called when an attempt's stream has broken.
          *
-         * @param events number of complete events of all attempts so far
+         * @param detail number of complete events of all attempts so far, framing of the response
+         *     and cause, for the request log
          */
-        void onStreamBroken(EndpointAttempt attempt, int events);
+        void onStreamBroken(EndpointAttempt attempt, String detail);
 
         /** Called before the last write; returns the callback that the last write completes. */
         Callback onResponseEnding();
@@ -120,7 +123,8 @@
                 return;
             }
             if (Content.Chunk.isFailure(chunk)) {
-                mExchange.onStreamBroken(attempt, mSplitter.events());
+                String cause = chunk.getFailure().getClass().getSimpleName();
+                mExchange.onStreamBroken(attempt, describe(head, cause));
                 return;
             }
             int events = mSplitter.dataEvents();
@@ -132,7 +136,7 @@
             boolean isLast = chunk.isLast();
             chunk.release();
             if (mSplitter.partialBytes() > MAX_EVENT_BYTES) {
-                mExchange.onStreamBroken(attempt, mSplitter.events());
+                mExchange.onStreamBroken(attempt, describe(head, "event_too_large"));
                 return;
             }
             if (isLast) {
@@ -158,13 +162,18 @@
     private void endStream(EndpointAttempt attempt, Response head) {
         // Bytes after the last event belong to the response; onStreamEnd() would discard them.
         ByteBuffer partial = mSplitter.takePartial();
-        if (mExchange.onStreamEnd(attempt, mSplitter.events())) {
+        String detail = describe(head, "partial_" + partial.remaining());
+        if (mExchange.onStreamEnd(attempt, detail)) {
             beginResponse(attempt, head);
             forward(attempt, head, partial);
             mWriter.end();
         }
     }
 
+    private String describe(Response head, String cause) {
+        return mSplitter.events() + "(" + ResponseFraming.of(head).label() + "," + cause + ")";
+    }
+
     @Override
     public void onWritten() {
         Runnable resume = mResume;
