--- a/daemon/src/main/java/org/sequoiahill/daemon/request/HttpForwarder.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/HttpForwarder.java
@@ -20,6 +20,7 @@
 import org.eclipse.jetty.util.Callback;
 import org.sequoiahill.daemon.connection.ConnectionKind;
 import org.sequoiahill.daemon.connection.ConnectionUse;
+import org.sequoiahill.daemon.connection.EventStreamSource;
 import org.sequoiahill.daemon.connection.ExchangeLostException;
 import org.tinylog.Logger;
 
@@ -78,7 +79,10 @@
         /** Called with the connection of a call before any byte is sent. */
         default void onBegin(ConnectionUse connection) {}
 
-        /** Called once the response's headers have arrived; must read {@code content}. */
+        /**
+         * Called once the response's headers have arrived; must read {@code content}, which fails
+         * if it is a truncated event stream.
+         */
         void onResponse(Response response, Content.Source content);
 
         /**
@@ -131,7 +135,7 @@
         request.onResponseContentSource(
                 (response, content) -> {
                     hasResponded.set(true);
-                    listener.onResponse(response, content);
+                    listener.onResponse(response, EventStreamSource.checkEnd(response, content));
                 });
         request.send(
                 result -> {
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/stream/BufferedStreamRelay.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/stream/BufferedStreamRelay.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpStatus;
+import org.sequoiahill.daemon.connection.EventStreamSource;
 import org.sequoiahill.daemon.process.time.MonotonicClock;
 import org.sequoiahill.daemon.process.time.PeriodicTasks;
 import org.sequoiahill.daemon.request.Attempt;
@@ -25,7 +26,6 @@
  */
 public final class BufferedStreamRelay implements StreamRelay {
     private static final Duration CHECK_INTERVAL = Duration.ofMillis(500);
-    private static final String EVENT_STREAM = "text/event-stream";
 
     private final ParkingPolicy mPolicy;
     private final MonotonicClock mClock;
@@ -133,7 +133,6 @@
         String type = responded.response().getHeaders().get(HttpHeader.CONTENT_TYPE);
         return request.service().kind() == Kind.MODEL
                 && responded.response().getStatus() == HttpStatus.OK_200
-                && type != null
-                && type.startsWith(EVENT_STREAM);
+                && EventStreamSource.isEventStream(type);
     }
 }
--- a/daemon/src/test/java/org/sequoiahill/daemon/request/AgentResponseTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/request/AgentResponseTest.java
@@ -106,7 +106,10 @@
         "Content-Length: 50, hel, keep-alive",
         "Content-Length: 50, hel, close",
         "Transfer-Encoding: chunked, 3;hel;, keep-alive",
-        "Transfer-Encoding: chunked, 3;hel;, close"
+        "Transfer-Encoding: chunked, 3;hel;, close",
+        "Content-Type: text/event-stream, data: a;;da, keep-alive",
+        "Content-Type: text/event-stream, data: a;;da, close",
+        "Content-Type: text/event-stream;Content-Length: 15, data: a;;data: b, keep-alive"
     })
     void response_truncatedAfterItsFirstBytes_isNotTerminated(
             String framing, String body, String connection) throws Exception {
@@ -161,7 +164,7 @@
     private void respondOnce(String framing, String body) {
         String response =
                 "HTTP/1.1 200 OK\r\nX-Of-Endpoint: 1\r\n"
-                        + framing
+                        + framing.replace(";", "\r\n")
                         + "\r\n\r\n"
                         + body.replace(";", "\r\n");
         Thread thread =
