Report a reset as a failure in all HTTP clients of a daemon, not only those of a fleet

Callers could see: an answer with neither a length nor chunks, cut off by a reset between an engine and its agent, framed as complete by the agent; the same cut answer recorded as the outcome of a call that may run once.

ProcessModule built its own Jetty client, and Jetty's end point reads a reset as the end of the stream. Only the client of fleet daemons had the connector that tells them apart, the check for surplus bytes and buffers that are not shared.

Change: one construction of clients, with the limits passed in; the limits of ProcessModule stay. The agent's tests use that client too, so they now test what runs.

--- a/daemon/src/main/java/org/sequoiahill/daemon/connection/EndpointHttpClients.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/connection/EndpointHttpClients.java
@@ -13,23 +13,6 @@
 
 /** Creates HTTP clients that return responses unmodified: no redirects, cookies or decoding. */
 public final class EndpointHttpClients {
-    /**
-     * Maximum number of connections of one kind to one endpoint. Endpoints limit the total number
-     * of their connections.
-     */
-    private static final int MAX_CONNECTIONS_PER_ENDPOINT = 48;
-
-    private static final int MAX_QUEUED_PER_ENDPOINT = 256;
-
-    /** Timeout for establishing a connection, after which another endpoint may be tried. */
-    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(400);
-
-    /**
-     * Idle time after which this process closes a connection. In a fleet of hundreds of endpoints,
-     * several seconds pass until an entry sends to the same endpoint again.
-     */
-    private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(10);
-
     /** Idle timeout of connections with {@link ConnectionKind#hasShortIdleTimeout}. */
     private static final Duration SHORT_IDLE_TIMEOUT = Duration.ofSeconds(2);
 
@@ -37,8 +20,28 @@
 
     private EndpointHttpClients() {}
 
+    /**
+     * Limits of a client.
+     *
+     * @param maxConnections maximum number of connections of one kind to one endpoint
+     * @param maxQueued maximum number of requests that wait for a connection to one endpoint
+     * @param connectTimeout timeout for establishing a connection
+     * @param idleTimeout idle time after which the client closes a connection
+     */
+    public record Limits(
+            int maxConnections, int maxQueued, Duration connectTimeout, Duration idleTimeout) {
+        /**
+         * Returns the limits for endpoints that limit the total number of their connections, in a
+         * fleet of hundreds. There, several seconds pass until an entry sends to the same endpoint
+         * again, and another endpoint may be tried soon if one doesn't accept a connection.
+         */
+        public static Limits forFleet() {
+            return new Limits(48, 256, Duration.ofMillis(400), Duration.ofSeconds(10));
+        }
+    }
+
     /** Returns a new client that uses the given threads; the caller must start it. */
-    public static HttpClient create(QueuedThreadPool threads) {
+    public static HttpClient create(QueuedThreadPool threads, Limits limits) {
         ResetAwareConnector connector = new ResetAwareConnector();
         connector.setSelectors(1);
         HttpClient client = new HttpClient(EndpointTransport.over(connector, SHORT_IDLE_TIMEOUT));
@@ -51,10 +54,10 @@
         client.setFollowRedirects(false);
         client.setUserAgentField(null);
         client.setHttpCookieStore(new HttpCookieStore.Empty());
-        client.setConnectTimeout(CONNECT_TIMEOUT.toMillis());
-        client.setIdleTimeout(IDLE_TIMEOUT.toMillis());
-        client.setMaxConnectionsPerDestination(MAX_CONNECTIONS_PER_ENDPOINT);
-        client.setMaxRequestsQueuedPerDestination(MAX_QUEUED_PER_ENDPOINT);
+        client.setConnectTimeout(limits.connectTimeout().toMillis());
+        client.setIdleTimeout(limits.idleTimeout().toMillis());
+        client.setMaxConnectionsPerDestination(limits.maxConnections());
+        client.setMaxRequestsQueuedPerDestination(limits.maxQueued());
         client.setMaxResponseHeadersSize(MAX_HEADER_BYTES);
         client.setRequestBufferSize(MAX_HEADER_BYTES);
         client.getContentDecoderFactories().clear();
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/FleetModule.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/FleetModule.java
@@ -125,7 +125,7 @@
     @Provides
     @Singleton
     static HttpClient httpClient(QueuedThreadPool threads) {
-        return EndpointHttpClients.create(threads);
+        return EndpointHttpClients.create(threads, EndpointHttpClients.Limits.forFleet());
     }
 
     @Provides
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/ProcessModule.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/ProcessModule.java
@@ -21,6 +21,7 @@
 import java.util.random.RandomGenerator;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.sequoiahill.daemon.connection.EndpointHttpClients;
 import org.sequoiahill.daemon.process.claims.ClaimClient;
 import org.sequoiahill.daemon.process.claims.ClaimRegistry;
 import org.sequoiahill.daemon.process.config.ConfigurationFile;
@@ -44,6 +45,7 @@
     private static final int CONTROL_CLIENT_THREADS = 64;
     private static final long IDLE_THREAD_SECONDS = 30;
     private static final int SCHEDULER_THREADS = 2;
+    private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(15);
     private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(30);
     private static final int CLIENT_THREADS = 32;
     private static final int MAX_CONNECTIONS_PER_PEER = 4_096;
@@ -158,16 +160,15 @@
     @Provides
     @Singleton
     static HttpClient httpClient() {
-        HttpClient client = new HttpClient();
         QueuedThreadPool threads = new QueuedThreadPool(CLIENT_THREADS, 2);
         threads.setName("http-client");
-        client.setExecutor(threads);
-        client.setFollowRedirects(false);
-        client.setIdleTimeout(IDLE_TIMEOUT.toMillis());
-        client.setMaxConnectionsPerDestination(MAX_CONNECTIONS_PER_PEER);
-        client.setMaxRequestsQueuedPerDestination(MAX_QUEUED_PER_PEER);
-        client.getContentDecoderFactories().clear();
-        return client;
+        return EndpointHttpClients.create(
+                threads,
+                new EndpointHttpClients.Limits(
+                        MAX_CONNECTIONS_PER_PEER,
+                        MAX_QUEUED_PER_PEER,
+                        CONNECT_TIMEOUT,
+                        IDLE_TIMEOUT));
     }
 
     @Provides
--- a/daemon/src/test/java/org/sequoiahill/daemon/request/AgentResponseTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/request/AgentResponseTest.java
@@ -20,10 +20,12 @@
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.sequoiahill.daemon.connection.EndpointHttpClients;
 import org.sequoiahill.daemon.connection.ExchangeTable;
 import org.sequoiahill.daemon.connection.ExchangeTrackingHandler;
 import org.sequoiahill.daemon.process.config.ConfigurationView;
@@ -48,7 +50,9 @@
     private static final String LAST_CHUNK = "0\r\n\r\n";
     private static final String WEIGHTS = "ab".repeat(32);
 
-    private final HttpClient mClient = new HttpClient();
+    private final HttpClient mClient =
+            EndpointHttpClients.create(
+                    new QueuedThreadPool(), EndpointHttpClients.Limits.forFleet());
     private final Server mAgent = new Server();
     private final ServerConnector mConnector = new ServerConnector(mAgent, 1, 1);
     private ServerSocket mEndpoint;
--- a/daemon/src/test/java/org/sequoiahill/daemon/request/HttpForwarderTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/request/HttpForwarderTest.java
@@ -42,7 +42,9 @@
     private static final String COMPLETE_RESPONSE = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
     private static final int BODY_BYTES = 1 << 20;
 
-    private final HttpClient mClient = EndpointHttpClients.create(new QueuedThreadPool());
+    private final HttpClient mClient =
+            EndpointHttpClients.create(
+                    new QueuedThreadPool(), EndpointHttpClients.Limits.forFleet());
     private ServerSocket mServer;
 
     @BeforeEach
