--- a/daemon/src/main/java/org/sequoiahill/daemon/process/settings/FleetSettingsReader.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/settings/FleetSettingsReader.java
@@ -24,7 +24,6 @@
             Pattern.compile("|" + HostPort.PATTERN.pattern());
     private static final Pattern PATH = Pattern.compile(".{0,4096}");
     private static final Pattern LEVEL = Pattern.compile("trace|debug|info|warn|error");
-    private static final int MAX_PORT = 65_535;
     private static final long MAX_MILLIS = 600_000;
     private static final int MAX_LOST_STORES = 3;
     private static final long MAX_COUNT = 1_000_000;
@@ -98,7 +97,7 @@
 
     /** Returns the seeds; {@code seedPort}, if set, overrides the port of each. */
     private static List<HostPort> readSeeds(ObjectReader reader) {
-        int port = (int) reader.integer("seedPort", 0, MAX_PORT, 0);
+        int port = (int) reader.integer("seedPort", 0, HostPort.MAX_PORT, 0);
         List<HostPort> seeds = new ArrayList<>();
         for (String seed : reader.strings("seeds", HostPort.PATTERN)) {
             parseAddress(reader, "seeds", seed)
@@ -115,8 +114,8 @@
 
     private static Optional<HostPort> parseAddress(ObjectReader reader, String key, String text) {
         HostPort address = HostPort.parse(text);
-        if (address.port() < 1 || address.port() > MAX_PORT) {
-            reader.fault(key, "has port " + address.port() + "; must be 1 to " + MAX_PORT);
+        if (address.port() < 1 || address.port() > HostPort.MAX_PORT) {
+            reader.fault(key, "has port " + address.port() + "; must be 1 to " + HostPort.MAX_PORT);
             return Optional.empty();
         }
         return Optional.of(address);
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/settings/SettingsReader.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/settings/SettingsReader.java
@@ -41,7 +41,6 @@
     private static final long DEFAULT_CACHE_BYTES = 256L << 30;
     private static final long MAX_LINK_RATE = 1L << 40;
     private static final long DEFAULT_LINK_RATE = 1_250_000_000;
-    private static final int MAX_PORT = 65_535;
 
     private SettingsReader() {}
 
@@ -99,8 +98,8 @@
             return INVALID_ADDRESS;
         }
         HostPort address = HostPort.parse(text);
-        if (address.port() < 1 || address.port() > MAX_PORT) {
-            reader.fault(key, "is " + text + "; the port must be 1 to " + MAX_PORT);
+        if (address.port() < 1 || address.port() > HostPort.MAX_PORT) {
+            reader.fault(key, "is " + text + "; the port must be 1 to " + HostPort.MAX_PORT);
         }
         return address;
     }
