Skip an impossible endpoint of a store's feed instead of losing those behind it

Callers could see: endpoints missing at all entries while a store of an older release holds one odd entry. The mirror advanced its position first and then failed within the list, so what stood behind the odd entry was never read.

--- a/daemon/src/main/java/org/sequoiahill/daemon/process/endpoints/FeedMirror.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/endpoints/FeedMirror.java
@@ -3,10 +3,12 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import org.sequoiahill.protocol.gen.EndpointReport;
 import org.sequoiahill.protocol.gen.FeedItem;
 import org.sequoiahill.protocol.gen.Participant;
 import org.sequoiahill.protocol.gen.WatchReply;
+import org.tinylog.Logger;
 
 /** A reader's copy of one store's feed. Not thread-safe. */
 public final class FeedMirror {
@@ -77,9 +79,15 @@
             EndpointReport report = item.getEndpoint();
             if (report.getAddress().isEmpty()) {
                 mGoneById.put(report.getId(), report);
-            } else {
-                mEndpoints.put(item.getKey(), EndpointInfo.of(report, now));
+                return;
             }
+            Optional<String> fault = EndpointReportCheck.faultOf(report);
+            if (fault.isPresent()) {
+                // A store of another release may have accepted it.
+                Logger.warn("ignored endpoint {} of the feed: {}", report.getId(), fault.get());
+                return;
+            }
+            mEndpoints.put(item.getKey(), EndpointInfo.of(report, now));
         } else if (item.isSetParticipant()) {
             mParticipants.put(item.getKey(), item.getParticipant());
         }
