Poll a store again after a reply that can't be applied

Callers could see: a daemon that no longer follows configurations, evacuations and endpoints of a store, until it is restarted.

Cause: the exception ended in a future that nobody reads, and the store stayed marked as being polled.

Evidence: StoreWatcherTest.start_replyCannotBeApplied_pollsTheStoreAgain timed out after 10 s before. After: passed. The failure is logged and the store is polled again like an unreachable one.

--- a/daemon/src/main/java/org/sequoiahill/daemon/process/fleet/StoreWatcher.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/fleet/StoreWatcher.java
@@ -219,7 +219,13 @@
     }
 
     private void handleReply(StorePoll poll, WatchReply reply) {
-        mView.apply(poll.mStore, reply);
+        try {
+            mView.apply(poll.mStore, reply);
+        } catch (RuntimeException e) {
+            Logger.error(e, "a reply of store {} can't be applied", poll.mStore);
+            handleFailure(poll, e);
+            return;
+        }
         synchronized (this) {
             if (poll.mIsUnreachable || !poll.mHasReplied) {
                 Logger.info("store {} is reachable, current: {}", poll.mStore, reply.isCurrent());
--- a/daemon/src/test/java/org/sequoiahill/daemon/process/fleet/StoreWatcherTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/process/fleet/StoreWatcherTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.io.IOException;
@@ -18,6 +19,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -56,6 +58,7 @@
                     MonotonicClock.system(),
                     StoreWatcherTest::parse,
                     (delay, task) -> CompletableFuture.runAsync(task));
+    private final AtomicInteger mUnusableReplies = new AtomicInteger();
     private HostPort mFarStore;
     private ControlServer mServer;
     private ControlClient mClient;
@@ -105,6 +108,25 @@
         assertThat(table.get(10, TimeUnit.SECONDS), is(TABLE));
     }
 
+    @Test
+    void start_replyCannotBeApplied_pollsTheStoreAgain() throws Exception {
+        mUnusableReplies.set(1);
+        CompletableFuture<Long> table = new CompletableFuture<>();
+        mView.addListener(
+                snapshot -> snapshot.table().ifPresent(each -> table.complete(each.number())));
+        StoreWatcher.of(
+                        mView,
+                        mClient,
+                        MonotonicClock.system(),
+                        mScheduler,
+                        () -> participant(),
+                        () -> List.of(mFarStore),
+                        "dc-2")
+                .start();
+        assertThat(table.get(10, TimeUnit.SECONDS), is(TABLE));
+        assertThat(mUnusableReplies.get(), lessThan(0));
+    }
+
     private static Participant participant() {
         return new Participant(
                 "vm",
@@ -132,6 +154,13 @@
             if (request.getWaitMillis() > 0) {
                 await();
             }
+            if (mUnusableReplies.getAndDecrement() > 0) {
+                return new WatchReply()
+                        .setItems(new ArrayList<>())
+                        .setStores(List.of("nowhere"))
+                        .setDataCentre("dc-2")
+                        .setCurrent(true);
+            }
             FleetContent content = new FleetContent(INDEX, TABLE, Map.of(), Map.of(), Map.of());
             if (request.isWantsRouting()) {
                 byte[] text = Long.toString(TABLE).getBytes(StandardCharsets.UTF_8);
