Let a report that is not newer leave the lease of the held one alone

Callers could see: for as long as an endpoint lives, the address and state of one wrong report under its id with a start or sequence number far ahead; not even its leaving was seen.

Cause: each report of the true endpoint was outdated, yet renewed the lease of the wrong one.

--- a/daemon/src/main/java/org/sequoiahill/daemon/process/endpoints/EndpointRegistry.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/endpoints/EndpointRegistry.java
@@ -21,8 +21,11 @@
  *
  * <p>The state is soft: an endpoint or daemon that sends no report for the duration of its lease is
  * dropped, and after a restart the registry is complete again within one heartbeat. Reports of one
- * start of an endpoint are ordered by sequence number, so late ones only renew the lease, and an
- * endpoint that has reported that it is leaving never becomes ready again within the same start.
+ * start of an endpoint are ordered by sequence number, and an endpoint that has reported that it is
+ * leaving never becomes ready again within the same start.
+ *
+ * <p>A report that is not newer than the one held changes nothing and does not renew the lease. So
+ * a wrong report with a start or sequence number far ahead is in force for one lease at most.
  */
 public final class EndpointRegistry {
     private static final int MAX_TOMBSTONES = 4_096;
@@ -81,7 +84,10 @@
         mLock.lock();
         try {
             Received<EndpointReport> before = mEndpoints.get(report.getId());
-            EndpointReport merged = before == null ? report : merge(before, report);
+            if (before != null && isOutdated(report, before.value())) {
+                return false;
+            }
+            EndpointReport merged = before == null ? report : merge(before.value(), report);
             mEndpoints.put(report.getId(), new Received<>(merged, mClock.now()));
             if (before == null || isChange(before, merged)) {
                 publish(merged);
@@ -219,20 +225,24 @@
         }
     }
 
-    private EndpointReport merge(Received<EndpointReport> before, EndpointReport report) {
-        EndpointReport known = before.value();
+    /** Returns whether a report is not newer than the one held. */
+    private static boolean isOutdated(EndpointReport report, EndpointReport known) {
         if (report.getState() == EndpointState.GONE) {
-            return report.getStartedAt() < known.getStartedAt() && report.getStartedAt() > 0
-                    ? known
-                    : known.deepCopy().setState(EndpointState.GONE);
+            return report.getStartedAt() < known.getStartedAt() && report.getStartedAt() > 0;
         }
         if (report.getStartedAt() != known.getStartedAt()) {
-            return report.getStartedAt() > known.getStartedAt() ? report : known;
+            return report.getStartedAt() < known.getStartedAt();
         }
-        if (report.getSequence() <= known.getSequence()) {
-            return known;
+        return report.getSequence() <= known.getSequence();
+    }
+
+    /** Returns what is known after a report that is newer than the one held. */
+    private static EndpointReport merge(EndpointReport known, EndpointReport report) {
+        if (report.getState() == EndpointState.GONE) {
+            return known.deepCopy().setState(EndpointState.GONE);
         }
-        if (known.getState().getValue() > report.getState().getValue()) {
+        boolean isSameStart = report.getStartedAt() == known.getStartedAt();
+        if (isSameStart && known.getState().getValue() > report.getState().getValue()) {
             return report.deepCopy().setState(known.getState());
         }
         return report;
--- a/daemon/src/test/java/org/sequoiahill/daemon/process/endpoints/EndpointRegistryTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/process/endpoints/EndpointRegistryTest.java
@@ -100,6 +100,25 @@
         assertThat(items.get(0).isDropped(), is(true));
     }
 
+    @ParameterizedTest
+    @CsvSource({
+        // start and sequence of a wrong report with the id of an endpoint
+        "9000000000000000, 1",
+        "100, 9000000000000000"
+    })
+    void report_afterOneFarAhead_isHeldAgainAfterOneLease(long startedAt, long sequence) {
+        mRegistry.report(Reports.ready("e", 100, 5));
+        mRegistry.report(Reports.ready("e", startedAt, sequence).setAddress("127.0.0.8:1"));
+        for (int i = 6; i < 20; i++) {
+            mClock.advanceMillis(LEASE.toMillis() / 10);
+            mRegistry.expire();
+            mRegistry.report(Reports.ready("e", 100, i));
+        }
+        assertThat(held("e").getAddress(), is("127.0.0.9:80"));
+        mRegistry.report(Reports.ready("e", 100, 20).setState(EndpointState.DRAINING));
+        assertThat(held("e").getState(), is(EndpointState.DRAINING));
+    }
+
     @Test
     void await_coldEndpoint_returnsRemainingColdTime() {
         mRegistry.report(Reports.ready("e", 100, 5).setColdMillis(3_000));
