--- a/daemon/src/test/java/org/sequoiahill/daemon/request/AgentResponseTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/request/AgentResponseTest.java
@@ -17,6 +17,7 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.Random;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
@@ -144,13 +145,39 @@
         assertThat(response, not(containsString("X-Of-Endpoint")));
     }
 
+    @ParameterizedTest
+    @CsvSource({
+        // whether the endpoint returns the request's id, whether its first response is sent again
+        // right after it or before the next response; whether the second request may fail
+        "false, true, false",
+        "true, true, false",
+        "true, false, true"
+    })
+    void response_firstOneIsSentAgain_isNotTheResponseOfTheSecondRequest(
+            boolean hasId, boolean isAtOnce, boolean mayFail) throws Exception {
+        respondTwice(hasId, isAtOnce);
+        assertThat(call("X-Unused: 1", "id-1"), containsString("body of 1"));
+        String second = call("X-Unused: 1", "id-2");
+        assertThat(second, not(containsString("body of 1")));
+        if (!mayFail || !second.startsWith("HTTP/1.1 502 ")) {
+            assertThat(second, startsWith("HTTP/1.1 200 OK\r\n"));
+            assertThat(second, containsString("body of 2"));
+        }
+    }
+
     /** Sends a request as an entry does and returns all bytes of the response. */
     private String call(String header) throws IOException {
+        return call(header, "id-1");
+    }
+
+    private String call(String header, String id) throws IOException {
         try (Socket socket = new Socket("127.0.0.1", mConnector.getLocalPort())) {
             socket.setSoTimeout(READ_TIMEOUT_MILLIS);
             String request =
                     "POST /services/writer/x HTTP/1.1\r\nHost: a\r\n"
-                            + "Sequoia-Request-Id: id-1\r\nContent-Length: 0\r\n"
+                            + "Sequoia-Request-Id: "
+                            + id
+                            + "\r\nContent-Length: 0\r\n"
                             + header
                             + "\r\n\r\n";
             socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
@@ -164,6 +191,48 @@
         return new AttemptTicket(INCARNATION, attempt, "0".repeat(64));
     }
 
+    /** Responds to two requests, on one connection or two, and sends the first response twice. */
+    private void respondTwice(boolean hasId, boolean isAtOnce) {
+        AtomicInteger requests = new AtomicInteger();
+        for (int connection = 0; connection < 2; connection++) {
+            Thread thread = new Thread(() -> respond(requests, hasId, isAtOnce), "endpoint");
+            thread.setDaemon(true);
+            thread.start();
+        }
+    }
+
+    private void respond(AtomicInteger requests, boolean hasId, boolean isAtOnce) {
+        try (Socket socket = mEndpoint.accept()) {
+            BufferedReader reader =
+                    new BufferedReader(
+                            new InputStreamReader(
+                                    socket.getInputStream(), StandardCharsets.US_ASCII));
+            String late = "";
+            for (String line = reader.readLine(); line != null; line = reader.readLine()) {
+                if (!line.isEmpty()) {
+                    continue;
+                }
+                int request = requests.incrementAndGet();
+                String response =
+                        "HTTP/1.1 200 OK\r\n"
+                                + (hasId
+                                        ? RequestHeaders.ENDPOINT_REQUEST_ID
+                                                + ": id-"
+                                                + request
+                                                + "\r\n"
+                                        : "")
+                                + "Content-Length: 9\r\n\r\nbody of "
+                                + request;
+                boolean isRepeated = request == 1;
+                String sent = late + response + (isRepeated && isAtOnce ? response : "");
+                late = isRepeated && !isAtOnce ? response : "";
+                socket.getOutputStream().write(sent.getBytes(StandardCharsets.US_ASCII));
+            }
+        } catch (IOException e) {
+            // The test has ended.
+        }
+    }
+
     /** Sends a truncated response to the next request and closes the connection. */
     private void respondOnce(String framing, String body) {
         String response =
