End a stream that can't be resumed without the end of its body

Callers could see: a stream of which a part is missing, framed as complete, with an error event as its last one.

Cause: the error event was followed by a regular end. Callers that know the event are told; all others took the stream for complete.

Evidence: BufferedStreamTest, row 2 failed before (the response ended with its last chunk). After: 2 of 2.

Change: the event is still the last one, then the response is broken off.

--- a/daemon/src/main/java/org/sequoiahill/daemon/request/stream/BufferedStream.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/stream/BufferedStream.java
@@ -43,6 +43,7 @@
     private Content.@Nullable Source mSource;
     private boolean mIsDemanding;
     private boolean mIsWriting;
+    private boolean mIsBroken;
     private long mTokensAtResume = -1;
     private int mResumesWithoutProgress;
 
@@ -216,7 +217,10 @@
         pump();
     }
 
-    /** Ends the stream with an error event. */
+    /**
+     * Ends the stream with an error event and without the end of the body, for callers that don't
+     * know the event.
+     */
     private void failStream() {
         mRelay.count("given_up");
         String event =
@@ -224,6 +228,7 @@
                         + "\"the response failed and could not be resumed\",\"tokens\":%d}}\n\n"
                                 .formatted(mSplitter.tokens());
         enqueue(ByteBuffer.wrap(event.getBytes(StandardCharsets.UTF_8)));
+        mIsBroken = true;
         mState = State.ENDED;
         write();
     }
@@ -255,6 +260,10 @@
         } else if (mState == State.ENDED) {
             mState = State.CLOSED;
             mRelay.remove(mId);
+            if (mIsBroken) {
+                mDestination.callback().failed(new IOException("the stream can't be resumed"));
+                return;
+            }
             mDestination.response().write(true, ByteBuffer.allocate(0), mDestination.callback());
         }
     }
