Stop a control server only once its threads have been started

A daemon that is stopped while it starts could leave its control server running.

Cause: TThreadedSelectorServer.stop() iterates over the selector threads while the server's own thread still adds them.

--- a/daemon/src/main/java/org/sequoiahill/daemon/process/control/ControlServer.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/control/ControlServer.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import org.apache.thrift.TMultiplexedProcessor;
 import org.apache.thrift.TProcessor;
@@ -18,13 +19,14 @@
     private static final int CLIENT_TIMEOUT_MILLIS = 60_000;
 
     private final TMultiplexedProcessor mProcessor = new TMultiplexedProcessor();
-    private final TThreadedSelectorServer mServer;
+    private final SelectorServer mServer;
+    private boolean mIsStarted;
 
     private ControlServer(HostPort address, ExecutorService executor, ControlTraffic traffic)
             throws TTransportException {
         InetSocketAddress socketAddress = new InetSocketAddress(address.host(), address.port());
         mServer =
-                new TThreadedSelectorServer(
+                new SelectorServer(
                         new TThreadedSelectorServer.Args(
                                         new TNonblockingServerSocket(
                                                 socketAddress,
@@ -58,6 +60,7 @@
 
     /** Starts to serve on a thread of its own. */
     public void start() {
+        mIsStarted = true;
         Thread thread = new Thread(mServer::serve, "control-server");
         thread.setDaemon(true);
         thread.start();
@@ -65,6 +68,35 @@
 
     @Override
     public void close() {
+        if (mIsStarted) {
+            mServer.awaitThreads();
+        }
         mServer.stop();
     }
+
+    /** A server that tells when its threads have been started; it can't be stopped before that. */
+    private static final class SelectorServer extends TThreadedSelectorServer {
+        private final CountDownLatch mHasThreads = new CountDownLatch(1);
+
+        SelectorServer(Args args) {
+            super(args);
+        }
+
+        @Override
+        protected boolean startThreads() {
+            try {
+                return super.startThreads();
+            } finally {
+                mHasThreads.countDown();
+            }
+        }
+
+        void awaitThreads() {
+            try {
+                mHasThreads.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+    }
 }
--- a/daemon/src/test/java/org/sequoiahill/daemon/process/control/ControlServerTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/process/control/ControlServerTest.java
@@ -78,6 +78,23 @@
                 .count();
     }
 
+    @Test
+    void close_whileTheServerStarts_succeeds() {
+        for (int spins = 0; spins < 2_000; spins++) {
+            ControlServer server =
+                    ControlServer.bind(
+                            new HostPort(HOST, 0),
+                            mExecutor,
+                            ControlTraffic.on(new SimpleMeterRegistry()));
+            server.start();
+            // Varies the moment at which the server is closed.
+            for (int i = 0; i < spins; i++) {
+                Thread.onSpinWait();
+            }
+            server.close();
+        }
+    }
+
     @Test
     void call_unknownService_fails() {
         CompletionException failure =
