Tell the reader of a response about a failure that Jetty reports only with the result

Cause: Jetty's client can lose the callback of a reader that demands content at the moment at which the response fails. Only the exchanges of fleet entries listened to the result as well; agents and entries with buffered streams did not.

Change: HttpForwarder wraps each response's content in a source that fails when the result does, so every reader learns of it.

--- a/daemon/src/main/java/org/sequoiahill/daemon/request/HttpForwarder.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/HttpForwarder.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import org.eclipse.jetty.client.ByteBufferRequestContent;
 import org.eclipse.jetty.client.HttpClient;
@@ -18,10 +19,12 @@
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.util.Callback;
+import org.jspecify.annotations.Nullable;
 import org.sequoiahill.daemon.connection.ConnectionKind;
 import org.sequoiahill.daemon.connection.ConnectionUse;
 import org.sequoiahill.daemon.connection.EventStreamSource;
 import org.sequoiahill.daemon.connection.ExchangeLostException;
+import org.sequoiahill.daemon.connection.FailureSignalingSource;
 import org.tinylog.Logger;
 
 /** Forwards a buffered request and streams its response back with backpressure. */
@@ -81,7 +84,7 @@
 
         /**
          * Called once the response's headers have arrived; must read {@code content}, which fails
-         * if it is a truncated event stream.
+         * if the response does, or if it is a truncated event stream.
          */
         void onResponse(Response response, Content.Source content);
 
@@ -92,11 +95,7 @@
          */
         void onFailure(Throwable failure, boolean isNotRun);
 
-        /**
-         * Called if a response fails after its headers have arrived. The content usually signals
-         * the failure too, but a failure that occurs while the headers are processed can be lost to
-         * a reader that demands content at that moment.
-         */
+        /** Called if a response fails after its headers have arrived; its content fails too. */
         default void onResponseFailure(Throwable failure) {}
     }
 
@@ -107,7 +106,7 @@
      */
     public Request send(Call call, Listener listener) {
         AtomicBoolean hasBegun = new AtomicBoolean();
-        AtomicBoolean hasResponded = new AtomicBoolean();
+        AtomicReference<@Nullable FailureSignalingSource> received = new AtomicReference<>();
         Request request =
                 mClient.newRequest(call.target())
                         .method(call.method())
@@ -134,15 +133,18 @@
         }
         request.onResponseContentSource(
                 (response, content) -> {
-                    hasResponded.set(true);
-                    listener.onResponse(response, EventStreamSource.checkEnd(response, content));
+                    FailureSignalingSource source = FailureSignalingSource.over(content);
+                    received.set(source);
+                    listener.onResponse(response, EventStreamSource.checkEnd(response, source));
                 });
         request.send(
                 result -> {
-                    if (result.isFailed() && !hasResponded.get()) {
+                    FailureSignalingSource source = received.get();
+                    if (source == null && result.isFailed()) {
                         Throwable failure = result.getFailure();
                         listener.onFailure(failure, !hasBegun.get() || isNotRun(failure));
-                    } else if (result.getResponseFailure() != null) {
+                    } else if (source != null && result.getResponseFailure() != null) {
+                        source.signalFailure(result.getResponseFailure());
                         listener.onResponseFailure(result.getResponseFailure());
                     }
                 });
