--- a/daemon/src/main/java/org/sequoiahill/daemon/connection/EventStreamSource.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/connection/EventStreamSource.java
@@ -119,7 +119,7 @@
                 : Optional.empty();
     }
 
-    /** Follows the bytes of an event stream and tells where its last event ends. */
+    /** Tracks whether the bytes of a stream so far end inside an event or a line. */
     private static final class EventBoundary {
         private boolean mIsInsideEvent;
         private boolean mIsInsideLine;
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/control/ControlServer.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/control/ControlServer.java
@@ -69,12 +69,13 @@
     @Override
     public void close() {
         if (mIsStarted) {
+            // stop() iterates over the threads without a lock.
             mServer.awaitThreads();
         }
         mServer.stop();
     }
 
-    /** A server that tells when its threads have been started; it can't be stopped before that. */
+    /** A server whose owner can wait until its threads have been started. */
     private static final class SelectorServer extends TThreadedSelectorServer {
         private final CountDownLatch mHasThreads = new CountDownLatch(1);
 
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/endpoints/EndpointReportCheck.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/endpoints/EndpointReportCheck.java
@@ -20,7 +20,7 @@
      * none.
      */
     public static Optional<String> faultOf(EndpointReport report) {
-        if (!HostPort.isIpv4(report.getAddress())) {
+        if (!HostPort.isIpv4WithPort(report.getAddress())) {
             return Optional.of("the address must be an IPv4 address and a port");
         }
         if (report.getSlots() < 0 || report.getSlots() > MAX_SLOTS) {
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/settings/HostPort.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/settings/HostPort.java
@@ -9,6 +9,7 @@
  * @param port port, 1 to 65535; 0 only in place of a missing or invalid address
  */
 public record HostPort(String host, int port) {
+    /** Largest port number. */
     public static final int MAX_PORT = 65_535;
 
     /** Syntax of an address; the range of the port is checked separately. */
@@ -19,7 +20,7 @@
             Pattern.compile("(" + OCTET + "\\.){3}" + OCTET + ":[1-9][0-9]{0,4}");
 
     /** Returns whether a text is an IPv4 address and a port from 1 to 65535. */
-    public static boolean isIpv4(String text) {
+    public static boolean isIpv4WithPort(String text) {
         return IPV4.matcher(text).matches() && parse(text).port() <= MAX_PORT;
     }
 
