Respond to requests on open connections while a daemon's server stops

Cause: once no request was running, the server closed its listener and all connections at once. A request on its way on a connection that was open, idle or just accepted, was neither refused nor run.

A second stop request skips this, as it skips the other waits. Fleet daemons keep their own sequence.

--- a/daemon/src/main/java/org/sequoiahill/daemon/process/Daemon.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/Daemon.java
@@ -165,7 +165,11 @@
                     interrupted.size(),
                     interrupted);
         }
+        if (mStopNow.isDone()) {
+            mDataServer.setStopTimeout(0);
+        }
         stopServer(mDataServer);
+        mAdminServer.setStopTimeout(0);
         stopServer(mAdminServer);
         mControlServer.close();
         mControlClient.close();
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/HttpServers.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/HttpServers.java
@@ -25,6 +25,15 @@
     private static final int MAX_THREADS = 32;
     private static final int MIN_THREADS = 2;
 
+    /**
+     * Longest time for which a stopped server that no longer accepts connections still reads those
+     * that are open, so that a request that is on its way gets a response.
+     */
+    private static final Duration STOP_TIMEOUT = Duration.ofSeconds(1);
+
+    /** Idle time after which a stopped server closes a connection. */
+    private static final Duration STOP_IDLE_TIMEOUT = Duration.ofMillis(250);
+
     /** Idle time after which a server for one address closes a connection. */
     private static final Duration IDLE_TIMEOUT = Duration.ofMinutes(10);
 
@@ -102,7 +111,10 @@
         return String.valueOf(request.getConnectionMetaData().getConnector().getName());
     }
 
-    /** Returns a server for one address, not yet started. */
+    /**
+     * Returns a server for one address, not yet started. Once stopped, it responds to requests on
+     * open connections until they are idle, for {@link #STOP_TIMEOUT} at most.
+     */
     static Server create(String name, HostPort address, Handler handler) {
         QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, MIN_THREADS);
         threads.setName(name);
@@ -115,6 +127,8 @@
         connector.setPort(address.port());
         connector.setAcceptedSendBufferSize(SEND_BUFFER_BYTES);
         connector.setIdleTimeout(IDLE_TIMEOUT.toMillis());
+        connector.setShutdownIdleTimeout(STOP_IDLE_TIMEOUT.toMillis());
+        server.setStopTimeout(STOP_TIMEOUT.toMillis());
         server.addConnector(connector);
         server.setHandler(handler);
         return server;
