Refuse an exchange that has started before as unknown, not as not run

Callers could see: 'not run, come back' for a request that had run or was running at this entry or agent, where its exchange arrived a second time.

Cause: one refusal served both exchanges that a query had barred and those that had started.

Evidence: HttpServersTest.trackingExchanges_exchangeHasStartedBefore_isNotRefusedAsNotRun got a 503 with the not-run header before.

--- a/daemon/src/main/java/org/sequoiahill/daemon/connection/ExchangeTable.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/connection/ExchangeTable.java
@@ -70,6 +70,12 @@
         return true;
     }
 
+    /** Returns whether an exchange is known to be barred. */
+    public synchronized boolean isBarred(String id) {
+        PastExchange past = mPast.get(id);
+        return past != null && past.isBarred();
+    }
+
     /** Records the end of an exchange. */
     public synchronized void end(String id) {
         if (mRunning.remove(id) != null) {
--- a/daemon/src/main/java/org/sequoiahill/daemon/connection/ExchangeTrackingHandler.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/connection/ExchangeTrackingHandler.java
@@ -46,8 +46,13 @@
     /** Refuses a request whose exchange was barred or has started before. */
     @FunctionalInterface
     public interface Refuser {
-        /** Writes the refusal as the complete response. */
-        void refuse(Response response, Callback callback);
+        /**
+         * Writes the refusal as the complete response.
+         *
+         * @param isBarred whether the exchange was barred, so that the request has not run; if not,
+         *     it has started before
+         */
+        void refuse(boolean isBarred, Response response, Callback callback);
     }
 
     /**
@@ -80,7 +85,7 @@
         }
         response.getHeaders().put(mIdHeader, id);
         if (!mTable.begin(id, () -> Response.getContentBytesWritten(response))) {
-            mRefuser.refuse(response, callback);
+            mRefuser.refuse(mTable.isBarred(id), response, callback);
             return true;
         }
         Request.addCompletionListener(request, failure -> mTable.end(id));
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/HttpServers.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/HttpServers.java
@@ -65,12 +65,17 @@
                 RequestHeaders.REQUEST_ID,
                 isFromPeer,
                 ExchangeTable.of(clock, MAX_PAST_EXCHANGES),
-                (response, callback) ->
-                        Refusal.unavailable("exchange_barred", "the exchange was abandoned")
-                                .write(response, callback),
+                (isBarred, response, callback) ->
+                        refusalOfExchange(isBarred).write(response, callback),
                 handler);
     }
 
+    private static Refusal refusalOfExchange(boolean isBarred) {
+        return isBarred
+                ? Refusal.unavailable("exchange_barred", "the exchange was abandoned")
+                : Refusal.outcomeUnknown("the exchange has started before");
+    }
+
     /**
      * One address of a server for several addresses.
      *
--- a/daemon/src/test/java/org/sequoiahill/daemon/process/HttpServersTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/process/HttpServersTest.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
 import static org.hamcrest.Matchers.startsWith;
 
 import java.io.IOException;
@@ -20,8 +21,10 @@
 import org.eclipse.jetty.util.Callback;
 import org.junit.jupiter.api.Test;
 import org.sequoiahill.daemon.process.settings.HostPort;
+import org.sequoiahill.daemon.process.time.MonotonicClock;
+import org.sequoiahill.daemon.request.RequestHeaders;
 
-/** Tests how a server that {@link HttpServers} creates stops. */
+/** Tests of the servers and handlers that {@link HttpServers} creates. */
 final class HttpServersTest {
     private static final String HOST = "127.0.0.1";
     private static final String REQUEST = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
@@ -62,6 +65,27 @@
         }
     }
 
+    @Test
+    void trackingExchanges_exchangeHasStartedBefore_isNotRefusedAsNotRun() throws Exception {
+        HostPort address = new HostPort(HOST, freePort());
+        Handler tracking =
+                HttpServers.trackingExchanges(
+                        MonotonicClock.system(), request -> true, new OkHandler());
+        Server server = HttpServers.create("test", address, tracking);
+        server.start();
+        try (Socket socket = new Socket(HOST, address.port())) {
+            socket.setSoTimeout(READ_TIMEOUT_MILLIS);
+            String request =
+                    "GET /x HTTP/1.1\r\nHost: a\r\n" + RequestHeaders.REQUEST_ID + ": id-1\r\n\r\n";
+            assertThat(exchange(socket, request), startsWith("HTTP/1.1 200 "));
+            String second = exchange(socket, request);
+            assertThat(second, startsWith("HTTP/1.1 502 "));
+            assertThat(second, not(containsString(RequestHeaders.NOT_RUN)));
+        } finally {
+            stop(server);
+        }
+    }
+
     private static boolean stop(Server server) {
         try {
             server.stop();
@@ -73,7 +97,11 @@
 
     /** Sends a request and returns the head of the response, empty if there is none. */
     private static String exchange(Socket socket) throws IOException {
-        socket.getOutputStream().write(REQUEST.getBytes(StandardCharsets.US_ASCII));
+        return exchange(socket, REQUEST);
+    }
+
+    private static String exchange(Socket socket, String request) throws IOException {
+        socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
         StringBuilder head = new StringBuilder();
         int next = socket.getInputStream().read();
         while (next >= 0) {
--- a/daemon/src/test/java/org/sequoiahill/daemon/request/AgentResponseTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/request/AgentResponseTest.java
@@ -87,7 +87,7 @@
                         RequestHeaders.REQUEST_ID,
                         request -> true,
                         ExchangeTable.of(clock, MAX_RECORDS),
-                        (response, callback) -> {},
+                        (isBarred, response, callback) -> {},
                         AgentHandler.of(
                                 identity,
                                 settings,
