--- a/bench/src/test/java/org/sequoiahill/bench/calls/SilentConnectionTest.java
+++ b/bench/src/test/java/org/sequoiahill/bench/calls/SilentConnectionTest.java
@@ -75,7 +75,7 @@
                         RequestHeaders.REQUEST_ID,
                         request -> true,
                         ExchangeTable.of(this::serverClock, 100),
-                        (response, callback) ->
+                        (isBarred, response, callback) ->
                                 Refusal.unavailable("barred", "given up").write(response, callback),
                         new SlowHandler()));
         mServerClockOffset = SERVER_CLOCK_OFFSET;
