--- a/daemon/src/main/java/org/sequoiahill/daemon/process/RateLimitedRequestLog.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/RateLimitedRequestLog.java
@@ -59,6 +59,9 @@
         event.put("table", entry.tableNumber());
         event.put("state", entry.stateIndex());
         event.put("sendings", entry.attempts());
+        if (!entry.traits().isEmpty()) {
+            entry.traits().forEach(event.putArray("traits")::add);
+        }
         event.put("queued_ms", entry.queued().toMillis());
         event.put("total_ms", entry.time().toMillis());
         if (droppedCount > 0) {
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/CallerResponse.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/CallerResponse.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.server.Request;
@@ -21,6 +22,8 @@
  * entry is written. All methods run in the exchange's invoker.
  */
 final class CallerResponse {
+    private static final String ANSWERED = "answered";
+
     private final DirectServices mServices;
     private final DirectRequest mRequest;
     private final org.eclipse.jetty.server.Response mResponse;
@@ -31,6 +34,7 @@
     private @Nullable DisconnectDetector mDisconnectDetector;
     private Duration mQueueTime = Duration.ZERO;
     private String mAnsweredBy = "";
+    private int mAttempts;
     private volatile boolean mIsComplete;
 
     CallerResponse(
@@ -66,6 +70,7 @@
 
     /** Records the result of an attempt for the request log. */
     void trace(EndpointAttempt attempt, String result) {
+        mAttempts++;
         mTrace.append(attempt.permit().endpoint().id())
                 .append("(load ")
                 .append(attempt.permit().load())
@@ -101,7 +106,7 @@
     /** Responds with an endpoint's complete response. */
     void forward(EndpointAttempt attempt, Response response, byte[] body) {
         copyHead(attempt, response);
-        complete("answered", response.getStatus());
+        complete(ANSWERED, response.getStatus());
         mResponse.write(true, ByteBuffer.wrap(body), mCallback);
     }
 
@@ -116,7 +121,7 @@
 
     /** Completes the exchange after a complete stream; returns the callback for the last write. */
     Callback completeStream() {
-        complete("answered", mResponse.getStatus());
+        complete(ANSWERED, mResponse.getStatus());
         return mCallback;
     }
 
@@ -144,6 +149,7 @@
     }
 
     private void complete(String outcome, int status) {
+        boolean isFirstAttemptAnswered = mAttempts == 1 && outcome.equals(ANSWERED);
         mIsComplete = true;
         if (mDisconnectDetector != null) {
             mDisconnectDetector.stop();
@@ -161,6 +167,7 @@
                                 outcome,
                                 mAnsweredBy,
                                 mTrace.toString().trim(),
+                                isFirstAttemptAnswered ? List.of() : RequestTraits.of(mRequest),
                                 mQueueTime,
                                 mServices.clock().now().minus(mArrivedAt)));
     }
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectHandler.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectHandler.java
@@ -2,6 +2,7 @@
 
 import java.nio.ByteBuffer;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
@@ -168,6 +169,7 @@
                                 refusal.code(),
                                 "",
                                 "",
+                                List.of(),
                                 Duration.ZERO,
                                 Duration.ZERO));
         refusal.write(
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/RequestLog.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/RequestLog.java
@@ -1,6 +1,7 @@
 package org.sequoiahill.daemon.request.direct;
 
 import java.time.Duration;
+import java.util.List;
 
 /**
  * Records requests at their end, including refused ones, but not those whose body ended
@@ -32,6 +33,8 @@
      *     was resumed at another; empty if no response was forwarded
      * @param attempts endpoint, load, result, duration and connection of each attempt, and denials
      *     of the retry budget, in order
+     * @param traits what the request can have in common with others, see {@link RequestTraits};
+     *     empty if its first attempt was answered
      * @param queued time from arrival to the first attempt, zero if none was made
      * @param time time from arrival to end
      */
@@ -45,6 +48,7 @@
             String outcome,
             String answeredBy,
             String attempts,
+            List<String> traits,
             Duration queued,
             Duration time) {}
 }
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/RequestMetadata.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/RequestMetadata.java
@@ -1,6 +1,7 @@
 package org.sequoiahill.daemon.request.direct;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 
 /**
@@ -24,6 +25,13 @@
      * @param model name of the model
      * @param promptTokens tokens in the prompt
      * @param maxAnswerTokens maximum number of tokens to generate
+     * @param sharedParts ids of the parts of the prompt that other requests may contain too
      */
-    public record ModelRequest(String model, int promptTokens, int maxAnswerTokens) {}
+    public record ModelRequest(
+            String model, int promptTokens, int maxAnswerTokens, List<String> sharedParts) {
+        /** Creates a model request with an unmodifiable copy of the list. */
+        public ModelRequest {
+            sharedParts = List.copyOf(sharedParts);
+        }
+    }
 }
