--- a/bench/src/main/java/org/sequoiahill/bench/admission/SimulatedFleet.java
+++ b/bench/src/main/java/org/sequoiahill/bench/admission/SimulatedFleet.java
@@ -222,7 +222,13 @@
         }
         return FleetSnapshot.of(
                 new FleetState(
-                        1, 1, ByteBuffer.allocate(0), Map.of(), Map.of(), Map.of(MODEL, mTarget)),
+                        1,
+                        1,
+                        ByteBuffer.allocate(0),
+                        Map.of(),
+                        Map.of(),
+                        Map.of(MODEL, mTarget),
+                        Map.of()),
                 Optional.of(routingTable()),
                 Map.of(SERVICE, endpoints),
                 participants,
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/FleetEntryRole.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/FleetEntryRole.java
@@ -22,6 +22,7 @@
 import org.sequoiahill.daemon.process.control.ControlServer;
 import org.sequoiahill.daemon.process.control.Identity;
 import org.sequoiahill.daemon.process.control.ServiceStub;
+import org.sequoiahill.daemon.process.fleet.FleetChangeProposer;
 import org.sequoiahill.daemon.process.fleet.FleetView;
 import org.sequoiahill.daemon.process.settings.FleetSettings;
 import org.sequoiahill.daemon.process.settings.HostPort;
@@ -36,12 +37,16 @@
 import org.sequoiahill.daemon.request.direct.ServiceRetryBudgets;
 import org.sequoiahill.daemon.request.direct.SlackShare;
 import org.sequoiahill.daemon.request.load.LoadRelay;
+import org.sequoiahill.daemon.request.quarantine.TraitQuarantine;
 import org.sequoiahill.daemon.version.staging.PieceRelay;
 import org.sequoiahill.daemon.version.staging.PieceStore;
+import org.sequoiahill.protocol.gen.CrashReport;
+import org.sequoiahill.protocol.gen.Crashes;
 import org.sequoiahill.protocol.gen.LoadDigest;
 import org.sequoiahill.protocol.gen.Loads;
 import org.sequoiahill.protocol.gen.Participant;
 import org.sequoiahill.protocol.gen.Pieces;
+import org.tinylog.Logger;
 
 /**
  * The role of an entry, which serves callers and sends requests directly to endpoints, in a daemon
@@ -81,6 +86,7 @@
     private final DrainHandler mDrain;
     private final PieceRelay mPieces;
     private final LoadRelay mLoads;
+    private final TraitQuarantine mQuarantine;
     private volatile boolean mIsLeaving;
 
     @Inject
@@ -100,17 +106,7 @@
         mAdapter = adapter;
         mIdentity = identity;
         mView = view;
-        FleetSettings.FleetLimits limits = settings.limits();
-        DirectSettings direct =
-                new DirectSettings(
-                        settings.vm(),
-                        settings.regions(),
-                        settings.region(),
-                        limits.retryRatio(),
-                        limits.retryWindow(),
-                        limits.retrySlack(),
-                        fractionOf(limits.versionDeadline(), REQUIRE_VERSION_FRACTION),
-                        fractionOf(limits.versionDeadline(), RECALL_FRACTION));
+        DirectSettings direct = directSettings(settings);
         Dispatcher dispatcher =
                 Dispatcher.of(view::snapshot, direct, clock, random, DelayedExecutor.of(scheduler));
         mLoads =
@@ -128,11 +124,14 @@
         metrics.gauge("sequoia.entry.answer.bytes", responseBytes, ByteBudget::reserved);
         SlackShare slackShare = SlackShare.of(direct, view::quorumContactSince, clock);
         view.addListener(slackShare::update);
+        mQuarantine = quarantine(client, clock, scheduler, metrics);
+        view.addListener(mQuarantine::update);
         DirectServices services =
                 new DirectServices(
                         adapter.headerCodec(),
                         dispatcher,
                         ServiceRetryBudgets.of(direct, slackShare, clock, metrics),
+                        mQuarantine,
                         forwarder,
                         exchanges,
                         responseBytes,
@@ -154,6 +153,37 @@
         view.addListener(snapshot -> mPieces.prefetch(snapshot, prefetcher));
     }
 
+    private static DirectSettings directSettings(FleetSettings settings) {
+        FleetSettings.FleetLimits limits = settings.limits();
+        return new DirectSettings(
+                settings.vm(),
+                settings.regions(),
+                settings.region(),
+                limits.retryRatio(),
+                limits.retryWindow(),
+                limits.retrySlack(),
+                fractionOf(limits.versionDeadline(), REQUIRE_VERSION_FRACTION),
+                fractionOf(limits.versionDeadline(), RECALL_FRACTION));
+    }
+
+    private TraitQuarantine quarantine(
+            ControlClient client,
+            MonotonicClock clock,
+            ScheduledExecutorService scheduler,
+            PrometheusMeterRegistry metrics) {
+        DelayedExecutor runner = DelayedExecutor.of(scheduler);
+        FleetChangeProposer proposer =
+                FleetChangeProposer.of(mIdentity, mView::stores, client, runner);
+        return TraitQuarantine.of(
+                mIdentity,
+                mView::snapshot,
+                (entry, report) -> sendCrashReport(client, entry, report),
+                proposer::propose,
+                runner,
+                clock,
+                metrics);
+    }
+
     @Override
     public List<HttpServers.Listener> listeners() {
         return List.of(
@@ -169,6 +199,7 @@
     @Override
     public void register(ControlServer server) {
         server.register(ServiceStub.PIECES, new Pieces.Processor<>(mPieces));
+        server.register(ServiceStub.CRASHES, new Crashes.Processor<>(mQuarantine));
         server.register(ServiceStub.LOADS, new Loads.Processor<>(mLoads));
     }
 
@@ -210,6 +241,22 @@
                 });
     }
 
+    private static void sendCrashReport(ControlClient client, HostPort entry, CrashReport report) {
+        client.call(
+                        entry,
+                        ServiceStub.CRASHES,
+                        crashes -> {
+                            crashes.report(report);
+                            return report;
+                        })
+                .exceptionally(
+                        failure -> {
+                            Logger.info(
+                                    "can't report crashes to {}: {}", entry, failure.toString());
+                            return report;
+                        });
+    }
+
     private static Duration fractionOf(Duration time, double fraction) {
         return Duration.ofMillis((long) (time.toMillis() * fraction));
     }
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/control/ServiceStub.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/control/ServiceStub.java
@@ -5,6 +5,7 @@
 import org.apache.thrift.protocol.TProtocol;
 import org.sequoiahill.protocol.gen.Claims;
 import org.sequoiahill.protocol.gen.Configuration;
+import org.sequoiahill.protocol.gen.Crashes;
 import org.sequoiahill.protocol.gen.Directory;
 import org.sequoiahill.protocol.gen.Fleet;
 import org.sequoiahill.protocol.gen.Loads;
@@ -45,6 +46,10 @@
     public static final ServiceStub<Suspects.Client> SUSPECTS =
             new ServiceStub<>("suspects", Suspects.Client::new);
 
+    /** Crashes of endpoints, which the entries of a fleet report to each other. */
+    public static final ServiceStub<Crashes.Client> CRASHES =
+            new ServiceStub<>("crashes", Crashes.Client::new);
+
     /** Claims of requests that may run at most once. */
     public static final ServiceStub<Claims.Client> CLAIMS =
             new ServiceStub<>("claims", Claims.Client::new);
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/EntryRank.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/fleet/EntryRank.java
@@ -1,7 +1,6 @@
-package org.sequoiahill.daemon.request.direct;
+package org.sequoiahill.daemon.process.fleet;
 
 import java.util.List;
-import org.sequoiahill.daemon.process.fleet.FleetSnapshot;
 import org.sequoiahill.protocol.gen.Participant;
 import org.sequoiahill.protocol.gen.ParticipantRole;
 
@@ -11,12 +10,12 @@
  * @param rank number of entries that sort before this one
  * @param entryCount number of running entries, including this one
  */
-record EntryRank(int rank, int entryCount) {
+public record EntryRank(int rank, int entryCount) {
     /**
      * Returns the rank of the entry on a VM. The entry count includes it even if the snapshot
      * doesn't contain it.
      */
-    static EntryRank of(FleetSnapshot snapshot, String vm) {
+    public static EntryRank of(FleetSnapshot snapshot, String vm) {
         List<Participant> entries = snapshot.participants(ParticipantRole.ENTRY);
         int rank = 0;
         boolean isKnown = false;
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/fleet/FleetState.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/fleet/FleetState.java
@@ -7,6 +7,7 @@
 import org.sequoiahill.protocol.gen.DataCentreChange;
 import org.sequoiahill.protocol.gen.FleetChange;
 import org.sequoiahill.protocol.gen.FleetContent;
+import org.sequoiahill.protocol.gen.QuarantineChange;
 import org.sequoiahill.protocol.gen.RoutingPut;
 import org.sequoiahill.protocol.gen.WeightsChange;
 
@@ -20,6 +21,7 @@
  * @param returnedDataCentres data centres that were returned to service, with the index of the
  *     change
  * @param versions newest published version of each model
+ * @param quarantinedTraits number of failed probes of each trait of requests under quarantine
  */
 public record FleetState(
         long index,
@@ -27,10 +29,14 @@
         ByteBuffer routing,
         Map<String, Long> outDataCentres,
         Map<String, Long> returnedDataCentres,
-        Map<String, Long> versions) {
+        Map<String, Long> versions,
+        Map<String, Integer> quarantinedTraits) {
+    /** Limit of traits under quarantine; further ones are not added. */
+    private static final int MAX_QUARANTINED_TRAITS = 1_000;
+
     /** State before the first change. */
     public static final FleetState EMPTY =
-            new FleetState(0, 0, ByteBuffer.allocate(0), Map.of(), Map.of(), Map.of());
+            new FleetState(0, 0, ByteBuffer.allocate(0), Map.of(), Map.of(), Map.of(), Map.of());
 
     /** Copies the maps and makes the text of the routing table read-only. */
     public FleetState {
@@ -38,6 +44,7 @@
         outDataCentres = Map.copyOf(outDataCentres);
         returnedDataCentres = Map.copyOf(returnedDataCentres);
         versions = Map.copyOf(versions);
+        quarantinedTraits = Map.copyOf(quarantinedTraits);
     }
 
     /** Returns whether a data centre is out of service. */
@@ -64,10 +71,21 @@
             WeightsChange weights = change.getWeights();
             return weights.getVersion() <= version(weights.getModel(), 0);
         }
+        if (change.isSetQuarantine()) {
+            return includes(change.getQuarantine());
+        }
         DataCentreChange dataCentre = change.getDataCentre();
         return isOut(dataCentre.getDataCentre()) == dataCentre.isOut();
     }
 
+    private boolean includes(QuarantineChange change) {
+        Integer failedProbes = quarantinedTraits.get(change.getTrait());
+        if (failedProbes == null) {
+            return !change.isQuarantined() || quarantinedTraits.size() >= MAX_QUARANTINED_TRAITS;
+        }
+        return change.isQuarantined() && change.getFailedProbes() <= failedProbes;
+    }
+
     /** Returns the state after a change that this state does not include. */
     FleetState with(long newIndex, FleetChange change) {
         if (change.isSetRouting()) {
@@ -78,13 +96,37 @@
                     ByteBuffer.wrap(put.getContent()),
                     outDataCentres,
                     returnedDataCentres,
-                    versions);
+                    versions,
+                    quarantinedTraits);
         }
         if (change.isSetWeights()) {
             Map<String, Long> changed = new HashMap<>(versions);
             changed.put(change.getWeights().getModel(), change.getWeights().getVersion());
             return new FleetState(
-                    newIndex, routingNumber, routing, outDataCentres, returnedDataCentres, changed);
+                    newIndex,
+                    routingNumber,
+                    routing,
+                    outDataCentres,
+                    returnedDataCentres,
+                    changed,
+                    quarantinedTraits);
+        }
+        if (change.isSetQuarantine()) {
+            QuarantineChange quarantine = change.getQuarantine();
+            Map<String, Integer> traits = new HashMap<>(quarantinedTraits);
+            if (quarantine.isQuarantined()) {
+                traits.put(quarantine.getTrait(), quarantine.getFailedProbes());
+            } else {
+                traits.remove(quarantine.getTrait());
+            }
+            return new FleetState(
+                    newIndex,
+                    routingNumber,
+                    routing,
+                    outDataCentres,
+                    returnedDataCentres,
+                    versions,
+                    traits);
         }
         String name = change.getDataCentre().getDataCentre();
         Map<String, Long> out = new HashMap<>(outDataCentres);
@@ -92,7 +134,8 @@
         out.remove(name);
         returned.remove(name);
         (change.getDataCentre().isOut() ? out : returned).put(name, newIndex);
-        return new FleetState(newIndex, routingNumber, routing, out, returned, versions);
+        return new FleetState(
+                newIndex, routingNumber, routing, out, returned, versions, quarantinedTraits);
     }
 
     /** Returns this state with the routing table of another one. */
@@ -103,7 +146,8 @@
                 other.routing,
                 outDataCentres,
                 returnedDataCentres,
-                versions);
+                versions,
+                quarantinedTraits);
     }
 
     /** Returns the Thrift message of this state, with the text of the table only on request. */
@@ -111,6 +155,9 @@
         FleetContent content =
                 new FleetContent(
                         index, routingNumber, outDataCentres, returnedDataCentres, versions);
+        if (!quarantinedTraits.isEmpty()) {
+            content.setQuarantinedTraits(quarantinedTraits);
+        }
         if (withRouting && routingNumber > 0) {
             content.setRouting(routing.duplicate());
         }
@@ -125,7 +172,8 @@
                 ByteBuffer.wrap(content.isSetRouting() ? content.getRouting() : new byte[0]),
                 content.getOutDataCentres(),
                 content.getReturnedDataCentres(),
-                content.getVersions());
+                content.getVersions(),
+                content.isSetQuarantinedTraits() ? content.getQuarantinedTraits() : Map.of());
     }
 
     /** Returns whether this state has the text of the table. */
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/fleet/FleetStore.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/fleet/FleetStore.java
@@ -93,6 +93,11 @@
 
     /** Proposes a change at this store; completes as unavailable unless the store is the leader. */
     CompletableFuture<ChangeReply> changeAsLeader(FleetChange change) {
+        if (change.isSetQuarantine()
+                && mMachine.state().includes(change)
+                && mLog.log().isLeader()) {
+            return CompletableFuture.completedFuture(accepted("already in force"));
+        }
         return mLog.log()
                 .propose(FleetStateMachine.encode(change))
                 .thenApply(index -> accepted("committed at " + index))
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/fleet/FleetView.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/fleet/FleetView.java
@@ -275,13 +275,14 @@
     private static void logChanges(FleetState held, FleetState state) {
         Logger.info(
                 "fleet state at index {} (was {}): routing table {} (was {}), out of service {},"
-                        + " versions {}",
+                        + " versions {}, traits under quarantine {}",
                 state.index(),
                 held.index(),
                 state.routingNumber(),
                 held.routingNumber(),
                 state.outOfServiceDataCentres(),
-                state.versions());
+                state.versions(),
+                state.quarantinedTraits());
     }
 
     private FleetSnapshot rebuild(FleetState state, Optional<RoutingTable> table) {
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/CallerResponse.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/CallerResponse.java
@@ -26,6 +26,7 @@
 
     private final DirectServices mServices;
     private final DirectRequest mRequest;
+    private final List<String> mTraits;
     private final org.eclipse.jetty.server.Response mResponse;
     private final Callback mCallback;
     private final Duration mArrivedAt;
@@ -40,11 +41,13 @@
     CallerResponse(
             DirectServices services,
             DirectRequest request,
+            List<String> traits,
             org.eclipse.jetty.server.Response response,
             Callback callback,
             Duration arrivedAt) {
         mServices = services;
         mRequest = request;
+        mTraits = traits;
         mResponse = response;
         mCallback = callback;
         mArrivedAt = arrivedAt;
@@ -167,7 +170,7 @@
                                 outcome,
                                 mAnsweredBy,
                                 mTrace.toString().trim(),
-                                isFirstAttemptAnswered ? List.of() : RequestTraits.of(mRequest),
+                                isFirstAttemptAnswered ? List.of() : mTraits,
                                 mQueueTime,
                                 mServices.clock().now().minus(mArrivedAt)));
     }
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/ColdStartPacer.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/ColdStartPacer.java
@@ -1,6 +1,7 @@
 package org.sequoiahill.daemon.request.direct;
 
 import java.time.Duration;
+import org.sequoiahill.daemon.process.fleet.EntryRank;
 
 /**
  * Limits the rate of requests that one entry sends to a cold endpoint.
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectExchange.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectExchange.java
@@ -1,13 +1,8 @@
 package org.sequoiahill.daemon.request.direct;
 
 import java.io.IOException;
-import java.net.URI;
 import java.time.Duration;
-import java.util.HashMap;
-import java.util.HashSet;
-import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
 import org.eclipse.jetty.client.Response;
@@ -17,13 +12,9 @@
 import org.eclipse.jetty.util.thread.SerializedInvoker;
 import org.jspecify.annotations.Nullable;
 import org.sequoiahill.daemon.connection.BodyReader;
-import org.sequoiahill.daemon.connection.ConnectionKind;
-import org.sequoiahill.daemon.process.fleet.Organisation;
-import org.sequoiahill.daemon.process.settings.HostPort;
 import org.sequoiahill.daemon.request.HttpForwarder;
 import org.sequoiahill.daemon.request.Refusal;
 import org.sequoiahill.daemon.request.direct.EndpointPermit.Result;
-import org.sequoiahill.daemon.request.direct.RequestMetadata.ModelRequest;
 import org.sequoiahill.daemon.request.direct.RetryPolicy.Cause;
 import org.sequoiahill.daemon.request.direct.RetryPolicy.Decision;
 
@@ -41,27 +32,18 @@
     /** Minimum time until the deadline for another attempt to be worthwhile. */
     private static final Duration MIN_TIME_TO_RETRY = Duration.ofMillis(150);
 
-    /** Margin by which an attempt outlives the exchange, so that the exchange times out first. */
-    private static final Duration ATTEMPT_TIMEOUT_MARGIN = Duration.ofMillis(500);
-
-    private static final int MISDIRECTED = 421;
-    private static final int FIRST_SERVER_ERROR = 500;
-    private static final Set<Integer> STATUSES_IMPLYING_NOT_RUN = Set.of(408, 429, 503);
-
     private final DirectServices mServices;
     private final DirectRequest mRequest;
+    private final RequestQuarantine mQuarantine;
     private final Request mCallerRequest;
     private final CallerResponse mResponse;
     private final SerializedInvoker mInvoker = new SerializedInvoker();
     private final DirectStreamRelay mStreamRelay;
-    private final Set<String> mTriedEndpoints = new HashSet<>();
-    private final Map<HostPort, Integer> mAttemptsByAddress = new HashMap<>();
+    private final AttemptHistory mHistory = new AttemptHistory();
     private final RequestDeadlines mDeadlines;
     private @Nullable EndpointAttempt mCurrent;
     private Duration mQueueDeadline;
     private OptionalLong mPinnedVersion = OptionalLong.empty();
-    private int mAttempts;
-    private int mPossibleRuns;
 
     DirectExchange(
             DirectServices services,
@@ -73,7 +55,10 @@
         mServices = services;
         mRequest = request;
         mCallerRequest = callerRequest;
-        mResponse = new CallerResponse(services, request, response, callback, arrivedAt);
+        mQuarantine = RequestQuarantine.of(services.quarantine(), request);
+        mResponse =
+                new CallerResponse(
+                        services, request, mQuarantine.traits(), response, callback, arrivedAt);
         mStreamRelay = DirectStreamRelay.of(response, mInvoker, this);
         mDeadlines = RequestDeadlines.of(arrivedAt, request.route(), request.metadata().timeout());
         mQueueDeadline = mDeadlines.queueDeadline(request.route().latencyTarget());
@@ -83,6 +68,11 @@
     void start() {
         mInvoker.run(
                 () -> {
+                    Optional<Refusal> refusal = mQuarantine.admit();
+                    if (refusal.isPresent()) {
+                        refuse(refusal.get());
+                        return;
+                    }
                     mServices.activeExchanges().add(this);
                     mResponse.detectDisconnect(
                             mCallerRequest, () -> mInvoker.run(this::onCallerDisconnect));
@@ -103,7 +93,7 @@
 
     @Override
     public String model() {
-        return mRequest.metadata().modelRequest().map(ModelRequest::model).orElse("");
+        return mRequest.model();
     }
 
     @Override
@@ -128,7 +118,7 @@
 
     @Override
     public int promptTokens() {
-        return mRequest.metadata().modelRequest().map(ModelRequest::promptTokens).orElse(0);
+        return mRequest.promptTokens();
     }
 
     @Override
@@ -143,7 +133,7 @@
 
     @Override
     public Set<String> triedEndpoints() {
-        return mTriedEndpoints;
+        return mHistory.endpoints();
     }
 
     @Override
@@ -172,6 +162,9 @@
                 () -> {
                     Result result = isUnsent ? Result.UNREACHABLE : Result.FAILED;
                     Cause cause = isUnsent ? Cause.UNSENT : Cause.LOST;
+                    if (!isUnsent) {
+                        mQuarantine.onLost(attempt, failure);
+                    }
                     if (endAttempt(attempt, result, failure.getClass().getSimpleName())) {
                         retryOrFinish(cause, null);
                     }
@@ -183,6 +176,7 @@
         mInvoker.run(
                 () -> {
                     if (isCurrent(attempt)) {
+                        mQuarantine.onLost(attempt, failure);
                         failAttempt(attempt, "broken_" + failure.getClass().getSimpleName());
                     }
                 });
@@ -194,33 +188,24 @@
             permit.release(Result.CANCELLED);
             return;
         }
-        if (mAttempts == 0) {
+        if (refuseIfQuarantined()) {
+            permit.release(Result.CANCELLED);
+            return;
+        }
+        if (mHistory.isEmpty()) {
             mResponse.recordQueueTime(now.minus(mDeadlines.arrivedAt()));
         }
-        mAttempts++;
-        mTriedEndpoints.add(permit.endpoint().id());
-        HostPort address = permit.endpoint().address();
-        int attemptAtAddress = mAttemptsByAddress.merge(address, 1, Integer::sum);
+        int attemptAtAddress = mHistory.add(permit.endpoint());
         EndpointAttempt attempt = new EndpointAttempt(permit, now, this);
         mCurrent = attempt;
-        Duration timeLeft = mDeadlines.deadline().minus(now);
-        AttemptMetadata metadata =
-                new AttemptMetadata(
-                        permit.endpoint().id(),
-                        mRequest.organisation().map(Organisation::name),
-                        timeLeft,
-                        mStreamRelay.lastId().or(() -> mRequest.metadata().lastEventId()),
-                        permit.version(),
-                        OptionalInt.of(priority()));
         HttpForwarder.Call httpCall =
-                new HttpForwarder.Call(
-                        mRequest.method(),
-                        URI.create("http://" + address + mRequest.pathAndQuery()),
-                        mServices.headerCodec().endpointHeaders(mRequest.headers(), metadata),
-                        mRequest.body(),
-                        timeLeft.plus(ATTEMPT_TIMEOUT_MARGIN),
-                        Optional.of(mRequest.host()),
-                        new ConnectionKind(!mRequest.route().isRetryable(), attemptAtAddress));
+                EndpointCalls.of(
+                        mServices.headerCodec(),
+                        mRequest,
+                        permit,
+                        mStreamRelay.lastId(),
+                        mDeadlines.deadline().minus(now),
+                        attemptAtAddress);
         attempt.onStarted(mServices.forwarder().send(httpCall, attempt));
     }
 
@@ -229,13 +214,11 @@
             return;
         }
         String message = "no endpoint can accept the request now";
-        if (mStreamRelay.hasBegun()) {
-            abort(refusal.reason());
-        } else if (mPossibleRuns > 0) {
-            refuse(Refusal.outcomeUnknown("the endpoint sent no response"));
-        } else {
-            refuse(Refusal.overloaded(refusal.reason(), message, refusal.retryAfter()));
-        }
+        refuseOrAbort(
+                mHistory.mayHaveRun()
+                        ? Refusal.outcomeUnknown("the endpoint sent no response")
+                        : Refusal.overloaded(refusal.reason(), message, refusal.retryAfter()),
+                refusal.reason());
     }
 
     private void handleHead(EndpointAttempt attempt, Response response, Content.Source content) {
@@ -246,15 +229,13 @@
         ResponseMetadata metadata =
                 mServices.headerCodec().parseResponse(response.getStatus(), response.getHeaders());
         attempt.onHead(content, mServices.clock().now());
-        boolean isNotRun = metadata.isNotRun() || metadata.status() == MISDIRECTED;
-        boolean isForThisRequest = metadata.requestId().equals(mRequest.metadata().id());
-        boolean mayLackId = metadata.requestId().isEmpty() && attempt.isFirstOnConnection();
-        if (!isForThisRequest && !(isNotRun && mayLackId)) {
+        String requestId = mRequest.metadata().id();
+        if (!metadata.isFor(requestId, attempt.isFirstOnConnection())) {
             failAttempt(attempt, "foreign_answer");
             return;
         }
         attempt.permit().onResponse(metadata);
-        if (isNotRun) {
+        if (metadata.isRefusal()) {
             handleNotRun(attempt, metadata, content);
         } else if (!metadata.isSealed()) {
             failAttempt(attempt, "unsealed_" + metadata.status());
@@ -268,17 +249,17 @@
                     .whenComplete(
                             (body, failure) ->
                                     mInvoker.run(
-                                            () -> handleBody(attempt, response, metadata, body)));
+                                            () ->
+                                                    handleBody(
+                                                            attempt, response, metadata, body,
+                                                            failure)));
         }
     }
 
     private void handleNotRun(
             EndpointAttempt attempt, ResponseMetadata metadata, Content.Source content) {
         Content.Source.consumeAll(content, Callback.NOOP);
-        boolean isMisdirected =
-                metadata.status() == MISDIRECTED
-                        && !metadata.endpointId()
-                                .equals(Optional.of(attempt.permit().endpoint().id()));
+        boolean isMisdirected = metadata.isMisdirected(attempt.permit().endpoint().id());
         Result result = isMisdirected ? Result.MISDIRECTED : Result.REJECTED;
         if (endAttempt(attempt, result, "not_run_" + metadata.status())) {
             retryOrFinish(Cause.NOT_RUN, null);
@@ -289,16 +270,21 @@
             EndpointAttempt attempt,
             Response response,
             ResponseMetadata metadata,
-            byte @Nullable [] body) {
+            byte @Nullable [] body,
+            @Nullable Throwable failure) {
         if (body == null) {
+            if (failure != null) {
+                mQuarantine.onLost(attempt, failure);
+            }
             failAttempt(attempt, "cut_" + metadata.status());
             return;
         }
-        boolean isFailure = metadata.status() >= FIRST_SERVER_ERROR;
+        boolean isFailure = metadata.isServerError();
         Result result = isFailure ? Result.FAILED : Result.SUCCEEDED;
         if (!endAttempt(attempt, result, "status_" + metadata.status())) {
             return;
         }
+        mQuarantine.onAnswered(attempt);
         if (!isFailure) {
             forward(attempt, response, body);
         } else {
@@ -312,8 +298,9 @@
     }
 
     @Override
-    public void onEvent(EndpointAttempt attempt) {
-        attempt.onReceived(mServices.clock().now());
+    public void onEvents(EndpointAttempt attempt, int count) {
+        attempt.onEvents(count, mServices.clock().now());
+        mQuarantine.onEvents(attempt, count);
     }
 
     @Override
@@ -324,11 +311,13 @@
 
     @Override
     public boolean onStreamEnd(EndpointAttempt attempt, String detail) {
+        mQuarantine.onAnswered(attempt);
         return endAttempt(attempt, Result.SUCCEEDED, "events_" + detail);
     }
 
     @Override
-    public void onStreamBroken(EndpointAttempt attempt, String detail) {
+    public void onStreamBroken(EndpointAttempt attempt, Throwable failure, String detail) {
+        mQuarantine.onLost(attempt, failure);
         failAttempt(attempt, "cut_stream_" + detail);
     }
 
@@ -345,6 +334,16 @@
         }
     }
 
+    /** Ends the request if it must not be sent to an endpoint; returns whether it has ended. */
+    private boolean refuseIfQuarantined() {
+        Optional<Refusal> refusal = mQuarantine.recheck(mHistory.mayHaveRun());
+        if (refusal.isEmpty()) {
+            return false;
+        }
+        refuseOrAbort(refusal.get(), refusal.get().code());
+        return true;
+    }
+
     /** Ends an attempt that brought no usable response and decides how to go on. */
     private void failAttempt(EndpointAttempt attempt, String reason) {
         if (endAttempt(attempt, Result.FAILED, reason)) {
@@ -366,22 +365,19 @@
     }
 
     private void retryOrFinish(Cause cause, @Nullable Runnable forwardFailure) {
-        if (cause == Cause.LOST || cause == Cause.FAILED) {
-            mPossibleRuns++;
-        }
         Duration now = mServices.clock().now();
         boolean hasTime = mDeadlines.deadline().minus(now).compareTo(MIN_TIME_TO_RETRY) > 0;
-        Decision decision =
-                RetryPolicy.decide(cause, mRequest.route(), mAttempts, mPossibleRuns, hasTime);
-        if (decision == Decision.REPEAT_IN_BUDGET
-                && !mServices.retryBudgets().tryAcquire(service(), cause)) {
-            mResponse.trace("no_budget");
-            decision = RetryPolicy.decideWithoutRetry(cause, mPossibleRuns);
+        mHistory.onFailed(cause);
+        Decision decision = mHistory.decide(cause, mRequest.route(), hasTime);
+        boolean isRetry = decision == Decision.REPEAT || decision == Decision.REPEAT_IN_BUDGET;
+        if (isRetry && refuseIfQuarantined()) {
+            return;
         }
-        if (decision == Decision.REPEAT) {
-            mServices.retryBudgets().onUnbudgetedRetry(cause);
+        Decision affordable = mHistory.charge(decision, cause, service(), mServices.retryBudgets());
+        if (affordable != decision) {
+            mResponse.trace("no_budget");
         }
-        switch (decision) {
+        switch (affordable) {
             case REPEAT, REPEAT_IN_BUDGET -> {
                 mQueueDeadline = mDeadlines.retryQueueDeadline(now);
                 mServices.dispatcher().submit(this);
@@ -393,20 +389,16 @@
                     forwardFailure.run();
                 }
             }
-            case REFUSE, UNKNOWN -> {
-                if (mStreamRelay.hasBegun()) {
-                    abort("broken");
-                } else if (decision == Decision.UNKNOWN) {
-                    refuse(Refusal.outcomeUnknown("the endpoint sent no complete response"));
-                } else {
-                    refuse(
+            case UNKNOWN ->
+                    refuseOrAbort(
+                            Refusal.outcomeUnknown("the endpoint sent no complete response"),
+                            "broken");
+            case REFUSE ->
+                    refuseOrAbort(
                             Refusal.overloaded(
-                                    "not_run",
-                                    "no endpoint ran the request",
-                                    Duration.ofMillis(MIN_TIME_TO_RETRY.toMillis())));
-                }
-            }
-            default -> throw new IllegalStateException("unknown decision " + decision);
+                                    "not_run", "no endpoint ran the request", MIN_TIME_TO_RETRY),
+                            "broken");
+            default -> throw new IllegalStateException("unknown decision " + affordable);
         }
     }
 
@@ -418,13 +410,22 @@
     /** Forwards an error response, unless its status would mean that the request has not run. */
     private void forwardFailure(
             EndpointAttempt attempt, Response response, ResponseMetadata metadata, byte[] body) {
-        if (STATUSES_IMPLYING_NOT_RUN.contains(metadata.status())) {
+        if (metadata.impliesNotRun()) {
             refuse(Refusal.outcomeUnknown("the endpoint failed with " + metadata.status()));
         } else {
             forward(attempt, response, body);
         }
     }
 
+    /** Ends a request that can't be served: aborts its stream if that has begun. */
+    private void refuseOrAbort(Refusal refusal, String abortReason) {
+        if (mStreamRelay.hasBegun()) {
+            abort(abortReason);
+        } else {
+            refuse(refusal);
+        }
+    }
+
     private void refuse(Refusal refusal) {
         mServices.activeExchanges().remove(this);
         mResponse.refuse(refusal);
@@ -470,22 +471,20 @@
         return !mStreamRelay.isPaused()
                 && SilencePolicy.shouldRetryElsewhere(
                         mRequest.route(),
-                        mPossibleRuns,
+                        mHistory.possibleRuns(),
                         attempt.lastReceivedAt(),
                         mDeadlines.deadline(),
                         now);
     }
 
     private void handleTimeout() {
-        boolean mayHaveRun = mPossibleRuns > 0 || mCurrent != null;
+        boolean mayHaveRun = mHistory.mayHaveRun() || mCurrent != null;
         cancelCurrentAttempt("timeout");
-        if (mStreamRelay.hasBegun()) {
-            abort("timeout");
-        } else if (mayHaveRun) {
-            refuse(new Refusal(504, "timeout", "no response in time", false, Duration.ZERO));
-        } else {
-            refuse(Refusal.overloaded("timeout", "no capacity in time", Duration.ZERO));
-        }
+        refuseOrAbort(
+                mayHaveRun
+                        ? new Refusal(504, "timeout", "no response in time", false, Duration.ZERO)
+                        : Refusal.overloaded("timeout", "no capacity in time", Duration.ZERO),
+                "timeout");
     }
 
     private void cancelCurrentAttempt(String reason) {
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectRequest.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectRequest.java
@@ -6,6 +6,7 @@
 import org.eclipse.jetty.http.HttpFields;
 import org.sequoiahill.daemon.process.fleet.Organisation;
 import org.sequoiahill.daemon.process.fleet.Route;
+import org.sequoiahill.daemon.request.direct.RequestMetadata.ModelRequest;
 
 /**
  * A caller's request with the route that matched it.
@@ -47,6 +48,16 @@
         return own.orElse(route.priority());
     }
 
+    /** Returns the requested model, empty if the request names none. */
+    String model() {
+        return metadata.modelRequest().map(ModelRequest::model).orElse("");
+    }
+
+    /** Returns the number of prompt tokens, 0 if unknown. */
+    int promptTokens() {
+        return metadata.modelRequest().map(ModelRequest::promptTokens).orElse(0);
+    }
+
     /** Returns whether the request may be served in a region. */
     boolean allows(String region) {
         return route.allows(region) && organisation.map(each -> each.allows(region)).orElse(true);
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectServices.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectServices.java
@@ -3,6 +3,7 @@
 import org.sequoiahill.daemon.connection.ByteBudget;
 import org.sequoiahill.daemon.process.time.MonotonicClock;
 import org.sequoiahill.daemon.request.HttpForwarder;
+import org.sequoiahill.daemon.request.quarantine.TraitQuarantine;
 
 /**
  * Dependencies shared by all requests of one entry.
@@ -10,6 +11,7 @@
  * @param headerCodec parses and formats headers
  * @param dispatcher grants permits for endpoints
  * @param retryBudgets limits retries
+ * @param quarantine refuses requests that crash endpoints
  * @param forwarder sends requests to endpoints
  * @param activeExchanges exchanges in progress
  * @param bufferedResponseBytes limits the bytes of incomplete responses held in memory
@@ -20,6 +22,7 @@
         HeaderCodec headerCodec,
         Dispatcher dispatcher,
         ServiceRetryBudgets retryBudgets,
+        TraitQuarantine quarantine,
         HttpForwarder forwarder,
         ActiveExchanges activeExchanges,
         ByteBudget bufferedResponseBytes,
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectStreamRelay.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectStreamRelay.java
@@ -1,5 +1,6 @@
 package org.sequoiahill.daemon.request.direct;
 
+import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.Optional;
 import org.eclipse.jetty.client.Response;
@@ -52,8 +53,8 @@
         /** Returns whether an attempt is the current one, so that its bytes are still needed. */
         boolean isCurrent(EndpointAttempt attempt);
 
-        /** Called when an attempt's stream has delivered one or more complete events with data. */
-        void onEvent(EndpointAttempt attempt);
+        /** Called when an attempt's stream has delivered complete events with data. */
+        void onEvents(EndpointAttempt attempt, int count);
 
         /**
          * Called before the first bytes are written to the caller, with the headers of this
@@ -73,10 +74,11 @@
         /**
          * Called when an attempt's stream has broken.
          *
+         * @param failure cause
          * @param detail number of complete events of all attempts so far, framing of the response
          *     and cause, for the request log
          */
-        void onStreamBroken(EndpointAttempt attempt, String detail);
+        void onStreamBroken(EndpointAttempt attempt, Throwable failure, String detail);
 
         /** Called before the last write; returns the callback that the last write completes. */
         Callback onResponseEnding();
@@ -123,20 +125,25 @@
                 return;
             }
             if (Content.Chunk.isFailure(chunk)) {
-                String cause = chunk.getFailure().getClass().getSimpleName();
-                mExchange.onStreamBroken(attempt, describe(head, cause));
+                Throwable failure = chunk.getFailure();
+                String cause = failure.getClass().getSimpleName();
+                mExchange.onStreamBroken(attempt, failure, describe(head, cause));
                 return;
             }
-            int events = mSplitter.dataEvents();
+            int eventsBefore = mSplitter.dataEvents();
             forward(attempt, head, mSplitter.feed(chunk.getByteBuffer()));
-            if (mSplitter.dataEvents() > events) {
+            int events = mSplitter.dataEvents() - eventsBefore;
+            if (events > 0) {
                 // A hung endpoint may still send comments and parts of an event; they don't count.
-                mExchange.onEvent(attempt);
+                mExchange.onEvents(attempt, events);
             }
             boolean isLast = chunk.isLast();
             chunk.release();
             if (mSplitter.partialBytes() > MAX_EVENT_BYTES) {
-                mExchange.onStreamBroken(attempt, describe(head, "event_too_large"));
+                mExchange.onStreamBroken(
+                        attempt,
+                        new IOException("an event is too large"),
+                        describe(head, "event_too_large"));
                 return;
             }
             if (isLast) {
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/EndpointAttempt.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/EndpointAttempt.java
@@ -17,6 +17,8 @@
     private Content.@Nullable Source mContent;
     private volatile @Nullable ConnectionUse mConnection;
     private boolean mHasHead;
+    private int mEvents;
+    private Duration mHeadAt = Duration.ZERO;
     private Duration mLastReceivedAt;
 
     EndpointAttempt(EndpointPermit permit, Duration sentAt, Observer observer) {
@@ -102,14 +104,26 @@
 
     void onHead(Content.Source content, Duration now) {
         mHasHead = true;
+        mHeadAt = now;
         mContent = content;
         mLastReceivedAt = now;
     }
 
-    void onReceived(Duration now) {
+    void onEvents(int count, Duration now) {
+        mEvents += count;
         mLastReceivedAt = now;
     }
 
+    /** Returns the number of events received. */
+    int events() {
+        return mEvents;
+    }
+
+    /** Returns when the headers were received, zero before. */
+    Duration headAt() {
+        return mHeadAt;
+    }
+
     /** Cancels the attempt; the endpoint sees its connection close. */
     void cancel(Throwable cause) {
         if (mContent != null) {
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/EndpointSelector.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/EndpointSelector.java
@@ -13,6 +13,7 @@
 import org.jspecify.annotations.Nullable;
 import org.sequoiahill.daemon.process.endpoints.EndpointInfo;
 import org.sequoiahill.daemon.process.fleet.EngineProfile;
+import org.sequoiahill.daemon.process.fleet.EntryRank;
 import org.sequoiahill.daemon.process.fleet.FleetSnapshot;
 import org.sequoiahill.daemon.process.fleet.RoutedService;
 import org.sequoiahill.protocol.gen.Participant;
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/ResponseMetadata.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/ResponseMetadata.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * Metadata of an endpoint's response, parsed from its status and headers.
@@ -30,6 +31,9 @@
         Optional<Duration> pause) {
     private static final int FIRST_SUCCESS = 200;
     private static final int FIRST_REDIRECT = 300;
+    private static final int MISDIRECTED = 421;
+    private static final int FIRST_SERVER_ERROR = 500;
+    private static final Set<Integer> STATUSES_IMPLYING_NOT_RUN = Set.of(408, 429, 503);
 
     /**
      * Load of an endpoint.
@@ -40,6 +44,36 @@
      */
     public record Load(int running, int waiting, int slots) {}
 
+    /** Returns whether the endpoint, or another one at its address, refused the request. */
+    boolean isRefusal() {
+        return isNotRun || status == MISDIRECTED;
+    }
+
+    /** Returns whether another endpoint than the intended one refused the request. */
+    boolean isMisdirected(String intendedEndpointId) {
+        return status == MISDIRECTED && !endpointId.equals(Optional.of(intendedEndpointId));
+    }
+
+    /**
+     * Returns whether the response belongs to a request.
+     *
+     * @param isFirstOnConnection whether no earlier request can have left a response on the
+     *     connection, so that a refusal may lack the id
+     */
+    boolean isFor(String id, boolean isFirstOnConnection) {
+        return requestId.equals(id) || (isRefusal() && requestId.isEmpty() && isFirstOnConnection);
+    }
+
+    /** Returns whether the status tells callers that the request has not run. */
+    boolean impliesNotRun() {
+        return STATUSES_IMPLYING_NOT_RUN.contains(status);
+    }
+
+    /** Returns whether the status is a server error (5xx). */
+    boolean isServerError() {
+        return status >= FIRST_SERVER_ERROR;
+    }
+
     /** Returns whether the status is a success (2xx). */
     public boolean isSuccess() {
         return status >= FIRST_SUCCESS && status < FIRST_REDIRECT;
--- a/daemon/src/test/java/org/sequoiahill/daemon/request/direct/ColdStartPacerTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/request/direct/ColdStartPacerTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.sequoiahill.daemon.process.fleet.EntryRank;
 
 /** Simulates all entries of a fleet that send to one cold endpoint. */
 final class ColdStartPacerTest {
--- a/daemon/src/test/java/org/sequoiahill/daemon/request/direct/TestFleet.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/request/direct/TestFleet.java
@@ -162,7 +162,8 @@
                         Optional.empty(),
                         mEngine);
         return FleetSnapshot.of(
-                new FleetState(1, 1, ByteBuffer.allocate(0), mOutOfService, Map.of(), mVersions),
+                new FleetState(
+                        1, 1, ByteBuffer.allocate(0), mOutOfService, Map.of(), mVersions, Map.of()),
                 Optional.of(
                         RoutingTable.of(
                                 1,
--- /dev/null
+++ b/daemon/src/test/java/org/sequoiahill/daemon/request/quarantine/SimulatedFleetCrashes.java
@@ -0,0 +1,430 @@
+package org.sequoiahill.daemon.request.quarantine;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.Predicate;
+import java.util.function.Supplier;
+import org.sequoiahill.daemon.process.control.Identity;
+import org.sequoiahill.daemon.process.endpoints.EndpointInfo;
+import org.sequoiahill.daemon.process.fleet.FleetSnapshot;
+import org.sequoiahill.daemon.process.fleet.FleetStateMachine;
+import org.sequoiahill.daemon.process.settings.HostPort;
+import org.sequoiahill.daemon.process.time.ManualClock;
+import org.sequoiahill.protocol.gen.CrashReport;
+import org.sequoiahill.protocol.gen.EndpointState;
+import org.sequoiahill.protocol.gen.FleetChange;
+import org.sequoiahill.protocol.gen.Participant;
+import org.sequoiahill.protocol.gen.ParticipantRole;
+
+/**
+ * Entries with the real quarantine before engines that crash, in virtual time. Requests arrive at
+ * random entries, each goes to a random running engine, and one more attempt follows if that engine
+ * dies.
+ */
+final class SimulatedFleetCrashes {
+    private static final int MAX_ATTEMPTS = 2;
+    private static final int ROUTES = 3;
+    private static final int SUBJECTS = 60;
+
+    private final ManualClock mClock = new ManualClock();
+    private final Random mRandom;
+    private final PriorityQueue<Event> mEvents =
+            new PriorityQueue<>(Comparator.comparing(Event::at).thenComparing(Event::number));
+    private final List<Entry> mEntries = new ArrayList<>();
+    private final List<Engine> mEngines = new ArrayList<>();
+    private final List<Participant> mParticipants = new ArrayList<>();
+    private final FleetStateMachine mStore = FleetStateMachine.of(state -> publish());
+    private final List<Duration> mDeaths = new ArrayList<>();
+    private final Map<String, List<Duration>> mSentByBadPart = new HashMap<>();
+    private final Map<String, List<Duration>> mCrashesByBadPart = new HashMap<>();
+    private final List<SoundRequest> mSoundRequests = new ArrayList<>();
+    private final Set<String> mBadParts = new HashSet<>();
+    private long mNextNumber;
+    private long mLogIndex;
+
+    SimulatedFleetCrashes(int engines, int entries, long seed) {
+        mRandom = new Random(seed);
+        for (int i = 0; i < engines; i++) {
+            mEngines.add(new Engine("engine-" + i));
+        }
+        for (int i = 0; i < entries; i++) {
+            mParticipants.add(participant(i));
+        }
+        for (int i = 0; i < entries; i++) {
+            mEntries.add(new Entry(i));
+        }
+    }
+
+    private record Event(Duration at, long number, Runnable action) {}
+
+    /** When a sound request arrived, and whether its first attempt began to be answered. */
+    private record SoundRequest(Duration at, boolean hasBegunAtFirst) {}
+
+    /** Returns the traits under quarantine at any entry. */
+    Set<String> quarantined() {
+        Set<String> traits = new HashSet<>(mStore.state().quarantinedTraits().keySet());
+        for (Entry entry : mEntries) {
+            for (String part : knownParts()) {
+                if (entry.mQuarantine.recheck(List.of(part)).isRefused()) {
+                    traits.add(part);
+                }
+            }
+        }
+        return traits;
+    }
+
+    private Set<String> knownParts() {
+        Set<String> parts = new HashSet<>(mBadParts);
+        for (int route = 0; route < ROUTES; route++) {
+            parts.add("s/part/first" + route);
+            for (int subject = 0; subject < SUBJECTS; subject++) {
+                parts.add("s/part/subject" + route + "-" + subject);
+            }
+        }
+        return parts;
+    }
+
+    /** Returns the number of deaths so far. */
+    int deaths() {
+        return mDeaths.size();
+    }
+
+    /** Returns how often a bad part reached engines later than a time after its nth crash. */
+    long sentLate(String part, int crashes, Duration later) {
+        List<Duration> all = mCrashesByBadPart.getOrDefault(part, List.of());
+        if (all.size() < crashes) {
+            return 0;
+        }
+        Duration limit = all.get(crashes - 1).plus(later);
+        return mSentByBadPart.get(part).stream().filter(at -> at.compareTo(limit) > 0).count();
+    }
+
+    /** Returns the fraction of sound requests whose first attempt began, of those in a time. */
+    double soundFraction(Duration from, Duration to) {
+        List<SoundRequest> in =
+                mSoundRequests.stream()
+                        .filter(request -> request.at().compareTo(from) >= 0)
+                        .filter(request -> request.at().compareTo(to) < 0)
+                        .toList();
+        return in.stream().filter(SoundRequest::hasBegunAtFirst).count()
+                / (double) Math.max(1, in.size());
+    }
+
+    Duration now() {
+        return mClock.now();
+    }
+
+    /** Adds sound requests at a rate for a time from now. */
+    void addSoundRequests(double perSecond, Duration time) {
+        addRequests(
+                perSecond,
+                time,
+                () -> {
+                    int route = mRandom.nextInt(ROUTES);
+                    double skewed = mRandom.nextDouble() * mRandom.nextDouble();
+                    return List.of(
+                            "s/request/" + mRandom.nextLong(),
+                            "s/part/first" + route,
+                            "s/part/subject" + route + "-" + (int) (skewed * SUBJECTS));
+                });
+    }
+
+    /** Adds requests with a part that crashes engines, no two alike, for a time from now. */
+    void addBadRequests(String part, boolean isFirst, double perSecond, Duration time) {
+        mBadParts.add(part);
+        addRequests(
+                perSecond,
+                time,
+                () ->
+                        isFirst
+                                ? List.of("s/request/" + mRandom.nextLong(), part)
+                                : List.of(
+                                        "s/request/" + mRandom.nextLong(), "s/part/first0", part));
+    }
+
+    private void addRequests(double perSecond, Duration time, Supplier<List<String>> traits) {
+        double at = 0;
+        double end = time.toMillis() / 1e3;
+        while (at < end) {
+            at += -Math.log(1 - mRandom.nextDouble()) / perSecond;
+            after(millis(at * 1e3), () -> new Request(traits.get()).arrive());
+        }
+    }
+
+    /** Kills engines at an interval, for a time from now. */
+    void addCrashes(int atOnce, Duration interval, Duration time) {
+        for (Duration at = interval; at.compareTo(time) < 0; at = at.plus(interval)) {
+            after(
+                    at,
+                    () -> {
+                        int first = mRandom.nextInt(mEngines.size());
+                        for (int i = 0; i < atOnce; i++) {
+                            mEngines.get((first + i) % mEngines.size()).crash();
+                        }
+                    });
+        }
+    }
+
+    /** Resets all connections of a random entry at an interval, for a time from now. */
+    void addResets(Duration interval, Duration time) {
+        for (Duration at = interval; at.compareTo(time) < 0; at = at.plus(interval)) {
+            after(
+                    at,
+                    () -> {
+                        Entry entry = mEntries.get(mRandom.nextInt(mEntries.size()));
+                        mEngines.forEach(engine -> engine.lose(attempt -> attempt.mEntry == entry));
+                    });
+        }
+    }
+
+    /** Restarts an entry, which forgets all that it has not from the stores. */
+    void restartEntry(int index) {
+        mEntries.set(index, new Entry(index));
+        mEntries.get(index).update();
+    }
+
+    void run(Duration time) {
+        Duration end = mClock.now().plus(time);
+        while (!mEvents.isEmpty() && mEvents.peek().at().compareTo(end) <= 0) {
+            Event event = mEvents.poll();
+            mClock.advance(event.at().minus(mClock.now()));
+            event.action().run();
+        }
+        mClock.advance(end.minus(mClock.now()));
+    }
+
+    private void after(Duration delay, Runnable action) {
+        mEvents.add(new Event(mClock.now().plus(delay), mNextNumber++, action));
+    }
+
+    private static Duration millis(double millis) {
+        return Duration.ofNanos((long) (millis * 1e6));
+    }
+
+    private Duration between(double least, double most) {
+        return millis(least + (most - least) * mRandom.nextDouble());
+    }
+
+    private void propose(FleetChange change) {
+        after(between(10, 80), () -> mStore.apply(++mLogIndex, FleetStateMachine.encode(change)));
+    }
+
+    private void publish() {
+        for (Entry entry : List.copyOf(mEntries)) {
+            after(between(5, 40), entry::update);
+        }
+    }
+
+    private static Participant participant(int index) {
+        return new Participant(
+                "entry-" + index,
+                "entry-" + index,
+                ParticipantRole.ENTRY,
+                "dc",
+                "10.0.0." + index + ":1",
+                1,
+                0,
+                "",
+                "",
+                false,
+                Map.of());
+    }
+
+    private void deliver(HostPort address, CrashReport report) {
+        for (int i = 0; i < mEntries.size(); i++) {
+            Entry entry = mEntries.get(i);
+            if (address.toString().equals(mParticipants.get(i).getControl())) {
+                after(between(2, 30), () -> entry.mQuarantine.report(report));
+            }
+        }
+    }
+
+    private final class Entry {
+        private final TraitQuarantine mQuarantine;
+
+        Entry(int index) {
+            mQuarantine =
+                    TraitQuarantine.of(
+                            Identity.of("entry-" + index, "dc", 1),
+                            this::snapshot,
+                            SimulatedFleetCrashes.this::deliver,
+                            SimulatedFleetCrashes.this::propose,
+                            SimulatedFleetCrashes.this::after,
+                            mClock,
+                            new SimpleMeterRegistry());
+        }
+
+        private FleetSnapshot snapshot() {
+            return FleetSnapshot.of(
+                    mStore.state(), Optional.empty(), Map.of(), mParticipants, Map.of(), 0);
+        }
+
+        void update() {
+            mQuarantine.update(snapshot());
+        }
+    }
+
+    private final class Request {
+        private final List<String> mTraits;
+        private final Optional<String> mBadPart;
+        private final Entry mEntry = mEntries.get(mRandom.nextInt(mEntries.size()));
+        private final Duration mArrivedAt = mClock.now();
+        private int mAttempts;
+        private boolean mIsCounted;
+
+        Request(List<String> traits) {
+            mTraits = traits;
+            mBadPart = traits.stream().filter(mBadParts::contains).findAny();
+        }
+
+        void arrive() {
+            if (mEntry.mQuarantine.admit(mTraits).isRefused()) {
+                count(false);
+            } else {
+                send();
+            }
+        }
+
+        void send() {
+            List<Engine> running = mEngines.stream().filter(engine -> engine.mIsUp).toList();
+            if (running.isEmpty()
+                    || mAttempts == MAX_ATTEMPTS
+                    || mEntry.mQuarantine.recheck(mTraits).isRefused()) {
+                count(false);
+                return;
+            }
+            mAttempts++;
+            mBadPart.ifPresent(
+                    part ->
+                            mSentByBadPart
+                                    .computeIfAbsent(part, key -> new ArrayList<>())
+                                    .add(mClock.now()));
+            running.get(mRandom.nextInt(running.size())).start(new Attempt(this, mEntry));
+        }
+
+        /** Counts a sound request once, when it is known whether its first attempt begins. */
+        void count(boolean hasBegunAtFirst) {
+            if (mBadPart.isEmpty() && !mIsCounted) {
+                mIsCounted = true;
+                mSoundRequests.add(new SoundRequest(mArrivedAt, hasBegunAtFirst));
+            }
+        }
+    }
+
+    private final class Attempt {
+        private final Request mRequest;
+        private final Entry mEntry;
+        private final Duration mSentAt = mClock.now();
+        private Duration mBegunAt = Duration.ZERO;
+        private boolean mHasBegun;
+        private boolean mIsAnswered;
+
+        Attempt(Request request, Entry entry) {
+            mRequest = request;
+            mEntry = entry;
+        }
+    }
+
+    private final class Engine {
+        private final String mName;
+        private final Set<Attempt> mAttempts = new LinkedHashSet<>();
+        private boolean mIsUp = true;
+        private long mIncarnation = 1;
+
+        Engine(String name) {
+            mName = name;
+        }
+
+        void start(Attempt attempt) {
+            mAttempts.add(attempt);
+            after(between(40, 200), () -> begin(attempt));
+        }
+
+        private void begin(Attempt attempt) {
+            if (!mAttempts.contains(attempt)) {
+                return;
+            }
+            attempt.mHasBegun = true;
+            attempt.mBegunAt = mClock.now();
+            Optional<String> badPart = attempt.mRequest.mBadPart;
+            if (badPart.isPresent()) {
+                after(
+                        between(10, 110),
+                        () -> {
+                            if (mAttempts.contains(attempt)) {
+                                mCrashesByBadPart
+                                        .computeIfAbsent(badPart.get(), key -> new ArrayList<>())
+                                        .add(mClock.now());
+                                crash();
+                            }
+                        });
+                return;
+            }
+            attempt.mRequest.count(attempt.mRequest.mAttempts == 1);
+            after(between(100, 160), () -> answer(attempt));
+            after(between(500, 2_000), () -> mAttempts.remove(attempt));
+        }
+
+        private void answer(Attempt attempt) {
+            if (mAttempts.contains(attempt)) {
+                attempt.mIsAnswered = true;
+                attempt.mEntry.mQuarantine.onAnswered(attempt.mRequest.mTraits, attempt.mBegunAt);
+            }
+        }
+
+        void crash() {
+            if (!mIsUp) {
+                return;
+            }
+            mDeaths.add(mClock.now());
+            mIsUp = false;
+            lose(attempt -> true);
+            after(
+                    between(1_500, 4_000),
+                    () -> {
+                        mIncarnation++;
+                        mIsUp = true;
+                    });
+        }
+
+        void lose(Predicate<Attempt> predicate) {
+            EndpointInfo info =
+                    new EndpointInfo(
+                            mName,
+                            mIncarnation,
+                            1,
+                            "s",
+                            new HostPort("10.0.1.1", 1),
+                            "dc",
+                            16,
+                            EndpointState.READY,
+                            Duration.ZERO,
+                            Map.of());
+            for (Attempt attempt : List.copyOf(mAttempts)) {
+                if (predicate.test(attempt)) {
+                    mAttempts.remove(attempt);
+                    after(between(1, 6), () -> report(attempt, info));
+                }
+            }
+        }
+
+        private void report(Attempt attempt, EndpointInfo info) {
+            if (!attempt.mIsAnswered) {
+                attempt.mEntry.mQuarantine.onLost(
+                        info, attempt.mRequest.mTraits, 0, attempt.mSentAt, attempt.mHasBegun);
+            }
+            attempt.mRequest.send();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/sequoiahill/daemon/request/quarantine/TraitQuarantineTest.java
@@ -0,0 +1,128 @@
+package org.sequoiahill.daemon.request.quarantine;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.time.Duration;
+import java.util.Set;
+import java.util.TreeSet;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * Tests in virtual time that a fleet finds the part of prompts that crashes engines, and no other.
+ */
+final class TraitQuarantineTest {
+    /** Crashes of a part after which the bound on further requests with it begins. */
+    private static final int CRASHES_BEFORE_BOUND = 5;
+
+    /** Time after these crashes from which requests with the part count. */
+    private static final Duration CONTACT = Duration.ofSeconds(3);
+
+    private static final int MAX_SENT_LATE = 3;
+
+    /** Seeds of a row whose fleet has up to a hundred engines; larger ones are played with one. */
+    private static final int SEEDS = 8;
+
+    private static final int MANY_ENGINES = 100;
+    private static final Duration CALM = Duration.ofSeconds(5);
+    private static final Duration TROUBLE = Duration.ofSeconds(25);
+
+    @ParameterizedTest
+    @CsvSource({
+        // engines, entries, sound requests a second, bad parts, bad requests a second of each,
+        // whether the part is the first
+        "9, 1, 60, 1, 8, false",
+        "9, 7, 60, 1, 8, false",
+        "9, 7, 60, 1, 8, true",
+        "9, 7, 60, 1, 1, false",
+        "9, 7, 60, 1, 40, false",
+        "9, 7, 60, 2, 4, false",
+        "9, 40, 60, 1, 8, false",
+        "36, 40, 250, 1, 8, false",
+        "36, 7, 250, 3, 8, true",
+        "290, 40, 1500, 1, 8, false"
+    })
+    void badParts_amongSoundRequests_arePutUnderQuarantineAlone(
+            int engines, int entries, double sound, int badParts, double bad, boolean isFirst) {
+        for (long seed = 1; seed <= seeds(engines); seed++) {
+            SimulatedFleetCrashes fleet = new SimulatedFleetCrashes(engines, entries, seed);
+            fleet.addSoundRequests(sound, CALM.plus(TROUBLE));
+            fleet.run(CALM);
+            double before = fleet.soundFraction(Duration.ZERO, CALM);
+            Set<String> parts = new TreeSet<>();
+            for (int i = 0; i < badParts; i++) {
+                parts.add("s/part/bad" + i);
+                fleet.addBadRequests("s/part/bad" + i, isFirst, bad, TROUBLE);
+            }
+            fleet.run(TROUBLE);
+            String message = "seed " + seed + ", " + fleet.deaths() + " deaths";
+            assertThat(message, new TreeSet<>(fleet.quarantined()), is(parts));
+            for (String part : parts) {
+                assertThat(
+                        message,
+                        fleet.sentLate(part, CRASHES_BEFORE_BOUND, CONTACT),
+                        lessThanOrEqualTo((long) MAX_SENT_LATE));
+            }
+            double after = fleet.soundFraction(CALM.plus(CONTACT.multipliedBy(4)), fleet.now());
+            assertThat(message, after, greaterThanOrEqualTo(before / 2));
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        // engines, entries, sound requests a second, engines that crash at once, every so many ms,
+        // resets of all connections of an entry every so many ms, 0 for none
+        "9, 7, 60, 1, 400, 0",
+        "9, 7, 60, 3, 1500, 0",
+        "9, 7, 60, 9, 6000, 0",
+        "9, 7, 20, 1, 400, 0",
+        "9, 1, 60, 0, 0, 300",
+        "9, 7, 60, 0, 0, 300",
+        "9, 7, 60, 2, 700, 500",
+        "36, 40, 250, 2, 200, 0",
+        "36, 40, 250, 12, 2000, 500",
+        "290, 40, 1500, 5, 200, 400"
+    })
+    void crashesWithoutABadPart_putNoTraitUnderQuarantine(
+            int engines, int entries, double sound, int atOnce, long every, long resets) {
+        for (long seed = 1; seed <= seeds(engines); seed++) {
+            SimulatedFleetCrashes fleet = new SimulatedFleetCrashes(engines, entries, seed);
+            fleet.addSoundRequests(sound, TROUBLE);
+            if (atOnce > 0) {
+                fleet.addCrashes(atOnce, Duration.ofMillis(every), TROUBLE);
+            }
+            if (resets > 0) {
+                fleet.addResets(Duration.ofMillis(resets), TROUBLE);
+            }
+            fleet.run(TROUBLE);
+            assertThat("seed " + seed, fleet.quarantined(), empty());
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        // entries that restart
+        "1",
+        "7"
+    })
+    void entriesThatRestart_refuseWhatIsUnderQuarantine(int restarted) {
+        SimulatedFleetCrashes fleet = new SimulatedFleetCrashes(9, 7, 1);
+        fleet.addSoundRequests(60, TROUBLE.multipliedBy(2));
+        fleet.addBadRequests("s/part/bad", false, 8, TROUBLE.multipliedBy(2));
+        fleet.run(TROUBLE);
+        int deaths = fleet.deaths();
+        for (int i = 0; i < restarted; i++) {
+            fleet.restartEntry(i);
+        }
+        fleet.run(TROUBLE);
+        assertThat(fleet.deaths(), is(deaths));
+    }
+
+    private static int seeds(int engines) {
+        return engines < MANY_ENGINES ? SEEDS : 1;
+    }
+}
--- a/daemon/src/test/java/org/sequoiahill/daemon/version/staging/PieceRelayTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/version/staging/PieceRelayTest.java
@@ -181,7 +181,8 @@
                         Optional.of(new HostPort(HOST, 1)),
                         Optional.empty());
         return FleetSnapshot.of(
-                new FleetState(1, 1, ByteBuffer.allocate(0), Map.of(), Map.of(), Map.of()),
+                new FleetState(
+                        1, 1, ByteBuffer.allocate(0), Map.of(), Map.of(), Map.of(), Map.of()),
                 Optional.of(RoutingTable.of(1, List.of(), Map.of("weights", origin), Map.of(), 1)),
                 Map.of(),
                 List.of(participants),
--- a/daemon/src/test/java/org/sequoiahill/daemon/version/staging/StagingAgentTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/version/staging/StagingAgentTest.java
@@ -218,7 +218,13 @@
                         "weights", 1, Duration.ZERO, 0, Optional.of(ORIGIN), Optional.empty()));
         return FleetSnapshot.of(
                 new FleetState(
-                        1, 1, ByteBuffer.allocate(0), Map.of(), Map.of(), Map.of("model", version)),
+                        1,
+                        1,
+                        ByteBuffer.allocate(0),
+                        Map.of(),
+                        Map.of(),
+                        Map.of("model", version),
+                        Map.of()),
                 Optional.of(RoutingTable.of(1, List.of(), services, Map.of(), 1)),
                 Map.of(),
                 others,
--- a/protocol/src/main/java/org/sequoiahill/protocol/gen/EndpointReport.java
+++ b/protocol/src/main/java/org/sequoiahill/protocol/gen/EndpointReport.java
@@ -1292,15 +1292,15 @@
           case 11: // VERSIONS
             if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
               {
-                org.apache.thrift.protocol.TMap _map30 = iprot.readMapBegin();
-                struct.versions = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map30.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _key31;
-                long _val32;
-                for (int _i33 = 0; _i33 < _map30.size; ++_i33)
+                org.apache.thrift.protocol.TMap _map40 = iprot.readMapBegin();
+                struct.versions = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map40.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _key41;
+                long _val42;
+                for (int _i43 = 0; _i43 < _map40.size; ++_i43)
                 {
-                  _key31 = iprot.readString();
-                  _val32 = iprot.readI64();
-                  struct.versions.put(_key31, _val32);
+                  _key41 = iprot.readString();
+                  _val42 = iprot.readI64();
+                  struct.versions.put(_key41, _val42);
                 }
                 iprot.readMapEnd();
               }
@@ -1371,10 +1371,10 @@
         oprot.writeFieldBegin(VERSIONS_FIELD_DESC);
         {
           oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64, struct.versions.size()));
-          for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter34 : struct.versions.entrySet())
+          for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter44 : struct.versions.entrySet())
           {
-            oprot.writeString(_iter34.getKey());
-            oprot.writeI64(_iter34.getValue());
+            oprot.writeString(_iter44.getKey());
+            oprot.writeI64(_iter44.getValue());
           }
           oprot.writeMapEnd();
         }
@@ -1466,10 +1466,10 @@
       if (struct.isSetVersions()) {
         {
           oprot.writeI32(struct.versions.size());
-          for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter35 : struct.versions.entrySet())
+          for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter45 : struct.versions.entrySet())
           {
-            oprot.writeString(_iter35.getKey());
-            oprot.writeI64(_iter35.getValue());
+            oprot.writeString(_iter45.getKey());
+            oprot.writeI64(_iter45.getValue());
           }
         }
       }
@@ -1521,15 +1521,15 @@
       }
       if (incoming.get(10)) {
         {
-          org.apache.thrift.protocol.TMap _map36 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64); 
-          struct.versions = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map36.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _key37;
-          long _val38;
-          for (int _i39 = 0; _i39 < _map36.size; ++_i39)
+          org.apache.thrift.protocol.TMap _map46 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64); 
+          struct.versions = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map46.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _key47;
+          long _val48;
+          for (int _i49 = 0; _i49 < _map46.size; ++_i49)
           {
-            _key37 = iprot.readString();
-            _val38 = iprot.readI64();
-            struct.versions.put(_key37, _val38);
+            _key47 = iprot.readString();
+            _val48 = iprot.readI64();
+            struct.versions.put(_key47, _val48);
           }
         }
         struct.setVersionsIsSet(true);
--- a/protocol/src/main/java/org/sequoiahill/protocol/gen/FleetChange.java
+++ b/protocol/src/main/java/org/sequoiahill/protocol/gen/FleetChange.java
@@ -15,12 +15,14 @@
   private static final org.apache.thrift.protocol.TField ROUTING_FIELD_DESC = new org.apache.thrift.protocol.TField("routing", org.apache.thrift.protocol.TType.STRUCT, (short)1);
   private static final org.apache.thrift.protocol.TField DATA_CENTRE_FIELD_DESC = new org.apache.thrift.protocol.TField("dataCentre", org.apache.thrift.protocol.TType.STRUCT, (short)2);
   private static final org.apache.thrift.protocol.TField WEIGHTS_FIELD_DESC = new org.apache.thrift.protocol.TField("weights", org.apache.thrift.protocol.TType.STRUCT, (short)3);
+  private static final org.apache.thrift.protocol.TField QUARANTINE_FIELD_DESC = new org.apache.thrift.protocol.TField("quarantine", org.apache.thrift.protocol.TType.STRUCT, (short)4);
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     ROUTING((short)1, "routing"),
     DATA_CENTRE((short)2, "dataCentre"),
-    WEIGHTS((short)3, "weights");
+    WEIGHTS((short)3, "weights"),
+    QUARANTINE((short)4, "quarantine");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -42,6 +44,8 @@
           return DATA_CENTRE;
         case 3: // WEIGHTS
           return WEIGHTS;
+        case 4: // QUARANTINE
+          return QUARANTINE;
         default:
           return null;
       }
@@ -93,6 +97,8 @@
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, DataCentreChange.class)));
     tmpMap.put(_Fields.WEIGHTS, new org.apache.thrift.meta_data.FieldMetaData("weights", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, WeightsChange.class)));
+    tmpMap.put(_Fields.QUARANTINE, new org.apache.thrift.meta_data.FieldMetaData("quarantine", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, QuarantineChange.class)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(FleetChange.class, metaDataMap);
   }
@@ -131,6 +137,12 @@
     return x;
   }
 
+  public static FleetChange quarantine(QuarantineChange value) {
+    FleetChange x = new FleetChange();
+    x.setQuarantine(value);
+    return x;
+  }
+
 
   @Override
   protected void checkType(_Fields setField, java.lang.Object value) throws java.lang.ClassCastException {
@@ -150,6 +162,11 @@
           break;
         }
         throw new java.lang.ClassCastException("Was expecting value of type WeightsChange for field 'weights', but got " + value.getClass().getSimpleName());
+      case QUARANTINE:
+        if (value instanceof QuarantineChange) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type QuarantineChange for field 'quarantine', but got " + value.getClass().getSimpleName());
       default:
         throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
     }
@@ -190,6 +207,16 @@
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
             return null;
           }
+        case QUARANTINE:
+          if (field.type == QUARANTINE_FIELD_DESC.type) {
+            QuarantineChange quarantine;
+            quarantine = new QuarantineChange();
+            quarantine.read(iprot);
+            return quarantine;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
         default:
           throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
       }
@@ -214,6 +241,10 @@
         WeightsChange weights = (WeightsChange)value_;
         weights.write(oprot);
         return;
+      case QUARANTINE:
+        QuarantineChange quarantine = (QuarantineChange)value_;
+        quarantine.write(oprot);
+        return;
       default:
         throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
     }
@@ -239,6 +270,11 @@
           weights = new WeightsChange();
           weights.read(iprot);
           return weights;
+        case QUARANTINE:
+          QuarantineChange quarantine;
+          quarantine = new QuarantineChange();
+          quarantine.read(iprot);
+          return quarantine;
         default:
           throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
       }
@@ -262,6 +298,10 @@
         WeightsChange weights = (WeightsChange)value_;
         weights.write(oprot);
         return;
+      case QUARANTINE:
+        QuarantineChange quarantine = (QuarantineChange)value_;
+        quarantine.write(oprot);
+        return;
       default:
         throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
     }
@@ -276,6 +316,8 @@
         return DATA_CENTRE_FIELD_DESC;
       case WEIGHTS:
         return WEIGHTS_FIELD_DESC;
+      case QUARANTINE:
+        return QUARANTINE_FIELD_DESC;
       default:
         throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
     }
@@ -337,6 +379,19 @@
     value_ = java.util.Objects.requireNonNull(value,"_Fields.WEIGHTS");
   }
 
+  public QuarantineChange getQuarantine() {
+    if (getSetField() == _Fields.QUARANTINE) {
+      return (QuarantineChange)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'quarantine' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setQuarantine(QuarantineChange value) {
+    setField_ = _Fields.QUARANTINE;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.QUARANTINE");
+  }
+
   public boolean isSetRouting() {
     return setField_ == _Fields.ROUTING;
   }
@@ -352,6 +407,11 @@
   }
 
 
+  public boolean isSetQuarantine() {
+    return setField_ == _Fields.QUARANTINE;
+  }
+
+
   public boolean equals(java.lang.Object other) {
     if (other instanceof FleetChange) {
       return equals((FleetChange)other);
--- a/protocol/src/main/java/org/sequoiahill/protocol/gen/FleetContent.java
+++ b/protocol/src/main/java/org/sequoiahill/protocol/gen/FleetContent.java
@@ -19,6 +19,7 @@
   private static final org.apache.thrift.protocol.TField OUT_DATA_CENTRES_FIELD_DESC = new org.apache.thrift.protocol.TField("outDataCentres", org.apache.thrift.protocol.TType.MAP, (short)4);
   private static final org.apache.thrift.protocol.TField RETURNED_DATA_CENTRES_FIELD_DESC = new org.apache.thrift.protocol.TField("returnedDataCentres", org.apache.thrift.protocol.TType.MAP, (short)5);
   private static final org.apache.thrift.protocol.TField VERSIONS_FIELD_DESC = new org.apache.thrift.protocol.TField("versions", org.apache.thrift.protocol.TType.MAP, (short)6);
+  private static final org.apache.thrift.protocol.TField QUARANTINED_TRAITS_FIELD_DESC = new org.apache.thrift.protocol.TField("quarantinedTraits", org.apache.thrift.protocol.TType.MAP, (short)7);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new FleetContentStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new FleetContentTupleSchemeFactory();
@@ -29,6 +30,7 @@
   private @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String,java.lang.Long> outDataCentres; // required
   private @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String,java.lang.Long> returnedDataCentres; // required
   private @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String,java.lang.Long> versions; // required
+  private @org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String,java.lang.Integer> quarantinedTraits; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -56,7 +58,11 @@
     /**
      * Newest published version of each model.
      */
-    VERSIONS((short)6, "versions");
+    VERSIONS((short)6, "versions"),
+    /**
+     * Number of failed probes of each trait under quarantine.
+     */
+    QUARANTINED_TRAITS((short)7, "quarantinedTraits");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -84,6 +90,8 @@
           return RETURNED_DATA_CENTRES;
         case 6: // VERSIONS
           return VERSIONS;
+        case 7: // QUARANTINED_TRAITS
+          return QUARANTINED_TRAITS;
         default:
           return null;
       }
@@ -130,7 +138,7 @@
   private static final int __INDEX_ISSET_ID = 0;
   private static final int __ROUTINGNUMBER_ISSET_ID = 1;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.ROUTING};
+  private static final _Fields optionals[] = {_Fields.ROUTING,_Fields.QUARANTINED_TRAITS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -152,6 +160,10 @@
         new org.apache.thrift.meta_data.MapMetaData(org.apache.thrift.protocol.TType.MAP, 
             new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING), 
             new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64))));
+    tmpMap.put(_Fields.QUARANTINED_TRAITS, new org.apache.thrift.meta_data.FieldMetaData("quarantinedTraits", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.MapMetaData(org.apache.thrift.protocol.TType.MAP, 
+            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING), 
+            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(FleetContent.class, metaDataMap);
   }
@@ -198,6 +210,10 @@
       java.util.Map<java.lang.String,java.lang.Long> __this__versions = new java.util.HashMap<java.lang.String,java.lang.Long>(other.versions);
       this.versions = __this__versions;
     }
+    if (other.isSetQuarantinedTraits()) {
+      java.util.Map<java.lang.String,java.lang.Integer> __this__quarantinedTraits = new java.util.HashMap<java.lang.String,java.lang.Integer>(other.quarantinedTraits);
+      this.quarantinedTraits = __this__quarantinedTraits;
+    }
   }
 
   @Override
@@ -215,6 +231,7 @@
     this.outDataCentres = null;
     this.returnedDataCentres = null;
     this.versions = null;
+    this.quarantinedTraits = null;
   }
 
   /**
@@ -443,6 +460,48 @@
     }
   }
 
+  public int getQuarantinedTraitsSize() {
+    return (this.quarantinedTraits == null) ? 0 : this.quarantinedTraits.size();
+  }
+
+  public void putToQuarantinedTraits(java.lang.String key, int val) {
+    if (this.quarantinedTraits == null) {
+      this.quarantinedTraits = new java.util.HashMap<java.lang.String,java.lang.Integer>();
+    }
+    this.quarantinedTraits.put(key, val);
+  }
+
+  /**
+   * Number of failed probes of each trait under quarantine.
+   */
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Map<java.lang.String,java.lang.Integer> getQuarantinedTraits() {
+    return this.quarantinedTraits;
+  }
+
+  /**
+   * Number of failed probes of each trait under quarantine.
+   */
+  public FleetContent setQuarantinedTraits(@org.apache.thrift.annotation.Nullable java.util.Map<java.lang.String,java.lang.Integer> quarantinedTraits) {
+    this.quarantinedTraits = quarantinedTraits;
+    return this;
+  }
+
+  public void unsetQuarantinedTraits() {
+    this.quarantinedTraits = null;
+  }
+
+  /** Returns true if field quarantinedTraits is set (has been assigned a value) and false otherwise */
+  public boolean isSetQuarantinedTraits() {
+    return this.quarantinedTraits != null;
+  }
+
+  public void setQuarantinedTraitsIsSet(boolean value) {
+    if (!value) {
+      this.quarantinedTraits = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -498,6 +557,14 @@
       }
       break;
 
+    case QUARANTINED_TRAITS:
+      if (value == null) {
+        unsetQuarantinedTraits();
+      } else {
+        setQuarantinedTraits((java.util.Map<java.lang.String,java.lang.Integer>)value);
+      }
+      break;
+
     }
   }
 
@@ -523,6 +590,9 @@
     case VERSIONS:
       return getVersions();
 
+    case QUARANTINED_TRAITS:
+      return getQuarantinedTraits();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -547,6 +617,8 @@
       return isSetReturnedDataCentres();
     case VERSIONS:
       return isSetVersions();
+    case QUARANTINED_TRAITS:
+      return isSetQuarantinedTraits();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -618,6 +690,15 @@
         return false;
     }
 
+    boolean this_present_quarantinedTraits = true && this.isSetQuarantinedTraits();
+    boolean that_present_quarantinedTraits = true && that.isSetQuarantinedTraits();
+    if (this_present_quarantinedTraits || that_present_quarantinedTraits) {
+      if (!(this_present_quarantinedTraits && that_present_quarantinedTraits))
+        return false;
+      if (!this.quarantinedTraits.equals(that.quarantinedTraits))
+        return false;
+    }
+
     return true;
   }
 
@@ -645,6 +726,10 @@
     if (isSetVersions())
       hashCode = hashCode * 8191 + versions.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetQuarantinedTraits()) ? 131071 : 524287);
+    if (isSetQuarantinedTraits())
+      hashCode = hashCode * 8191 + quarantinedTraits.hashCode();
+
     return hashCode;
   }
 
@@ -716,6 +801,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetQuarantinedTraits(), other.isSetQuarantinedTraits());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetQuarantinedTraits()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.quarantinedTraits, other.quarantinedTraits);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -781,6 +876,16 @@
       sb.append(this.versions);
     }
     first = false;
+    if (isSetQuarantinedTraits()) {
+      if (!first) sb.append(", ");
+      sb.append("quarantinedTraits:");
+      if (this.quarantinedTraits == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.quarantinedTraits);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -912,6 +1017,26 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 7: // QUARANTINED_TRAITS
+            if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
+              {
+                org.apache.thrift.protocol.TMap _map12 = iprot.readMapBegin();
+                struct.quarantinedTraits = new java.util.HashMap<java.lang.String,java.lang.Integer>(2*_map12.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _key13;
+                int _val14;
+                for (int _i15 = 0; _i15 < _map12.size; ++_i15)
+                {
+                  _key13 = iprot.readString();
+                  _val14 = iprot.readI32();
+                  struct.quarantinedTraits.put(_key13, _val14);
+                }
+                iprot.readMapEnd();
+              }
+              struct.setQuarantinedTraitsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -945,10 +1070,10 @@
         oprot.writeFieldBegin(OUT_DATA_CENTRES_FIELD_DESC);
         {
           oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64, struct.outDataCentres.size()));
-          for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter12 : struct.outDataCentres.entrySet())
+          for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter16 : struct.outDataCentres.entrySet())
           {
-            oprot.writeString(_iter12.getKey());
-            oprot.writeI64(_iter12.getValue());
+            oprot.writeString(_iter16.getKey());
+            oprot.writeI64(_iter16.getValue());
           }
           oprot.writeMapEnd();
         }
@@ -958,10 +1083,10 @@
         oprot.writeFieldBegin(RETURNED_DATA_CENTRES_FIELD_DESC);
         {
           oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64, struct.returnedDataCentres.size()));
-          for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter13 : struct.returnedDataCentres.entrySet())
+          for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter17 : struct.returnedDataCentres.entrySet())
           {
-            oprot.writeString(_iter13.getKey());
-            oprot.writeI64(_iter13.getValue());
+            oprot.writeString(_iter17.getKey());
+            oprot.writeI64(_iter17.getValue());
           }
           oprot.writeMapEnd();
         }
@@ -971,15 +1096,30 @@
         oprot.writeFieldBegin(VERSIONS_FIELD_DESC);
         {
           oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64, struct.versions.size()));
-          for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter14 : struct.versions.entrySet())
+          for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter18 : struct.versions.entrySet())
           {
-            oprot.writeString(_iter14.getKey());
-            oprot.writeI64(_iter14.getValue());
+            oprot.writeString(_iter18.getKey());
+            oprot.writeI64(_iter18.getValue());
           }
           oprot.writeMapEnd();
         }
         oprot.writeFieldEnd();
       }
+      if (struct.quarantinedTraits != null) {
+        if (struct.isSetQuarantinedTraits()) {
+          oprot.writeFieldBegin(QUARANTINED_TRAITS_FIELD_DESC);
+          {
+            oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I32, struct.quarantinedTraits.size()));
+            for (java.util.Map.Entry<java.lang.String, java.lang.Integer> _iter19 : struct.quarantinedTraits.entrySet())
+            {
+              oprot.writeString(_iter19.getKey());
+              oprot.writeI32(_iter19.getValue());
+            }
+            oprot.writeMapEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -1017,7 +1157,10 @@
       if (struct.isSetVersions()) {
         optionals.set(5);
       }
-      oprot.writeBitSet(optionals, 6);
+      if (struct.isSetQuarantinedTraits()) {
+        optionals.set(6);
+      }
+      oprot.writeBitSet(optionals, 7);
       if (struct.isSetIndex()) {
         oprot.writeI64(struct.index);
       }
@@ -1030,30 +1173,40 @@
       if (struct.isSetOutDataCentres()) {
         {
           oprot.writeI32(struct.outDataCentres.size());
-          for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter15 : struct.outDataCentres.entrySet())
+          for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter20 : struct.outDataCentres.entrySet())
           {
-            oprot.writeString(_iter15.getKey());
-            oprot.writeI64(_iter15.getValue());
+            oprot.writeString(_iter20.getKey());
+            oprot.writeI64(_iter20.getValue());
           }
         }
       }
       if (struct.isSetReturnedDataCentres()) {
         {
           oprot.writeI32(struct.returnedDataCentres.size());
-          for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter16 : struct.returnedDataCentres.entrySet())
+          for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter21 : struct.returnedDataCentres.entrySet())
           {
-            oprot.writeString(_iter16.getKey());
-            oprot.writeI64(_iter16.getValue());
+            oprot.writeString(_iter21.getKey());
+            oprot.writeI64(_iter21.getValue());
           }
         }
       }
       if (struct.isSetVersions()) {
         {
           oprot.writeI32(struct.versions.size());
-          for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter17 : struct.versions.entrySet())
+          for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter22 : struct.versions.entrySet())
           {
-            oprot.writeString(_iter17.getKey());
-            oprot.writeI64(_iter17.getValue());
+            oprot.writeString(_iter22.getKey());
+            oprot.writeI64(_iter22.getValue());
+          }
+        }
+      }
+      if (struct.isSetQuarantinedTraits()) {
+        {
+          oprot.writeI32(struct.quarantinedTraits.size());
+          for (java.util.Map.Entry<java.lang.String, java.lang.Integer> _iter23 : struct.quarantinedTraits.entrySet())
+          {
+            oprot.writeString(_iter23.getKey());
+            oprot.writeI32(_iter23.getValue());
           }
         }
       }
@@ -1062,7 +1215,7 @@
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, FleetContent struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(6);
+      java.util.BitSet incoming = iprot.readBitSet(7);
       if (incoming.get(0)) {
         struct.index = iprot.readI64();
         struct.setIndexIsSet(true);
@@ -1077,49 +1230,64 @@
       }
       if (incoming.get(3)) {
         {
-          org.apache.thrift.protocol.TMap _map18 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64); 
-          struct.outDataCentres = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map18.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _key19;
-          long _val20;
-          for (int _i21 = 0; _i21 < _map18.size; ++_i21)
+          org.apache.thrift.protocol.TMap _map24 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64); 
+          struct.outDataCentres = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map24.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _key25;
+          long _val26;
+          for (int _i27 = 0; _i27 < _map24.size; ++_i27)
           {
-            _key19 = iprot.readString();
-            _val20 = iprot.readI64();
-            struct.outDataCentres.put(_key19, _val20);
+            _key25 = iprot.readString();
+            _val26 = iprot.readI64();
+            struct.outDataCentres.put(_key25, _val26);
           }
         }
         struct.setOutDataCentresIsSet(true);
       }
       if (incoming.get(4)) {
         {
-          org.apache.thrift.protocol.TMap _map22 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64); 
-          struct.returnedDataCentres = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map22.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _key23;
-          long _val24;
-          for (int _i25 = 0; _i25 < _map22.size; ++_i25)
+          org.apache.thrift.protocol.TMap _map28 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64); 
+          struct.returnedDataCentres = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map28.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _key29;
+          long _val30;
+          for (int _i31 = 0; _i31 < _map28.size; ++_i31)
           {
-            _key23 = iprot.readString();
-            _val24 = iprot.readI64();
-            struct.returnedDataCentres.put(_key23, _val24);
+            _key29 = iprot.readString();
+            _val30 = iprot.readI64();
+            struct.returnedDataCentres.put(_key29, _val30);
           }
         }
         struct.setReturnedDataCentresIsSet(true);
       }
       if (incoming.get(5)) {
         {
-          org.apache.thrift.protocol.TMap _map26 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64); 
-          struct.versions = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map26.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _key27;
-          long _val28;
-          for (int _i29 = 0; _i29 < _map26.size; ++_i29)
+          org.apache.thrift.protocol.TMap _map32 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64); 
+          struct.versions = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map32.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _key33;
+          long _val34;
+          for (int _i35 = 0; _i35 < _map32.size; ++_i35)
           {
-            _key27 = iprot.readString();
-            _val28 = iprot.readI64();
-            struct.versions.put(_key27, _val28);
+            _key33 = iprot.readString();
+            _val34 = iprot.readI64();
+            struct.versions.put(_key33, _val34);
           }
         }
         struct.setVersionsIsSet(true);
       }
+      if (incoming.get(6)) {
+        {
+          org.apache.thrift.protocol.TMap _map36 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I32); 
+          struct.quarantinedTraits = new java.util.HashMap<java.lang.String,java.lang.Integer>(2*_map36.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _key37;
+          int _val38;
+          for (int _i39 = 0; _i39 < _map36.size; ++_i39)
+          {
+            _key37 = iprot.readString();
+            _val38 = iprot.readI32();
+            struct.quarantinedTraits.put(_key37, _val38);
+          }
+        }
+        struct.setQuarantinedTraitsIsSet(true);
+      }
     }
   }
 
--- a/protocol/src/main/java/org/sequoiahill/protocol/gen/LoadDigest.java
+++ b/protocol/src/main/java/org/sequoiahill/protocol/gen/LoadDigest.java
@@ -438,14 +438,14 @@
           case 2: // LOADS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list74 = iprot.readListBegin();
-                struct.loads = new java.util.ArrayList<EngineLoad>(_list74.size);
-                @org.apache.thrift.annotation.Nullable EngineLoad _elem75;
-                for (int _i76 = 0; _i76 < _list74.size; ++_i76)
+                org.apache.thrift.protocol.TList _list84 = iprot.readListBegin();
+                struct.loads = new java.util.ArrayList<EngineLoad>(_list84.size);
+                @org.apache.thrift.annotation.Nullable EngineLoad _elem85;
+                for (int _i86 = 0; _i86 < _list84.size; ++_i86)
                 {
-                  _elem75 = new EngineLoad();
-                  _elem75.read(iprot);
-                  struct.loads.add(_elem75);
+                  _elem85 = new EngineLoad();
+                  _elem85.read(iprot);
+                  struct.loads.add(_elem85);
                 }
                 iprot.readListEnd();
               }
@@ -479,9 +479,9 @@
         oprot.writeFieldBegin(LOADS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.loads.size()));
-          for (EngineLoad _iter77 : struct.loads)
+          for (EngineLoad _iter87 : struct.loads)
           {
-            _iter77.write(oprot);
+            _iter87.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -519,9 +519,9 @@
       if (struct.isSetLoads()) {
         {
           oprot.writeI32(struct.loads.size());
-          for (EngineLoad _iter78 : struct.loads)
+          for (EngineLoad _iter88 : struct.loads)
           {
-            _iter78.write(oprot);
+            _iter88.write(oprot);
           }
         }
       }
@@ -537,14 +537,14 @@
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TList _list79 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.loads = new java.util.ArrayList<EngineLoad>(_list79.size);
-          @org.apache.thrift.annotation.Nullable EngineLoad _elem80;
-          for (int _i81 = 0; _i81 < _list79.size; ++_i81)
+          org.apache.thrift.protocol.TList _list89 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.loads = new java.util.ArrayList<EngineLoad>(_list89.size);
+          @org.apache.thrift.annotation.Nullable EngineLoad _elem90;
+          for (int _i91 = 0; _i91 < _list89.size; ++_i91)
           {
-            _elem80 = new EngineLoad();
-            _elem80.read(iprot);
-            struct.loads.add(_elem80);
+            _elem90 = new EngineLoad();
+            _elem90.read(iprot);
+            struct.loads.add(_elem90);
           }
         }
         struct.setLoadsIsSet(true);
--- a/protocol/src/main/java/org/sequoiahill/protocol/gen/ManifestReply.java
+++ b/protocol/src/main/java/org/sequoiahill/protocol/gen/ManifestReply.java
@@ -436,13 +436,13 @@
           case 2: // DIGESTS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list66 = iprot.readListBegin();
-                struct.digests = new java.util.ArrayList<java.lang.String>(_list66.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem67;
-                for (int _i68 = 0; _i68 < _list66.size; ++_i68)
+                org.apache.thrift.protocol.TList _list76 = iprot.readListBegin();
+                struct.digests = new java.util.ArrayList<java.lang.String>(_list76.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem77;
+                for (int _i78 = 0; _i78 < _list76.size; ++_i78)
                 {
-                  _elem67 = iprot.readString();
-                  struct.digests.add(_elem67);
+                  _elem77 = iprot.readString();
+                  struct.digests.add(_elem77);
                 }
                 iprot.readListEnd();
               }
@@ -476,9 +476,9 @@
         oprot.writeFieldBegin(DIGESTS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.digests.size()));
-          for (java.lang.String _iter69 : struct.digests)
+          for (java.lang.String _iter79 : struct.digests)
           {
-            oprot.writeString(_iter69);
+            oprot.writeString(_iter79);
           }
           oprot.writeListEnd();
         }
@@ -516,9 +516,9 @@
       if (struct.isSetDigests()) {
         {
           oprot.writeI32(struct.digests.size());
-          for (java.lang.String _iter70 : struct.digests)
+          for (java.lang.String _iter80 : struct.digests)
           {
-            oprot.writeString(_iter70);
+            oprot.writeString(_iter80);
           }
         }
       }
@@ -535,13 +535,13 @@
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TList _list71 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.digests = new java.util.ArrayList<java.lang.String>(_list71.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem72;
-          for (int _i73 = 0; _i73 < _list71.size; ++_i73)
+          org.apache.thrift.protocol.TList _list81 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.digests = new java.util.ArrayList<java.lang.String>(_list81.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem82;
+          for (int _i83 = 0; _i83 < _list81.size; ++_i83)
           {
-            _elem72 = iprot.readString();
-            struct.digests.add(_elem72);
+            _elem82 = iprot.readString();
+            struct.digests.add(_elem82);
           }
         }
         struct.setDigestsIsSet(true);
--- a/protocol/src/main/java/org/sequoiahill/protocol/gen/Participant.java
+++ b/protocol/src/main/java/org/sequoiahill/protocol/gen/Participant.java
@@ -1308,15 +1308,15 @@
           case 11: // VERSIONS
             if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
               {
-                org.apache.thrift.protocol.TMap _map40 = iprot.readMapBegin();
-                struct.versions = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map40.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _key41;
-                long _val42;
-                for (int _i43 = 0; _i43 < _map40.size; ++_i43)
+                org.apache.thrift.protocol.TMap _map50 = iprot.readMapBegin();
+                struct.versions = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map50.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _key51;
+                long _val52;
+                for (int _i53 = 0; _i53 < _map50.size; ++_i53)
                 {
-                  _key41 = iprot.readString();
-                  _val42 = iprot.readI64();
-                  struct.versions.put(_key41, _val42);
+                  _key51 = iprot.readString();
+                  _val52 = iprot.readI64();
+                  struct.versions.put(_key51, _val52);
                 }
                 iprot.readMapEnd();
               }
@@ -1389,10 +1389,10 @@
         oprot.writeFieldBegin(VERSIONS_FIELD_DESC);
         {
           oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64, struct.versions.size()));
-          for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter44 : struct.versions.entrySet())
+          for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter54 : struct.versions.entrySet())
           {
-            oprot.writeString(_iter44.getKey());
-            oprot.writeI64(_iter44.getValue());
+            oprot.writeString(_iter54.getKey());
+            oprot.writeI64(_iter54.getValue());
           }
           oprot.writeMapEnd();
         }
@@ -1484,10 +1484,10 @@
       if (struct.isSetVersions()) {
         {
           oprot.writeI32(struct.versions.size());
-          for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter45 : struct.versions.entrySet())
+          for (java.util.Map.Entry<java.lang.String, java.lang.Long> _iter55 : struct.versions.entrySet())
           {
-            oprot.writeString(_iter45.getKey());
-            oprot.writeI64(_iter45.getValue());
+            oprot.writeString(_iter55.getKey());
+            oprot.writeI64(_iter55.getValue());
           }
         }
       }
@@ -1539,15 +1539,15 @@
       }
       if (incoming.get(10)) {
         {
-          org.apache.thrift.protocol.TMap _map46 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64); 
-          struct.versions = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map46.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _key47;
-          long _val48;
-          for (int _i49 = 0; _i49 < _map46.size; ++_i49)
+          org.apache.thrift.protocol.TMap _map56 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.I64); 
+          struct.versions = new java.util.HashMap<java.lang.String,java.lang.Long>(2*_map56.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _key57;
+          long _val58;
+          for (int _i59 = 0; _i59 < _map56.size; ++_i59)
           {
-            _key47 = iprot.readString();
-            _val48 = iprot.readI64();
-            struct.versions.put(_key47, _val48);
+            _key57 = iprot.readString();
+            _val58 = iprot.readI64();
+            struct.versions.put(_key57, _val58);
           }
         }
         struct.setVersionsIsSet(true);
--- a/protocol/src/main/java/org/sequoiahill/protocol/gen/SuspectRequest.java
+++ b/protocol/src/main/java/org/sequoiahill/protocol/gen/SuspectRequest.java
@@ -7,7 +7,7 @@
 package org.sequoiahill.protocol.gen;
 
 /**
- * A request that was in flight when endpoints died.
+ * A request that was in flight when endpoints died; one in flight at two deaths is quarantined.
  */
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class SuspectRequest implements org.apache.thrift.TBase<SuspectRequest, SuspectRequest._Fields>, java.io.Serializable, Cloneable, Comparable<SuspectRequest> {
--- a/protocol/src/main/java/org/sequoiahill/protocol/gen/WatchReply.java
+++ b/protocol/src/main/java/org/sequoiahill/protocol/gen/WatchReply.java
@@ -998,14 +998,14 @@
           case 4: // ITEMS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list50 = iprot.readListBegin();
-                struct.items = new java.util.ArrayList<FeedItem>(_list50.size);
-                @org.apache.thrift.annotation.Nullable FeedItem _elem51;
-                for (int _i52 = 0; _i52 < _list50.size; ++_i52)
+                org.apache.thrift.protocol.TList _list60 = iprot.readListBegin();
+                struct.items = new java.util.ArrayList<FeedItem>(_list60.size);
+                @org.apache.thrift.annotation.Nullable FeedItem _elem61;
+                for (int _i62 = 0; _i62 < _list60.size; ++_i62)
                 {
-                  _elem51 = new FeedItem();
-                  _elem51.read(iprot);
-                  struct.items.add(_elem51);
+                  _elem61 = new FeedItem();
+                  _elem61.read(iprot);
+                  struct.items.add(_elem61);
                 }
                 iprot.readListEnd();
               }
@@ -1034,13 +1034,13 @@
           case 7: // STORES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list53 = iprot.readListBegin();
-                struct.stores = new java.util.ArrayList<java.lang.String>(_list53.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem54;
-                for (int _i55 = 0; _i55 < _list53.size; ++_i55)
+                org.apache.thrift.protocol.TList _list63 = iprot.readListBegin();
+                struct.stores = new java.util.ArrayList<java.lang.String>(_list63.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem64;
+                for (int _i65 = 0; _i65 < _list63.size; ++_i65)
                 {
-                  _elem54 = iprot.readString();
-                  struct.stores.add(_elem54);
+                  _elem64 = iprot.readString();
+                  struct.stores.add(_elem64);
                 }
                 iprot.readListEnd();
               }
@@ -1086,9 +1086,9 @@
         oprot.writeFieldBegin(ITEMS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.items.size()));
-          for (FeedItem _iter56 : struct.items)
+          for (FeedItem _iter66 : struct.items)
           {
-            _iter56.write(oprot);
+            _iter66.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -1108,9 +1108,9 @@
         oprot.writeFieldBegin(STORES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.stores.size()));
-          for (java.lang.String _iter57 : struct.stores)
+          for (java.lang.String _iter67 : struct.stores)
           {
-            oprot.writeString(_iter57);
+            oprot.writeString(_iter67);
           }
           oprot.writeListEnd();
         }
@@ -1177,9 +1177,9 @@
       if (struct.isSetItems()) {
         {
           oprot.writeI32(struct.items.size());
-          for (FeedItem _iter58 : struct.items)
+          for (FeedItem _iter68 : struct.items)
           {
-            _iter58.write(oprot);
+            _iter68.write(oprot);
           }
         }
       }
@@ -1192,9 +1192,9 @@
       if (struct.isSetStores()) {
         {
           oprot.writeI32(struct.stores.size());
-          for (java.lang.String _iter59 : struct.stores)
+          for (java.lang.String _iter69 : struct.stores)
           {
-            oprot.writeString(_iter59);
+            oprot.writeString(_iter69);
           }
         }
       }
@@ -1221,14 +1221,14 @@
       }
       if (incoming.get(3)) {
         {
-          org.apache.thrift.protocol.TList _list60 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.items = new java.util.ArrayList<FeedItem>(_list60.size);
-          @org.apache.thrift.annotation.Nullable FeedItem _elem61;
-          for (int _i62 = 0; _i62 < _list60.size; ++_i62)
+          org.apache.thrift.protocol.TList _list70 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.items = new java.util.ArrayList<FeedItem>(_list70.size);
+          @org.apache.thrift.annotation.Nullable FeedItem _elem71;
+          for (int _i72 = 0; _i72 < _list70.size; ++_i72)
           {
-            _elem61 = new FeedItem();
-            _elem61.read(iprot);
-            struct.items.add(_elem61);
+            _elem71 = new FeedItem();
+            _elem71.read(iprot);
+            struct.items.add(_elem71);
           }
         }
         struct.setItemsIsSet(true);
@@ -1244,13 +1244,13 @@
       }
       if (incoming.get(6)) {
         {
-          org.apache.thrift.protocol.TList _list63 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.stores = new java.util.ArrayList<java.lang.String>(_list63.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem64;
-          for (int _i65 = 0; _i65 < _list63.size; ++_i65)
+          org.apache.thrift.protocol.TList _list73 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.stores = new java.util.ArrayList<java.lang.String>(_list73.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem74;
+          for (int _i75 = 0; _i75 < _list73.size; ++_i75)
           {
-            _elem64 = iprot.readString();
-            struct.stores.add(_elem64);
+            _elem74 = iprot.readString();
+            struct.stores.add(_elem74);
           }
         }
         struct.setStoresIsSet(true);
--- a/protocol/src/main/thrift/fleet.thrift
+++ b/protocol/src/main/thrift/fleet.thrift
@@ -26,11 +26,22 @@
   2: i64 version
 }
 
+/** Puts a trait of requests under quarantine, or releases it. */
+struct QuarantineChange {
+  /** Service, and part of a prompt or digest of a whole request. */
+  1: string trait
+  /** Whether requests with the trait are refused. */
+  2: bool quarantined
+  /** Number of requests that were admitted to test the trait and crashed their endpoint. */
+  3: i32 failedProbes
+}
+
 /** A change of the replicated state; the payload of an entry of the fleet log. */
 union FleetChange {
   1: RoutingPut routing
   2: DataCentreChange dataCentre
   3: WeightsChange weights
+  4: QuarantineChange quarantine
 }
 
 /** State that the stores replicate; also the snapshot of the fleet log. */
@@ -50,6 +61,8 @@
   5: map<string, i64> returnedDataCentres
   /** Newest published version of each model. */
   6: map<string, i64> versions
+  /** Number of failed probes of each trait under quarantine. */
+  7: optional map<string, i32> quarantinedTraits
 }
 
 /** State of an endpoint; within one start of the endpoint the value never decreases. */
