Release a log folder that can't be opened, so that a later try can succeed

Cause: a log whose write failed stops and is opened again every 500 ms. Opening locks the folder, then writes the identity, which fails while the disk is full; nothing released the lock then, so each later try ended with "is open already", until the garbage collector happened to close the channel. Once a majority of the stores was in this state, no change could be committed.

Change: the storage owns the folder from the start and closes it if opening fails; closing a segment that fails still releases the folder; so does a group whose content can't be applied.

--- a/daemon/src/main/java/org/sequoiahill/daemon/process/log/LogStorage.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/log/LogStorage.java
@@ -46,7 +46,7 @@
      * Opens a folder and reads its content. Counts the opening, removes an incomplete last record,
      * and deletes unused files.
      *
-     * @param folder folder of the group's files
+     * @param folder folder of the group's files; closed with the storage, or if this fails
      * @param vm VM to which the folder must belong
      * @param group group to which the folder must belong
      * @param newIncarnation incarnation of the storage if the folder is empty; above 0
@@ -55,16 +55,40 @@
      */
     public static LogStorage open(LogFolder folder, String vm, String group, long newIncarnation)
             throws IOException {
-        FolderContent content = FolderContent.read(folder, vm, group, newIncarnation);
-        LogStorage storage = new LogStorage(folder, content);
-        storage.mIdentity.setStarts(storage.mIdentity.getStarts() + 1);
-        storage.writeIdentity();
+        try {
+            FolderContent content = FolderContent.read(folder, vm, group, newIncarnation);
+            LogStorage storage = new LogStorage(folder, content);
+            storage.prepare(content);
+            return storage;
+        } catch (IOException | RuntimeException e) {
+            // The lock of a folder that stays open would prevent any later opening.
+            closeAfter(e, folder);
+            throw e;
+        }
+    }
+
+    private void prepare(FolderContent content) throws IOException {
+        mIdentity.setStarts(mIdentity.getStarts() + 1);
+        writeIdentity();
         if (content.sequence() > 0) {
-            storage.mSegment =
-                    folder.openAt(segmentName(content.sequence()), content.validLength());
+            mSegment = mFolder.openAt(segmentName(content.sequence()), content.validLength());
+        }
+        try {
+            deleteUnused(content.state().snapshot().index());
+        } catch (IOException | RuntimeException e) {
+            if (mSegment != null) {
+                closeAfter(e, mSegment);
+            }
+            throw e;
+        }
+    }
+
+    private static void closeAfter(Exception failure, Closeable resource) {
+        try {
+            resource.close();
+        } catch (IOException e) {
+            failure.addSuppressed(e);
         }
-        storage.deleteUnused(content.state().snapshot().index());
-        return storage;
     }
 
     /** Returns the state that was read when the storage was opened. */
@@ -125,10 +149,13 @@
 
     @Override
     public void close() throws IOException {
-        if (mSegment != null) {
-            mSegment.close();
+        try {
+            if (mSegment != null) {
+                mSegment.close();
+            }
+        } finally {
+            mFolder.close();
         }
-        mFolder.close();
     }
 
     static String segmentName(long sequence) {
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/log/StoreGroup.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/log/StoreGroup.java
@@ -105,16 +105,22 @@
                         vm,
                         group,
                         Math.max(1, runtime.wallClock().millis()));
-        GroupLog log =
-                GroupLog.of(
-                        options,
-                        stateMachine,
-                        storage,
-                        transport,
-                        runtime.clock(),
-                        runtime.random(),
-                        threadPool("log-" + group + "-answer"));
-        return new StoreGroup(log, stub, GroupHandler.of(identity, log, transport, stub, client));
+        try {
+            GroupLog log =
+                    GroupLog.of(
+                            options,
+                            stateMachine,
+                            storage,
+                            transport,
+                            runtime.clock(),
+                            runtime.random(),
+                            threadPool("log-" + group + "-answer"));
+            return new StoreGroup(
+                    log, stub, GroupHandler.of(identity, log, transport, stub, client));
+        } catch (RuntimeException e) {
+            storage.close();
+            throw e;
+        }
     }
 
     /** Returns the log. */
