Go on reopening a stopped log after an unexpected failure

Also, only the first of several different failures was logged.

FleetLogTest, rows "broken works" and "full broken full works": failed before with the UncheckedIOException that would have ended the repetition, pass now.

--- a/daemon/src/main/java/org/sequoiahill/daemon/process/fleet/FleetLog.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/fleet/FleetLog.java
@@ -3,10 +3,10 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import org.sequoiahill.daemon.process.log.GroupLog;
 import org.sequoiahill.daemon.process.log.LogRole;
 import org.sequoiahill.daemon.process.log.StoreGroup;
+import org.sequoiahill.daemon.process.time.PeriodicTasks;
 import org.tinylog.Logger;
 
 /**
@@ -21,7 +21,7 @@
 
     private final Opener mOpener;
     private volatile StoreGroup mGroup;
-    private boolean mIsReopenFailing;
+    private String mLastFailure = "";
 
     private FleetLog(Opener opener, StoreGroup group) {
         mOpener = opener;
@@ -47,11 +47,7 @@
     /** Starts the log and the periodic check that reopens it once it has stopped. */
     public void start(ScheduledExecutorService scheduler) {
         mGroup.log().start();
-        scheduler.scheduleWithFixedDelay(
-                this::reopenIfStopped,
-                REOPEN_INTERVAL.toMillis(),
-                REOPEN_INTERVAL.toMillis(),
-                TimeUnit.MILLISECONDS);
+        PeriodicTasks.schedule(scheduler, REOPEN_INTERVAL, "log check", this::reopenIfStopped);
     }
 
     /** Returns the current log. */
@@ -73,13 +69,13 @@
             StoreGroup group = mOpener.open();
             group.log().start();
             mGroup = group;
-            mIsReopenFailing = false;
+            mLastFailure = "";
             Logger.info("the fleet log was reopened and rejoins its group");
-        } catch (IOException e) {
-            if (!mIsReopenFailing) {
+        } catch (IOException | RuntimeException e) {
+            if (!mLastFailure.equals(e.toString())) {
                 Logger.warn("the fleet log can't be reopened: {}", e.toString());
             }
-            mIsReopenFailing = true;
+            mLastFailure = e.toString();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/daemon/src/test/java/org/sequoiahill/daemon/process/fleet/FleetLogTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/process/fleet/FleetLogTest.java
@@ -53,7 +53,9 @@
             strings = {
                 "works",
                 "full works",
-                "full full full works"
+                "full full full works",
+                "broken works",
+                "full broken full works"
             })
     void log_stoppedByItsDisk_isReopenedOnceTheDiskWorks(String states) throws Exception {
         FleetLog log = FleetLog.open(this::open);
