Respond to requests that are unfinished when an entry's shutdown time is over

What operators of systems like ours saw: in a planned stop, requests that came late in the grace were taken and passed on; at its end they were cut with no answer, among them requests that may not be repeated.

Cause: an entry takes requests for 2.5 s after SIGTERM and drains for the rest of its time; a request of a route with a long timeout can outlast that. The wait for running requests ended by its timeout, and the process ended with whatever was open. Also, a first wait that times out completed the future of a second one.

Change: once the drain time is over, each request ends with a final response, in 0.3 s of the time reserved for the exit: 503 if it was not sent to any endpoint, 502 if it may have run; a stream that has begun is broken off, so that its caller can tell. What is refused at once is unchanged: a request that arrives within the 2.5 s can still be done in time on most routes.

--- a/bench/src/main/java/org/sequoiahill/bench/admission/SimulatedFleet.java
+++ b/bench/src/main/java/org/sequoiahill/bench/admission/SimulatedFleet.java
@@ -221,14 +221,7 @@
                             Map.of()));
         }
         return FleetSnapshot.of(
-                new FleetState(
-                        1,
-                        1,
-                        ByteBuffer.allocate(0),
-                        Map.of(),
-                        Map.of(),
-                        Map.of(MODEL, mTarget),
-                        Map.of()),
+                fleetState(),
                 Optional.of(routingTable()),
                 Map.of(SERVICE, endpoints),
                 participants,
@@ -236,6 +229,11 @@
                 1);
     }
 
+    private FleetState fleetState() {
+        return new FleetState(
+                1, 1, ByteBuffer.allocate(0), Map.of(), Map.of(), Map.of(MODEL, mTarget), Map.of());
+    }
+
     private RoutingTable routingTable() {
         EngineProfile profile =
                 new EngineProfile(
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/FleetEntryRole.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/FleetEntryRole.java
@@ -63,6 +63,9 @@
     /** Limit for the bytes of incomplete responses; about a sixth of an entry's maximum heap. */
     private static final long MAX_BUFFERED_RESPONSE_BYTES = 24 << 20;
 
+    /** Time to write the final responses to requests that are unfinished after the drain. */
+    private static final Duration FINAL_RESPONSE_TIME = Duration.ofMillis(300);
+
     /** Part of the drain timeout that is reserved for the process to exit. */
     private static final Duration END_MARGIN = Duration.ofMillis(700);
 
@@ -87,6 +90,7 @@
     private final PieceRelay mPieces;
     private final LoadRelay mLoads;
     private final TraitQuarantine mQuarantine;
+    private final ActiveExchanges mExchanges;
     private volatile boolean mIsLeaving;
 
     @Inject
@@ -117,8 +121,8 @@
                         (entry, digest) -> forwardLoads(client, entry, digest),
                         DelayedExecutor.of(scheduler),
                         clock);
-        ActiveExchanges exchanges = ActiveExchanges.on(scheduler);
-        metrics.gauge("sequoia.entry.running", exchanges, ActiveExchanges::size);
+        mExchanges = ActiveExchanges.on(scheduler);
+        metrics.gauge("sequoia.entry.running", mExchanges, ActiveExchanges::size);
         metrics.gauge("sequoia.entry.waiting", dispatcher, Dispatcher::queueLength);
         ByteBudget responseBytes = ByteBudget.of(MAX_BUFFERED_RESPONSE_BYTES);
         metrics.gauge("sequoia.entry.answer.bytes", responseBytes, ByteBudget::reserved);
@@ -133,7 +137,7 @@
                         ServiceRetryBudgets.of(direct, slackShare, clock, metrics),
                         mQuarantine,
                         forwarder,
-                        exchanges,
+                        mExchanges,
                         responseBytes,
                         RateLimitedRequestLog.of(metrics, clock),
                         clock);
@@ -224,9 +228,16 @@
         TimeUnit.NANOSECONDS.sleep(PROBE_GRACE.toNanos());
         Duration drainTimeout =
                 mSettings.limits().drainTimeout().minus(PROBE_GRACE).minus(END_MARGIN);
+        awaitIdle(drainTimeout);
+        mExchanges.endAll();
+        awaitIdle(FINAL_RESPONSE_TIME);
+    }
+
+    private void awaitIdle(Duration timeout) {
+        // A copy, since a timeout completes the future for all who wait for it.
         mDrain.refuseNewRequests()
-                .completeOnTimeout(
-                        null, Math.max(0, drainTimeout.toMillis()), TimeUnit.MILLISECONDS)
+                .copy()
+                .completeOnTimeout(null, Math.max(0, timeout.toMillis()), TimeUnit.MILLISECONDS)
                 .join();
     }
 
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/ActiveExchanges.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/ActiveExchanges.java
@@ -20,6 +20,7 @@
     private final Set<DirectExchange> mExchanges = ConcurrentHashMap.newKeySet();
     private final ScheduledExecutorService mScheduler;
     private final AtomicBoolean mIsCheckScheduled = new AtomicBoolean();
+    private volatile boolean mIsEnding;
 
     private ActiveExchanges(ScheduledExecutorService scheduler) {
         mScheduler = scheduler;
@@ -35,6 +36,17 @@
         return mExchanges.size();
     }
 
+    /** Returns whether the process is about to end, so that no exchange may go on. */
+    boolean isEnding() {
+        return mIsEnding;
+    }
+
+    /** Ends all exchanges with a final response, as the process is about to end. */
+    public void endAll() {
+        mIsEnding = true;
+        mExchanges.forEach(DirectExchange::checkTimeouts);
+    }
+
     void add(DirectExchange exchange) {
         mExchanges.add(exchange);
         scheduleCheck();
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/AttemptHistory.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/AttemptHistory.java
@@ -31,10 +31,6 @@
         }
     }
 
-    boolean isEmpty() {
-        return mAttempts == 0;
-    }
-
     /** Returns the ids of the endpoints to which the request has been sent. */
     Set<String> endpoints() {
         return mEndpoints;
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/CallerResponse.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/CallerResponse.java
@@ -24,6 +24,9 @@
 final class CallerResponse {
     private static final String ANSWERED = "answered";
 
+    /** Queue time of a request that has not been sent. */
+    private static final Duration NOT_SENT = Duration.ofNanos(-1);
+
     private final DirectServices mServices;
     private final DirectRequest mRequest;
     private final List<String> mTraits;
@@ -33,7 +36,7 @@
     private final StringBuilder mTrace = new StringBuilder();
     private final Set<Object> mConnections = new HashSet<>();
     private @Nullable DisconnectDetector mDisconnectDetector;
-    private Duration mQueueTime = Duration.ZERO;
+    private Duration mQueueTime = NOT_SENT;
     private String mAnsweredBy = "";
     private int mAttempts;
     private volatile boolean mIsComplete;
@@ -66,9 +69,11 @@
         return mIsComplete;
     }
 
-    /** Records the time from the request's arrival to its first attempt for the request log. */
-    void recordQueueTime(Duration time) {
-        mQueueTime = time;
+    /** Records when an attempt starts; the first one ends the time in the queue. */
+    void recordAttempt(Duration now) {
+        if (mQueueTime.isNegative()) {
+            mQueueTime = now.minus(mArrivedAt);
+        }
     }
 
     /** Records the result of an attempt for the request log. */
@@ -171,7 +176,7 @@
                                 mAnsweredBy,
                                 mTrace.toString().trim(),
                                 isFirstAttemptAnswered ? List.of() : mTraits,
-                                mQueueTime,
+                                mQueueTime.isNegative() ? Duration.ZERO : mQueueTime,
                                 mServices.clock().now().minus(mArrivedAt)));
     }
 }
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectExchange.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectExchange.java
@@ -192,9 +192,7 @@
             permit.release(Result.CANCELLED);
             return;
         }
-        if (mHistory.isEmpty()) {
-            mResponse.recordQueueTime(now.minus(mDeadlines.arrivedAt()));
-        }
+        mResponse.recordAttempt(now);
         int attemptAtAddress = mHistory.add(permit.endpoint());
         EndpointAttempt attempt = new EndpointAttempt(permit, now, this);
         mCurrent = attempt;
@@ -451,8 +449,9 @@
             return;
         }
         Duration now = mServices.clock().now();
-        if (now.compareTo(mDeadlines.deadline()) >= 0) {
-            handleTimeout();
+        boolean isOverdue = now.compareTo(mDeadlines.deadline()) >= 0;
+        if (isOverdue || mServices.activeExchanges().isEnding()) {
+            endUnanswered(isOverdue ? "timeout" : "entry_leaving", isOverdue ? 504 : 502);
             return;
         }
         EndpointAttempt attempt = mCurrent;
@@ -468,23 +467,23 @@
     }
 
     private boolean isSilent(EndpointAttempt attempt, Duration now) {
+        Duration last = attempt.lastReceivedAt();
+        Duration deadline = mDeadlines.deadline();
+        int runs = mHistory.possibleRuns();
         return !mStreamRelay.isPaused()
-                && SilencePolicy.shouldRetryElsewhere(
-                        mRequest.route(),
-                        mHistory.possibleRuns(),
-                        attempt.lastReceivedAt(),
-                        mDeadlines.deadline(),
-                        now);
+                && SilencePolicy.shouldRetryElsewhere(mRequest.route(), runs, last, deadline, now);
     }
 
-    private void handleTimeout() {
+    /** Ends a request for which no response will come any more. */
+    private void endUnanswered(String reason, int statusIfPossiblyRun) {
         boolean mayHaveRun = mHistory.mayHaveRun() || mCurrent != null;
-        cancelCurrentAttempt("timeout");
+        cancelCurrentAttempt(reason);
         refuseOrAbort(
                 mayHaveRun
-                        ? new Refusal(504, "timeout", "no response in time", false, Duration.ZERO)
-                        : Refusal.overloaded("timeout", "no capacity in time", Duration.ZERO),
-                "timeout");
+                        ? new Refusal(
+                                statusIfPossiblyRun, reason, "no response", false, Duration.ZERO)
+                        : Refusal.overloaded(reason, "no capacity in time", Duration.ZERO),
+                reason);
     }
 
     private void cancelCurrentAttempt(String reason) {
