Test the way back from the quarantine, and its place in the fleet's state

After ten minutes one request at a time tests a part: one that still crashes engines costs one of them and stays, one that is harmless by then is released (4 rows in virtual time, 1 and 7 entries).

--- a/daemon/src/test/java/org/sequoiahill/daemon/process/fleet/FleetStateMachineTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/process/fleet/FleetStateMachineTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import org.sequoiahill.protocol.gen.DataCentreChange;
 import org.sequoiahill.protocol.gen.FleetChange;
+import org.sequoiahill.protocol.gen.QuarantineChange;
 import org.sequoiahill.protocol.gen.RoutingPut;
 import org.sequoiahill.protocol.gen.WeightsChange;
 
@@ -55,6 +56,35 @@
         assertThat(mMachine.state().version("model", 0), is(held));
     }
 
+    @ParameterizedTest
+    @CsvSource({
+        // changes in order, + to put under quarantine with failed probes, - to release; failed
+        // probes held, -1 if released
+        "+0, 0",
+        "+0 +0, 0",
+        "+0 +1 +0, 1",
+        "+0 -, -1",
+        "-, -1",
+        "+2 - +0, 0"
+    })
+    void apply_quarantine_keepsMostFailedProbesUntilReleased(String changes, int failedProbes) {
+        for (String change : changes.split(" ", -1)) {
+            apply(
+                    change.equals("-")
+                            ? quarantine("trait", false, 0)
+                            : quarantine("trait", true, Integer.parseInt(change.substring(1))));
+        }
+        assertThat(
+                mMachine.state().quarantinedTraits().getOrDefault("trait", -1), is(failedProbes));
+        FleetStateMachine restored = FleetStateMachine.of(state -> {});
+        restored.restore(mMachine.snapshot());
+        assertThat(restored.state(), is(mMachine.state()));
+    }
+
+    private static FleetChange quarantine(String trait, boolean isOn, int failedProbes) {
+        return FleetChange.quarantine(new QuarantineChange(trait, isOn, failedProbes));
+    }
+
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
     void restore_snapshotOfRandomState_yieldsSameState(long seed) {
--- a/daemon/src/test/java/org/sequoiahill/daemon/request/quarantine/SimulatedFleetCrashes.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/request/quarantine/SimulatedFleetCrashes.java
@@ -74,16 +74,16 @@
     /** Returns the traits under quarantine at any entry. */
     Set<String> quarantined() {
         Set<String> traits = new HashSet<>(mStore.state().quarantinedTraits().keySet());
-        for (Entry entry : mEntries) {
-            for (String part : knownParts()) {
-                if (entry.mQuarantine.recheck(List.of(part)).isRefused()) {
-                    traits.add(part);
-                }
-            }
-        }
+        knownParts().stream().filter(this::isQuarantined).forEach(traits::add);
         return traits;
     }
 
+    /** Returns whether any entry refuses requests with a trait. */
+    boolean isQuarantined(String trait) {
+        return mEntries.stream()
+                .anyMatch(entry -> entry.mQuarantine.recheck(List.of(trait)).isRefused());
+    }
+
     private Set<String> knownParts() {
         Set<String> parts = new HashSet<>(mBadParts);
         for (int route = 0; route < ROUTES; route++) {
@@ -153,6 +153,11 @@
                                         "s/request/" + mRandom.nextLong(), "s/part/first0", part));
     }
 
+    /** Makes a part harmless for all requests that arrive from now on. */
+    void repair(String part) {
+        mBadParts.remove(part);
+    }
+
     private void addRequests(double perSecond, Duration time, Supplier<List<String>> traits) {
         double at = 0;
         double end = time.toMillis() / 1e3;
@@ -280,6 +285,7 @@
         private final Optional<String> mBadPart;
         private final Entry mEntry = mEntries.get(mRandom.nextInt(mEntries.size()));
         private final Duration mArrivedAt = mClock.now();
+        private QuarantineDecision mAdmission = QuarantineDecision.ADMITTED;
         private int mAttempts;
         private boolean mIsCounted;
 
@@ -289,7 +295,8 @@
         }
 
         void arrive() {
-            if (mEntry.mQuarantine.admit(mTraits).isRefused()) {
+            mAdmission = mEntry.mQuarantine.admit(mTraits);
+            if (mAdmission.isRefused()) {
                 count(false);
             } else {
                 send();
@@ -299,8 +306,8 @@
         void send() {
             List<Engine> running = mEngines.stream().filter(engine -> engine.mIsUp).toList();
             if (running.isEmpty()
-                    || mAttempts == MAX_ATTEMPTS
-                    || mEntry.mQuarantine.recheck(mTraits).isRefused()) {
+                    || mAttempts == (mAdmission.isProbe() ? 1 : MAX_ATTEMPTS)
+                    || (!mAdmission.isProbe() && mEntry.mQuarantine.recheck(mTraits).isRefused())) {
                 count(false);
                 return;
             }
@@ -423,6 +430,9 @@
             if (!attempt.mIsAnswered) {
                 attempt.mEntry.mQuarantine.onLost(
                         info, attempt.mRequest.mTraits, 0, attempt.mSentAt, attempt.mHasBegun);
+                if (attempt.mRequest.mAdmission.isProbe()) {
+                    attempt.mEntry.mQuarantine.onProbeFailed(attempt.mRequest.mAdmission.trait());
+                }
             }
             attempt.mRequest.send();
         }
--- a/daemon/src/test/java/org/sequoiahill/daemon/request/quarantine/TraitQuarantineTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/request/quarantine/TraitQuarantineTest.java
@@ -22,6 +22,8 @@
     /** Time after these crashes from which requests with the part count. */
     private static final Duration CONTACT = Duration.ofSeconds(3);
 
+    private static final String PART = "s/part/bad";
+
     private static final int MAX_SENT_LATE = 3;
 
     /** Seeds of a row whose fleet has up to a hundred engines; larger ones are played with one. */
@@ -112,7 +114,7 @@
     void entriesThatRestart_refuseWhatIsUnderQuarantine(int restarted) {
         SimulatedFleetCrashes fleet = new SimulatedFleetCrashes(9, 7, 1);
         fleet.addSoundRequests(60, TROUBLE.multipliedBy(2));
-        fleet.addBadRequests("s/part/bad", false, 8, TROUBLE.multipliedBy(2));
+        fleet.addBadRequests(PART, false, 8, TROUBLE.multipliedBy(2));
         fleet.run(TROUBLE);
         int deaths = fleet.deaths();
         for (int i = 0; i < restarted; i++) {
@@ -122,6 +124,31 @@
         assertThat(fleet.deaths(), is(deaths));
     }
 
+    @ParameterizedTest
+    @CsvSource({
+        // entries, whether the part is harmless by the time of the probe; deaths by probes
+        "1, false, 1",
+        "7, false, 1",
+        "1, true, 0",
+        "7, true, 0"
+    })
+    void quarantine_isOver_oneRequestTestsWhetherThePartStillCrashesEngines(
+            int entries, boolean isRepaired, int deathsByProbes) {
+        Duration time = Duration.ofMinutes(14);
+        SimulatedFleetCrashes fleet = new SimulatedFleetCrashes(9, entries, 1);
+        fleet.addSoundRequests(6, time);
+        fleet.addBadRequests(PART, false, 4, time);
+        fleet.run(TROUBLE);
+        int deaths = fleet.deaths();
+        assertThat(fleet.quarantined(), is(Set.of(PART)));
+        if (isRepaired) {
+            fleet.repair(PART);
+        }
+        fleet.run(time.minus(TROUBLE));
+        assertThat(fleet.deaths() - deaths, is(deathsByProbes));
+        assertThat(fleet.isQuarantined(PART), is(!isRepaired));
+    }
+
     private static int seeds(int engines) {
         return engines < MANY_ENGINES ? SEEDS : 1;
     }
