--- a/review/src/review/LargeBodies.java
+++ b/review/src/review/LargeBodies.java
@@ -28,7 +28,7 @@
     private static final int UPLOAD_MILLIS = 4_000;
     private static final int TIMEOUT_MILLIS = 6_000;
     private static final int DEADLINE_MILLIS = 8_000;
-    private static final int LARGE_CLIENTS = 48;
+    private static final int LARGE_CLIENTS = 24;
     private static final int LARGE_CLIENTS_WITHOUT_TROUBLE = 4;
     private static final int SMALL_CLIENTS = 8;
 
--- a/review/src/review/LateOrder.java
+++ b/review/src/review/LateOrder.java
@@ -23,7 +23,10 @@
     private static final long EVACUATE_MILLIS = 5_000;
     private static final long MAX_STRETCH_MILLIS = 5_000;
     private static final long CONTACT_MILLIS = 3_000;
-    private static final long WATCH_MILLIS = 12_000;
+    private static final long WATCH_MILLIS = 5_000;
+
+    /** Tries; in some, the store wakes before it knows a leader again and refuses the order. */
+    private static final int ROUNDS = 5;
 
     private volatile boolean mIsEnded;
     private volatile long mJudgedFrom = Long.MAX_VALUE;
@@ -60,10 +63,23 @@
         lab.note("the operator evacuates zone-a");
         lab.order("POST", "/api/evacuations/zone-a/start", "");
         Lab.sleep(EVACUATE_MILLIS + 1_000);
+        for (int round = 0; round < ROUNDS && mLate.get() == 0; round++) {
+            takeBackAndEvacuate(lab);
+        }
+        mIsEnded = true;
+        lab.note(mLate.get() + " requests reached zone-a though its evacuation was acknowledged");
+        return mLate.get() > 0 ? 1 : 0;
+    }
 
+    /**
+     * Takes the zone back and evacuates it again, while one store is frozen; then watches whether
+     * requests reach the zone.
+     */
+    private void takeBackAndEvacuate(Lab lab) throws Exception {
         Lab.Daemon leader = lab.leader();
         Lab.Daemon follower =
                 lab.stores().stream().filter(store -> store != leader).findFirst().orElseThrow();
+        mJudgedFrom = Long.MAX_VALUE;
         long frozenAt = lab.millis();
         if (Lab.isTrouble()) {
             follower.signal("STOP");
@@ -78,19 +94,12 @@
         if (Lab.isTrouble()) {
             follower.signal("CONT");
         }
-        long wokenAt = lab.millis();
         mJudgedFrom =
                 Math.max(
                         acknowledgedAt + EVACUATE_MILLIS + MAX_STRETCH_MILLIS,
-                        wokenAt + 2 * CONTACT_MILLIS);
+                        lab.millis() + 2 * CONTACT_MILLIS);
+        lab.note("requests that reach zone-a count from " + mJudgedFrom + " on");
         Lab.sleep(mJudgedFrom + WATCH_MILLIS - lab.millis());
-        mIsEnded = true;
-        lab.note(
-                mLate.get()
-                        + " requests reached zone-a later than "
-                        + (mJudgedFrom - acknowledgedAt)
-                        + " ms after the acknowledgement of its evacuation");
-        return mLate.get() > 0 ? 1 : 0;
     }
 
     private void sendRequests(Lab lab, Lab.Daemon entry) throws InterruptedException {
