--- a/review/src/review/LargeBodies.java
+++ b/review/src/review/LargeBodies.java
@@ -118,10 +118,9 @@
                                             + "X-Sequoiahill-Deadline-Ms: 6000\r\n\r\n")
                                     .getBytes(StandardCharsets.ISO_8859_1));
                     Caller.Answer answer = Caller.read(in);
+                    lab.note("request " + id + " answered " + answer.status());
                     if (answer.status() == 200) {
                         mAnswered.incrementAndGet();
-                    } else {
-                        lab.note("request " + id + " answered " + answer);
                     }
                     Lab.sleep(50);
                 }
@@ -183,7 +182,9 @@
 
         @Override
         void handle(Request request, OutputStream out) throws IOException {
-            mRun.add(request.header("X-Sequoiahill-Attempt-Id"));
+            String id = request.header("X-Sequoiahill-Attempt-Id");
+            mRun.add(id);
+            lab.note("request " + id + " with " + request.body().length + " bytes runs in " + zone);
             try {
                 Thread.sleep(20);
             } catch (InterruptedException e) {
--- a/review/src/review/ReturningReplica.java
+++ b/review/src/review/ReturningReplica.java
@@ -134,6 +134,7 @@
 
         @Override
         void handle(Request request, OutputStream out) throws IOException {
+            lab.note("request " + request.header("X-Sequoiahill-Attempt-Id") + " runs at " + id);
             mServed.incrementAndGet();
             super.handle(request, out);
         }
