Verify staged pieces again if an engine accepts a load late

Cause: the agent verified the staged pieces and then ordered the load, however long after. Pieces that became corrupt in between were loaded.

Ruled out: pieces replaced after their verification, another manifest (the agent's log shows neither).

If the engine may have accepted the order later (pause, slow engine, lost response), the pieces are read again after the load, and entries don't use the engine until they are found intact.

--- a/daemon/src/main/java/org/sequoiahill/daemon/process/FleetAgentRole.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/FleetAgentRole.java
@@ -3,6 +3,7 @@
 import jakarta.inject.Inject;
 import jakarta.inject.Singleton;
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.List;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -55,6 +56,7 @@
             ControlClient client,
             HttpClient http,
             MonotonicClock clock,
+            InstantSource wallClock,
             ScheduledExecutorService scheduler) {
         mState = AgentState.of(ParticipantFactory.of(settings, identity));
         PieceStore store = new PieceStore();
@@ -89,7 +91,8 @@
                                 mState,
                                 () -> mAnnounce.run(),
                                 settings.regions(),
-                                clock),
+                                clock,
+                                wallClock),
                         settings.service(),
                         loadUnconditionallyAfter(settings));
         view.addListener(mAgent::onFleetChange);
--- a/daemon/src/main/java/org/sequoiahill/daemon/version/staging/StagingAgent.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/staging/StagingAgent.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -40,6 +41,7 @@
     private final Dependencies mDependencies;
     private final String mService;
     private final Duration mMaxLoadWait;
+    private final VerifiedLoad mLoad;
     private final ReentrantLock mLock = new ReentrantLock();
     private final Condition mWakeUp = mLock.newCondition();
     private boolean mIsWakeUpPending;
@@ -52,6 +54,12 @@
         mDependencies = dependencies;
         mService = service;
         mMaxLoadWait = maxLoadWait;
+        mLoad =
+                new VerifiedLoad(
+                        dependencies.engine(),
+                        dependencies.store(),
+                        dependencies.clock(),
+                        dependencies.wallClock());
     }
 
     /**
@@ -65,6 +73,7 @@
      * @param announce sends the agent's current state to all stores
      * @param regions region of each data centre
      * @param clock monotonic clock
+     * @param wallClock wall clock
      */
     public record Dependencies(
             Supplier<FleetSnapshot> snapshot,
@@ -74,7 +83,8 @@
             AgentState state,
             Runnable announce,
             Map<String, String> regions,
-            MonotonicClock clock) {
+            MonotonicClock clock,
+            InstantSource wallClock) {
         /** Copies the map. */
         public Dependencies {
             regions = Map.copyOf(regions);
@@ -151,7 +161,7 @@
         String model = profile.get().model();
         long target = snapshot.state().version(model, INITIAL_VERSION);
         StagingEngine.Status status = statusOrPrefetch(snapshot, model, target);
-        publishState(false, status.versions());
+        publishLoaded(model, status);
         long loaded = status.versions().getOrDefault(model, 0L);
         if (loaded >= target || status.isBusy()) {
             return !status.isBusy();
@@ -171,7 +181,7 @@
         if (mIsWaitingToLoad) {
             return false;
         }
-        load(manifest, loaded > 0);
+        load(manifest, status);
         return false;
     }
 
@@ -213,34 +223,6 @@
         return mManifest.orElseThrow();
     }
 
-    /** Stages each piece that is missing or corrupt at the engine. */
-    private void ensureStaged(PieceManifest manifest) throws IOException, InterruptedException {
-        int stagedNow = 0;
-        for (int piece = 0; piece < manifest.pieces(); piece++) {
-            Optional<byte[]> staged = mDependencies.engine().stagedPiece(manifest.model(), piece);
-            if (staged.isPresent() && manifest.matches(piece, staged.get())) {
-                continue;
-            }
-            Optional<byte[]> content =
-                    mDependencies
-                            .store()
-                            .piece(manifest.model(), manifest.version(), piece, Duration.ZERO);
-            if (content.isEmpty()) {
-                throw new IOException("piece " + piece + " is no longer in the store");
-            }
-            mDependencies.engine().stage(manifest.model(), piece, content.get());
-            stagedNow++;
-        }
-        if (stagedNow > 0) {
-            Logger.info(
-                    "staged {} of {} pieces of version {} of {}",
-                    stagedNow,
-                    manifest.pieces(),
-                    manifest.version(),
-                    manifest.model());
-        }
-    }
-
     private boolean mayLoad(String model, long target) {
         FleetSnapshot snapshot = mDependencies.snapshot().get();
         Map<String, Long> versions = new HashMap<>();
@@ -255,32 +237,35 @@
         return SwapSchedule.mayLoad(self.getVm(), versions, target, age, mMaxLoadWait);
     }
 
-    private void load(PieceManifest manifest, boolean isServing)
+    /**
+     * Loads a version. The engine is published as swapping until its pieces are known to be intact,
+     * so that entries don't use it before.
+     */
+    private void load(PieceManifest manifest, StagingEngine.Status before)
             throws IOException, InterruptedException {
         String model = manifest.model();
-        if (isServing) {
-            publishState(true, mDependencies.engine().status().versions());
+        publishState(true, before.versions());
+        if (before.versions().getOrDefault(model, 0L) > 0) {
             awaitPropagation();
         }
-        // Staged pieces may have become corrupt since, and the engine loads them unverified.
-        ensureStaged(manifest);
-        boolean isAccepted = mDependencies.engine().load(model, manifest.version());
-        Logger.info(
-                "ordered to load version {} of {}, accepted: {}",
-                manifest.version(),
-                model,
-                isAccepted);
+        boolean isAccepted = mLoad.order(manifest);
         Duration deadline = mDependencies.clock().now().plus(LOAD_TIMEOUT);
         while (isAccepted && mDependencies.clock().now().compareTo(deadline) < 0) {
             StagingEngine.Status status = mDependencies.engine().status();
             if (status.versions().getOrDefault(model, 0L) >= manifest.version()) {
                 Logger.info("the engine serves version {} of {}", manifest.version(), model);
-                publishState(false, status.versions());
+                publishLoaded(model, status);
                 return;
             }
             pause(STEP_INTERVAL);
         }
-        publishState(false, mDependencies.engine().status().versions());
+        publishLoaded(model, mDependencies.engine().status());
+    }
+
+    /** Publishes what the engine has loaded; one with corrupt pieces stays out of use. */
+    private void publishLoaded(String model, StagingEngine.Status status) throws IOException {
+        long loaded = status.versions().getOrDefault(model, 0L);
+        publishState(!mLoad.isIntact(model, loaded), status.versions());
     }
 
     /** Gives the entries time to learn that the engine is about to load. */
--- a/daemon/src/test/java/org/sequoiahill/daemon/version/staging/StagingAgentTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/version/staging/StagingAgentTest.java
@@ -9,6 +9,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -24,6 +25,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.sequoiahill.daemon.process.control.ControlClient;
 import org.sequoiahill.daemon.process.control.ControlTraffic;
@@ -49,6 +52,12 @@
     private final ExecutorService mRunner = Executors.newSingleThreadExecutor();
     private final FakeEngine mEngine = new FakeEngine();
     private final FakeOrigin mOrigin = new FakeOrigin();
+    private final BlockingQueue<Participant> mPublished = new LinkedBlockingQueue<>();
+
+    /** Time that the monotonic clock of the agent has gained over that of the test. */
+    private volatile Duration mSkipped = Duration.ZERO;
+
+    private volatile Instant mWallTime = Instant.EPOCH;
 
     @AfterEach
     void stop() {
@@ -139,6 +148,100 @@
         assertThat(mOrigin.requested(), contains(0, 1, 2, 3, 4, 5));
     }
 
+    /** Guards against a load of pieces that became corrupt while the agent was paused. */
+    @ParameterizedTest
+    @EnumSource(Pause.class)
+    void run_pausedBetweenVerificationAndOrder_verifiesAgain(Pause pause)
+            throws InterruptedException {
+        mEngine.mAfterLastRead = () -> pauseAndCorrupt(pause);
+        start(2);
+        assertThat(mEngine.mLoads.poll(20, TimeUnit.SECONDS), is(textOf(2)));
+        assertThat(awaitInUse(), is(true));
+    }
+
+    /** Guards against the use of an engine that took pieces long after their verification. */
+    @ParameterizedTest
+    @CsvSource({
+        "FREEZE, false, CORRUPT",
+        "FREEZE, true, CORRUPT",
+        "SUSPENSION, false, CORRUPT",
+        "SUSPENSION, true, CORRUPT",
+        "FREEZE, false, INTACT",
+        "FREEZE, true, INTACT",
+        "SUSPENSION, false, INTACT",
+        "SUSPENSION, true, INTACT"
+    })
+    void run_orderIsAcceptedLate_engineIsUsedOnlyIfPiecesAreIntact(
+            Pause pause, boolean isResponseLost, Pieces pieces) throws InterruptedException {
+        mEngine.mLosesResponse = isResponseLost;
+        mEngine.mBeforeLoad =
+                () -> {
+                    if (pieces == Pieces.CORRUPT) {
+                        pauseAndCorrupt(pause);
+                    } else {
+                        pause(pause);
+                    }
+                };
+        start(2);
+        mEngine.mLoads.poll(20, TimeUnit.SECONDS);
+        assertThat(awaitInUse(), is(pieces == Pieces.INTACT));
+    }
+
+    @Test
+    void run_engineWithCorruptVersionRestarts_isUsedAgain() throws InterruptedException {
+        mEngine.mBeforeLoad = () -> pauseAndCorrupt(Pause.FREEZE);
+        start(2);
+        mEngine.mLoads.poll(20, TimeUnit.SECONDS);
+        assertThat(awaitInUse(), is(false));
+        mEngine.restart();
+        assertThat(mEngine.mLoads.poll(20, TimeUnit.SECONDS), is(textOf(2)));
+        assertThat(awaitInUse(), is(true));
+    }
+
+    /** How the agent's VM stands still. */
+    private enum Pause {
+        /** The monotonic clock counts the time. */
+        FREEZE,
+        /** Only the wall clock counts the time. */
+        SUSPENSION
+    }
+
+    /** State of the staged pieces when the engine takes them. */
+    private enum Pieces {
+        CORRUPT,
+        INTACT
+    }
+
+    private void pause(Pause pause) {
+        Duration length = Duration.ofSeconds(4);
+        mWallTime = mWallTime.plus(length);
+        if (pause == Pause.FREEZE) {
+            mSkipped = mSkipped.plus(length);
+        }
+    }
+
+    private void pauseAndCorrupt(Pause pause) {
+        pause(pause);
+        mEngine.mStaged.put(0, new byte[] {9});
+    }
+
+    /**
+     * Returns whether entries may use version 2 of the engine; an engine that isn't published for
+     * several steps of the agent after the load counts as out of use.
+     */
+    private boolean awaitInUse() throws InterruptedException {
+        int statusCalls = mEngine.statusCalls();
+        while (mEngine.statusCalls() < statusCalls + 5) {
+            Participant published = mPublished.poll(100, TimeUnit.MILLISECONDS);
+            if (published != null
+                    && !published.isSwapping()
+                    && published.getVersions().equals(Map.of("model", 2L))) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private static Participant servingAgent() {
         return new Participant(
                 "agent-2",
@@ -177,6 +280,8 @@
                         false,
                         Map.of());
         FleetSnapshot snapshot = snapshot(version, others);
+        AgentState state = AgentState.of(self);
+        MonotonicClock clock = MonotonicClock.system();
         StagingAgent agent =
                 StagingAgent.of(
                         new StagingAgent.Dependencies(
@@ -185,10 +290,11 @@
                                 store,
                                 PieceFetcher.of(
                                         identity, "dc", mOrigin, store, mEngine, client, mThreads),
-                                AgentState.of(self),
-                                () -> {},
+                                state,
+                                () -> mPublished.add(state.participant()),
                                 Map.of("dc", "dc"),
-                                MonotonicClock.system()),
+                                () -> clock.now().plus(mSkipped),
+                                () -> mWallTime),
                         "writer",
                         Duration.ofSeconds(6));
         mRunner.execute(agent);
@@ -283,10 +389,15 @@
         private final CountDownLatch mStatusCalls = new CountDownLatch(3);
         private boolean mCorruptsFirstPiece;
         private volatile boolean mIsDown;
+        private Runnable mAfterLastRead = () -> {};
+        private Runnable mBeforeLoad = () -> {};
+        private boolean mLosesResponse;
+        private int mAllStatusCalls;
 
         @Override
         public synchronized Status status() throws IOException {
             mStatusCalls.countDown();
+            mAllStatusCalls++;
             checkUp();
             return new Status(mVersions, false, 0, 0);
         }
@@ -302,11 +413,22 @@
         public synchronized Optional<byte[]> stagedPiece(String model, int piece)
                 throws IOException {
             checkUp();
-            return Optional.ofNullable(mStaged.get(piece));
+            Optional<byte[]> staged = Optional.ofNullable(mStaged.get(piece));
+            if (piece == PIECES - 1 && mStaged.size() == PIECES) {
+                mAfterLastRead.run();
+                mAfterLastRead = () -> {};
+            }
+            return staged;
+        }
+
+        synchronized int statusCalls() {
+            return mAllStatusCalls;
         }
 
         @Override
-        public synchronized boolean load(String model, long version) {
+        public synchronized boolean load(String model, long version) throws IOException {
+            mBeforeLoad.run();
+            mBeforeLoad = () -> {};
             StringBuilder loaded = new StringBuilder();
             for (int piece = 0; piece < PIECES; piece++) {
                 byte[] content = mStaged.getOrDefault(piece, new byte[0]);
@@ -314,6 +436,9 @@
             }
             mVersions.put(model, version);
             mLoads.add(loaded.toString());
+            if (mLosesResponse) {
+                throw new IOException("the response was lost");
+            }
             return true;
         }
 
