Repair a corrupt manifest from other copies

Cause: the first copy of a manifest was kept at each entry and agent as the truth, though it comes from the same sender as the pieces. The intact piece never matched it, from any source.

Ruled out: corrupt holders and an unreachable origin (all other pieces arrive), daemons that don't know the version (all fetch).

Change: if the same content arrives twice for a piece and does not match, other copies of the manifest are fetched; a digest in any of them that equals the content's is correct and replaces the one of that piece. Manifests with another number of pieces than the configuration's are refused (such a one was loaded with a piece of the older version), and so are invalid digests. An entry asks the origin twice for a corrupt piece, holds one lock a version, and asks skipped entries and holders again after a repair.

--- a/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PieceClient.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PieceClient.java
@@ -42,15 +42,14 @@
     }
 
     /**
-     * Returns a piece whose digest matches the manifest.
+     * Returns a piece, which may be corrupt.
      *
      * @param connection index of the connection; calls on one connection are sequential
-     * @throws IOException if the daemon does not respond, or its piece is missing or corrupt
+     * @throws IOException if the daemon does not respond or does not have the piece
      */
-    byte[] fetchPiece(HostPort peer, PieceManifest manifest, int piece, int connection)
+    byte[] fetchPiece(HostPort peer, String model, long version, int piece, int connection)
             throws IOException {
-        PieceRequest request =
-                new PieceRequest(mIdentity.sender(), manifest.model(), manifest.version(), piece);
+        PieceRequest request = new PieceRequest(mIdentity.sender(), model, version, piece);
         try {
             PieceReply reply =
                     mClient.call(
@@ -62,7 +61,7 @@
             if (!reply.isSetContent()) {
                 throw new IOException(peer + " does not have the piece");
             }
-            return manifest.verified(piece, reply.getContent(), peer);
+            return reply.getContent();
         } catch (CompletionException e) {
             throw new IOException(peer + " did not respond", e);
         }
--- a/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PieceFetcher.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PieceFetcher.java
@@ -91,12 +91,17 @@
      *
      * @throws IOException if the origin fails too
      */
-    PieceManifest manifest(PieceSources sources, String model, long version) throws IOException {
+    VersionManifest manifest(PieceSources sources, String model, long version) throws IOException {
+        return new VersionManifest(firstCopy(sources, model, version), () -> {});
+    }
+
+    private PieceManifest firstCopy(PieceSources sources, String model, long version)
+            throws IOException {
         for (int failures = 0; failures < MAX_ENTRY_FAILURES; failures++) {
             HostPort entry = sources.servingEntry(mRegion, 0, failures).orElse(null);
             try {
                 if (entry != null) {
-                    return mClient.fetchManifest(entry, model, version);
+                    return sources.checked(mClient.fetchManifest(entry, model, version));
                 }
             } catch (IOException e) {
                 Logger.info("can't fetch the manifest from an entry: {}", e.toString());
@@ -105,7 +110,7 @@
         HostPort origin =
                 sources.origin()
                         .orElseThrow(() -> new IOException("the routing table has no origin"));
-        return mOrigin.manifest(origin, model, version);
+        return sources.checked(mOrigin.manifest(origin, model, version));
     }
 
     /** How many pieces are in transit on the VM's link at the same time. */
@@ -126,8 +131,9 @@
      * Fetches the missing pieces and tries to stage them; returns whether the store then holds
      * every piece.
      */
-    boolean fetch(PieceManifest manifest, PieceSources sources, Parallelism parallelism)
+    boolean fetch(VersionManifest version, PieceSources sources, Parallelism parallelism)
             throws InterruptedException {
+        PieceManifest manifest = version.current();
         if (parallelism == Parallelism.FULL || !mHasCheckedStaged) {
             adoptStaged(manifest, sources);
         }
@@ -143,7 +149,7 @@
             int connection = i;
             workers.add(
                     mWorkers.submit(
-                            () -> fetchQueued(queue, manifest, sources, inTransit, connection)));
+                            () -> fetchQueued(queue, version, sources, inTransit, connection)));
         }
         for (Future<?> worker : workers) {
             join(worker);
@@ -180,10 +186,11 @@
 
     private void fetchQueued(
             PieceQueue pieces,
-            PieceManifest manifest,
+            VersionManifest version,
             PieceSources sources,
             Semaphore inTransit,
             int connection) {
+        PieceManifest manifest = version.current();
         while (true) {
             inTransit.acquireUninterruptibly();
             Integer piece = pieces.take();
@@ -195,7 +202,7 @@
                 content =
                         Optional.of(
                                 fetchPiece(
-                                        manifest,
+                                        version,
                                         sources,
                                         piece,
                                         pieces.failures(piece),
@@ -230,17 +237,37 @@
     }
 
     private byte[] fetchPiece(
-            PieceManifest manifest, PieceSources sources, int piece, int failures, int connection)
+            VersionManifest version, PieceSources sources, int piece, int failures, int connection)
             throws IOException {
+        String model = version.current().model();
+        long number = version.current().version();
         HostPort entry = sources.servingEntry(mRegion, piece, failures).orElse(null);
         if (entry != null && failures < MAX_ENTRY_FAILURES) {
-            return mClient.fetchPiece(entry, manifest, piece, connection);
+            byte[] content = mClient.fetchPiece(entry, model, number, piece, connection);
+            VersionManifest.CopySource copy =
+                    () -> sources.checked(mClient.fetchManifest(entry, model, number));
+            return accepted(version, piece, content, entry, copy);
         }
         HostPort origin =
                 sources.origin()
                         .orElseThrow(() -> new IOException("the routing table has no origin"));
-        byte[] content = mOrigin.piece(origin, manifest.model(), manifest.version(), piece);
-        return manifest.verified(piece, content, origin);
+        byte[] content = mOrigin.piece(origin, model, number, piece);
+        VersionManifest.CopySource copy =
+                () -> sources.checked(mOrigin.manifest(origin, model, number));
+        return accepted(version, piece, content, origin, copy);
+    }
+
+    private static byte[] accepted(
+            VersionManifest version,
+            int piece,
+            byte[] content,
+            HostPort source,
+            VersionManifest.CopySource copy)
+            throws IOException {
+        if (!version.accepts(piece, content, List.of(copy))) {
+            throw new IOException("piece " + piece + " from " + source + " is corrupt");
+        }
+        return content;
     }
 
     /** Returns the missing pieces in the order in which this agent requests them. */
--- a/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PieceManifest.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PieceManifest.java
@@ -1,12 +1,11 @@
 package org.sequoiahill.daemon.version.staging;
 
 import java.io.IOException;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
-import java.util.HexFormat;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
-import org.sequoiahill.daemon.process.settings.HostPort;
+import java.util.regex.Pattern;
+import org.sequoiahill.protocol.weights.Digests;
 
 /**
  * The pieces of one version of a model's weights.
@@ -16,6 +15,8 @@
  * @param digests SHA-256 of each piece, in hexadecimal
  */
 public record PieceManifest(String model, long version, List<String> digests) {
+    private static final Pattern DIGEST = Pattern.compile("[0-9a-f]{64}");
+
     /** Copies the list with the digests in lower case. */
     public PieceManifest {
         digests = digests.stream().map(digest -> digest.toLowerCase(Locale.ROOT)).toList();
@@ -26,25 +27,34 @@
         return digests.size();
     }
 
+    /** Returns this manifest with another digest of one piece. */
+    PieceManifest withDigest(int piece, String digest) {
+        List<String> changed = new ArrayList<>(digests);
+        changed.set(piece, digest);
+        return new PieceManifest(model, version, changed);
+    }
+
     /**
-     * Returns {@code content} if it is intact.
+     * Returns this manifest.
      *
-     * @throws IOException if the digest of {@code content} differs from the manifest
+     * @param expectedPieces number of pieces that the version must have
+     * @throws IOException if it has another number of pieces, or a digest that is not one
      */
-    byte[] verified(int piece, byte[] content, HostPort source) throws IOException {
-        if (!matches(piece, content)) {
-            throw new IOException("piece " + piece + " from " + source + " is corrupt");
+    PieceManifest checked(int expectedPieces) throws IOException {
+        if (pieces() != expectedPieces) {
+            throw new IOException(
+                    "the manifest has " + pieces() + " pieces, not " + expectedPieces);
         }
-        return content;
+        for (String digest : digests) {
+            if (!DIGEST.matcher(digest).matches()) {
+                throw new IOException("the manifest has an invalid digest");
+            }
+        }
+        return this;
     }
 
     /** Returns whether the digest of {@code content} is that of a piece of this version. */
     public boolean matches(int piece, byte[] content) {
-        try {
-            byte[] digest = MessageDigest.getInstance("SHA-256").digest(content);
-            return HexFormat.of().formatHex(digest).equals(digests.get(piece));
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException("every Java runtime has SHA-256", e);
-        }
+        return Digests.of(content).equals(digests.get(piece));
     }
 }
--- a/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PieceRelay.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PieceRelay.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -41,6 +42,9 @@
      */
     private static final Duration MAX_HOLDER_LATENCY = Duration.ofMillis(600);
 
+    /** Attempts to fetch an intact piece from the origin for one request. */
+    private static final int MAX_ORIGIN_ATTEMPTS = 2;
+
     private final MonotonicClock mClock;
     private final Identity mIdentity;
     private final Supplier<FleetSnapshot> mSnapshot;
@@ -48,7 +52,7 @@
     private final WeightsOrigin mOrigin;
     private final PieceStore mStore;
     private final PieceClient mClient;
-    private final Map<Version, PieceManifest> mManifests = new ConcurrentHashMap<>();
+    private final Map<Version, ManifestSlot> mManifests = new ConcurrentHashMap<>();
     private final Map<Piece, CompletableFuture<byte[]>> mInFlight = new ConcurrentHashMap<>();
     private final Set<Version> mPrefetched = ConcurrentHashMap.newKeySet();
 
@@ -64,8 +68,6 @@
      */
     private final Set<FailedEntry> mFailedEntries = ConcurrentHashMap.newKeySet();
 
-    private final ReentrantLock mManifestLock = new ReentrantLock();
-
     private PieceRelay(
             Identity identity,
             Supplier<FleetSnapshot> snapshot,
@@ -105,6 +107,12 @@
 
     private record FailedEntry(Version version, HostPort entry) {}
 
+    /** The manifest of one version, empty until one thread has fetched it. */
+    private static final class ManifestSlot {
+        private final ReentrantLock mLock = new ReentrantLock();
+        private Optional<VersionManifest> mManifest = Optional.empty();
+    }
+
     /**
      * Prefetches this entry's share of each newly published version: the pieces that it fetches
      * from the origin, and those that it serves to the agents of its region.
@@ -130,7 +138,7 @@
             return;
         }
         try {
-            int pieces = manifest(version, sources).pieces();
+            int pieces = manifest(version, sources).current().pieces();
             for (int number : sources.plan().assignedPieces(mIdentity.vm(), region(), pieces)) {
                 prefetchPiece(new Piece(version, number));
             }
@@ -157,7 +165,7 @@
         Version version = new Version(request.getModel(), request.getVersion());
         try {
             PieceSources sources = PieceSources.of(mSnapshot.get(), mRegions);
-            reply.setDigests(manifest(version, sources).digests());
+            reply.setDigests(manifest(version, sources).current().digests());
         } catch (IOException e) {
             Logger.info("can't serve the manifest of {}: {}", version, e.toString());
         }
@@ -210,20 +218,20 @@
         HostPort origin =
                 sources.origin()
                         .orElseThrow(() -> new IOException("the routing table has no origin"));
-        PieceManifest manifest = manifest(piece.version(), sources);
+        VersionManifest manifest = manifest(piece.version(), sources);
         int number = piece.number();
-        if (number < 0 || number >= manifest.pieces()) {
+        if (number < 0 || number >= manifest.current().pieces()) {
             throw new IOException("the version has no piece " + number);
         }
-        Optional<byte[]> fromAgent = fetchFromHolder(sources, manifest, number);
+        List<VersionManifest.CopySource> copies = copies(piece.version(), sources, origin);
+        Optional<byte[]> fromAgent = fetchFromHolder(sources, piece, manifest, copies);
         if (fromAgent.isPresent()) {
             return fromAgent.get();
         }
         Optional<HostPort> entry = fetchingEntry(piece.version(), sources, number);
         if (entry.isPresent()) {
             try {
-                return mClient.fetchPiece(
-                        entry.get(), manifest, number, number % CONNECTIONS_PER_PEER);
+                return fetchFromPeer(entry.get(), piece, manifest, copies);
             } catch (IOException e) {
                 Logger.info(
                         "fetching piece {} from the origin instead of an entry: {}",
@@ -232,17 +240,77 @@
                 mFailedEntries.add(new FailedEntry(piece.version(), entry.get()));
             }
         }
-        byte[] content = mOrigin.piece(origin, manifest.model(), manifest.version(), number);
-        return manifest.verified(number, content, origin);
+        return fetchFromOrigin(origin, piece, manifest, copies);
+    }
+
+    /**
+     * Returns sources of further copies of a manifest: the entry that fetched it, whose copy may be
+     * repaired already, and the origin.
+     */
+    private List<VersionManifest.CopySource> copies(
+            Version version, PieceSources sources, HostPort origin) {
+        List<VersionManifest.CopySource> copies = new ArrayList<>();
+        sources.fetchingEntry(0, mIdentity.vm())
+                .ifPresent(entry -> copies.add(() -> manifestFromEntry(entry, version, sources)));
+        copies.add(() -> manifestFromOrigin(origin, version, sources));
+        return copies;
+    }
+
+    private byte[] fetchFromPeer(
+            HostPort peer,
+            Piece piece,
+            VersionManifest manifest,
+            List<VersionManifest.CopySource> copies)
+            throws IOException {
+        Version version = piece.version();
+        int number = piece.number();
+        byte[] content =
+                mClient.fetchPiece(
+                        peer,
+                        version.model(),
+                        version.version(),
+                        number,
+                        number % CONNECTIONS_PER_PEER);
+        if (!manifest.accepts(number, content, copies)) {
+            throw new IOException("piece " + number + " from " + peer + " is corrupt");
+        }
+        return content;
+    }
+
+    /**
+     * Fetches a piece from the origin. A corrupt one is fetched once more: it arrives intact, or
+     * shows by arriving unchanged that the manifest may be corrupt.
+     */
+    private byte[] fetchFromOrigin(
+            HostPort origin,
+            Piece piece,
+            VersionManifest manifest,
+            List<VersionManifest.CopySource> copies)
+            throws IOException {
+        Version version = piece.version();
+        for (int attempt = 1; attempt <= MAX_ORIGIN_ATTEMPTS; attempt++) {
+            byte[] content =
+                    mOrigin.piece(origin, version.model(), version.version(), piece.number());
+            if (manifest.accepts(piece.number(), content, copies)) {
+                return content;
+            }
+            Logger.info("{} from the origin is corrupt, attempt {}", piece, attempt);
+        }
+        throw new IOException("piece " + piece.number() + " from the origin is corrupt");
     }
 
     /**
      * Fetches a piece from an agent of the region whose engine serves the version, if there is one.
      */
     private Optional<byte[]> fetchFromHolder(
-            PieceSources sources, PieceManifest manifest, int number) {
+            PieceSources sources,
+            Piece piece,
+            VersionManifest manifest,
+            List<VersionManifest.CopySource> copies) {
+        int number = piece.number();
+        Version version = piece.version();
         List<HostPort> holders =
-                sources.holders(region(), manifest.model(), manifest.version()).stream()
+                sources.holders(region(), version.model(), version.version()).stream()
                         .filter(holder -> !mSkippedHolders.contains(holder))
                         .toList();
         if (holders.isEmpty()) {
@@ -251,8 +319,7 @@
         HostPort holder = holders.get(number % holders.size());
         Duration start = mClock.now();
         try {
-            byte[] content =
-                    mClient.fetchPiece(holder, manifest, number, number % CONNECTIONS_PER_PEER);
+            byte[] content = fetchFromPeer(holder, piece, manifest, copies);
             Duration elapsed = mClock.now().minus(start);
             if (elapsed.compareTo(MAX_HOLDER_LATENCY) > 0) {
                 Logger.info("{} took {} to serve a piece and is not asked again", holder, elapsed);
@@ -270,25 +337,32 @@
      * Returns a manifest; one entry fetches it from the origin, and all others from that entry
      * unless it fails.
      */
-    private PieceManifest manifest(Version version, PieceSources sources) throws IOException {
-        mManifestLock.lock();
+    private VersionManifest manifest(Version version, PieceSources sources) throws IOException {
+        ManifestSlot slot = mManifests.computeIfAbsent(version, key -> new ManifestSlot());
+        slot.mLock.lock();
         try {
-            PieceManifest known = mManifests.get(version);
-            if (known == null) {
-                known = fetchManifest(version, sources);
-                mManifests.put(version, known);
+            if (slot.mManifest.isEmpty()) {
+                PieceManifest first = fetchManifest(version, sources);
+                slot.mManifest =
+                        Optional.of(new VersionManifest(first, () -> forgetFailures(version)));
             }
-            return known;
+            return slot.mManifest.orElseThrow();
         } finally {
-            mManifestLock.unlock();
+            slot.mLock.unlock();
         }
     }
 
+    /** Asks those again that may have been skipped because of a corrupt manifest. */
+    private void forgetFailures(Version version) {
+        mFailedEntries.removeIf(failed -> failed.version().equals(version));
+        mSkippedHolders.clear();
+    }
+
     private PieceManifest fetchManifest(Version version, PieceSources sources) throws IOException {
         Optional<HostPort> entry = fetchingEntry(version, sources, 0);
         if (entry.isPresent()) {
             try {
-                return mClient.fetchManifest(entry.get(), version.model(), version.version());
+                return manifestFromEntry(entry.get(), version, sources);
             } catch (IOException e) {
                 Logger.info(
                         "fetching the manifest of {} from the origin instead of an entry: {}",
@@ -300,7 +374,17 @@
         HostPort origin =
                 sources.origin()
                         .orElseThrow(() -> new IOException("the routing table has no origin"));
-        return mOrigin.manifest(origin, version.model(), version.version());
+        return manifestFromOrigin(origin, version, sources);
+    }
+
+    private PieceManifest manifestFromEntry(HostPort entry, Version version, PieceSources sources)
+            throws IOException {
+        return sources.checked(mClient.fetchManifest(entry, version.model(), version.version()));
+    }
+
+    private PieceManifest manifestFromOrigin(HostPort origin, Version version, PieceSources sources)
+            throws IOException {
+        return sources.checked(mOrigin.manifest(origin, version.model(), version.version()));
     }
 
     /**
--- a/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PieceSources.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/staging/PieceSources.java
@@ -1,5 +1,6 @@
 package org.sequoiahill.daemon.version.staging;
 
+import java.io.IOException;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -18,13 +19,15 @@
  * @param origin address of the origin; empty if the routing table has none
  * @param agents agents and the versions that their engines serve
  * @param regions region of each data centre
+ * @param pieceCounts number of pieces in a version of each model
  */
 record PieceSources(
         PiecePlan plan,
         Map<String, HostPort> entries,
         Optional<HostPort> origin,
         List<Participant> agents,
-        Map<String, String> regions) {
+        Map<String, String> regions,
+        Map<String, Integer> pieceCounts) {
     /**
      * Returns the sources according to a snapshot of the fleet.
      *
@@ -45,7 +48,30 @@
                 addresses,
                 origin.flatMap(RoutedService::origin),
                 snapshot.participants(ParticipantRole.AGENT),
-                regions);
+                regions,
+                pieceCounts(snapshot));
+    }
+
+    private static Map<String, Integer> pieceCounts(FleetSnapshot snapshot) {
+        Map<String, Integer> counts = new HashMap<>();
+        if (snapshot.table().isEmpty()) {
+            return counts;
+        }
+        for (RoutedService service : snapshot.table().orElseThrow().services()) {
+            service.engine()
+                    .filter(engine -> engine.pieces() > 0)
+                    .ifPresent(engine -> counts.put(engine.model(), engine.pieces()));
+        }
+        return counts;
+    }
+
+    /**
+     * Returns a manifest whose form is valid.
+     *
+     * @throws IOException if it can't be the manifest of a version of its model
+     */
+    PieceManifest checked(PieceManifest manifest) throws IOException {
+        return manifest.checked(pieceCounts.getOrDefault(manifest.model(), manifest.pieces()));
     }
 
     /** Returns whether any engine of the fleet serves a model. */
--- a/daemon/src/main/java/org/sequoiahill/daemon/version/staging/StagingAgent.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/staging/StagingAgent.java
@@ -47,7 +47,7 @@
     private boolean mIsWakeUpPending;
     private long mSeenIndex;
     private volatile boolean mIsWaitingToLoad;
-    private Optional<PieceManifest> mManifest = Optional.empty();
+    private Optional<VersionManifest> mManifest = Optional.empty();
     private boolean mIsFailing;
 
     private StagingAgent(Dependencies dependencies, String service, Duration maxLoadWait) {
@@ -170,7 +170,7 @@
         if (sources.origin().isEmpty()) {
             return true;
         }
-        PieceManifest manifest = manifest(sources, model, target);
+        VersionManifest manifest = manifest(sources, model, target);
         PieceFetcher.Parallelism parallelism =
                 loaded > 0 ? PieceFetcher.Parallelism.WHILE_SERVING : PieceFetcher.Parallelism.FULL;
         if (!mDependencies.fetcher().fetch(manifest, sources, parallelism)) {
@@ -181,7 +181,7 @@
         if (mIsWaitingToLoad) {
             return false;
         }
-        load(manifest, status);
+        load(manifest.current(), status);
         return false;
     }
 
@@ -209,10 +209,11 @@
         }
     }
 
-    private PieceManifest manifest(PieceSources sources, String model, long version)
+    private VersionManifest manifest(PieceSources sources, String model, long version)
             throws IOException {
         boolean isCached =
                 mManifest
+                        .map(VersionManifest::current)
                         .filter(
                                 cached ->
                                         cached.model().equals(model) && cached.version() == version)
--- a/daemon/src/test/java/org/sequoiahill/daemon/version/staging/PieceRelayTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/version/staging/PieceRelayTest.java
@@ -10,6 +10,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -119,7 +120,8 @@
             String has, int calls, int manifests, int pieces) {
         AtomicInteger received = new AtomicInteger();
         mServer.register(
-                ServiceStub.PIECES, new Pieces.Processor<>(new FakeFetchingEntry(has, received)));
+                ServiceStub.PIECES,
+                new Pieces.Processor<>(new FakeFetchingEntry(has, received, 0)));
         mServer.start();
         Identity identity = Identity.of("entry-2", "dc-1", 1);
         FleetSnapshot snapshot = snapshot(entry("entry-1", mAgent), entry("entry-2", UNUSED));
@@ -141,6 +143,54 @@
         assertThat("calls to the fetching entry", received.get(), is(calls));
     }
 
+    /** Guards against a corrupt manifest that an entry keeps, so that it refuses sound pieces. */
+    @ParameterizedTest
+    @CsvSource({
+        // corrupt manifests that the fetching entry sends, the origin sends; at most so many
+        // requests until the piece is served
+        "0, 0, 1",
+        "1, 0, 1",
+        "1, 1, 2",
+        "2, 2, 3",
+        "1000, 0, 1",
+        "1000, 2, 3"
+    })
+    void piece_manifestIsCorrupt_isComparedWithOtherCopies(
+            int fromEntry, int fromOrigin, int maxRequests) {
+        mServer.register(
+                ServiceStub.PIECES,
+                new Pieces.Processor<>(
+                        new FakeFetchingEntry("all", new AtomicInteger(), fromEntry)));
+        mServer.start();
+        mOrigin.mCorruptManifests = fromOrigin;
+        Identity identity = Identity.of("entry-2", "dc-1", 1);
+        FleetSnapshot snapshot = snapshot(entry("entry-1", mAgent), entry("entry-2", UNUSED));
+        PieceRelay relay =
+                PieceRelay.of(
+                        identity,
+                        () -> snapshot,
+                        Map.of(),
+                        mOrigin,
+                        new PieceStore(),
+                        mClient,
+                        MonotonicClock.system());
+        int requests = 0;
+        boolean isServed = false;
+        while (!isServed && requests < maxRequests) {
+            requests++;
+            isServed =
+                    relay.piece(new PieceRequest(identity.sender(), "model", 1, 0)).isSetContent();
+        }
+        assertThat(isServed, is(true));
+        assertThat(
+                "the manifest is repaired for others",
+                relay.manifest(new ManifestRequest(identity.sender(), "model", 1)).getDigests(),
+                is(digests()));
+        int piecesBefore = mOrigin.mPieces.get();
+        relay.piece(new PieceRequest(identity.sender(), "model", 1, 2));
+        assertThat("the entry is asked again", mOrigin.mPieces.get(), is(piecesBefore));
+    }
+
     private static Participant entry(String name, HostPort control) {
         return new Participant(
                 name,
@@ -192,17 +242,25 @@
 
     private static List<String> digests() {
         String digest = Digests.of(new String(CONTENT, StandardCharsets.UTF_8));
-        return List.of(digest, digest);
+        return List.of(digest, digest, digest);
+    }
+
+    private static List<String> corruptDigests() {
+        List<String> digests = new ArrayList<>(digests());
+        digests.set(0, Digests.of("wrong"));
+        return digests;
     }
 
     /** A fetching entry that counts the calls to it. */
-    private record FakeFetchingEntry(String has, AtomicInteger calls) implements Pieces.Iface {
+    private record FakeFetchingEntry(String has, AtomicInteger calls, int corruptManifests)
+            implements Pieces.Iface {
         @Override
         public ManifestReply manifest(ManifestRequest request) {
-            calls.incrementAndGet();
+            int call = calls.incrementAndGet();
+            List<String> digests = call <= corruptManifests ? corruptDigests() : digests();
             return new ManifestReply()
                     .setSender(request.getSender())
-                    .setDigests(has.equals("nothing") ? List.of() : digests());
+                    .setDigests(has.equals("nothing") ? List.of() : digests);
         }
 
         @Override
@@ -217,11 +275,12 @@
     private static final class CountingOrigin implements WeightsOrigin {
         private final AtomicInteger mManifests = new AtomicInteger();
         private final AtomicInteger mPieces = new AtomicInteger();
+        private volatile int mCorruptManifests;
 
         @Override
         public PieceManifest manifest(HostPort origin, String model, long version) {
-            mManifests.incrementAndGet();
-            return new PieceManifest(model, version, digests());
+            boolean isCorrupt = mManifests.incrementAndGet() <= mCorruptManifests;
+            return new PieceManifest(model, version, isCorrupt ? corruptDigests() : digests());
         }
 
         @Override
--- a/daemon/src/test/java/org/sequoiahill/daemon/version/staging/StagingAgentTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/version/staging/StagingAgentTest.java
@@ -81,6 +81,29 @@
         assertThat(mEngine.mLoads.poll(20, TimeUnit.SECONDS), is(textOf(2)));
     }
 
+    /** Guards against a corrupt manifest that keeps a version from being loaded, or spoils it. */
+    @ParameterizedTest
+    @CsvSource({
+        "WRONG_DIGEST, 1",
+        "WRONG_DIGEST, 2",
+        "WRONG_DIGEST, 5",
+        "SWAPPED_DIGESTS, 1",
+        "SWAPPED_DIGESTS, 2",
+        "ALL_WRONG, 2",
+        "NOT_A_DIGEST, 2",
+        "MISSING_LAST, 1",
+        "MISSING_LAST, 2",
+        "ONE_TOO_MANY, 2",
+        "DIFFERENT_EACH_TIME, 5"
+    })
+    void run_originSendsCorruptManifests_loadsIntactPieces(
+            ManifestCorruption corruption, int copies) throws InterruptedException {
+        mOrigin.mCorruption = corruption;
+        mOrigin.mCorruptManifests = copies;
+        start(2);
+        assertThat(mEngine.mLoads.poll(20, TimeUnit.SECONDS), is(textOf(2)));
+    }
+
     @Test
     void run_stagedPieceBecomesCorrupt_isReplacedBeforeTheLoad() throws InterruptedException {
         mEngine.mCorruptsFirstPiece = true;
@@ -355,15 +378,22 @@
         private final Map<Integer, Integer> mRequests = new LinkedHashMap<>();
         private final CountDownLatch mAllRequested = new CountDownLatch(1);
         private boolean mSendsCorruptFirst;
+        private ManifestCorruption mCorruption = ManifestCorruption.WRONG_DIGEST;
+        private int mCorruptManifests;
+        private int mManifests;
 
         @Override
-        public PieceManifest manifest(HostPort origin, String model, long version) {
+        public synchronized PieceManifest manifest(HostPort origin, String model, long version) {
             List<String> digests = new ArrayList<>();
             for (int piece = 0; piece < PIECES; piece++) {
                 digests.add(
                         Digests.of(new String(content(version, piece), StandardCharsets.UTF_8)));
             }
-            return new PieceManifest(model, version, digests);
+            int copy = mManifests++;
+            return new PieceManifest(
+                    model,
+                    version,
+                    copy < mCorruptManifests ? mCorruption.apply(digests, copy) : digests);
         }
 
         /** Returns the pieces in the order in which they were first requested. */
