Keep a late order from undoing a later one of the same data centre

Cause: orders to take out or return a data centre have no numbers and were carried out whenever a store read them. A store that woke carried out one that its operator had long had acknowledged elsewhere and undone since.

Ruled out: a commit that was lost with a leader, entries behind the stores (the log of the store that woke shows the order accepted).

Change: the store that reads an order adds the index of the data centre's last change, and the change has no effect if another one came since; that covers every delay after the reading. For delays before it, a store refuses such orders for two seconds after a pause, by the monotonic or the wall clock: operators wait for one second. A repeat of the order in force counts as a change, so that an order given before it has no effect either. An order without effect is logged and answered 503.

--- a/daemon/src/main/java/org/sequoiahill/daemon/process/FleetStoreRole.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/FleetStoreRole.java
@@ -33,6 +33,7 @@
 import org.sequoiahill.daemon.process.log.VoterPolicy;
 import org.sequoiahill.daemon.process.settings.FleetSettings;
 import org.sequoiahill.daemon.process.time.MonotonicClock;
+import org.sequoiahill.daemon.process.time.PauseDetector;
 import org.sequoiahill.daemon.process.time.PeriodicTasks;
 import org.sequoiahill.protocol.gen.Fleet;
 import org.sequoiahill.protocol.gen.Log;
@@ -77,6 +78,7 @@
     private final EndpointRegistry mRegistry;
     private final FleetLog mLog;
     private final FleetStore mStore;
+    private final PauseDetector mPauses;
     private final Handler mHandler;
     private final MonotonicClock mClock;
 
@@ -119,7 +121,8 @@
         } catch (IOException e) {
             throw new UncheckedIOException("the log in " + folder + " can't be opened", e);
         }
-        mStore = FleetStore.of(identity, mLog, machine, client);
+        mPauses = PauseDetector.of(clock, time);
+        mStore = FleetStore.of(identity, mLog, machine, client, mPauses);
         EndpointReportReceiver reports =
                 EndpointReportReceiver.of(identity, settings.control(), mRegistry, mStore, client);
         mHandler = adapter.storeHandler(mStore, reports, settings.regions().keySet());
@@ -152,6 +155,7 @@
     @Override
     public void start() {
         mLog.start(mScheduler);
+        mPauses.start(mScheduler);
         PeriodicTasks.schedule(mScheduler, EXPIRY_INTERVAL, "expiry", mRegistry::expire);
     }
 
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/fleet/FleetState.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/fleet/FleetState.java
@@ -52,6 +52,12 @@
         return outDataCentres.containsKey(dataCentre);
     }
 
+    /** Returns the index of the last change of a data centre, 0 if there was none. */
+    public long lastChangeOf(String dataCentre) {
+        return outDataCentres.getOrDefault(
+                dataCentre, returnedDataCentres.getOrDefault(dataCentre, 0L));
+    }
+
     /** Returns the data centres that are out of service. */
     public Set<String> outOfServiceDataCentres() {
         return outDataCentres.keySet();
@@ -78,6 +84,18 @@
         return isOut(dataCentre.getDataCentre()) == dataCentre.isOut();
     }
 
+    /**
+     * Returns whether a change must not take effect because it would undo a later change of the
+     * same data centre.
+     */
+    boolean supersedes(FleetChange change) {
+        return change.isSetDataCentre()
+                && change.getDataCentre().isSetExpectedIndex()
+                && !includes(change)
+                && change.getDataCentre().getExpectedIndex()
+                        != lastChangeOf(change.getDataCentre().getDataCentre());
+    }
+
     private boolean includes(QuarantineChange change) {
         Integer failedProbes = quarantinedTraits.get(change.getTrait());
         if (failedProbes == null) {
@@ -86,7 +104,10 @@
         return change.isQuarantined() && change.getFailedProbes() <= failedProbes;
     }
 
-    /** Returns the state after a change that this state does not include. */
+    /**
+     * Returns the state after a change that this state does not include, or after a change of a
+     * data centre that is repeated.
+     */
     FleetState with(long newIndex, FleetChange change) {
         if (change.isSetRouting()) {
             RoutingPut put = change.getRouting();
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/fleet/FleetStateMachine.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/fleet/FleetStateMachine.java
@@ -1,5 +1,6 @@
 package org.sequoiahill.daemon.process.fleet;
 
+import java.util.TreeSet;
 import java.util.function.Consumer;
 import org.apache.thrift.TBase;
 import org.apache.thrift.TDeserializer;
@@ -9,15 +10,21 @@
 import org.sequoiahill.daemon.process.log.StateMachine;
 import org.sequoiahill.protocol.gen.FleetChange;
 import org.sequoiahill.protocol.gen.FleetContent;
+import org.tinylog.Logger;
 
 /**
  * State machine that builds the fleet's state from the replicated log.
  *
  * <p>It keeps the routing table with the highest number and the highest version of each model, so a
- * late or duplicate table or version has no effect.
+ * late or duplicate table or version has no effect. A change of a data centre names the change that
+ * it follows, and has no effect if another one has been made since.
  */
 public final class FleetStateMachine implements StateMachine {
+    /** Indexes that are remembered; proposers ask right after the change was applied. */
+    private static final int MAX_SUPERSEDED = 256;
+
     private final Consumer<FleetState> mListener;
+    private final TreeSet<Long> mSuperseded = new TreeSet<>();
     private volatile FleetState mState = FleetState.EMPTY;
 
     private FleetStateMachine(Consumer<FleetState> listener) {
@@ -43,11 +50,37 @@
     public void apply(long index, byte[] payload) {
         FleetChange change = new FleetChange();
         read(change, payload);
-        if (!mState.includes(change)) {
+        if (mState.supersedes(change)) {
+            Logger.info(
+                    "the change at {} of {} has no effect: it was ordered before the one at {}",
+                    index,
+                    change.getDataCentre().getDataCentre(),
+                    mState.lastChangeOf(change.getDataCentre().getDataCentre()));
+            recordSuperseded(index);
+            return;
+        }
+        // A repeated change of a data centre is recorded: orders given before it are superseded.
+        if (change.isSetDataCentre() || !mState.includes(change)) {
             setState(mState.with(index, change));
         }
     }
 
+    /** Returns whether a recently applied change had no effect because of a later one. */
+    boolean wasSuperseded(long index) {
+        synchronized (mSuperseded) {
+            return mSuperseded.contains(index);
+        }
+    }
+
+    private void recordSuperseded(long index) {
+        synchronized (mSuperseded) {
+            if (mSuperseded.size() == MAX_SUPERSEDED) {
+                mSuperseded.pollFirst();
+            }
+            mSuperseded.add(index);
+        }
+    }
+
     @Override
     public byte[] snapshot() {
         return write(mState.toThrift(true));
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/fleet/FleetStore.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/fleet/FleetStore.java
@@ -12,11 +12,13 @@
 import org.sequoiahill.daemon.process.log.Member;
 import org.sequoiahill.daemon.process.log.ReplicatedLog;
 import org.sequoiahill.daemon.process.settings.HostPort;
+import org.sequoiahill.daemon.process.time.PauseDetector;
 import org.sequoiahill.protocol.gen.ChangeOutcome;
 import org.sequoiahill.protocol.gen.ChangeReply;
 import org.sequoiahill.protocol.gen.ChangeRequest;
 import org.sequoiahill.protocol.gen.ContentReply;
 import org.sequoiahill.protocol.gen.ContentRequest;
+import org.sequoiahill.protocol.gen.DataCentreChange;
 import org.sequoiahill.protocol.gen.FleetChange;
 import org.tinylog.Logger;
 
@@ -28,23 +30,36 @@
     /** Longest wait for the leader; operators switch to another store after one second. */
     private static final Duration LEADER_TIMEOUT = Duration.ofMillis(900);
 
+    /** Time after a pause in which orders that arrived during it may still be read. */
+    private static final Duration PAUSE_EFFECT = Duration.ofSeconds(2);
+
     private final Identity mIdentity;
     private final FleetLog mLog;
     private final FleetStateMachine mMachine;
     private final ControlClient mClient;
+    private final PauseDetector mPauses;
 
     private FleetStore(
-            Identity identity, FleetLog log, FleetStateMachine machine, ControlClient client) {
+            Identity identity,
+            FleetLog log,
+            FleetStateMachine machine,
+            ControlClient client,
+            PauseDetector pauses) {
         mIdentity = identity;
         mLog = log;
         mMachine = machine;
         mClient = client;
+        mPauses = pauses;
     }
 
     /** Returns access to the fleet's state from one store. */
     public static FleetStore of(
-            Identity identity, FleetLog log, FleetStateMachine machine, ControlClient client) {
-        return new FleetStore(identity, log, machine, client);
+            Identity identity,
+            FleetLog log,
+            FleetStateMachine machine,
+            ControlClient client,
+            PauseDetector pauses) {
+        return new FleetStore(identity, log, machine, client, pauses);
     }
 
     /** Returns the state that this store has applied, which may lag behind the leader. */
@@ -67,13 +82,39 @@
      * still be committed later.
      *
      * <p>A routing table or version that this store's state already includes is accepted without
-     * the leader, since their numbers never decrease. A change of a data centre always goes to the
-     * leader, since a later change may be unknown to this store.
+     * the leader, since their numbers never decrease.
      */
     public CompletableFuture<ChangeReply> change(FleetChange change) {
-        if (mMachine.state().includes(change) && !change.isSetDataCentre()) {
+        if (change.isSetDataCentre()) {
+            return change(change.getDataCentre());
+        }
+        if (mMachine.state().includes(change)) {
             return CompletableFuture.completedFuture(accepted("already in force"));
         }
+        return changeAtLeader(change);
+    }
+
+    /**
+     * Makes a change of a data centre, which always goes to the leader, since a later change may be
+     * unknown to this store.
+     *
+     * <p>Orders have no numbers, so the change takes effect only if the data centre is not changed
+     * between now and the commit. An order that was sent long before it is read, because this
+     * process was paused, would pass that check; it is refused, and the operator sends it again if
+     * it is still wanted.
+     */
+    private CompletableFuture<ChangeReply> change(DataCentreChange change) {
+        DataCentreChange guarded = change.deepCopy();
+        guarded.setExpectedIndex(mMachine.state().lastChangeOf(change.getDataCentre()));
+        // A pause after this check is harmless: the expected index dates from before it.
+        if (mPauses.wasPausedWithin(PAUSE_EFFECT)) {
+            return CompletableFuture.completedFuture(
+                    unavailable("the order may have been sent before a pause of this store"));
+        }
+        return changeAtLeader(FleetChange.dataCentre(guarded));
+    }
+
+    private CompletableFuture<ChangeReply> changeAtLeader(FleetChange change) {
         ReplicatedLog log = mLog.log();
         if (log.isLeader()) {
             return changeAsLeader(change);
@@ -100,7 +141,7 @@
         }
         return mLog.log()
                 .propose(FleetStateMachine.encode(change))
-                .thenApply(index -> accepted("committed at " + index))
+                .thenApply(this::committed)
                 .exceptionally(failure -> unavailable(String.valueOf(failure.getMessage())));
     }
 
@@ -141,6 +182,12 @@
                 .map(member -> HostPort.parse(member.address()));
     }
 
+    private ChangeReply committed(long index) {
+        return mMachine.wasSuperseded(index)
+                ? unavailable("another change was made after the order was received")
+                : accepted("committed at " + index);
+    }
+
     private ChangeReply accepted(String reason) {
         return new ChangeReply(mIdentity.sender(), ChangeOutcome.ACCEPTED, reason);
     }
--- a/daemon/src/test/java/org/sequoiahill/daemon/process/fleet/FleetStateMachineTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/process/fleet/FleetStateMachineTest.java
@@ -47,6 +47,36 @@
         assertThat(mMachine.state().returnedDataCentres().get("dc-1"), is(2L));
     }
 
+    /** Guards against a delayed order that undoes a later one of the same data centre. */
+    @ParameterizedTest
+    @CsvSource({
+        // changes in order, + takes out and - returns, each with the index of the change that it
+        // follows; those without effect; whether the data centre is out at the end
+        "+0 -1, '', false",
+        "+0 -1 +2 -1, '4', true",
+        "+0 -1 +2 -1 -3, '4', false",
+        "-0 +1 -2 +1, '4', false",
+        "+0 +0 -1, '3', true",
+        "+0 +0 -2, '', false",
+        "+0 +1 +1 -2, '4', true",
+        "+0 -1 -1 +2, '4', false",
+        "+ - + -, '', false"
+    })
+    void apply_dataCentreOrderedBeforeALaterChange_hasNoEffect(
+            String changes, String superseded, boolean isOut) {
+        StringBuilder withoutEffect = new StringBuilder();
+        for (String change : changes.split(" ", -1)) {
+            FleetChange fleetChange = out("dc-1", change.startsWith("+"));
+            if (change.length() > 1) {
+                fleetChange.getDataCentre().setExpectedIndex(Long.parseLong(change.substring(1)));
+            }
+            apply(fleetChange);
+            withoutEffect.append(mMachine.wasSuperseded(mIndex) ? mIndex : "");
+        }
+        assertThat(withoutEffect.toString(), is(superseded));
+        assertThat(mMachine.state().isOut("dc-1"), is(isOut));
+    }
+
     @ParameterizedTest
     @CsvSource({"'1,2', 2", "'2,1', 2", "'2,2,3', 3"})
     void apply_versions_neverGoBack(String versions, long held) {
--- a/protocol/src/main/java/org/sequoiahill/protocol/gen/DataCentreChange.java
+++ b/protocol/src/main/java/org/sequoiahill/protocol/gen/DataCentreChange.java
@@ -15,12 +15,14 @@
 
   private static final org.apache.thrift.protocol.TField DATA_CENTRE_FIELD_DESC = new org.apache.thrift.protocol.TField("dataCentre", org.apache.thrift.protocol.TType.STRING, (short)1);
   private static final org.apache.thrift.protocol.TField OUT_FIELD_DESC = new org.apache.thrift.protocol.TField("out", org.apache.thrift.protocol.TType.BOOL, (short)2);
+  private static final org.apache.thrift.protocol.TField EXPECTED_INDEX_FIELD_DESC = new org.apache.thrift.protocol.TField("expectedIndex", org.apache.thrift.protocol.TType.I64, (short)3);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new DataCentreChangeStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new DataCentreChangeTupleSchemeFactory();
 
   private @org.apache.thrift.annotation.Nullable java.lang.String dataCentre; // required
   private boolean out; // required
+  private long expectedIndex; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -28,7 +30,13 @@
     /**
      * Whether it is taken out of service.
      */
-    OUT((short)2, "out");
+    OUT((short)2, "out"),
+    /**
+     * Index of the last change of the data centre when the order was received, 0 if there was none.
+     * The change has no effect if the data centre has been changed since, so that a delayed order
+     * can't undo a later one. Absent in changes of older releases, which always take effect.
+     */
+    EXPECTED_INDEX((short)3, "expectedIndex");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -48,6 +56,8 @@
           return DATA_CENTRE;
         case 2: // OUT
           return OUT;
+        case 3: // EXPECTED_INDEX
+          return EXPECTED_INDEX;
         default:
           return null;
       }
@@ -92,7 +102,9 @@
 
   // isset id assignments
   private static final int __OUT_ISSET_ID = 0;
+  private static final int __EXPECTEDINDEX_ISSET_ID = 1;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.EXPECTED_INDEX};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -100,6 +112,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     tmpMap.put(_Fields.OUT, new org.apache.thrift.meta_data.FieldMetaData("out", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
+    tmpMap.put(_Fields.EXPECTED_INDEX, new org.apache.thrift.meta_data.FieldMetaData("expectedIndex", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(DataCentreChange.class, metaDataMap);
   }
@@ -126,6 +140,7 @@
       this.dataCentre = other.dataCentre;
     }
     this.out = other.out;
+    this.expectedIndex = other.expectedIndex;
   }
 
   @Override
@@ -138,6 +153,8 @@
     this.dataCentre = null;
     setOutIsSet(false);
     this.out = false;
+    setExpectedIndexIsSet(false);
+    this.expectedIndex = 0;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -194,6 +211,39 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __OUT_ISSET_ID, value);
   }
 
+  /**
+   * Index of the last change of the data centre when the order was received, 0 if there was none.
+   * The change has no effect if the data centre has been changed since, so that a delayed order
+   * can't undo a later one. Absent in changes of older releases, which always take effect.
+   */
+  public long getExpectedIndex() {
+    return this.expectedIndex;
+  }
+
+  /**
+   * Index of the last change of the data centre when the order was received, 0 if there was none.
+   * The change has no effect if the data centre has been changed since, so that a delayed order
+   * can't undo a later one. Absent in changes of older releases, which always take effect.
+   */
+  public DataCentreChange setExpectedIndex(long expectedIndex) {
+    this.expectedIndex = expectedIndex;
+    setExpectedIndexIsSet(true);
+    return this;
+  }
+
+  public void unsetExpectedIndex() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __EXPECTEDINDEX_ISSET_ID);
+  }
+
+  /** Returns true if field expectedIndex is set (has been assigned a value) and false otherwise */
+  public boolean isSetExpectedIndex() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __EXPECTEDINDEX_ISSET_ID);
+  }
+
+  public void setExpectedIndexIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __EXPECTEDINDEX_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -213,6 +263,14 @@
       }
       break;
 
+    case EXPECTED_INDEX:
+      if (value == null) {
+        unsetExpectedIndex();
+      } else {
+        setExpectedIndex((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -226,6 +284,9 @@
     case OUT:
       return isOut();
 
+    case EXPECTED_INDEX:
+      return getExpectedIndex();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -242,6 +303,8 @@
       return isSetDataCentre();
     case OUT:
       return isSetOut();
+    case EXPECTED_INDEX:
+      return isSetExpectedIndex();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -277,6 +340,15 @@
         return false;
     }
 
+    boolean this_present_expectedIndex = true && this.isSetExpectedIndex();
+    boolean that_present_expectedIndex = true && that.isSetExpectedIndex();
+    if (this_present_expectedIndex || that_present_expectedIndex) {
+      if (!(this_present_expectedIndex && that_present_expectedIndex))
+        return false;
+      if (this.expectedIndex != that.expectedIndex)
+        return false;
+    }
+
     return true;
   }
 
@@ -290,6 +362,10 @@
 
     hashCode = hashCode * 8191 + ((out) ? 131071 : 524287);
 
+    hashCode = hashCode * 8191 + ((isSetExpectedIndex()) ? 131071 : 524287);
+    if (isSetExpectedIndex())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(expectedIndex);
+
     return hashCode;
   }
 
@@ -321,6 +397,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetExpectedIndex(), other.isSetExpectedIndex());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetExpectedIndex()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.expectedIndex, other.expectedIndex);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -356,6 +442,12 @@
     sb.append("out:");
     sb.append(this.out);
     first = false;
+    if (isSetExpectedIndex()) {
+      if (!first) sb.append(", ");
+      sb.append("expectedIndex:");
+      sb.append(this.expectedIndex);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -419,6 +511,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 3: // EXPECTED_INDEX
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.expectedIndex = iprot.readI64();
+              struct.setExpectedIndexIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -443,6 +543,11 @@
       oprot.writeFieldBegin(OUT_FIELD_DESC);
       oprot.writeBool(struct.out);
       oprot.writeFieldEnd();
+      if (struct.isSetExpectedIndex()) {
+        oprot.writeFieldBegin(EXPECTED_INDEX_FIELD_DESC);
+        oprot.writeI64(struct.expectedIndex);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -468,19 +573,25 @@
       if (struct.isSetOut()) {
         optionals.set(1);
       }
-      oprot.writeBitSet(optionals, 2);
+      if (struct.isSetExpectedIndex()) {
+        optionals.set(2);
+      }
+      oprot.writeBitSet(optionals, 3);
       if (struct.isSetDataCentre()) {
         oprot.writeString(struct.dataCentre);
       }
       if (struct.isSetOut()) {
         oprot.writeBool(struct.out);
       }
+      if (struct.isSetExpectedIndex()) {
+        oprot.writeI64(struct.expectedIndex);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, DataCentreChange struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(2);
+      java.util.BitSet incoming = iprot.readBitSet(3);
       if (incoming.get(0)) {
         struct.dataCentre = iprot.readString();
         struct.setDataCentreIsSet(true);
@@ -489,6 +600,10 @@
         struct.out = iprot.readBool();
         struct.setOutIsSet(true);
       }
+      if (incoming.get(2)) {
+        struct.expectedIndex = iprot.readI64();
+        struct.setExpectedIndexIsSet(true);
+      }
     }
   }
 
--- a/protocol/src/main/thrift/fleet.thrift
+++ b/protocol/src/main/thrift/fleet.thrift
@@ -18,6 +18,12 @@
   1: string dataCentre
   /** Whether it is taken out of service. */
   2: bool out
+  /**
+   * Index of the last change of the data centre when the order was received, 0 if there was none.
+   * The change has no effect if the data centre has been changed since, so that a delayed order
+   * can't undo a later one. Absent in changes of older releases, which always take effect.
+   */
+  3: optional i64 expectedIndex
 }
 
 /** Publishes a version of a model's weights; has no effect unless it is higher than the newest. */
