Keep a test of a stopping server from depending on the machine's speed

A close that crosses a request is allowed, so the test's server gets longer timeouts; what it checks, that a request on an open connection is answered 503 while the server stops, is unchanged.

--- a/daemon/src/main/java/org/sequoiahill/daemon/process/HttpServers.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/HttpServers.java
@@ -121,6 +121,21 @@
      * open connections until they are idle, for {@link #STOP_TIMEOUT} at most.
      */
     static Server create(String name, HostPort address, Handler handler) {
+        return create(name, address, handler, STOP_TIMEOUT, STOP_IDLE_TIMEOUT);
+    }
+
+    /**
+     * Returns a server for one address, not yet started.
+     *
+     * @param stopTimeout longest time for which it reads open connections once stopped
+     * @param stopIdleTimeout idle time after which it closes a connection once stopped
+     */
+    static Server create(
+            String name,
+            HostPort address,
+            Handler handler,
+            Duration stopTimeout,
+            Duration stopIdleTimeout) {
         QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, MIN_THREADS);
         threads.setName(name);
         Server server = new Server(threads);
@@ -132,8 +147,8 @@
         connector.setPort(address.port());
         connector.setAcceptedSendBufferSize(SEND_BUFFER_BYTES);
         connector.setIdleTimeout(IDLE_TIMEOUT.toMillis());
-        connector.setShutdownIdleTimeout(STOP_IDLE_TIMEOUT.toMillis());
-        server.setStopTimeout(STOP_TIMEOUT.toMillis());
+        connector.setShutdownIdleTimeout(stopIdleTimeout.toMillis());
+        server.setStopTimeout(stopTimeout.toMillis());
         server.addConnector(connector);
         server.setHandler(handler);
         return server;
