--- a/daemon/src/main/java/org/sequoiahill/daemon/version/staging/VersionManifest.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/version/staging/VersionManifest.java
@@ -23,6 +23,9 @@
     /** Copies to compare with; a corrupt digest is rarely corrupt in several of them. */
     private static final int MAX_COPIES = 4;
 
+    /** Limit of remembered digests of content that did not match, for each piece. */
+    private static final int MAX_MISMATCHES = 4;
+
     private final Runnable mOnRepair;
     private final List<PieceManifest> mCopies = new ArrayList<>();
     private final Map<Integer, Set<String>> mMismatches = new HashMap<>();
@@ -57,7 +60,7 @@
      */
     boolean accepts(int piece, byte[] content, List<CopySource> copies) {
         String digest = Digests.of(content);
-        if (current().digests().get(piece).equals(digest) || isRepairedByKnownCopy(piece, digest)) {
+        if (current().digests().get(piece).equals(digest) || repairFromKnownCopies(piece, digest)) {
             return true;
         }
         if (!isRepeated(piece, digest)) {
@@ -65,7 +68,7 @@
         }
         for (CopySource source : copies) {
             try {
-                if (isRepairedBy(source.fetch(), piece, digest)) {
+                if (repairFrom(source.fetch(), piece, digest)) {
                     return true;
                 }
             } catch (IOException e) {
@@ -75,24 +78,27 @@
         return false;
     }
 
+    /** Returns whether content with this digest was received before; remembers it otherwise. */
     private synchronized boolean isRepeated(int piece, String digest) {
         Set<String> mismatches = mMismatches.computeIfAbsent(piece, key -> new HashSet<>());
         if (mismatches.contains(digest)) {
             return true;
         }
-        if (mismatches.size() >= MAX_COPIES) {
+        if (mismatches.size() >= MAX_MISMATCHES) {
             mismatches.clear();
         }
         mismatches.add(digest);
         return false;
     }
 
-    private synchronized boolean isRepairedByKnownCopy(int piece, String digest) {
+    /** Returns whether a copy that was fetched before has this digest, which then replaces ours. */
+    private synchronized boolean repairFromKnownCopies(int piece, String digest) {
         return mCopies.stream().anyMatch(copy -> copy.digests().get(piece).equals(digest))
                 && repair(piece, digest);
     }
 
-    private synchronized boolean isRepairedBy(PieceManifest copy, int piece, String digest) {
+    /** Adds a copy; returns whether it has this digest, which then replaces ours. */
+    private synchronized boolean repairFrom(PieceManifest copy, int piece, String digest) {
         if (copy.pieces() != mCurrent.pieces()) {
             return false;
         }
