Log what an entry still has open when it exits, and each request it refuses while it leaves

A request that is cut by the exit of a process and one that is cut by a closed kept connection could not be told apart: the number of open connections at the exit was not logged, nor the refusals of a leaving entry. The refusals are written by the request's own id now, in the request log with its limit of lines, as those of DirectHandler.

No change of what callers get.

--- a/daemon/src/main/java/org/sequoiahill/daemon/process/DrainHandler.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/DrainHandler.java
@@ -22,6 +22,10 @@
  * can stop.
  */
 final class DrainHandler extends Handler.Wrapper {
+    /** Refusal of a request that arrives once new ones are not served. */
+    static final Refusal LEAVING = Refusal.unavailable("entry_leaving", "this process is stopping");
+
+    private final Handler mRefusing;
     private final Object mLock = new Object();
     private final Set<Request> mRunning = new LinkedHashSet<>();
     private final CompletableFuture<@Nullable Void> mIdle = new CompletableFuture<>();
@@ -29,20 +33,25 @@
     private boolean mIsRefusing;
 
     DrainHandler(Handler handler) {
+        this(handler, new RefusingHandler());
+    }
+
+    /**
+     * Creates a handler.
+     *
+     * @param handler handler of the requests that are served
+     * @param refusing handler that refuses requests once new ones are not served
+     */
+    DrainHandler(Handler handler, Handler refusing) {
         super(handler);
+        mRefusing = refusing;
     }
 
     @Override
     public boolean handle(Request request, Response response, Callback callback) throws Exception {
         Response closingResponse = new ClosingResponse(request, response);
         if (!begin(request)) {
-            String id = request.getHeaders().get(RequestHeaders.REQUEST_ID);
-            if (id != null) {
-                response.getHeaders().put(RequestHeaders.REQUEST_ID, id);
-            }
-            Refusal.unavailable("entry_leaving", "this process is stopping")
-                    .write(closingResponse, callback);
-            return true;
+            return mRefusing.handle(request, closingResponse, callback);
         }
         Callback trackedCallback = Callback.from(callback, () -> end(request));
         if (super.handle(request, closingResponse, trackedCallback)) {
@@ -96,6 +105,19 @@
         }
     }
 
+    /** Refuses requests with the id that they state. */
+    private static final class RefusingHandler extends Handler.Abstract.NonBlocking {
+        @Override
+        public boolean handle(Request request, Response response, Callback callback) {
+            String id = request.getHeaders().get(RequestHeaders.REQUEST_ID);
+            if (id != null) {
+                response.getHeaders().put(RequestHeaders.REQUEST_ID, id);
+            }
+            LEAVING.write(response, callback);
+            return true;
+        }
+    }
+
     /** A response that closes its connection if it starts after {@link #closeConnections}. */
     private final class ClosingResponse extends Response.Wrapper {
         ClosingResponse(Request request, Response wrapped) {
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/FleetDaemon.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/FleetDaemon.java
@@ -132,7 +132,10 @@
     /** Waits until the drain that {@link #stop} started has ended. */
     public void awaitDrain() throws InterruptedException {
         mDrained.await();
-        Logger.info("{} has drained", mSettings.displayName());
+        Logger.info(
+                "{} has drained and exits with {} open connections",
+                mSettings.displayName(),
+                HttpServers.openConnections(mServer));
     }
 
     private void drainRole() {
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/FleetEntryRole.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/FleetEntryRole.java
@@ -141,7 +141,8 @@
                         responseBytes,
                         RateLimitedRequestLog.of(metrics, clock),
                         clock);
-        mDrain = new DrainHandler(DirectHandler.of(services, view::snapshot, random));
+        DirectHandler requests = DirectHandler.of(services, view::snapshot, random);
+        mDrain = new DrainHandler(requests, requests.refusing(DrainHandler.LEAVING));
         view.addListener(snapshot -> dispatcher.refresh());
         mPieces =
                 PieceRelay.of(
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/HttpServers.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/HttpServers.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.function.Predicate;
 import org.eclipse.jetty.http.UriCompliance;
+import org.eclipse.jetty.server.Connector;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
@@ -111,6 +112,15 @@
         return server;
     }
 
+    /** Returns the number of connections that a server has accepted and not closed. */
+    static int openConnections(Server server) {
+        int count = 0;
+        for (Connector connector : server.getConnectors()) {
+            count += connector.getConnectedEndPoints().size();
+        }
+        return count;
+    }
+
     /** Returns the name of the address at which a request arrived. */
     static String listenerOf(Request request) {
         return String.valueOf(request.getConnectionMetaData().getConnector().getName());
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectHandler.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectHandler.java
@@ -51,6 +51,18 @@
         return new DirectHandler(services, snapshot, random);
     }
 
+    /** Returns a handler that refuses all requests and writes the request log as this one does. */
+    public Handler refusing(Refusal refusal) {
+        return new Handler.Abstract.NonBlocking() {
+            @Override
+            public boolean handle(Request request, Response response, Callback callback) {
+                RequestMetadata metadata =
+                        mServices.headerCodec().parseRequest(request.getHeaders());
+                return refuse(refusal, metadata, response, callback);
+            }
+        };
+    }
+
     @Override
     public boolean handle(Request request, Response response, Callback callback) {
         Duration arrivedAt = mServices.clock().now();
