Close an entry's connections before it exits

Cause: the drain ended when no request was running, and the process then called Runtime.halt with its listeners and kept connections open. The JVM waits 300 ms and more for threads in native code before it exits; in that time the kernel accepts connections and takes requests for a process that no longer handles any. The class: a process gives up the ability to answer before it gives up the ability to receive.

Change: once the role has drained, listeners are closed and connections are read until they have been idle for 250 ms; a request that arrives meanwhile gets a 503 that says it has not run. Only then does the process exit. Stores do the same with orders of operators and reports of endpoints, and wait for those that run.

--- a/daemon/src/main/java/org/sequoiahill/daemon/process/DrainHandler.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/DrainHandler.java
@@ -1,11 +1,13 @@
 package org.sequoiahill.daemon.process;
 
 import java.nio.ByteBuffer;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpHeaderValue;
 import org.eclipse.jetty.server.Handler;
@@ -77,6 +79,15 @@
         return mIdle;
     }
 
+    /** Refuses new requests and returns once none is running or the timeout has elapsed. */
+    void drain(Duration timeout) {
+        // A copy, since a timeout completes the future for all who wait for it.
+        refuseNewRequests()
+                .copy()
+                .completeOnTimeout(null, Math.max(0, timeout.toMillis()), TimeUnit.MILLISECONDS)
+                .join();
+    }
+
     /** Returns the running requests, as method and path. */
     List<String> runningRequests() {
         List<String> running = new ArrayList<>();
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/FleetDaemon.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/FleetDaemon.java
@@ -4,6 +4,7 @@
 import jakarta.inject.Inject;
 import jakarta.inject.Provider;
 import jakarta.inject.Singleton;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
@@ -33,6 +34,9 @@
 public final class FleetDaemon {
     private static final String METRICS = "metrics";
 
+    /** Longest time for which open connections may be read before the process exits. */
+    private static final Duration CLOSE_TIMEOUT = Duration.ofMillis(600);
+
     private final FleetSettings mSettings;
     private final HttpClient mHttpClient;
     private final ControlServer mControlServer;
@@ -112,8 +116,8 @@
 
     /**
      * Starts to drain and returns. {@link #awaitDrain} returns once {@link
-     * FleetDaemonRole#finishLeaving} has; the caller then ends the process, and with it the
-     * servers.
+     * FleetDaemonRole#finishLeaving} has and the connections are closed; the caller then ends the
+     * process.
      */
     public void stop() {
         if (mIsLeaving) {
@@ -144,6 +148,8 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
+        // The exit of the JVM takes hundreds of milliseconds, in which nothing would be answered.
+        HttpServers.closeConnections(mServer, CLOSE_TIMEOUT);
         mDrained.countDown();
     }
 
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/FleetEntryRole.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/FleetEntryRole.java
@@ -66,8 +66,8 @@
     /** Time to write the final responses to requests that are unfinished after the drain. */
     private static final Duration FINAL_RESPONSE_TIME = Duration.ofMillis(300);
 
-    /** Part of the drain timeout that is reserved for the process to exit. */
-    private static final Duration END_MARGIN = Duration.ofMillis(700);
+    /** Part of the drain timeout that is reserved to close connections and to exit. */
+    private static final Duration END_MARGIN = Duration.ofMillis(1_000);
 
     /**
      * Age of a version, as a fraction of its rollout deadline, above which requests require that
@@ -229,17 +229,9 @@
         TimeUnit.NANOSECONDS.sleep(PROBE_GRACE.toNanos());
         Duration drainTimeout =
                 mSettings.limits().drainTimeout().minus(PROBE_GRACE).minus(END_MARGIN);
-        awaitIdle(drainTimeout);
+        mDrain.drain(drainTimeout);
         mExchanges.endAll();
-        awaitIdle(FINAL_RESPONSE_TIME);
-    }
-
-    private void awaitIdle(Duration timeout) {
-        // A copy, since a timeout completes the future for all who wait for it.
-        mDrain.refuseNewRequests()
-                .copy()
-                .completeOnTimeout(null, Math.max(0, timeout.toMillis()), TimeUnit.MILLISECONDS)
-                .join();
+        mDrain.drain(FINAL_RESPONSE_TIME);
     }
 
     private static CompletableFuture<?> forwardLoads(
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/FleetStoreRole.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/FleetStoreRole.java
@@ -72,6 +72,9 @@
     private static final Duration LEADERSHIP_TRANSFER_TIMEOUT = Duration.ofMillis(800);
     private static final long LEADERSHIP_CHECK_MILLIS = 20;
 
+    /** Longest wait for running requests; a change waits no longer for the leader. */
+    private static final Duration DRAIN_TIMEOUT = Duration.ofSeconds(1);
+
     private final FleetSettings mSettings;
     private final Identity mIdentity;
     private final ScheduledExecutorService mScheduler;
@@ -79,7 +82,7 @@
     private final FleetLog mLog;
     private final FleetStore mStore;
     private final PauseDetector mPauses;
-    private final Handler mHandler;
+    private final DrainHandler mDrain;
     private final MonotonicClock mClock;
 
     @Inject
@@ -125,7 +128,9 @@
         mStore = FleetStore.of(identity, mLog, machine, client, mPauses);
         EndpointReportReceiver reports =
                 EndpointReportReceiver.of(identity, settings.control(), mRegistry, mStore, client);
-        mHandler = adapter.storeHandler(mStore, reports, settings.regions().keySet());
+        mDrain =
+                new DrainHandler(
+                        adapter.storeHandler(mStore, reports, settings.regions().keySet()));
     }
 
     @Override
@@ -136,7 +141,7 @@
 
     @Override
     public Handler handler() {
-        return mHandler;
+        return mDrain;
     }
 
     @Override
@@ -161,6 +166,7 @@
 
     @Override
     public void leave() {
+        mDrain.closeConnections();
         GroupLog log = mLog.log();
         if (!log.isLeader()) {
             return;
@@ -177,6 +183,7 @@
         while (mLog.log().isLeader() && mClock.now().compareTo(deadline) < 0) {
             TimeUnit.MILLISECONDS.sleep(LEADERSHIP_CHECK_MILLIS);
         }
+        mDrain.drain(DRAIN_TIMEOUT);
     }
 
     private static GroupLog.Options options(FleetSettings settings) {
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/HttpServers.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/HttpServers.java
@@ -1,7 +1,10 @@
 package org.sequoiahill.daemon.process;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import org.eclipse.jetty.http.UriCompliance;
 import org.eclipse.jetty.server.Connector;
@@ -18,6 +21,7 @@
 import org.sequoiahill.daemon.process.time.MonotonicClock;
 import org.sequoiahill.daemon.request.Refusal;
 import org.sequoiahill.daemon.request.RequestHeaders;
+import org.tinylog.Logger;
 
 /** Creates HTTP servers. */
 final class HttpServers {
@@ -106,12 +110,36 @@
             connector.setPort(listener.address().port());
             connector.setAcceptQueueSize(ACCEPT_QUEUE);
             connector.setIdleTimeout(MULTI_ADDRESS_IDLE_TIMEOUT.toMillis());
+            connector.setShutdownIdleTimeout(STOP_IDLE_TIMEOUT.toMillis());
             server.addConnector(connector);
         }
         server.setHandler(handler);
         return server;
     }
 
+    /**
+     * Closes the listeners of a server, and each connection once it has been idle for {@link
+     * #STOP_IDLE_TIMEOUT}; requests that arrive until then are handled. Returns once no connection
+     * is open or the timeout has elapsed. No request may be running, as it would be aborted after
+     * that idle time.
+     */
+    static void closeConnections(Server server, Duration timeout) {
+        List<CompletableFuture<?>> closed = new ArrayList<>();
+        for (ServerConnector connector : server.getBeans(ServerConnector.class)) {
+            // Applies to a connection whose accept is not complete yet.
+            connector.setIdleTimeout(connector.getShutdownIdleTimeout());
+            closed.add(connector.shutdown());
+        }
+        CompletableFuture.allOf(closed.toArray(new CompletableFuture<?>[0]))
+                .completeOnTimeout(null, timeout.toMillis(), TimeUnit.MILLISECONDS)
+                .exceptionally(
+                        failure -> {
+                            Logger.warn(failure, "closing the connections of a server failed");
+                            return null;
+                        })
+                .join();
+    }
+
     /** Returns the number of connections that a server has accepted and not closed. */
     static int openConnections(Server server) {
         int count = 0;
