--- a/daemon/src/main/java/org/sequoiahill/daemon/process/DrainHandler.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/DrainHandler.java
@@ -1,11 +1,13 @@
 package org.sequoiahill.daemon.process;
 
 import java.nio.ByteBuffer;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpHeaderValue;
 import org.eclipse.jetty.server.Handler;
@@ -22,6 +24,10 @@
  * can stop.
  */
 final class DrainHandler extends Handler.Wrapper {
+    /** Refusal of a request that arrives once new ones are not served. */
+    static final Refusal LEAVING = Refusal.unavailable("entry_leaving", "this process is stopping");
+
+    private final Handler mRefusing;
     private final Object mLock = new Object();
     private final Set<Request> mRunning = new LinkedHashSet<>();
     private final CompletableFuture<@Nullable Void> mIdle = new CompletableFuture<>();
@@ -29,20 +35,25 @@
     private boolean mIsRefusing;
 
     DrainHandler(Handler handler) {
+        this(handler, new RefusingHandler());
+    }
+
+    /**
+     * Creates a handler.
+     *
+     * @param handler handler of the requests that are served
+     * @param refusing handler that refuses requests once new ones are not served
+     */
+    DrainHandler(Handler handler, Handler refusing) {
         super(handler);
+        mRefusing = refusing;
     }
 
     @Override
     public boolean handle(Request request, Response response, Callback callback) throws Exception {
         Response closingResponse = new ClosingResponse(request, response);
         if (!begin(request)) {
-            String id = request.getHeaders().get(RequestHeaders.REQUEST_ID);
-            if (id != null) {
-                response.getHeaders().put(RequestHeaders.REQUEST_ID, id);
-            }
-            Refusal.unavailable("entry_leaving", "this process is stopping")
-                    .write(closingResponse, callback);
-            return true;
+            return mRefusing.handle(request, closingResponse, callback);
         }
         Callback trackedCallback = Callback.from(callback, () -> end(request));
         if (super.handle(request, closingResponse, trackedCallback)) {
@@ -68,6 +79,15 @@
         return mIdle;
     }
 
+    /** Refuses new requests and returns once none is running or the timeout has elapsed. */
+    void drain(Duration timeout) {
+        // A copy, since a timeout completes the future for all who wait for it.
+        refuseNewRequests()
+                .copy()
+                .completeOnTimeout(null, Math.max(0, timeout.toMillis()), TimeUnit.MILLISECONDS)
+                .join();
+    }
+
     /** Returns the running requests, as method and path. */
     List<String> runningRequests() {
         List<String> running = new ArrayList<>();
@@ -96,6 +116,19 @@
         }
     }
 
+    /** Refuses requests with the id that they state. */
+    private static final class RefusingHandler extends Handler.Abstract.NonBlocking {
+        @Override
+        public boolean handle(Request request, Response response, Callback callback) {
+            String id = request.getHeaders().get(RequestHeaders.REQUEST_ID);
+            if (id != null) {
+                response.getHeaders().put(RequestHeaders.REQUEST_ID, id);
+            }
+            LEAVING.write(response, callback);
+            return true;
+        }
+    }
+
     /** A response that closes its connection if it starts after {@link #closeConnections}. */
     private final class ClosingResponse extends Response.Wrapper {
         ClosingResponse(Request request, Response wrapped) {
