Let a stopping daemon answer operators' requests that are running

What operators saw: a change or query that was running when a daemon of services stopped ended without a response; whether the change was made could only be learned by sending it again.

The server for operators was stopped without a drain, with a timeout of zero, right after the callers' server.

Change: the operators' server drains like the callers' one, after it, so that operators can follow a drain to its end. A second stop request skips both waits, as before.

--- a/daemon/src/main/java/org/sequoiahill/daemon/process/Daemon.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/Daemon.java
@@ -52,6 +52,7 @@
     private final ConfigurationSync mSync;
     private final List<DaemonRole> mRoles = new ArrayList<>();
     private final DrainHandler mDrain;
+    private final DrainHandler mAdminDrain;
     private final Server mDataServer;
     private final Server mAdminServer;
     private final CountDownLatch mStopped = new CountDownLatch(1);
@@ -100,10 +101,8 @@
         mRoles.forEach(role -> role.register(mControlServer));
         mDrain = new DrainHandler(dataHandler());
         mDataServer = HttpServers.create("data", settings.data(), mDrain);
-        mAdminServer =
-                HttpServers.create(
-                        "admin",
-                        settings.admin(),
+        mAdminDrain =
+                new DrainHandler(
                         new Handler.Sequence(
                                 AdminHandler.of(metrics, this::isReady),
                                 OperatorApiHandler.of(
@@ -114,6 +113,7 @@
                                                 StoresApi.of(
                                                         identity, controlClient, settings.stores()),
                                                 DocumentApi.of(identity, view, forwarder)))));
+        mAdminServer = HttpServers.create("admin", settings.admin(), mAdminDrain);
     }
 
     /**
@@ -132,9 +132,9 @@
     }
 
     /**
-     * Starts to drain and returns. The daemon stops once running requests have completed or the
-     * drain limit has elapsed; requests that are interrupted are logged. A second call skips the
-     * waits.
+     * Starts to drain and returns. The daemon stops once running requests of callers, and then
+     * those of operators, have completed or the drain limit of each has elapsed; requests that are
+     * interrupted are logged. A second call skips the waits.
      */
     public void stop() {
         if (mIsLeaving) {
@@ -154,10 +154,21 @@
         mDrain.closeConnections();
         mRoles.forEach(DaemonRole::leave);
         await(mStopNow.copy(), mSettings.drain().linger());
-        CompletableFuture<?> idleOrStopNow =
-                CompletableFuture.anyOf(mDrain.refuseNewRequests(), mStopNow);
-        await(idleOrStopNow, mSettings.drain().timeout());
-        List<String> interrupted = mDrain.runningRequests();
+        drainAndStop(mDrain, mDataServer);
+        // Operators can follow the drain until the last request of a caller has ended.
+        mAdminDrain.closeConnections();
+        drainAndStop(mAdminDrain, mAdminServer);
+        mControlServer.close();
+        mControlClient.close();
+        Logger.info("{} stopped", mSettings.vm());
+        mStopped.countDown();
+    }
+
+    private void drainAndStop(DrainHandler drain, Server server) {
+        await(
+                CompletableFuture.anyOf(drain.refuseNewRequests(), mStopNow),
+                mSettings.drain().timeout());
+        List<String> interrupted = drain.runningRequests();
         if (!interrupted.isEmpty()) {
             Logger.warn(
                     "{} interrupts {} running requests: {}",
@@ -166,15 +177,9 @@
                     interrupted);
         }
         if (mStopNow.isDone()) {
-            mDataServer.setStopTimeout(0);
+            server.setStopTimeout(0);
         }
-        stopServer(mDataServer);
-        mAdminServer.setStopTimeout(0);
-        stopServer(mAdminServer);
-        mControlServer.close();
-        mControlClient.close();
-        Logger.info("{} stopped", mSettings.vm());
-        mStopped.countDown();
+        stopServer(server);
     }
 
     /** Waits until a future completes, and completes it itself once a time has elapsed. */
