Give running requests the whole drain time again

Closing takes place within the old margin: the final responses are written first, and a process that is killed while it exits has no connection left to lose. Not measured: no test or trial reached the end of the drain time.

--- a/daemon/src/main/java/org/sequoiahill/daemon/process/FleetEntryRole.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/FleetEntryRole.java
@@ -66,8 +66,8 @@
     /** Time to write the final responses to requests that are unfinished after the drain. */
     private static final Duration FINAL_RESPONSE_TIME = Duration.ofMillis(300);
 
-    /** Part of the drain timeout that is reserved to close connections and to exit. */
-    private static final Duration END_MARGIN = Duration.ofMillis(1_000);
+    /** Part of the drain timeout that is reserved for final responses and to close connections. */
+    private static final Duration END_MARGIN = Duration.ofMillis(700);
 
     /**
      * Age of a version, as a fraction of its rollout deadline, above which requests require that
