Write the last record of a log again when its files are opened

What callers saw: nothing yet; in the simulation a store that had acknowledged changes refused its folder after a loss of power, or was refused as an old copy.

Cause: after a failed sync the record can still be read. FleetLog opens the files again in the same process (and a killed process starts on them) and syncs once more, which succeeds on Linux without writing the bytes whose sync failed. The record then counts towards majorities and is lost with the power. Once all stores lose power together, nobody remembers what the store had acknowledged.

Change: an opening writes the last record again in place before its sync. All earlier records were synced with success before the next was written, so no other bytes can be in doubt; equal bytes in place lose nothing if power fails in between.

--- a/daemon/src/main/java/org/sequoiahill/daemon/process/fleet/FleetLog.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/fleet/FleetLog.java
@@ -13,8 +13,8 @@
  * The replicated log of the fleet's state, reopened after a disk failure.
  *
  * <p>A log stops permanently after a failed write because the content of its files is then unknown.
- * Reopening reads the files and thus establishes their content, so a store whose disk was full or
- * broken for a while rejoins without a restart of the process.
+ * Reopening reads the files and syncs their content anew, so a store whose disk was full or broken
+ * for a while rejoins without a restart of the process.
  */
 public final class FleetLog {
     private static final Duration REOPEN_INTERVAL = Duration.ofMillis(500);
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/log/DiskFolder.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/log/DiskFolder.java
@@ -1,5 +1,6 @@
 package org.sequoiahill.daemon.process.log;
 
+import java.io.EOFException;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
@@ -69,12 +70,33 @@
     }
 
     @Override
-    public LogFile openAt(String name, long length) throws IOException {
-        FileChannel channel = FileChannel.open(mPath.resolve(name), StandardOpenOption.WRITE);
-        channel.truncate(length);
-        channel.position(length);
-        channel.force(true);
-        return new DiskFile(channel);
+    public LogFile openAt(String name, long writtenAgainFrom, long length) throws IOException {
+        FileChannel channel =
+                FileChannel.open(
+                        mPath.resolve(name), StandardOpenOption.READ, StandardOpenOption.WRITE);
+        try {
+            channel.truncate(length);
+            writeAgain(channel, writtenAgainFrom, length);
+            channel.position(length);
+            channel.force(true);
+            return new DiskFile(channel);
+        } catch (IOException | RuntimeException e) {
+            channel.close();
+            throw e;
+        }
+    }
+
+    private static void writeAgain(FileChannel channel, long from, long to) throws IOException {
+        ByteBuffer bytes = ByteBuffer.allocate((int) (to - from));
+        while (bytes.hasRemaining()) {
+            if (channel.read(bytes, from + bytes.position()) < 0) {
+                throw new EOFException("a file of the log folder became shorter while it was read");
+            }
+        }
+        bytes.flip();
+        while (bytes.hasRemaining()) {
+            channel.write(bytes, from + bytes.position());
+        }
     }
 
     @Override
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/log/FolderContent.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/log/FolderContent.java
@@ -18,10 +18,15 @@
  *     and whether its store has joined the group
  * @param state term, vote, snapshot and entries
  * @param sequence number of the current segment; 0 if there is none
+ * @param lastRecordOffset offset of the segment's last complete record
  * @param validLength bytes of the segment up to the end of its last complete record
  */
 record FolderContent(
-        LogFolderIdentity identity, StoredState state, long sequence, long validLength) {
+        LogFolderIdentity identity,
+        StoredState state,
+        long sequence,
+        long lastRecordOffset,
+        long validLength) {
     static final String IDENTITY_NAME = "identity";
     static final String SEGMENT_PREFIX = "segment-";
     static final String SNAPSHOT_PREFIX = "snapshot-";
@@ -43,7 +48,7 @@
             LogFolderIdentity identity =
                     new LogFolderIdentity(
                             LogStorage.FORMAT_VERSION, vm, group, newIncarnation, 0, false);
-            return new FolderContent(identity, StoredState.EMPTY, 0, 0);
+            return new FolderContent(identity, StoredState.EMPTY, 0, 0, 0);
         }
         LogFolderIdentity identity = readIdentity(folder, vm, group);
         if (segment.isPresent()) {
@@ -52,7 +57,7 @@
         if (identity.isJoined()) {
             throw new IOException("the folder is damaged: its log segment is gone");
         }
-        return new FolderContent(identity, StoredState.EMPTY, 0, 0);
+        return new FolderContent(identity, StoredState.EMPTY, 0, 0, 0);
     }
 
     private static LogFolderIdentity readIdentity(LogFolder folder, String vm, String group)
@@ -88,12 +93,14 @@
         Snapshot snapshot = readSnapshot(folder, identity, header.getSnapshotIndex());
         List<Entry> entries = new ArrayList<>();
         HardState hardState = HardState.NONE;
+        int lastRecordOffset = 0;
         int offset = RecordFrame.HEADER_BYTES + headerRecord.length;
         Optional<byte[]> record = RecordFrame.read(content, offset);
         while (record.isPresent()) {
             LogBatch batch = StorageCodec.decode(new LogBatch(), record.get());
             hardState = batch.isSetHard() ? StorageCodec.fromThrift(batch.getHard()) : hardState;
             appendEntries(entries, header.getBaseIndex(), batch.getEntries(), name);
+            lastRecordOffset = offset;
             offset += RecordFrame.HEADER_BYTES + record.get().length;
             record = RecordFrame.read(content, offset);
         }
@@ -109,7 +116,7 @@
                 new StoredState(
                         hardState, snapshot, header.getBaseIndex(), header.getBaseTerm(), entries);
         long sequence = Long.parseLong(name.substring(SEGMENT_PREFIX.length()));
-        return new FolderContent(identity, state, sequence, offset);
+        return new FolderContent(identity, state, sequence, lastRecordOffset, offset);
     }
 
     /** Appends entries; one at an index already present replaces that entry and all after it. */
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/log/LogFolder.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/log/LogFolder.java
@@ -16,8 +16,15 @@
     /** Creates an empty file, replacing any of the same name. */
     LogFile create(String name) throws IOException;
 
-    /** Truncates a file to a length, and opens it for appending. */
-    LogFile openAt(String name, long length) throws IOException;
+    /**
+     * Truncates a file to a length, writes its end again, syncs it, and opens it for appending.
+     *
+     * <p>Bytes whose sync failed may be lost although they can be read and a later sync succeeds;
+     * only bytes that are written again are covered by the next sync.
+     *
+     * @param writtenAgainFrom offset from which the content is written again
+     */
+    LogFile openAt(String name, long writtenAgainFrom, long length) throws IOException;
 
     /** Renames a file, replacing any of the new name. */
     void rename(String from, String to) throws IOException;
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/log/LogStorage.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/log/LogStorage.java
@@ -71,7 +71,12 @@
         mIdentity.setStarts(mIdentity.getStarts() + 1);
         writeIdentity();
         if (content.sequence() > 0) {
-            mSegment = mFolder.openAt(segmentName(content.sequence()), content.validLength());
+            // The sync of the last record may have failed; all earlier ones have succeeded.
+            mSegment =
+                    mFolder.openAt(
+                            segmentName(content.sequence()),
+                            content.lastRecordOffset(),
+                            content.validLength());
         }
         try {
             deleteUnused(content.state().snapshot().index());
@@ -203,7 +208,7 @@
             mSegment.close();
         }
         mSegmentLength = replace(segmentName(mSequence), records);
-        mSegment = mFolder.openAt(segmentName(mSequence), mSegmentLength);
+        mSegment = mFolder.openAt(segmentName(mSequence), mSegmentLength, mSegmentLength);
         if (!mIdentity.isJoined()) {
             mIdentity.setJoined(true);
             writeIdentity();
--- a/daemon/src/test/java/org/sequoiahill/daemon/process/log/LogStorageTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/process/log/LogStorageTest.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 final class LogStorageTest {
     private static final String VM = "store-0";
@@ -21,7 +22,7 @@
     private static final Membership MEMBERS =
             new Membership(List.of(new Member(new StoreId(VM, 1), "127.20.0.1:1", true)));
 
-    private final MemoryFolder mFolder = new MemoryFolder(new Random(1));
+    private MemoryFolder mFolder = new MemoryFolder(new Random(1));
 
     @Test
     void open_emptyFolder_isEmptyWithTheNewIncarnation() throws IOException {
@@ -84,7 +85,7 @@
         byte[] content = mFolder.read(LogStorage.segmentName(1));
         for (int length = validLength; length < content.length; length++) {
             MemoryFolder truncated = mFolder.copy();
-            truncated.openAt(LogStorage.segmentName(1), length).close();
+            truncated.openAt(LogStorage.segmentName(1), length, length).close();
 
             StoredState read = LogStorage.open(truncated, VM, GROUP, 8).state();
 
@@ -141,6 +142,26 @@
         assertThat(second.getMessage(), containsString("has failed before"));
     }
 
+    /** Guards against losing acknowledged entries after a failed sync was followed by others. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3, 4, 5, 6, 7, 8})
+    void store_afterAFailedSyncAndAReopening_survivesALossOfPower(int seed) throws IOException {
+        mFolder = new MemoryFolder(new Random(seed));
+        LogStorage storage = joined();
+        storage.store(step(Optional.empty(), entry(2, 1)));
+        mFolder.failAfterSyncs(0);
+        assertThrows(IOException.class, () -> storage.store(step(Optional.empty(), entry(3, 1))));
+        LogStorage reopened = LogStorage.open(mFolder, VM, GROUP, 8);
+        List<Entry> acknowledged = new ArrayList<>(reopened.state().entries());
+        reopened.store(step(Optional.empty(), entry(4, 1)));
+        acknowledged.add(entry(4, 1));
+        mFolder.crash();
+
+        StoredState read = LogStorage.open(mFolder, VM, GROUP, 9).state();
+
+        assertThat(read.entries(), is(acknowledged));
+    }
+
     private void assertRefused(String vm, String group, String message) {
         IOException failure =
                 assertThrows(IOException.class, () -> LogStorage.open(mFolder, vm, group, 8));
--- a/daemon/src/test/java/org/sequoiahill/daemon/process/log/MemoryFolder.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/process/log/MemoryFolder.java
@@ -1,18 +1,19 @@
 package org.sequoiahill.daemon.process.log;
 
-import java.io.ByteArrayOutputStream;
 import java.io.FileNotFoundException;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.Arrays;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 
 /**
- * A folder in memory; a crash keeps what was synced, and a random part of the rest, in which a byte
- * may be corrupt.
+ * A folder in memory. A loss of power keeps what was synced; each later write is kept, lost or
+ * torn, and each name that was created, renamed or removed is kept or lost by itself.
  */
 final class MemoryFolder implements LogFolder {
     /** Prefix of the message of every injected failure. */
@@ -26,6 +27,7 @@
     private int mSyncsUntilCrash = NEVER;
     private int mSyncsUntilFailure = NEVER;
     private boolean mAreWritesShort;
+    private boolean mIsFull;
 
     MemoryFolder(RandomGenerator random) {
         mRandom = random;
@@ -37,14 +39,42 @@
     }
 
     private static final class Content {
-        private final ByteArrayOutputStream mBytes = new ByteArrayOutputStream();
-        private int mSynced;
+        private byte[] mBytes;
+        private byte[] mSynced;
 
         /**
-         * Offset from which a crash may lose bytes even after later syncs, since a sync of them
-         * failed.
+         * Range of bytes that a loss of power may lose even after later syncs, since a sync of them
+         * failed; empty if there are none.
          */
-        private int mLostFrom = Integer.MAX_VALUE;
+        private int mDroppedFrom;
+
+        private int mDroppedTo;
+
+        Content(byte[] bytes, byte[] synced) {
+            mBytes = bytes;
+            mSynced = synced;
+        }
+
+        static Content ofSynced(byte[] bytes) {
+            return new Content(bytes, bytes);
+        }
+
+        void syncFailed() {
+            int from = Math.min(mBytes.length, mSynced.length);
+            mDroppedFrom = mDroppedFrom < mDroppedTo ? Math.min(mDroppedFrom, from) : from;
+            mDroppedTo = Math.max(mDroppedTo, mBytes.length);
+        }
+
+        void append(byte[] bytes) {
+            int length = mBytes.length;
+            mBytes = Arrays.copyOf(mBytes, length + bytes.length);
+            System.arraycopy(bytes, 0, mBytes, length, bytes.length);
+        }
+
+        void truncate(int length) {
+            mBytes = Arrays.copyOf(mBytes, length);
+            mDroppedTo = Math.min(mDroppedTo, length);
+        }
     }
 
     /** Makes the sync after a number of further ones crash the process; none if it is negative. */
@@ -61,26 +91,39 @@
         mAreWritesShort = isShort;
     }
 
-    /**
-     * Loses a random part of what was not synced, may corrupt a byte of the other part, and cancels
-     * the planned crash and failure.
-     */
+    /** Makes every creation and write fail, as on a full disk; a write may leave a part. */
+    void fill(boolean isFull) {
+        mIsFull = isFull;
+    }
+
+    /** Loses power, and cancels the planned crash and failure. */
     void crash() {
-        mSyncsUntilCrash = NEVER;
-        mSyncsUntilFailure = NEVER;
-        if (mRandom.nextBoolean()) {
-            mNames = new HashMap<>(mSyncedNames);
-        }
+        killed();
+        boolean areAllLost = mRandom.nextInt(4) == 0;
         Map<String, Content> kept = new HashMap<>();
-        mNames.forEach((name, content) -> kept.put(name, contentAfterCrash(content)));
+        Set<String> names = new HashSet<>(mNames.keySet());
+        names.addAll(mSyncedNames.keySet());
+        for (String name : names) {
+            boolean isChangeKept = !areAllLost && mRandom.nextBoolean();
+            Content content = (isChangeKept ? mNames : mSyncedNames).get(name);
+            if (content != null) {
+                kept.put(name, Content.ofSynced(bytesAfterCrash(content, areAllLost)));
+            }
+        }
         mNames = kept;
         mSyncedNames = new HashMap<>(kept);
     }
 
+    /** Cancels the planned crash and failure; the files stay as the killed process left them. */
+    void killed() {
+        mSyncsUntilCrash = NEVER;
+        mSyncsUntilFailure = NEVER;
+    }
+
     /** Returns a copy in which everything is synced. */
     MemoryFolder copy() {
         MemoryFolder copy = new MemoryFolder(mRandom);
-        mNames.forEach((name, content) -> copy.mNames.put(name, syncedCopyOf(content)));
+        mNames.forEach((name, content) -> copy.mNames.put(name, Content.ofSynced(content.mBytes)));
         copy.mSyncedNames = new HashMap<>(copy.mNames);
         return copy;
     }
@@ -92,10 +135,10 @@
                     if (!name.startsWith(prefix)) {
                         return content;
                     }
-                    byte[] bytes = content.mBytes.toByteArray();
+                    byte[] bytes = content.mBytes.clone();
                     int at = offset < 0 ? bytes.length + offset : offset;
                     bytes[at] ^= 0x55;
-                    return contentOf(bytes, bytes.length);
+                    return Content.ofSynced(bytes);
                 });
     }
 
@@ -106,22 +149,23 @@
 
     @Override
     public byte[] read(String name) throws IOException {
-        return contentOf(name).mBytes.toByteArray();
+        return contentOf(name).mBytes.clone();
     }
 
     @Override
-    public LogFile create(String name) {
-        Content content = new Content();
+    public LogFile create(String name) throws IOException {
+        failIfFull();
+        Content content = new Content(new byte[0], new byte[0]);
         mNames.put(name, content);
         return new MemoryFile(content);
     }
 
     @Override
-    public LogFile openAt(String name, long length) throws IOException {
-        byte[] kept = Arrays.copyOf(contentOf(name).mBytes.toByteArray(), (int) length);
-        Content content = contentOf(kept, kept.length);
-        mNames.put(name, content);
-        mSyncedNames.put(name, content);
+    public LogFile openAt(String name, long writtenAgainFrom, long length) throws IOException {
+        Content content = contentOf(name);
+        content.truncate((int) length);
+        content.mDroppedTo = (int) Math.min(content.mDroppedTo, writtenAgainFrom);
+        syncContent(content);
         return new MemoryFile(content);
     }
 
@@ -138,7 +182,7 @@
 
     @Override
     public void sync() throws IOException {
-        syncContent(null);
+        countSync();
         mSyncedNames = new HashMap<>(mNames);
     }
 
@@ -153,41 +197,82 @@
         return content;
     }
 
-    private static Content contentOf(byte[] bytes, int synced) {
-        Content content = new Content();
-        content.mBytes.write(bytes, 0, bytes.length);
-        content.mSynced = synced;
-        return content;
+    private void failIfFull() throws IOException {
+        if (mIsFull) {
+            throw new IOException(INJECTED + "the disk is full");
+        }
     }
 
-    private static Content syncedCopyOf(Content content) {
-        byte[] bytes = content.mBytes.toByteArray();
-        return contentOf(bytes, bytes.length);
+    private byte[] bytesAfterCrash(Content content, boolean areAllLost) {
+        byte[] bytes = content.mBytes;
+        byte[] synced = content.mSynced;
+        boolean isTruncated = bytes.length < synced.length;
+        byte[] left;
+        if (areAllLost || (isTruncated && mRandom.nextBoolean())) {
+            left = synced.clone();
+        } else if (isTruncated) {
+            left = bytes.clone();
+        } else {
+            left = withPartOfLaterWrites(bytes, synced.length);
+        }
+        return withoutDropped(left, content);
+    }
+
+    private byte[] withPartOfLaterWrites(byte[] bytes, int synced) {
+        int later = bytes.length - synced;
+        if (later == 0 || mRandom.nextInt(4) == 0) {
+            return bytes.clone();
+        }
+        byte[] left = Arrays.copyOf(bytes, synced + mRandom.nextInt(later + 1));
+        if (left.length > synced) {
+            int from = synced + mRandom.nextInt(left.length - synced);
+            switch (mRandom.nextInt(3)) {
+                case 0 -> left[from] ^= 0x55;
+                case 1 ->
+                        Arrays.fill(
+                                left,
+                                from,
+                                from + mRandom.nextInt(left.length - from + 1),
+                                (byte) 0);
+                default -> {}
+            }
+        }
+        return left;
     }
 
-    private Content contentAfterCrash(Content content) {
-        byte[] bytes = content.mBytes.toByteArray();
-        int synced = Math.min(content.mSynced, content.mLostFrom);
-        int kept = synced + (synced < bytes.length ? mRandom.nextInt(bytes.length - synced) : 0);
-        byte[] left = Arrays.copyOf(bytes, kept);
-        if (kept > synced && mRandom.nextBoolean()) {
-            left[synced + mRandom.nextInt(kept - synced)] ^= 0x55;
+    private byte[] withoutDropped(byte[] bytes, Content content) {
+        int to = Math.min(content.mDroppedTo, bytes.length);
+        if (content.mDroppedFrom >= to || mRandom.nextBoolean()) {
+            return bytes;
+        }
+        if (to == bytes.length) {
+            return Arrays.copyOf(bytes, content.mDroppedFrom);
         }
-        return contentOf(left, kept);
+        Arrays.fill(bytes, content.mDroppedFrom, to, (byte) 0);
+        return bytes;
     }
 
     private void syncContent(Content content) throws IOException {
-        if (mSyncsUntilFailure >= 0 && mSyncsUntilFailure-- == 0) {
-            if (content != null) {
-                content.mLostFrom = Math.min(content.mLostFrom, content.mSynced);
+        boolean isKeptByCrash = mRandom.nextBoolean();
+        try {
+            countSync();
+        } catch (IOException e) {
+            content.syncFailed();
+            throw e;
+        } catch (Crash e) {
+            if (isKeptByCrash) {
+                content.mSynced = content.mBytes;
             }
-            throw new IOException(INJECTED + "sync failed");
+            throw e;
         }
-        boolean isCrash = mSyncsUntilCrash >= 0 && mSyncsUntilCrash-- == 0;
-        if (content != null && (!isCrash || mRandom.nextBoolean())) {
-            content.mSynced = content.mBytes.size();
+        content.mSynced = content.mBytes;
+    }
+
+    private void countSync() throws IOException {
+        if (mSyncsUntilFailure >= 0 && mSyncsUntilFailure-- == 0) {
+            throw new IOException(INJECTED + "sync failed");
         }
-        if (isCrash) {
+        if (mSyncsUntilCrash >= 0 && mSyncsUntilCrash-- == 0) {
             throw new Crash();
         }
     }
@@ -200,15 +285,14 @@
         }
 
         @Override
-        public int write(ByteBuffer bytes) {
+        public int write(ByteBuffer bytes) throws IOException {
             int maxLength = bytes.remaining();
-            int length =
-                    mAreWritesShort && maxLength > 1
-                            ? 1 + mRandom.nextInt(maxLength - 1)
-                            : maxLength;
+            boolean isShort = mAreWritesShort || mIsFull;
+            int length = isShort && maxLength > 1 ? 1 + mRandom.nextInt(maxLength - 1) : maxLength;
             byte[] part = new byte[length];
             bytes.get(part);
-            mContent.mBytes.write(part, 0, length);
+            mContent.append(part);
+            failIfFull();
             return length;
         }
 
--- a/daemon/src/test/java/org/sequoiahill/daemon/process/log/SimulatedGroup.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/process/log/SimulatedGroup.java
@@ -37,6 +37,16 @@
     private double mLoss;
     private double mDuplication;
     private int mMaxDelayMillis = 5;
+    private Optional<Moment> mPlannedMoment = Optional.empty();
+    private Runnable mPlannedFault = () -> {};
+    private boolean mIsFaultDue;
+
+    /** An event of a store, right after which a planned fault happens. */
+    enum Moment {
+        ACKNOWLEDGED,
+        APPLIED,
+        INSTALLED
+    }
 
     SimulatedGroup(int seedStores, int stores, RandomGenerator random) {
         this(seedStores, stores, random, VoterPolicy.manual());
@@ -106,6 +116,45 @@
         }
     }
 
+    /** Opens the folder of a stopped store again; the store stays stopped if that fails. */
+    void reopen(String vm) {
+        try {
+            mStores.get(vm).reopen(mNow);
+        } catch (MemoryFolder.Crash e) {
+            mStores.get(vm).kill();
+        } catch (IOException e) {
+            if (!String.valueOf(e.getMessage()).startsWith(MemoryFolder.INJECTED)) {
+                throw new AssertionError(vm + " can't be reopened at " + mNow + " ms", e);
+            }
+        }
+    }
+
+    /** Plans a fault right after the next event of a kind, before any other store runs. */
+    void planFault(Moment moment, Runnable fault) {
+        mPlannedMoment = Optional.of(moment);
+        mPlannedFault = fault;
+    }
+
+    /** Cuts the power of a store while it stores what the messages on their way to it cause. */
+    void cutPowerDuringStep(String vm, int syncs) {
+        SimulatedStore store = mStores.get(vm);
+        if (store.isRunning(mNow) && !store.isStopped()) {
+            List<Message> messages =
+                    mNetwork.stream()
+                            .map(Delivery::message)
+                            .filter(message -> message.to().vm().equals(vm))
+                            .toList();
+            store.folder().crashAfterSyncs(syncs);
+            store.step(messages, mNow, this);
+        }
+        store.kill();
+    }
+
+    /** Drops all messages on their way. */
+    void dropMessages() {
+        mNetwork.clear();
+    }
+
     Optional<SimulatedStore> leader() {
         return stores().stream()
                 .filter(store -> store.isRunning(mNow))
@@ -150,12 +199,25 @@
             if (store.isRunning(mNow)) {
                 send(store.step(due.getOrDefault(store.vm(), List.of()), mNow, this));
                 check(store);
+                if (mIsFaultDue) {
+                    mIsFaultDue = false;
+                    mPlannedFault.run();
+                    return;
+                }
             }
         }
     }
 
+    private void reached(Moment moment) {
+        if (mPlannedMoment.equals(Optional.of(moment))) {
+            mPlannedMoment = Optional.empty();
+            mIsFaultDue = true;
+        }
+    }
+
     @Override
     public void committed(SimulatedStore store, Entry entry, long digest) {
+        reached(Moment.APPLIED);
         Long term = mCommittedTerms.putIfAbsent(entry.index(), entry.term());
         verify(term == null || term == entry.term(), store, "changed entry " + entry.index());
         applied(store, entry.index(), digest);
@@ -166,11 +228,13 @@
 
     @Override
     public void installed(SimulatedStore store, long index, long digest) {
+        reached(Moment.INSTALLED);
         applied(store, index, digest);
     }
 
     @Override
     public void acknowledged(long index) {
+        reached(Moment.ACKNOWLEDGED);
         mAcknowledged = Math.max(mAcknowledged, index);
     }
 
@@ -187,16 +251,16 @@
 
     /** Ends all faults, and checks that the group commits again and all voters catch up. */
     void healAndVerify() {
+        mPlannedMoment = Optional.empty();
+        mIsFaultDue = false;
         healNetwork();
         for (SimulatedStore store : stores()) {
             store.freeze(0);
-            boolean isStopped =
-                    store.core().filter(core -> core.role() == LogRole.STOPPED).isPresent();
-            if (isStopped) {
+            store.folder().fill(false);
+            if (store.isStopped()) {
                 store.kill();
             }
-            store.folder().crashAfterSyncs(-1);
-            store.folder().failAfterSyncs(-1);
+            store.folder().killed();
         }
         startAll();
         long before = mAcknowledged;
--- a/daemon/src/test/java/org/sequoiahill/daemon/process/log/SimulatedStore.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/process/log/SimulatedStore.java
@@ -26,9 +26,11 @@
     private final Map<Long, Long> mReads = new HashMap<>();
     private final VoterPolicy mVoterPolicy;
     private boolean mIsBootstrapForbidden;
+    private boolean mHasLostDisk;
     private MemoryFolder mFolder;
     private Optional<LogCore> mCore = Optional.empty();
     private LogStorage mStorage;
+    private Optional<StoreId> mJoinedAs = Optional.empty();
     private long mNextIncarnation = 1;
     private long mFrozenUntil;
     private long mSuspendedMillis;
@@ -130,12 +132,34 @@
         mFrozenUntil = 0;
     }
 
-    /** Kills the process; the folder loses a random part of what was not synced. */
+    /** Cuts the power; the folder loses a random part of what was not synced. */
     void kill() {
+        endProcess();
+        mFolder.crash();
+    }
+
+    /** Kills the process; the folder keeps what was written. */
+    void killProcess() {
+        endProcess();
+        mFolder.killed();
+    }
+
+    private void endProcess() {
         mCore = Optional.empty();
         mProposals.clear();
         mReads.clear();
-        mFolder.crash();
+    }
+
+    /** Opens the folder of a stopped core again, in the same process. */
+    void reopen(long now) throws IOException {
+        mFolder.killed();
+        mProposals.clear();
+        mReads.clear();
+        start(now);
+    }
+
+    boolean isStopped() {
+        return mCore.filter(core -> core.role() == LogRole.STOPPED).isPresent();
     }
 
     void loseDisk() {
@@ -144,6 +168,18 @@
         // manual one it may.
         mIsBootstrapForbidden = mVoterPolicy.isAutomatic();
         mFolder = new MemoryFolder(mRandom);
+        mJoinedAs = Optional.empty();
+        mHasLostDisk = true;
+    }
+
+    /** Returns whether this store has lost its disk and has not joined the group again. */
+    boolean isRejoining() {
+        return mHasLostDisk && mJoinedAs.isEmpty();
+    }
+
+    /** Returns as which member the disk of this store belongs to the group, if it does. */
+    Optional<StoreId> joinedAs() {
+        return mJoinedAs;
     }
 
     void propose(long payload, long now) {
@@ -175,6 +211,9 @@
             kill();
             return List.of();
         }
+        if (!core.log().isUninitialised()) {
+            mJoinedAs = Optional.of(core.self());
+        }
         outputs.installedSnapshot().ifPresent(snapshot -> install(snapshot, observer));
         outputs.committed().forEach(entry -> apply(entry, observer));
         outputs.readyReads().forEach(id -> observer.readAnswered(this, mReads.remove(id)));
