Sync the names of a log's folders each time they are opened

What callers saw: nothing yet; in a test the whole log of a store, with all that it had acknowledged, could be lost with the power.

Cause: a folder's name was synced only by the process that created the folder. One that was killed between the two left a folder that the next process found and used; its own syncs don't cover the names above.

Change: the names below the data folder are synced at each opening, whether or not the folder exists.

--- a/daemon/src/main/java/org/sequoiahill/daemon/process/FleetStoreRole.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/FleetStoreRole.java
@@ -105,7 +105,7 @@
                         random.nextLong(1, Long.MAX_VALUE));
         FleetStateMachine machine = FleetStateMachine.of(state -> mRegistry.wakeWaitingReaders());
         StoreRuntime runtime = new StoreRuntime(clock, time, random, traffic, STORE_TIMEOUTS);
-        Path folder = settings.dataFolder().orElseThrow().resolve("log").resolve(GROUP);
+        Path dataFolder = settings.dataFolder().orElseThrow();
         try {
             mLog =
                     FleetLog.open(
@@ -115,11 +115,11 @@
                                             ServiceStub.LOG_CONFIG,
                                             machine,
                                             settings.vm(),
-                                            folder,
+                                            dataFolder,
                                             identity,
                                             runtime));
         } catch (IOException e) {
-            throw new UncheckedIOException("the log in " + folder + " can't be opened", e);
+            throw new UncheckedIOException("the log in " + dataFolder + " can't be opened", e);
         }
         mPauses = PauseDetector.of(clock, time);
         mStore = FleetStore.of(identity, mLog, machine, client, mPauses);
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/log/DiskFolder.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/log/DiskFolder.java
@@ -26,12 +26,23 @@
     }
 
     /**
-     * Opens a folder; creates it if it doesn't exist.
+     * Opens a folder at or below a data folder; creates what doesn't exist.
      *
+     * <p>Syncs the names of the folders below the data folder even if they exist: the process that
+     * created them may have been killed before it did.
+     *
+     * @param names names of the folders on the way from the data folder
      * @throws IOException if it can't be created or is open already, in this or another process
      */
-    public static DiskFolder open(Path path) throws IOException {
-        createDurably(path.toAbsolutePath());
+    public static DiskFolder open(Path dataFolder, String... names) throws IOException {
+        createDurably(dataFolder.toAbsolutePath());
+        Path path = dataFolder;
+        for (String name : names) {
+            Path parent = path;
+            path = parent.resolve(name);
+            Files.createDirectories(path);
+            syncFolder(parent);
+        }
         FileChannel lock =
                 FileChannel.open(
                         path.resolve(LOCK_NAME),
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/log/StoreGroup.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/log/StoreGroup.java
@@ -26,6 +26,9 @@
 
 /** A replicated group on a store VM, with its own log, files, threads and connections. */
 public final class StoreGroup {
+    /** Folder below the data folder that holds a folder for each group. */
+    private static final String LOG_FOLDER = "log";
+
     private static final int MAX_THREADS = 16;
     private static final long IDLE_SECONDS = 60;
 
@@ -78,7 +81,7 @@
      *
      * @param options configuration of the group
      * @param vm name of this VM in the group
-     * @param folder folder of the group's files
+     * @param dataFolder folder of the daemon's files
      * @param runtime clocks, randomness and connections
      * @throws IOException if the folder can't be read, belongs to another VM or group, or is
      *     damaged
@@ -88,7 +91,7 @@
             ServiceStub<Log.Client> stub,
             StateMachine stateMachine,
             String vm,
-            Path folder,
+            Path dataFolder,
             Identity identity,
             StoreRuntime runtime)
             throws IOException {
@@ -101,7 +104,7 @@
         ThriftTransport transport = ThriftTransport.over(identity, stub, client, Map.of());
         LogStorage storage =
                 LogStorage.open(
-                        DiskFolder.open(folder),
+                        DiskFolder.open(dataFolder, LOG_FOLDER, group),
                         vm,
                         group,
                         Math.max(1, runtime.wallClock().millis()));
@@ -144,12 +147,14 @@
 
     private static LogStorage openStorage(
             String group, DaemonSettings settings, InstantSource wallClock) {
-        Path folder = settings.dataFolder().resolve("log").resolve(group);
         try {
             return LogStorage.open(
-                    DiskFolder.open(folder), settings.vm(), group, Math.max(1, wallClock.millis()));
+                    DiskFolder.open(settings.dataFolder(), LOG_FOLDER, group),
+                    settings.vm(),
+                    group,
+                    Math.max(1, wallClock.millis()));
         } catch (IOException e) {
-            throw new UncheckedIOException("the log in " + folder + " can't be opened", e);
+            throw new UncheckedIOException("the log of group " + group + " can't be opened", e);
         }
     }
 
--- a/daemon/src/test/java/org/sequoiahill/daemon/process/fleet/FleetLogTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/process/fleet/FleetLogTest.java
@@ -77,7 +77,7 @@
             throw new UncheckedIOException(new IOException("the disk is broken"));
         }
         // A folder in place of the new identity file fails its creation, as a full disk does.
-        Path obstacle = mFolder.resolve("new-identity");
+        Path obstacle = mFolder.resolve("log").resolve("fleet").resolve("new-identity");
         Files.deleteIfExists(obstacle);
         if (mDisk.equals("full")) {
             Files.createDirectory(obstacle);
