A deregistration names the start of the endpoint that it ends

Cause: the body of the call, which says the start, was ignored. The store told readers of the id alone, and FeedMirror kept the id as gone until it read the feed anew. In the other direction a late heartbeat made the endpoint ready again at a store that held the id alone.

Change: the start is read and relayed. It ends that start and earlier ones; a store that does not know it holds it for one lease beside the endpoint's record, and readers forget it with the store. Starts that have left are remembered exactly at stores too. Without a start the store's wall clock decides. No field on the wire is new.

Why it works: a later start is never covered by the start that a deregistration names, and an earlier or equal one always is, in any order.

--- a/daemon/src/main/java/org/sequoiahill/daemon/process/FleetStoreRole.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/FleetStoreRole.java
@@ -100,6 +100,7 @@
         mRegistry =
                 EndpointRegistry.of(
                         clock,
+                        time,
                         settings.limits().heartbeatInterval().multipliedBy(MISSED_HEARTBEATS),
                         PARTICIPANT_LEASE,
                         random.nextLong(1, Long.MAX_VALUE));
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/endpoints/EndpointInfo.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/endpoints/EndpointInfo.java
@@ -61,6 +61,9 @@
     }
 
     EndpointInfo withState(EndpointState newState) {
+        if (newState == state) {
+            return this;
+        }
         return new EndpointInfo(
                 id,
                 startedAt,
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/endpoints/EndpointMerge.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/endpoints/EndpointMerge.java
@@ -3,12 +3,10 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import org.sequoiahill.daemon.process.settings.HostPort;
+import org.sequoiahill.protocol.gen.EndpointReport;
 import org.sequoiahill.protocol.gen.EndpointState;
 import org.sequoiahill.protocol.gen.Participant;
 
@@ -16,43 +14,38 @@
  * Merges what several stores know about endpoints and daemons.
  *
  * <p>For one endpoint the latest start wins, and within one start the latest report. Once a start
- * is known to be leaving it stays so, even if a store that missed this reports it as ready. An
- * endpoint is gone if a store that knows only its id reports this. If several endpoints have the
- * same address, the one that started last wins.
+ * is known to be leaving it stays so, even if a store that missed this reports it as ready; an
+ * unknown start, only while a store holds it as leaving. A store that does not know an endpoint may
+ * hold the start up to which it has gone: no start up to that one is used meanwhile. If several
+ * endpoints have the same address, the one that started last wins.
  */
 public final class EndpointMerge {
-    private static final int MAX_LEAVING = 10_000;
-
-    private final Map<Start, EndpointState> mLeavingStates =
-            new LinkedHashMap<>() {
-                private static final long serialVersionUID = 1;
-
-                @Override
-                protected boolean removeEldestEntry(Map.Entry<Start, EndpointState> eldest) {
-                    return size() > MAX_LEAVING;
-                }
-            };
-
-    private record Start(String id, long startedAt) {}
+    private final LeavingStarts mLeaving = new LeavingStarts();
 
     /** Returns the endpoints, including leaving ones. */
     public List<EndpointInfo> endpoints(Collection<FeedMirror> mirrors) {
         Map<String, EndpointInfo> byId = new HashMap<>();
-        Set<String> goneIds = new HashSet<>();
+        Map<String, Long> goneUpTo = new HashMap<>();
         for (FeedMirror mirror : mirrors) {
             for (EndpointInfo endpoint : mirror.endpoints()) {
-                recordLeaving(endpoint);
+                mLeaving.record(endpoint.id(), endpoint.startedAt(), endpoint.state());
                 byId.merge(endpoint.id(), endpoint, EndpointMerge::later);
             }
-            mirror.goneIds().forEach(goneIds::add);
+            for (EndpointReport gone : mirror.gone()) {
+                mLeaving.record(gone.getId(), gone.getStartedAt(), EndpointState.GONE);
+                goneUpTo.merge(gone.getId(), lastStart(gone), Math::max);
+            }
         }
         Map<HostPort, EndpointInfo> byAddress = new HashMap<>();
         for (EndpointInfo endpoint : byId.values()) {
+            boolean isGone = endpoint.startedAt() <= goneUpTo.getOrDefault(endpoint.id(), -1L);
             EndpointState state =
-                    goneIds.contains(endpoint.id()) ? EndpointState.GONE : latestState(endpoint);
-            EndpointInfo resolved =
-                    state == endpoint.state() ? endpoint : endpoint.withState(state);
-            byAddress.merge(resolved.address(), resolved, EndpointMerge::lastStarted);
+                    isGone
+                            ? EndpointState.GONE
+                            : mLeaving.latest(
+                                    endpoint.id(), endpoint.startedAt(), endpoint.state());
+            byAddress.merge(
+                    endpoint.address(), endpoint.withState(state), EndpointMerge::lastStarted);
         }
         return new ArrayList<>(byAddress.values());
     }
@@ -68,25 +61,20 @@
         return new ArrayList<>(byVm.values());
     }
 
-    private void recordLeaving(EndpointInfo endpoint) {
-        if (!endpoint.isReady()) {
-            mLeavingStates.merge(
-                    new Start(endpoint.id(), endpoint.startedAt()),
-                    endpoint.state(),
-                    (a, b) -> a.getValue() >= b.getValue() ? a : b);
-        }
-    }
-
-    private EndpointState latestState(EndpointInfo endpoint) {
-        return mLeavingStates.getOrDefault(
-                new Start(endpoint.id(), endpoint.startedAt()), endpoint.state());
+    /**
+     * Returns the last start that a report without an address ends; stores of older releases name
+     * none.
+     */
+    private static long lastStart(EndpointReport gone) {
+        return gone.getStartedAt() > 0 ? gone.getStartedAt() : Long.MAX_VALUE;
     }
 
     private static EndpointInfo later(EndpointInfo a, EndpointInfo b) {
         if (a.startedAt() != b.startedAt()) {
             return a.startedAt() > b.startedAt() ? a : b;
         }
-        return a.sequence() >= b.sequence() ? a : b;
+        EndpointInfo latest = a.sequence() >= b.sequence() ? a : b;
+        return latest.withState(LeavingStarts.latest(a.state(), b.state()));
     }
 
     private static EndpointInfo lastStarted(EndpointInfo a, EndpointInfo b) {
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/endpoints/EndpointRegistry.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/endpoints/EndpointRegistry.java
@@ -1,6 +1,7 @@
 package org.sequoiahill.daemon.process.endpoints;
 
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
@@ -8,6 +9,7 @@
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.BooleanSupplier;
 import java.util.function.UnaryOperator;
+import org.jspecify.annotations.Nullable;
 import org.sequoiahill.daemon.process.time.MonotonicClock;
 import org.sequoiahill.protocol.gen.EndpointReport;
 import org.sequoiahill.protocol.gen.EndpointState;
@@ -22,7 +24,9 @@
  * <p>The state is soft: an endpoint or daemon that sends no report for the duration of its lease is
  * dropped, and after a restart the registry is complete again within one heartbeat. Reports of one
  * start of an endpoint are ordered by sequence number, and an endpoint that has reported that it is
- * leaving never becomes ready again within the same start.
+ * leaving never becomes ready again within the same start. A deregistration names the start that it
+ * ends; a later start of the endpoint is not affected. Reports without a start can't be told from
+ * those of a later one: leaving then lasts for one lease.
  *
  * <p>A report that is not newer than the one held changes nothing and does not renew the lease. So
  * a wrong report with a start or sequence number far ahead is in force for one lease at most.
@@ -39,6 +43,7 @@
     private static final long COLD_TOLERANCE_MILLIS = 500;
 
     private final MonotonicClock mClock;
+    private final InstantSource mWallClock;
     private final Duration mEndpointLease;
     private final Duration mParticipantLease;
     private final long mFeedId;
@@ -50,11 +55,21 @@
 
     private final ChangeFeed mFeed = ChangeFeed.withTombstones(MAX_TOMBSTONES);
     private final Map<String, Received<EndpointReport>> mEndpoints = new HashMap<>();
+
+    /** Deregistrations that end later starts than this store knows; the last one of each id. */
+    private final Map<String, Received<EndpointReport>> mGone = new HashMap<>();
+
+    private final LeavingStarts mLeaving = new LeavingStarts();
     private final Map<String, Received<Participant>> mParticipants = new HashMap<>();
 
     private EndpointRegistry(
-            MonotonicClock clock, Duration endpointLease, Duration participantLease, long feedId) {
+            MonotonicClock clock,
+            InstantSource wallClock,
+            Duration endpointLease,
+            Duration participantLease,
+            long feedId) {
         mClock = clock;
+        mWallClock = wallClock;
         mEndpointLease = endpointLease;
         mParticipantLease = participantLease;
         mFeedId = feedId;
@@ -63,13 +78,18 @@
     /**
      * Returns an empty registry.
      *
+     * @param wallClock clock that the starts of endpoints are compared with if they name none
      * @param endpointLease time without a report after which an endpoint is dropped
      * @param participantLease time without a report after which a daemon is dropped
      * @param feedId id that distinguishes this registry's feed from those before a restart
      */
     public static EndpointRegistry of(
-            MonotonicClock clock, Duration endpointLease, Duration participantLease, long feedId) {
-        return new EndpointRegistry(clock, endpointLease, participantLease, feedId);
+            MonotonicClock clock,
+            InstantSource wallClock,
+            Duration endpointLease,
+            Duration participantLease,
+            long feedId) {
+        return new EndpointRegistry(clock, wallClock, endpointLease, participantLease, feedId);
     }
 
     private record Received<T>(T value, Duration at) {}
@@ -83,24 +103,73 @@
     public boolean report(EndpointReport report) {
         mLock.lock();
         try {
-            Received<EndpointReport> before = mEndpoints.get(report.getId());
-            if (before != null && isOutdated(report, before.value())) {
-                return false;
-            }
-            EndpointReport merged = before == null ? report : merge(before.value(), report);
-            mEndpoints.put(report.getId(), new Received<>(merged, mClock.now()));
-            if (before == null || isChange(before, merged)) {
-                publish(merged);
-            }
-            boolean wasLeaving = before != null && isLeaving(before.value());
-            return isLeaving(merged) && !wasLeaving;
+            return report.getState() == EndpointState.GONE
+                    ? recordGone(report)
+                    : recordReport(report);
         } finally {
             mLock.unlock();
         }
     }
 
-    /** Returns a report that an endpoint has gone; for an unknown endpoint it holds only the id. */
-    public EndpointReport goneReport(String id) {
+    private boolean recordReport(EndpointReport report) {
+        Received<EndpointReport> gone = mGone.get(report.getId());
+        if (gone != null && report.getStartedAt() < gone.value().getStartedAt()) {
+            Logger.info(
+                    "ignored a report of endpoint {}: its start {} is before {}, up to which it has"
+                            + " gone",
+                    report.getId(),
+                    report.getStartedAt(),
+                    gone.value().getStartedAt());
+            return false;
+        }
+        Received<EndpointReport> before = mEndpoints.get(report.getId());
+        if (before != null && isOutdated(report, before.value())) {
+            return false;
+        }
+        EndpointReport merged = before == null ? report : merge(before.value(), report);
+        mLeaving.record(merged.getId(), merged.getStartedAt(), merged.getState());
+        EndpointState state =
+                mLeaving.latest(merged.getId(), merged.getStartedAt(), merged.getState());
+        hold(before, state == merged.getState() ? merged : merged.deepCopy().setState(state));
+        boolean wasLeaving = before != null && isLeaving(before.value());
+        return isLeaving(report) && !wasLeaving;
+    }
+
+    private boolean recordGone(EndpointReport report) {
+        String id = report.getId();
+        // Stores of older releases may name no start.
+        long lastStart = lastStart(id, report.getStartedAt());
+        mLeaving.record(id, report.getStartedAt(), EndpointState.GONE);
+        Received<EndpointReport> known = mEndpoints.get(id);
+        if (known != null && known.value().getStartedAt() <= lastStart) {
+            mLeaving.record(id, known.value().getStartedAt(), EndpointState.GONE);
+            hold(known, known.value().deepCopy().setState(EndpointState.GONE));
+        }
+        boolean isNewer = known == null || known.value().getStartedAt() < lastStart;
+        Received<EndpointReport> gone = mGone.get(id);
+        if (isNewer && (gone == null || gone.value().getStartedAt() < lastStart)) {
+            EndpointReport held = report.deepCopy().setStartedAt(lastStart);
+            mGone.put(id, new Received<>(held, mClock.now()));
+            publish(FeedKeys.gone(id), held);
+        }
+        return true;
+    }
+
+    private void hold(@Nullable Received<EndpointReport> before, EndpointReport report) {
+        mEndpoints.put(report.getId(), new Received<>(report, mClock.now()));
+        if (before == null || isChange(before, report)) {
+            publish(FeedKeys.endpoint(report.getId()), report);
+        }
+    }
+
+    /**
+     * Returns a report that an endpoint has gone, which ends all of its starts up to the one that
+     * the report names; without an address if this store does not know the endpoint.
+     *
+     * @param startedAt the start that has gone in Unix milliseconds; 0 if unknown, then all starts
+     *     until now by this store's clock have gone
+     */
+    public EndpointReport goneReport(String id, long startedAt) {
         mLock.lock();
         try {
             Received<EndpointReport> known = mEndpoints.get(id);
@@ -114,13 +183,22 @@
                                     .setSoftware("")
                                     .setVersions(Map.of())
                             : known.value().deepCopy();
-            report.setState(EndpointState.GONE);
-            return report;
+            return report.setStartedAt(lastStart(id, startedAt)).setState(EndpointState.GONE);
         } finally {
             mLock.unlock();
         }
     }
 
+    /** Returns the last start that a deregistration ends, from the start that it names or 0. */
+    private long lastStart(String id, long named) {
+        if (named > 0) {
+            return named;
+        }
+        Received<EndpointReport> known = mEndpoints.get(id);
+        long now = mWallClock.millis();
+        return known == null ? now : Math.max(now, known.value().getStartedAt());
+    }
+
     /** Records what a daemon reports about itself. */
     public void recordParticipant(Participant participant) {
         mLock.lock();
@@ -144,6 +222,7 @@
         mLock.lock();
         try {
             boolean isEndpointGone = expire(mEndpoints, mEndpointLease, FeedKeys::endpoint);
+            isEndpointGone |= expire(mGone, mEndpointLease, FeedKeys::gone);
             boolean isDaemonGone = expire(mParticipants, mParticipantLease, FeedKeys::participant);
             if (isEndpointGone || isDaemonGone) {
                 mChanged.signalAll();
@@ -227,8 +306,10 @@
 
     /** Returns whether a report is not newer than the one held. */
     private static boolean isOutdated(EndpointReport report, EndpointReport known) {
-        if (report.getState() == EndpointState.GONE) {
-            return report.getStartedAt() < known.getStartedAt() && report.getStartedAt() > 0;
+        boolean isStartUnknown = report.getStartedAt() == 0 && known.getStartedAt() == 0;
+        if (isStartUnknown && isLeaving(known) && !isLeaving(report)) {
+            // It may be a later start: the lease is not renewed, so that it counts after the lease.
+            return true;
         }
         if (report.getStartedAt() != known.getStartedAt()) {
             return report.getStartedAt() < known.getStartedAt();
@@ -238,9 +319,6 @@
 
     /** Returns what is known after a report that is newer than the one held. */
     private static EndpointReport merge(EndpointReport known, EndpointReport report) {
-        if (report.getState() == EndpointState.GONE) {
-            return known.deepCopy().setState(EndpointState.GONE);
-        }
         boolean isSameStart = report.getStartedAt() == known.getStartedAt();
         if (isSameStart && known.getState().getValue() > report.getState().getValue()) {
             return report.deepCopy().setState(known.getState());
@@ -264,8 +342,8 @@
                 || !known.getVersions().equals(after.getVersions());
     }
 
-    private void publish(EndpointReport report) {
-        mFeed.put(new FeedItem().setKey(FeedKeys.endpoint(report.getId())).setEndpoint(report));
+    private void publish(String key, EndpointReport report) {
+        mFeed.put(new FeedItem().setKey(key).setEndpoint(report));
         mChanged.signalAll();
         Logger.info(
                 "endpoint {} of {} at {} is {}, cold for {} ms, versions {}, start {}, report {}",
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/endpoints/EndpointReportCheck.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/endpoints/EndpointReportCheck.java
@@ -40,7 +40,8 @@
                 : Optional.of("start, sequence and versions must be from 0 to " + MAX_INTEGER);
     }
 
-    private static boolean isPossible(long value) {
+    /** Returns whether a start, sequence number or version is possible. */
+    public static boolean isPossible(long value) {
         return value >= 0 && value <= MAX_INTEGER;
     }
 }
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/endpoints/FeedKeys.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/endpoints/FeedKeys.java
@@ -1,8 +1,9 @@
 package org.sequoiahill.daemon.process.endpoints;
 
-/** Keys of feed items; endpoints and daemons, which the feed calls participants, share one feed. */
+/** Keys of feed items; endpoints, gone ones, and daemons (participants) share one feed. */
 final class FeedKeys {
     private static final String ENDPOINT = "e/";
+    private static final String GONE = "g/";
     private static final String PARTICIPANT = "p/";
 
     private FeedKeys() {}
@@ -11,6 +12,11 @@
         return ENDPOINT + id;
     }
 
+    /** Returns the key of a deregistration that ends a later start than the store knows. */
+    static String gone(String id) {
+        return GONE + id;
+    }
+
     static String participant(String vm) {
         return PARTICIPANT + vm;
     }
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/endpoints/FeedMirror.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/endpoints/FeedMirror.java
@@ -13,7 +13,7 @@
 /** A reader's copy of one store's feed. Not thread-safe. */
 public final class FeedMirror {
     private final Map<String, EndpointInfo> mEndpoints = new HashMap<>();
-    private final Map<String, EndpointReport> mGoneById = new HashMap<>();
+    private final Map<String, EndpointReport> mGone = new HashMap<>();
     private final Map<String, Participant> mParticipants = new HashMap<>();
     private long mFeed;
     private long mChange;
@@ -36,7 +36,7 @@
     public boolean apply(WatchReply reply, Duration now) {
         boolean isChanged = !reply.getItems().isEmpty();
         if (reply.isWhole()) {
-            isChanged |= !mEndpoints.isEmpty() || !mParticipants.isEmpty();
+            isChanged |= !mEndpoints.isEmpty() || !mGone.isEmpty() || !mParticipants.isEmpty();
             clear();
         }
         mFeed = reply.getFeed();
@@ -52,7 +52,7 @@
         mFeed = 0;
         mChange = 0;
         mEndpoints.clear();
-        mGoneById.clear();
+        mGone.clear();
         mParticipants.clear();
     }
 
@@ -60,12 +60,9 @@
         return mEndpoints.values();
     }
 
-    /**
-     * Returns the ids of gone endpoints of which only the id is known; each is kept until the feed
-     * is read completely again.
-     */
-    Iterable<String> goneIds() {
-        return mGoneById.keySet();
+    /** Returns reports of gone endpoints without their addresses, while the store holds them. */
+    Iterable<EndpointReport> gone() {
+        return mGone.values();
     }
 
     Iterable<Participant> participants() {
@@ -74,11 +71,12 @@
 
     private void apply(FeedItem item, Duration now) {
         mEndpoints.remove(item.getKey());
+        mGone.remove(item.getKey());
         mParticipants.remove(item.getKey());
         if (item.isSetEndpoint()) {
             EndpointReport report = item.getEndpoint();
             if (report.getAddress().isEmpty()) {
-                mGoneById.put(report.getId(), report);
+                mGone.put(item.getKey(), report);
                 return;
             }
             Optional<String> fault = EndpointReportCheck.faultOf(report);
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/fleet/EndpointReportReceiver.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/fleet/EndpointReportReceiver.java
@@ -70,9 +70,11 @@
     /**
      * Records that an endpoint has gone and relays this, even if the endpoint was already known to
      * be leaving; completes once it may be acknowledged.
+     *
+     * @param startedAt the start that has gone in Unix milliseconds; 0 if unknown
      */
-    public CompletableFuture<@Nullable Void> deregister(String id) {
-        EndpointReport report = mRegistry.goneReport(id);
+    public CompletableFuture<@Nullable Void> deregister(String id, long startedAt) {
+        EndpointReport report = mRegistry.goneReport(id, startedAt);
         mRegistry.report(report);
         return relay(report);
     }
--- a/daemon/src/test/java/org/sequoiahill/daemon/process/endpoints/EndpointMergeTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/process/endpoints/EndpointMergeTest.java
@@ -68,6 +68,34 @@
         assertThat(endpoints.get(0).state(), is(EndpointState.GONE));
     }
 
+    /**
+     * Guards against an id that stays gone after the store has dropped it or heard a later start.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        // start that the deregistration names, 0 in older releases; later start; whether the item
+        // is dropped, else replaced by a report of the later start
+        "0, 200, true",
+        "0, 200, false",
+        "150, 200, true",
+        "150, 200, false"
+    })
+    void endpoints_goneReportIsDroppedOrReplaced_laterStartIsReady(
+            long gone, long later, boolean isDropped) {
+        EndpointReport without =
+                Reports.ready("e", gone, 0).setAddress("").setState(EndpointState.GONE);
+        FeedMirror a = mirrorOf(without);
+        FeedMirror b = mirrorOf(Reports.ready("e", 100, 5));
+        assertThat(mMerge.endpoints(List.of(a, b)).get(0).state(), is(EndpointState.GONE));
+        FeedItem next = new FeedItem().setKey(FeedKeys.endpoint("e"));
+        WatchReply reply = new WatchReply().setFeed(1).setChange(2);
+        reply.addToItems(
+                isDropped ? next.setDropped(true) : next.setEndpoint(Reports.ready("e", later, 1)));
+        a.apply(reply, Duration.ZERO);
+        FeedMirror c = mirrorOf(Reports.ready("e", later, 2));
+        assertThat(mMerge.endpoints(List.of(a, b, c)).get(0).state(), is(EndpointState.READY));
+    }
+
     private static FeedMirror mirrorOf(EndpointReport... reports) {
         FeedMirror mirror = new FeedMirror();
         WatchReply reply = new WatchReply().setFeed(1).setChange(1).setWhole(true);
--- a/daemon/src/test/java/org/sequoiahill/daemon/process/endpoints/EndpointRegistryTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/process/endpoints/EndpointRegistryTest.java
@@ -6,6 +6,7 @@
 import static org.hamcrest.Matchers.is;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -24,7 +25,8 @@
 
     private final ManualClock mClock = new ManualClock();
     private final EndpointRegistry mRegistry =
-            EndpointRegistry.of(mClock, LEASE, Duration.ofSeconds(4), FEED);
+            EndpointRegistry.of(
+                    mClock, () -> Instant.ofEpochMilli(150), LEASE, Duration.ofSeconds(4), FEED);
 
     @ParameterizedTest
     @CsvSource({
@@ -68,7 +70,7 @@
     @Test
     void goneReport_knownEndpoint_keepsItsStart() {
         mRegistry.report(Reports.ready("e", 100, 5));
-        mRegistry.report(mRegistry.goneReport("e"));
+        mRegistry.report(mRegistry.goneReport("e", 0));
         assertThat(held("e").getState(), is(EndpointState.GONE));
         assertThat(held("e").getStartedAt(), is(100L));
     }
--- a/daemon/src/test/java/org/sequoiahill/daemon/request/direct/SimulatedEntries.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/request/direct/SimulatedEntries.java
@@ -1,6 +1,7 @@
 package org.sequoiahill.daemon.request.direct;
 
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -52,7 +53,13 @@
         mRequests = new int[seconds * STEPS_PER_SECOND + MAX_ARRIVAL_DELAY_STEPS + 1];
         mRetries = new int[mRequests.length];
         for (int i = 0; i < STORES; i++) {
-            mStores.add(EndpointRegistry.of(mClock, PARTICIPANT_LEASE, PARTICIPANT_LEASE, i + 1));
+            mStores.add(
+                    EndpointRegistry.of(
+                            mClock,
+                            InstantSource.system(),
+                            PARTICIPANT_LEASE,
+                            PARTICIPANT_LEASE,
+                            i + 1));
         }
         add(entries);
     }
@@ -107,7 +114,13 @@
             if (which.test(i)) {
                 long feed = mRandom.nextLong(1L << 32);
                 mStores.set(
-                        i, EndpointRegistry.of(mClock, PARTICIPANT_LEASE, PARTICIPANT_LEASE, feed));
+                        i,
+                        EndpointRegistry.of(
+                                mClock,
+                                InstantSource.system(),
+                                PARTICIPANT_LEASE,
+                                PARTICIPANT_LEASE,
+                                feed));
             }
         }
     }
