Handle signals from the first statement of main on

SequoiahillDaemon had no handler for SIGHUP at any time.

SIGTERM ends the program with 0 before it serves; one during the servers' start begins the drain right after it, where stop used to overlap with start.

It works since no code of ours runs before the handlers.

--- a/daemon/src/main/java/org/sequoiahill/daemon/SequoiahillDaemon.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/SequoiahillDaemon.java
@@ -43,10 +43,11 @@
 
     /** Runs the daemon until it is stopped. */
     public static void main(String[] args) {
-        System.exit(run(args));
+        Signals signals = Signals.install();
+        System.exit(run(args, signals));
     }
 
-    private static int run(String[] args) {
+    private static int run(String[] args, Signals signals) {
         Arguments arguments = new Arguments();
         JCommander commander =
                 JCommander.newBuilder().programName("sequoiahilld").addObject(arguments).build();
@@ -68,10 +69,10 @@
             System.err.println("sequoiahilld: --config FILE is required; see --help");
             return EXIT_USAGE;
         }
-        return runWith(arguments.mConfig, arguments.mCheckConfig);
+        return runWith(arguments.mConfig, arguments.mCheckConfig, signals);
     }
 
-    private static int runWith(String file, boolean isCheckOnly) {
+    private static int runWith(String file, boolean isCheckOnly, Signals signals) {
         ParseResult<DaemonSettings> settings;
         try {
             settings = SettingsReader.parse(Files.readString(Path.of(file)));
@@ -88,15 +89,20 @@
             System.out.println(file + " is valid");
             return EXIT_OK;
         }
-        return serve(settings.orElseThrow());
+        return serve(settings.orElseThrow(), signals);
     }
 
-    private static int serve(DaemonSettings settings) {
+    private static int serve(DaemonSettings settings, Signals signals) {
         Logging.configure(settings.log());
         try {
             Daemon daemon = DaggerProcessComponent.factory().create(settings).daemon();
-            Signals.onTerminate(daemon::stop);
+            signals.onReload(() -> Logger.info("settings take effect at the next start only"));
+            if (signals.isTerminationPending()) {
+                Logger.info("terminated by a signal before it served");
+                return EXIT_OK;
+            }
             daemon.start();
+            signals.onTerminate(daemon::stop);
             daemon.awaitStop();
             return EXIT_OK;
         } catch (InterruptedException e) {
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/Signals.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/Signals.java
@@ -2,7 +2,7 @@
 
 import java.lang.reflect.InvocationHandler;
 import java.lang.reflect.Proxy;
-import org.tinylog.Logger;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Handles SIGTERM, SIGINT and SIGHUP.
@@ -10,23 +10,51 @@
  * <p>A shutdown hook runs for the first signal only. A handler of the JDK's own signal class is
  * called for each signal; it is reached by reflection because that class is not a public API. If it
  * is missing, termination falls back to a shutdown hook and SIGHUP is not handled.
+ *
+ * <p>Writes to standard error because signals are handled before logging is configured.
  */
 public final class Signals {
     private static final String SIGNAL = "sun.misc.Signal";
     private static final String HANDLER = "sun.misc.SignalHandler";
 
+    private final SignalTask mTermination = new SignalTask("termination");
+    private final SignalTask mReload = new SignalTask("reload");
+
     private Signals() {}
 
-    /** Runs a task on each signal that requests termination. */
-    public static void onTerminate(Runnable task) {
-        if (!handle(task, "TERM", "INT")) {
-            Runtime.getRuntime().addShutdownHook(new Thread(task, "shutdown"));
+    /**
+     * Installs the handlers. A program calls this before anything else, since the JVM ends the
+     * process on a signal that has no handler. A signal that arrives before its task is set is
+     * remembered.
+     */
+    public static Signals install() {
+        Signals signals = new Signals();
+        if (!handle(signals.mTermination, "TERM", "INT")) {
+            Runtime.getRuntime().addShutdownHook(new Thread(signals.mTermination, "shutdown"));
         }
+        handle(signals.mReload, "HUP");
+        return signals;
+    }
+
+    /** Returns whether a signal has requested termination before {@link #onTerminate}. */
+    public boolean isTerminationPending() {
+        return mTermination.isPending();
+    }
+
+    /**
+     * Sets the task that runs on each signal that requests termination; runs it at once if there
+     * was such a signal before.
+     */
+    public void onTerminate(Runnable task) {
+        mTermination.set(task);
     }
 
-    /** Runs a task on each signal that reports changed settings. */
-    public static void onReload(Runnable task) {
-        handle(task, "HUP");
+    /**
+     * Sets the task that runs on each signal that reports changed settings; runs it at once if
+     * there was such a signal before.
+     */
+    public void onReload(Runnable task) {
+        mReload.set(task);
     }
 
     private static boolean handle(Runnable task, String... signals) {
@@ -51,8 +79,49 @@
             }
             return true;
         } catch (ReflectiveOperationException e) {
-            Logger.warn(e, "signals {} can't be handled", String.join(", ", signals));
+            System.err.println("signals " + String.join(", ", signals) + " can't be handled: " + e);
             return false;
         }
     }
+
+    /** A task that runs on each signal; signals before it is set make it run once. */
+    private static final class SignalTask implements Runnable {
+        private final String mName;
+        private @Nullable Runnable mTask;
+        private boolean mIsPending;
+
+        SignalTask(String name) {
+            mName = name;
+        }
+
+        synchronized boolean isPending() {
+            return mIsPending;
+        }
+
+        void set(Runnable task) {
+            boolean isPending;
+            synchronized (this) {
+                mTask = task;
+                isPending = mIsPending;
+                mIsPending = false;
+            }
+            if (isPending) {
+                task.run();
+            }
+        }
+
+        @Override
+        public void run() {
+            Runnable task;
+            synchronized (this) {
+                task = mTask;
+                mIsPending = task == null;
+            }
+            if (task == null) {
+                System.err.println(mName + " was requested by a signal during the start");
+            } else {
+                task.run();
+            }
+        }
+    }
 }
