--- a/daemon/src/main/java/org/sequoiahill/daemon/process/log/DiskFolder.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/log/DiskFolder.java
@@ -1,5 +1,6 @@
 package org.sequoiahill.daemon.process.log;
 
+import java.io.EOFException;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
@@ -25,12 +26,23 @@
     }
 
     /**
-     * Opens a folder; creates it if it doesn't exist.
+     * Opens a folder at or below a data folder; creates what doesn't exist.
      *
+     * <p>Syncs the names of the folders below the data folder even if they exist: the process that
+     * created them may have been killed before it did.
+     *
+     * @param names names of the folders on the way from the data folder
      * @throws IOException if it can't be created or is open already, in this or another process
      */
-    public static DiskFolder open(Path path) throws IOException {
-        createDurably(path.toAbsolutePath());
+    public static DiskFolder open(Path dataFolder, String... names) throws IOException {
+        createDurably(dataFolder.toAbsolutePath());
+        Path path = dataFolder;
+        for (String name : names) {
+            Path parent = path;
+            path = parent.resolve(name);
+            Files.createDirectories(path);
+            syncFolder(parent);
+        }
         FileChannel lock =
                 FileChannel.open(
                         path.resolve(LOCK_NAME),
@@ -69,12 +81,33 @@
     }
 
     @Override
-    public LogFile openAt(String name, long length) throws IOException {
-        FileChannel channel = FileChannel.open(mPath.resolve(name), StandardOpenOption.WRITE);
-        channel.truncate(length);
-        channel.position(length);
-        channel.force(true);
-        return new DiskFile(channel);
+    public LogFile openAt(String name, long writtenAgainFrom, long length) throws IOException {
+        FileChannel channel =
+                FileChannel.open(
+                        mPath.resolve(name), StandardOpenOption.READ, StandardOpenOption.WRITE);
+        try {
+            channel.truncate(length);
+            writeAgain(channel, writtenAgainFrom, length);
+            channel.position(length);
+            channel.force(true);
+            return new DiskFile(channel);
+        } catch (IOException | RuntimeException e) {
+            channel.close();
+            throw e;
+        }
+    }
+
+    private static void writeAgain(FileChannel channel, long from, long to) throws IOException {
+        ByteBuffer bytes = ByteBuffer.allocate((int) (to - from));
+        while (bytes.hasRemaining()) {
+            if (channel.read(bytes, from + bytes.position()) < 0) {
+                throw new EOFException("a file of the log folder became shorter while it was read");
+            }
+        }
+        bytes.flip();
+        while (bytes.hasRemaining()) {
+            channel.write(bytes, from + bytes.position());
+        }
     }
 
     @Override
