Bound the memory that bodies of requests use at an entry

Cause: DirectHandler read bodies with an unbounded ByteBudget, held an array of up to twice the body and a copy of it, and no deadline applied before the body was complete.

Change: CallerMemory, one budget of 64 MiB for what an entry holds for callers, half for requests and half for responses; bodies above 64 KiB use at most three quarters of a half. RequestUpload reserves a stated length before it reads, or the growth of a chunked body, and refuses with 503 memory_full at once when there is no room, with 408 at the request's deadline, and with 503 if the entry ends. It reads on and discards the rest, within bounds, so that the connection isn't reset before the caller has the refusal. The bytes are released by the callback in which each request ends.

Open: a response's bytes leave the budget once read from the endpoint.

--- a/daemon/src/main/java/org/sequoiahill/daemon/connection/ByteBudget.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/connection/ByteBudget.java
@@ -1,19 +1,22 @@
 package org.sequoiahill.daemon.connection;
 
 import java.util.concurrent.atomic.AtomicLong;
+import org.jspecify.annotations.Nullable;
 
-/** Limits the total size of the incomplete bodies that are read with this budget. */
+/** Limits the total size of the bodies that are held with this budget. */
 public final class ByteBudget {
+    private final @Nullable ByteBudget mWhole;
     private final long mMaxBytes;
     private final AtomicLong mReserved = new AtomicLong();
 
-    private ByteBudget(long maxBytes) {
+    private ByteBudget(@Nullable ByteBudget whole, long maxBytes) {
+        mWhole = whole;
         mMaxBytes = maxBytes;
     }
 
     /** Returns a budget of {@code maxBytes} with nothing reserved. */
     public static ByteBudget of(long maxBytes) {
-        return new ByteBudget(maxBytes);
+        return new ByteBudget(null, maxBytes);
     }
 
     /** Returns a budget without a limit. */
@@ -21,12 +24,18 @@
         return of(Long.MAX_VALUE);
     }
 
+    /** Returns a budget of {@code maxBytes} whose reservations count in this budget too. */
+    public ByteBudget part(long maxBytes) {
+        return new ByteBudget(this, maxBytes);
+    }
+
     /**
      * Reserves bytes and returns true, or reserves nothing and returns false if that would exceed
      * the limit.
      */
-    boolean tryReserve(int bytes) {
-        if (mReserved.addAndGet(bytes) <= mMaxBytes) {
+    boolean tryReserve(long bytes) {
+        if (mReserved.addAndGet(bytes) <= mMaxBytes
+                && (mWhole == null || mWhole.tryReserve(bytes))) {
             return true;
         }
         mReserved.addAndGet(-bytes);
@@ -36,10 +45,18 @@
     /** Releases reserved bytes. */
     void release(long bytes) {
         mReserved.addAndGet(-bytes);
+        if (mWhole != null) {
+            mWhole.release(bytes);
+        }
     }
 
     /** Returns the number of reserved bytes. */
     public long reserved() {
         return mReserved.get();
     }
+
+    /** Returns the largest number of bytes that can be reserved at once. */
+    public long maxBytes() {
+        return mMaxBytes;
+    }
 }
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/FleetEntryRole.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/FleetEntryRole.java
@@ -30,6 +30,7 @@
 import org.sequoiahill.daemon.process.time.MonotonicClock;
 import org.sequoiahill.daemon.request.HttpForwarder;
 import org.sequoiahill.daemon.request.direct.ActiveExchanges;
+import org.sequoiahill.daemon.request.direct.CallerMemory;
 import org.sequoiahill.daemon.request.direct.DirectHandler;
 import org.sequoiahill.daemon.request.direct.DirectServices;
 import org.sequoiahill.daemon.request.direct.DirectSettings;
@@ -60,8 +61,8 @@
     /** Time within which a load balancer that probes every second notices that an entry leaves. */
     private static final Duration PROBE_GRACE = Duration.ofMillis(2_500);
 
-    /** Limit for the bytes of incomplete responses; about a sixth of an entry's maximum heap. */
-    private static final long MAX_BUFFERED_RESPONSE_BYTES = 24 << 20;
+    /** Limit for the bytes of bodies that are held for callers. */
+    private static final long MAX_CALLER_BYTES = 64 << 20;
 
     /** Time to write the final responses to requests that are unfinished after the drain. */
     private static final Duration FINAL_RESPONSE_TIME = Duration.ofMillis(300);
@@ -124,8 +125,9 @@
         mExchanges = ActiveExchanges.on(scheduler);
         metrics.gauge("sequoia.entry.running", mExchanges, ActiveExchanges::size);
         metrics.gauge("sequoia.entry.waiting", dispatcher, Dispatcher::queueLength);
-        ByteBudget responseBytes = ByteBudget.of(MAX_BUFFERED_RESPONSE_BYTES);
-        metrics.gauge("sequoia.entry.answer.bytes", responseBytes, ByteBudget::reserved);
+        CallerMemory memory = CallerMemory.of(MAX_CALLER_BYTES);
+        metrics.gauge("sequoia.entry.request.bytes", memory.requests(), ByteBudget::reserved);
+        metrics.gauge("sequoia.entry.answer.bytes", memory.responses(), ByteBudget::reserved);
         SlackShare slackShare = SlackShare.of(direct, view::quorumContactSince, clock);
         view.addListener(slackShare::update);
         mQuarantine = quarantine(client, clock, scheduler, metrics);
@@ -138,7 +140,7 @@
                         mQuarantine,
                         forwarder,
                         mExchanges,
-                        responseBytes,
+                        memory,
                         RateLimitedRequestLog.of(metrics, clock),
                         clock);
         mDrain = new DrainHandler(DirectHandler.of(services, view::snapshot, random));
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/ActiveExchanges.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/ActiveExchanges.java
@@ -18,6 +18,7 @@
     private static final Duration CHECK_INTERVAL = Duration.ofMillis(100);
 
     private final Set<DirectExchange> mExchanges = ConcurrentHashMap.newKeySet();
+    private final Set<Upload> mUploads = ConcurrentHashMap.newKeySet();
     private final ScheduledExecutorService mScheduler;
     private final AtomicBoolean mIsCheckScheduled = new AtomicBoolean();
     private volatile boolean mIsEnding;
@@ -26,12 +27,18 @@
         mScheduler = scheduler;
     }
 
+    /** A request whose body has not been read completely. */
+    interface Upload {
+        /** Ends the request if it is overdue, or if no request may go on. */
+        void checkTimeouts();
+    }
+
     /** Returns an empty set whose checks run on a scheduler. */
     public static ActiveExchanges on(ScheduledExecutorService scheduler) {
         return new ActiveExchanges(scheduler);
     }
 
-    /** Returns the number of exchanges in progress. */
+    /** Returns the number of exchanges in progress, without uploads. */
     public int size() {
         return mExchanges.size();
     }
@@ -44,7 +51,7 @@
     /** Ends all exchanges with a final response, as the process is about to end. */
     public void endAll() {
         mIsEnding = true;
-        mExchanges.forEach(DirectExchange::checkTimeouts);
+        checkTimeouts();
     }
 
     void add(DirectExchange exchange) {
@@ -56,6 +63,21 @@
         mExchanges.remove(exchange);
     }
 
+    void add(Upload upload) {
+        if (mUploads.add(upload)) {
+            scheduleCheck();
+        }
+    }
+
+    void remove(Upload upload) {
+        mUploads.remove(upload);
+    }
+
+    private void checkTimeouts() {
+        mExchanges.forEach(DirectExchange::checkTimeouts);
+        mUploads.forEach(Upload::checkTimeouts);
+    }
+
     private void scheduleCheck() {
         if (mIsCheckScheduled.compareAndSet(false, true)) {
             mScheduler.schedule(this::checkAll, CHECK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
@@ -64,8 +86,8 @@
 
     private void checkAll() {
         mIsCheckScheduled.set(false);
-        mExchanges.forEach(DirectExchange::checkTimeouts);
-        if (!mExchanges.isEmpty()) {
+        checkTimeouts();
+        if (!mExchanges.isEmpty() || !mUploads.isEmpty()) {
             scheduleCheck();
         }
     }
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectExchange.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectExchange.java
@@ -243,7 +243,7 @@
             // The caller has received part of a stream; only further events can follow.
             failAttempt(attempt, "no_stream_" + metadata.status());
         } else {
-            BodyReader.read(content, MAX_RESPONSE_BYTES, mServices.bufferedResponseBytes())
+            BodyReader.read(content, MAX_RESPONSE_BYTES, mServices.memory().responses())
                     .whenComplete(
                             (body, failure) ->
                                     mInvoker.run(
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectHandler.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectHandler.java
@@ -1,6 +1,5 @@
 package org.sequoiahill.daemon.request.direct;
 
-import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
@@ -11,7 +10,6 @@
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
-import org.sequoiahill.daemon.connection.BodyReader;
 import org.sequoiahill.daemon.connection.FramedResponse;
 import org.sequoiahill.daemon.process.fleet.FleetSnapshot;
 import org.sequoiahill.daemon.process.fleet.Organisation;
@@ -31,8 +29,15 @@
                     "the newest routing table has not arrived yet",
                     Duration.ofMillis(500));
 
-    /** Retry delay for callers while no routing table is known, right after a start. */
-    private static final Duration NO_TABLE_RETRY_AFTER = Duration.ofMillis(1_500);
+    /** Refusal while no routing table is known, right after a start. */
+    private static final Refusal NO_TABLE =
+            Refusal.overloaded(
+                    "no_routing_table",
+                    "this entry has no routing table yet",
+                    Duration.ofMillis(1_500));
+
+    /** Maximum size of a body while no routing table is known. */
+    private static final int DEFAULT_MAX_BODY_BYTES = 4 << 20;
 
     private final DirectServices mServices;
     private final Supplier<FleetSnapshot> mSnapshot;
@@ -57,66 +62,83 @@
         RequestMetadata metadata = mServices.headerCodec().parseRequest(request.getHeaders());
         FleetSnapshot snapshot = mSnapshot.get();
         if (snapshot.table().isEmpty()) {
-            return refuse(
-                    Refusal.overloaded(
-                            "no_routing_table",
-                            "this entry has no routing table yet",
-                            NO_TABLE_RETRY_AFTER),
-                    metadata,
-                    response,
-                    callback);
+            Duration deadline = arrivedAt.plus(metadata.timeout().orElse(Duration.ZERO));
+            upload(request, response, callback, metadata, DEFAULT_MAX_BODY_BYTES, deadline)
+                    .refuse(NO_TABLE);
+            return true;
         }
         RoutingTable table = snapshot.table().get();
         String host = hostOf(request);
         Optional<Route> route = table.route(host, request.getHttpURI().getPath());
         Optional<Organisation> organisation = metadata.key().flatMap(table::organisation);
-        Optional<Refusal> refusal =
-                checkHeaders(snapshot, table, route, organisation, metadata, request);
+        Duration deadline =
+                route.map(found -> RequestDeadlines.of(arrivedAt, found, metadata.timeout()))
+                        .map(RequestDeadlines::deadline)
+                        .orElse(arrivedAt.plus(metadata.timeout().orElse(Duration.ZERO)));
+        RequestUpload upload =
+                upload(
+                        request,
+                        response,
+                        callback,
+                        metadata,
+                        maxBodyBytes(table, request),
+                        deadline);
+        Optional<Refusal> refusal = checkHeaders(snapshot, route, organisation, metadata);
         if (refusal.isPresent()) {
-            return refuse(refusal.get(), metadata, response, callback);
+            upload.refuse(refusal.get());
+            return true;
         }
-        int limit = maxBodyBytes(table);
         DirectRequest.RoutingVersions routingVersions =
                 new DirectRequest.RoutingVersions(table.number(), snapshot.state().index());
-        BodyReader.read(request, limit)
-                .whenComplete(
-                        (bytes, failure) -> {
-                            if (failure != null) {
-                                handleBodyFailure(failure, limit, metadata, response, callback);
-                                return;
-                            }
-                            DirectRequest direct =
-                                    new DirectRequest(
-                                            metadata,
-                                            route.get(),
-                                            organisation,
-                                            route.get().serviceFor(mRandom.nextDouble()),
-                                            request.getMethod(),
-                                            request.getHttpURI().getPathQuery(),
-                                            host,
-                                            request.getHeaders(),
-                                            ByteBuffer.wrap(bytes).asReadOnlyBuffer(),
-                                            routingVersions);
-                            new DirectExchange(
-                                            mServices,
-                                            direct,
-                                            request,
-                                            FramedResponse.of(request, response),
-                                            callback,
-                                            arrivedAt)
-                                    .start();
-                        });
+        upload.read(
+                (body, ending) -> {
+                    DirectRequest direct =
+                            new DirectRequest(
+                                    metadata,
+                                    route.get(),
+                                    organisation,
+                                    route.get().serviceFor(mRandom.nextDouble()),
+                                    request.getMethod(),
+                                    request.getHttpURI().getPathQuery(),
+                                    host,
+                                    request.getHeaders(),
+                                    body.asReadOnlyBuffer(),
+                                    routingVersions);
+                    new DirectExchange(
+                                    mServices,
+                                    direct,
+                                    request,
+                                    FramedResponse.of(request, response),
+                                    ending,
+                                    arrivedAt)
+                            .start();
+                });
         return true;
     }
 
+    private RequestUpload upload(
+            Request request,
+            Response response,
+            Callback callback,
+            RequestMetadata metadata,
+            int maxBytes,
+            Duration deadline) {
+        return new RequestUpload(
+                mServices,
+                request,
+                response,
+                callback,
+                maxBytes,
+                deadline,
+                refusal -> logRefusal(refusal, metadata));
+    }
+
     /** Returns the refusal of a request that can be refused before its body is read, if any. */
     private static Optional<Refusal> checkHeaders(
             FleetSnapshot snapshot,
-            RoutingTable table,
             Optional<Route> route,
             Optional<Organisation> organisation,
-            RequestMetadata metadata,
-            Request request) {
+            RequestMetadata metadata) {
         boolean isUnknown =
                 route.isEmpty() || (organisation.isEmpty() && !route.get().allowsAnonymous());
         if (isUnknown && snapshot.isTableStale()) {
@@ -133,29 +155,18 @@
         if (metadata.id().isEmpty()) {
             return Optional.of(Refusal.invalid(400, "no_request_id", "the request has no id"));
         }
-        int limit = maxBodyBytes(table);
-        return request.getLength() > limit ? Optional.of(tooLarge(limit)) : Optional.empty();
+        return Optional.empty();
     }
 
-    private static int maxBodyBytes(RoutingTable table) {
-        return (int) Math.min(Integer.MAX_VALUE, table.maxBodyBytes());
+    /** Returns the largest body that the table allows and for which there can be room. */
+    private int maxBodyBytes(RoutingTable table, Request request) {
+        long room = mServices.memory().largeRequests().maxBytes();
+        // A body of unknown length is copied while it grows.
+        long maxBytes = request.getLength() < 0 ? room / 2 : room;
+        return (int) Math.min(Integer.MAX_VALUE, Math.min(maxBytes, table.maxBodyBytes()));
     }
 
-    private void handleBodyFailure(
-            Throwable failure,
-            int limit,
-            RequestMetadata metadata,
-            Response response,
-            Callback callback) {
-        if (failure instanceof BodyReader.BodyTooLargeException) {
-            refuse(tooLarge(limit), metadata, response, callback);
-        } else {
-            callback.failed(failure);
-        }
-    }
-
-    private boolean refuse(
-            Refusal refusal, RequestMetadata metadata, Response response, Callback callback) {
+    private void logRefusal(Refusal refusal, RequestMetadata metadata) {
         mServices
                 .requestLog()
                 .requestCompleted(
@@ -172,13 +183,6 @@
                                 List.of(),
                                 Duration.ZERO,
                                 Duration.ZERO));
-        refusal.write(
-                response, mServices.headerCodec().formatRetryAfter(refusal.retryAfter()), callback);
-        return true;
-    }
-
-    private static Refusal tooLarge(int limit) {
-        return Refusal.invalid(413, "body_too_large", "request body exceeds " + limit + " bytes");
     }
 
     private static String hostOf(Request request) {
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectServices.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectServices.java
@@ -1,6 +1,5 @@
 package org.sequoiahill.daemon.request.direct;
 
-import org.sequoiahill.daemon.connection.ByteBudget;
 import org.sequoiahill.daemon.process.time.MonotonicClock;
 import org.sequoiahill.daemon.request.HttpForwarder;
 import org.sequoiahill.daemon.request.quarantine.TraitQuarantine;
@@ -14,7 +13,7 @@
  * @param quarantine refuses requests that crash endpoints
  * @param forwarder sends requests to endpoints
  * @param activeExchanges exchanges in progress
- * @param bufferedResponseBytes limits the bytes of incomplete responses held in memory
+ * @param memory limits the bytes of bodies that are held for callers
  * @param requestLog records requests at their end
  * @param clock monotonic clock
  */
@@ -25,6 +24,6 @@
         TraitQuarantine quarantine,
         HttpForwarder forwarder,
         ActiveExchanges activeExchanges,
-        ByteBudget bufferedResponseBytes,
+        CallerMemory memory,
         RequestLog requestLog,
         MonotonicClock clock) {}
