Keep the state that readers see while a reopened log is applied again

Reads through the leader, daemons and orders are guarded otherwise; what was left is a read that is delayed between its confirmation and the state for as long as a reopening takes.

Change: the applied and the published state are two.

--- a/daemon/src/main/java/org/sequoiahill/daemon/process/FleetStoreRole.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/FleetStoreRole.java
@@ -109,15 +109,17 @@
         try {
             mLog =
                     FleetLog.open(
-                            () ->
-                                    StoreGroup.open(
-                                            options(settings),
-                                            ServiceStub.LOG_CONFIG,
-                                            machine,
-                                            settings.vm(),
-                                            dataFolder,
-                                            identity,
-                                            runtime));
+                            () -> {
+                                machine.startReplay();
+                                return StoreGroup.open(
+                                        options(settings),
+                                        ServiceStub.LOG_CONFIG,
+                                        machine,
+                                        settings.vm(),
+                                        dataFolder,
+                                        identity,
+                                        runtime);
+                            });
         } catch (IOException e) {
             throw new UncheckedIOException("the log in " + dataFolder + " can't be opened", e);
         }
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/fleet/FleetStateMachine.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/fleet/FleetStateMachine.java
@@ -25,7 +25,13 @@
 
     private final Consumer<FleetState> mListener;
     private final TreeSet<Long> mSuperseded = new TreeSet<>();
-    private volatile FleetState mState = FleetState.EMPTY;
+
+    /**
+     * State up to the last applied change; older than the published one while a log is replayed.
+     */
+    private FleetState mApplied = FleetState.EMPTY;
+
+    private volatile FleetState mPublished = FleetState.EMPTY;
 
     private FleetStateMachine(Consumer<FleetState> listener) {
         mListener = listener;
@@ -36,9 +42,14 @@
         return new FleetStateMachine(listener);
     }
 
-    /** Returns the state after the last applied change. */
+    /** Returns the state after the latest change; it never goes back, also during a replay. */
     public FleetState state() {
-        return mState;
+        return mPublished;
+    }
+
+    /** Forgets what was applied, since the log is opened again and will be applied again. */
+    public void startReplay() {
+        mApplied = FleetState.EMPTY;
     }
 
     /** Returns the log payload of a change. */
@@ -50,18 +61,18 @@
     public void apply(long index, byte[] payload) {
         FleetChange change = new FleetChange();
         read(change, payload);
-        if (mState.supersedes(change)) {
+        if (mApplied.supersedes(change)) {
             Logger.info(
                     "the change at {} of {} has no effect: it was ordered before the one at {}",
                     index,
                     change.getDataCentre().getDataCentre(),
-                    mState.lastChangeOf(change.getDataCentre().getDataCentre()));
+                    mApplied.lastChangeOf(change.getDataCentre().getDataCentre()));
             recordSuperseded(index);
             return;
         }
         // A repeated change of a data centre is recorded: orders given before it are superseded.
-        if (change.isSetDataCentre() || !mState.includes(change)) {
-            setState(mState.with(index, change));
+        if (change.isSetDataCentre() || !mApplied.includes(change)) {
+            setState(mApplied.with(index, change));
         }
     }
 
@@ -83,7 +94,7 @@
 
     @Override
     public byte[] snapshot() {
-        return write(mState.toThrift(true));
+        return write(mApplied.toThrift(true));
     }
 
     @Override
@@ -94,8 +105,11 @@
     }
 
     private void setState(FleetState state) {
-        mState = state;
-        mListener.accept(state);
+        mApplied = state;
+        if (state.index() > mPublished.index()) {
+            mPublished = state;
+            mListener.accept(state);
+        }
     }
 
     private static byte[] write(TBase<?, ?> struct) {
--- a/daemon/src/test/java/org/sequoiahill/daemon/process/fleet/FleetStateMachineTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/process/fleet/FleetStateMachineTest.java
@@ -4,6 +4,8 @@
 import static org.hamcrest.Matchers.is;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -127,6 +129,35 @@
         assertThat(other.state(), is(mMachine.state()));
     }
 
+    /** Guards against showing readers an older state while a reopened log is applied again. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+    void startReplay_logIsAppliedAgain_stateNeverGoesBack(long seed) {
+        Random random = new Random(seed);
+        List<FleetChange> changes = new ArrayList<>();
+        int snapshotIndex = random.nextInt(20);
+        byte[] snapshot = mMachine.snapshot();
+        for (int i = 1; i <= 30; i++) {
+            changes.add(randomChange(random));
+            apply(changes.get(i - 1));
+            snapshot = i == snapshotIndex ? mMachine.snapshot() : snapshot;
+        }
+        FleetState latest = mMachine.state();
+
+        mMachine.startReplay();
+        if (snapshotIndex > 0) {
+            mMachine.restore(snapshot);
+        }
+        assertThat(mMachine.state(), is(latest));
+        for (int i = snapshotIndex + 1; i <= 30; i++) {
+            mMachine.apply(i, FleetStateMachine.encode(changes.get(i - 1)));
+            assertThat(mMachine.state(), is(latest));
+        }
+        FleetStateMachine restored = FleetStateMachine.of(state -> {});
+        restored.restore(mMachine.snapshot());
+        assertThat(restored.state(), is(latest));
+    }
+
     private static FleetChange randomChange(Random random) {
         return switch (random.nextInt(3)) {
             case 0 -> put(1 + random.nextInt(40), "text" + random.nextInt());
