--- a/daemon/src/test/java/org/sequoiahill/daemon/process/log/LogFaultTableTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/process/log/LogFaultTableTest.java
@@ -356,19 +356,34 @@
 
         /** Returns how many disks may be lost at once: none until earlier losses are repaired. */
         private int toleratedDiskLosses() {
-            Membership members = mGroup.members();
-            boolean isRepaired =
-                    members.voters().size() >= 3
-                            && mGroup.stores().stream().noneMatch(this::isChangingMembers)
-                            && membersToRepair(members).stream().allMatch(this::isVoterWithItsDisk);
-            if (!isRepaired) {
-                return 0;
+            if (!mFaults.contains(Fault.DISKS_AND_POWER)) {
+                return isRepaired(mGroup.members()) ? 1 : 0;
             }
-            if (!mFaults.contains(Fault.DISKS_AND_POWER) || mFaults.contains(Fault.MEMBER_CHANGE)) {
-                return 1;
+            Optional<Membership> members = membersOfLeader().filter(this::isRepaired);
+            if (members.isEmpty()) {
+                return 0;
             }
             long rejoining = mGroup.stores().stream().filter(SimulatedStore::isRejoining).count();
-            return Math.max(0, (members.voters().size() - 1) / 2 - (int) rejoining);
+            int tolerated =
+                    mFaults.contains(Fault.MEMBER_CHANGE)
+                            ? 1
+                            : (members.get().voters().size() - 1) / 2;
+            return Math.max(0, tolerated - (int) rejoining);
+        }
+
+        private boolean isRepaired(Membership members) {
+            return members.voters().size() >= 3
+                    && mGroup.stores().stream().noneMatch(this::isChangingMembers)
+                    && membersToRepair(members).stream().allMatch(this::isVoterWithItsDisk);
+        }
+
+        /** Returns the members as of a leader with a lease, which knows of all changes of them. */
+        private Optional<Membership> membersOfLeader() {
+            return mGroup.stores().stream()
+                    .filter(store -> store.holdsLease(mGroup.now()))
+                    .flatMap(store -> store.core().stream())
+                    .findFirst()
+                    .map(LogCore::members);
         }
 
         /**
