Test that a store without its disk never helps one that lacks entries to lead

Three stores: the leader commits with one follower while the other lags; the follower loses its disk as all others lose power. Without the leader nobody may be elected; with it all acknowledged entries are there.

--- a/daemon/src/test/java/org/sequoiahill/daemon/process/log/LogCoreTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/process/log/LogCoreTest.java
@@ -96,6 +96,38 @@
         mGroup.healAndVerify();
     }
 
+    /** Guards against a store without its disk that helps one which lacks entries to lead. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 5, 40})
+    void receive_diskLostAsAllLosePowerAndOneLags_onlyTheStoreWithTheEntriesIsElected(int missing) {
+        SimulatedStore leader = startAndAwaitLeader();
+        propose(leader, 10);
+        SimulatedStore lagging = otherThan(leader);
+        SimulatedStore lost =
+                mGroup.stores().stream()
+                        .filter(store -> store != leader && store != lagging)
+                        .findFirst()
+                        .orElseThrow();
+        isolate(lagging);
+        propose(leader, missing);
+        long acknowledged = mGroup.acknowledged();
+        lost.loseDisk();
+        leader.kill();
+        lagging.kill();
+        mGroup.dropMessages();
+        mGroup.healNetwork();
+        mGroup.start(lagging.vm());
+        mGroup.start(lost.vm());
+
+        mGroup.run(5 * ELECTION_MILLIS);
+        assertThat(mGroup.leader(), is(Optional.empty()));
+
+        mGroup.start(leader.vm());
+        mGroup.run(2 * ELECTION_MILLIS);
+        assertThat(mGroup.leader().get().appliedIndex(), greaterThan(acknowledged));
+        mGroup.healAndVerify();
+    }
+
     @Test
     void receive_olderCopyOfAFolder_isRefusedByTheOthers() {
         SimulatedStore leader = startAndAwaitLeader();
