A late description of a daemon does not replace a newer one at its store

What callers could see: an agent announces that it loads a version on one connection and describes itself in its waiting call on another. If the older description is read last, entries hear from this store that the engine is in use, until the next call (0.9 s).

Cause: EndpointRegistry.recordParticipant kept whatever came last. Readers order by incarnation and revision, but only what the stores still hold.

Change: of one incarnation the higher revision stays, and the late one still renews the lease. Another incarnation replaces it as before, since a clock that was set back would otherwise hide a restarted daemon for a lease.

Evidence: EndpointRegistryTest.recordParticipant_afterAnother fails in 1 of 3 rows before. All tests of protocol, daemon and platform pass (17, 2,414 and 862).

--- a/daemon/src/main/java/org/sequoiahill/daemon/process/endpoints/EndpointRegistry.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/endpoints/EndpointRegistry.java
@@ -200,10 +200,12 @@
     }
 
     /** Records what a daemon reports about itself. */
-    public void recordParticipant(Participant participant) {
+    public void recordParticipant(Participant reported) {
         mLock.lock();
         try {
-            Received<Participant> before = mParticipants.get(participant.getVm());
+            Received<Participant> before = mParticipants.get(reported.getVm());
+            Participant participant =
+                    before == null ? reported : newerOfOneIncarnation(before.value(), reported);
             mParticipants.put(participant.getVm(), new Received<>(participant, mClock.now()));
             if (before == null || !before.value().equals(participant)) {
                 mFeed.put(
@@ -217,6 +219,14 @@
         }
     }
 
+    /** Returns the report, or what is known if the report is older and of the same incarnation. */
+    private static Participant newerOfOneIncarnation(Participant known, Participant reported) {
+        boolean isOlder =
+                known.getIncarnation() == reported.getIncarnation()
+                        && known.getRevision() > reported.getRevision();
+        return isOlder ? known : reported;
+    }
+
     /** Drops endpoints and daemons whose lease has expired. */
     public void expire() {
         mLock.lock();
--- a/daemon/src/test/java/org/sequoiahill/daemon/process/endpoints/EndpointRegistryTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/process/endpoints/EndpointRegistryTest.java
@@ -16,6 +16,7 @@
 import org.sequoiahill.protocol.gen.EndpointReport;
 import org.sequoiahill.protocol.gen.EndpointState;
 import org.sequoiahill.protocol.gen.FeedItem;
+import org.sequoiahill.protocol.gen.Participant;
 import org.sequoiahill.protocol.gen.WatchReply;
 
 /** Tests of {@link EndpointRegistry}. */
@@ -75,6 +76,37 @@
         assertThat(held("e").getStartedAt(), is(100L));
     }
 
+    /**
+     * Guards against an agent that is used while it loads, since an older description came late.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        // incarnation and revision of a later description; revision held
+        "7, 4, 5",
+        "7, 6, 6",
+        "8, 1, 1"
+    })
+    void recordParticipant_afterAnother_keepsTheNewerOfOneIncarnation(
+            long incarnation, long revision, long held) {
+        mRegistry.recordParticipant(participant(7, 5));
+        mRegistry.recordParticipant(participant(incarnation, revision));
+        assertThat(read(0, 0).getItems().get(0).getParticipant().getRevision(), is(held));
+    }
+
+    @Test
+    void recordParticipant_olderRevision_renewsTheLease() {
+        mRegistry.recordParticipant(participant(7, 5));
+        mClock.advanceMillis(3_000);
+        mRegistry.recordParticipant(participant(7, 4));
+        mClock.advanceMillis(3_000);
+        mRegistry.expire();
+        assertThat(mRegistry.participantCount(), is(1));
+    }
+
+    private static Participant participant(long incarnation, long revision) {
+        return new Participant().setVm("vm").setIncarnation(incarnation).setRevision(revision);
+    }
+
     @Test
     void await_readerThatIsUpToDate_receivesNothing() {
         mRegistry.report(Reports.ready("e", 100, 5));
