A trait that is lost only at deaths of another culprit is not judged with it

Traits without an answer are judged together by the length of their sequence, whatever else was lost at the deaths, so both were found in one judgement; the bad part's verdict alone would have explained all 6 deaths.

Change: a trait whose deaths are all deaths of another one found, which has more, is left out. If it is bad too, its later deaths show that.

--- a/daemon/src/main/java/org/sequoiahill/daemon/request/quarantine/CrashEvidence.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/quarantine/CrashEvidence.java
@@ -175,7 +175,8 @@
 
     /**
      * Returns the traits that were never answered and whose deaths in sequence suffice whatever
-     * other traits were lost at them; of those lost at the same deaths, the rarest.
+     * other traits were lost at them; of those lost at the same deaths, the rarest, and none that
+     * was only lost at deaths of another one.
      */
     private List<String> unprovenWithLongSequence(
             Duration until, double lossRate, TraitHistory history) {
@@ -187,7 +188,16 @@
                 .sorted(rarestFirst(history))
                 .forEach(trait -> rarest.putIfAbsent(lossesUntil(trait, until), trait));
         rarest.keySet().removeIf(losses -> !isLongSequence(losses, lossRate));
-        return List.copyOf(rarest.values());
+        return rarest.values().stream()
+                .filter(trait -> rarest.values().stream().noneMatch(each -> covers(each, trait)))
+                .toList();
+    }
+
+    /** Returns whether a trait was lost at all deaths of another one and at further ones. */
+    private boolean covers(String trait, String other) {
+        Set<String> deaths = mSuspects.getOrDefault(trait, new Suspect()).mSentAt.keySet();
+        Set<String> covered = mSuspects.getOrDefault(other, new Suspect()).mSentAt.keySet();
+        return deaths.size() > covered.size() && deaths.containsAll(covered);
     }
 
     private static boolean isLongSequence(List<Loss> losses, double lossRate) {
