Pass on requests with header sections of more than 8 KiB

Callers got a 502 for a request whose header section had over 8 KiB, though up to 16 KiB are allowed and an entry accepts 32.

Cause: Jetty's client limits what it sends by maxRequestHeadersSize, 8 KiB by default, and not by the buffer size that was set. The request was aborted as sent, so that one that may not be repeated looked as if it might have run.

Evidence: KeptConnectionTest.request_longHeaderOnAKeptConnection_... fails before in its 5 rows with 16,000 and 32,000 bytes (502) and passes with 33,000 (431).

Change: the client accepts what the entry's server accepts, and 8 KiB for the headers that the entry adds.

--- a/daemon/src/main/java/org/sequoiahill/daemon/connection/EndpointHttpClients.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/connection/EndpointHttpClients.java
@@ -18,6 +18,9 @@
 
     private static final int MAX_HEADER_BYTES = 32 << 10;
 
+    /** Room for the headers that this system adds to those of a caller. */
+    private static final int ADDED_HEADER_BYTES = 8 << 10;
+
     private EndpointHttpClients() {}
 
     /**
@@ -59,6 +62,7 @@
         client.setMaxConnectionsPerDestination(limits.maxConnections());
         client.setMaxRequestsQueuedPerDestination(limits.maxQueued());
         client.setMaxResponseHeadersSize(MAX_HEADER_BYTES);
+        client.setMaxRequestHeadersSize(MAX_HEADER_BYTES + ADDED_HEADER_BYTES);
         client.setRequestBufferSize(MAX_HEADER_BYTES);
         client.getContentDecoderFactories().clear();
         client.addEventListener(
