Pass on paths that java.net.URI refuses

A caller of /safe/a|b, /safe/[x] or ?q=[|] waited for its route's timeout and got a 504; its permit was held all the while.

Cause: URI.create threw in EndpointCalls.of, and the invoker swallowed it.

Change: a path that isn't valid in a URI is set on the client's request as it is. Jetty's client sends it unchanged, unless it begins with two slashes or has a bad escape (%zz); these get a 400 before the body is read. A bad escape in the path itself was answered 400 by the server before.

It works since the check computes the request line as the client does, and compares it with the caller's.

--- a/daemon/src/main/java/org/sequoiahill/daemon/request/HttpForwarder.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/HttpForwarder.java
@@ -47,6 +47,8 @@
      *
      * @param method HTTP method
      * @param target URI to send to
+     * @param pathAndQuery path and query to send unchanged, which need not be valid in a URI and
+     *     must not begin with two slashes; empty for the target's own
      * @param headers headers; hop-by-hop ones are not forwarded
      * @param body complete body
      * @param timeout time until the response must be complete
@@ -56,6 +58,7 @@
     public record Call(
             String method,
             URI target,
+            Optional<String> pathAndQuery,
             HttpFields headers,
             ByteBuffer body,
             Duration timeout,
@@ -67,6 +70,7 @@
             return new Call(
                     method,
                     target,
+                    Optional.empty(),
                     headers,
                     body,
                     timeout,
@@ -121,6 +125,7 @@
                                 })
                         .idleTimeout(call.timeout().toMillis(), TimeUnit.MILLISECONDS)
                         .timeout(call.timeout().toMillis(), TimeUnit.MILLISECONDS);
+        call.pathAndQuery().ifPresent(request::path);
         if (!call.kind().equals(ConnectionKind.ORDINARY)) {
             request.tag(call.kind());
         }
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectHandler.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectHandler.java
@@ -133,6 +133,10 @@
         if (metadata.id().isEmpty()) {
             return Optional.of(Refusal.invalid(400, "no_request_id", "the request has no id"));
         }
+        if (!EndpointCalls.canSend(request.getHttpURI().getPathQuery())) {
+            return Optional.of(
+                    Refusal.invalid(400, "invalid_path", "the path can't be sent unchanged"));
+        }
         int limit = maxBodyBytes(table);
         return request.getLength() > limit ? Optional.of(tooLarge(limit)) : Optional.empty();
     }
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/EndpointCalls.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/EndpointCalls.java
@@ -1,9 +1,11 @@
 package org.sequoiahill.daemon.request.direct;
 
 import java.net.URI;
+import java.net.URISyntaxException;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalInt;
+import org.eclipse.jetty.http.HttpURI;
 import org.sequoiahill.daemon.connection.ConnectionKind;
 import org.sequoiahill.daemon.process.fleet.Organisation;
 import org.sequoiahill.daemon.process.settings.HostPort;
@@ -16,6 +18,29 @@
 
     private EndpointCalls() {}
 
+    /** Returns whether a request can be sent with a path and query, unchanged. */
+    static boolean canSend(String pathAndQuery) {
+        if (isValidInUri(pathAndQuery)) {
+            return true;
+        }
+        // Jetty's client takes what follows two slashes for a host, and parses the rest like this.
+        try {
+            HttpURI sent = HttpURI.from("http", "localhost", 80, pathAndQuery, null, null);
+            return !pathAndQuery.startsWith("//") && pathAndQuery.equals(sent.getPathQuery());
+        } catch (IllegalArgumentException e) {
+            return false;
+        }
+    }
+
+    private static boolean isValidInUri(String pathAndQuery) {
+        try {
+            new URI("http://localhost" + pathAndQuery);
+            return true;
+        } catch (URISyntaxException e) {
+            return false;
+        }
+    }
+
     /**
      * Returns the call for one attempt of a request.
      *
@@ -40,9 +65,12 @@
                         lastEventId.or(() -> request.metadata().lastEventId()),
                         permit.version(),
                         OptionalInt.of(request.priority()));
+        String pathAndQuery = request.pathAndQuery();
+        boolean isValidInUri = isValidInUri(pathAndQuery);
         return new HttpForwarder.Call(
                 request.method(),
-                URI.create("http://" + address + request.pathAndQuery()),
+                URI.create("http://" + address + (isValidInUri ? pathAndQuery : "/")),
+                isValidInUri ? Optional.empty() : Optional.of(pathAndQuery),
                 headerCodec.endpointHeaders(request.headers(), metadata),
                 request.body(),
                 timeLeft.plus(TIMEOUT_MARGIN),
