End an exchange at once when one of its steps throws

A request that met an unexpected exception waited for its route's timeout and held its permit.

Cause: the steps of an exchange run in Jetty's SerializedInvoker, which logs an exception and goes on; nothing ended the exchange.

Change: ExchangeInvoker ends the exchange after a step that throws, also for the steps of a stream. The caller gets 503 "not run" only if no attempt was ever handed to the client, else 502, and the permit is released.

Not covered: an exception after the exchange counts as complete, while its response is written, and one in DirectHandler before the exchange exists.

--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/AttemptHistory.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/AttemptHistory.java
@@ -16,6 +16,7 @@
     private final Map<HostPort, Integer> mAttemptsByAddress = new HashMap<>();
     private int mAttempts;
     private int mPossibleRuns;
+    private boolean mWasSent;
 
     /** Adds an attempt; returns the number of attempts at the endpoint's address so far. */
     int add(EndpointInfo endpoint) {
@@ -24,6 +25,16 @@
         return mAttemptsByAddress.merge(endpoint.address(), 1, Integer::sum);
     }
 
+    /** Records that an attempt is about to be sent. */
+    void onSent() {
+        mWasSent = true;
+    }
+
+    /** Returns whether any attempt may have been sent, whatever its result. */
+    boolean wasSent() {
+        return mWasSent;
+    }
+
     /** Records that an attempt brought no successful response. */
     void onFailed(Cause cause) {
         if (cause == Cause.LOST || cause == Cause.FAILED) {
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectExchange.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectExchange.java
@@ -9,7 +9,6 @@
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.util.Callback;
-import org.eclipse.jetty.util.thread.SerializedInvoker;
 import org.jspecify.annotations.Nullable;
 import org.sequoiahill.daemon.connection.BodyReader;
 import org.sequoiahill.daemon.request.HttpForwarder;
@@ -21,8 +20,7 @@
 /**
  * One caller's request at an entry, from queueing to the end of its response.
  *
- * <p>All steps run one after another in an invoker, so callbacks from the caller's connection, the
- * endpoint's connection and the dispatcher need no locks.
+ * <p>All steps run one after another in an invoker, so callbacks on any thread need no locks.
  */
 final class DirectExchange
         implements PendingRequest, EndpointAttempt.Observer, DirectStreamRelay.Exchange {
@@ -37,9 +35,10 @@
     private final RequestQuarantine mQuarantine;
     private final Request mCallerRequest;
     private final CallerResponse mResponse;
-    private final SerializedInvoker mInvoker = new SerializedInvoker();
     private final DirectStreamRelay mStreamRelay;
     private final AttemptHistory mHistory = new AttemptHistory();
+    private final ExchangeInvoker mInvoker =
+            ExchangeInvoker.of(() -> endUnanswered("internal_error", 502, mHistory.wasSent()));
     private final RequestDeadlines mDeadlines;
     private @Nullable EndpointAttempt mCurrent;
     private Duration mQueueDeadline;
@@ -192,10 +191,9 @@
             permit.release(Result.CANCELLED);
             return;
         }
-        mResponse.recordAttempt(now);
-        int attemptAtAddress = mHistory.add(permit.endpoint());
         EndpointAttempt attempt = new EndpointAttempt(permit, now, this);
         mCurrent = attempt;
+        mResponse.recordAttempt(now);
         HttpForwarder.Call httpCall =
                 EndpointCalls.of(
                         mServices.headerCodec(),
@@ -203,7 +201,8 @@
                         permit,
                         mStreamRelay.lastId(),
                         mDeadlines.deadline().minus(now),
-                        attemptAtAddress);
+                        mHistory.add(permit.endpoint()));
+        mHistory.onSent();
         attempt.onStarted(mServices.forwarder().send(httpCall, attempt));
     }
 
@@ -227,8 +226,7 @@
         ResponseMetadata metadata =
                 mServices.headerCodec().parseResponse(response.getStatus(), response.getHeaders());
         attempt.onHead(content, mServices.clock().now());
-        String requestId = mRequest.metadata().id();
-        if (!metadata.isFor(requestId, attempt.isFirstOnConnection())) {
+        if (!metadata.isFor(mRequest.metadata().id(), attempt.isFirstOnConnection())) {
             failAttempt(attempt, "foreign_answer");
             return;
         }
@@ -451,7 +449,9 @@
         Duration now = mServices.clock().now();
         boolean isOverdue = now.compareTo(mDeadlines.deadline()) >= 0;
         if (isOverdue || mServices.activeExchanges().isEnding()) {
-            endUnanswered(isOverdue ? "timeout" : "entry_leaving", isOverdue ? 504 : 502);
+            String reason = isOverdue ? "timeout" : "entry_leaving";
+            boolean mayHaveRun = mHistory.mayHaveRun() || mCurrent != null;
+            endUnanswered(reason, isOverdue ? 504 : 502, mayHaveRun);
             return;
         }
         EndpointAttempt attempt = mCurrent;
@@ -475,14 +475,16 @@
     }
 
     /** Ends a request for which no response will come any more. */
-    private void endUnanswered(String reason, int statusIfPossiblyRun) {
-        boolean mayHaveRun = mHistory.mayHaveRun() || mCurrent != null;
+    private void endUnanswered(String reason, int statusIfPossiblyRun, boolean mayHaveRun) {
+        if (mResponse.isComplete()) {
+            return;
+        }
         cancelCurrentAttempt(reason);
         refuseOrAbort(
                 mayHaveRun
                         ? new Refusal(
                                 statusIfPossiblyRun, reason, "no response", false, Duration.ZERO)
-                        : Refusal.overloaded(reason, "no capacity in time", Duration.ZERO),
+                        : Refusal.overloaded(reason, "the request was not sent", Duration.ZERO),
                 reason);
     }
 
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectStreamRelay.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectStreamRelay.java
@@ -6,7 +6,6 @@
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.util.Callback;
-import org.eclipse.jetty.util.thread.SerializedInvoker;
 import org.jspecify.annotations.Nullable;
 import org.sequoiahill.daemon.connection.ResponseFraming;
 
@@ -24,7 +23,7 @@
     /** Bytes of an incomplete event above which a stream is treated as broken. */
     private static final int MAX_EVENT_BYTES = 256 << 10;
 
-    private final SerializedInvoker mInvoker;
+    private final ExchangeInvoker mInvoker;
     private final Exchange mExchange;
     private final EventWriter mWriter;
     private final EventSplitter mSplitter = new EventSplitter();
@@ -33,7 +32,7 @@
 
     private DirectStreamRelay(
             org.eclipse.jetty.server.Response response,
-            SerializedInvoker invoker,
+            ExchangeInvoker invoker,
             Exchange exchange) {
         mInvoker = invoker;
         mExchange = exchange;
@@ -43,7 +42,7 @@
     /** Returns the relay of one exchange. */
     static DirectStreamRelay of(
             org.eclipse.jetty.server.Response response,
-            SerializedInvoker invoker,
+            ExchangeInvoker invoker,
             Exchange exchange) {
         return new DirectStreamRelay(response, invoker, exchange);
     }
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/EventWriter.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/EventWriter.java
@@ -5,7 +5,6 @@
 import java.util.Deque;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
-import org.eclipse.jetty.util.thread.SerializedInvoker;
 
 /**
  * Writes events to a caller, one write at a time; events that arrive during a write are combined
@@ -13,14 +12,14 @@
  */
 final class EventWriter {
     private final Response mResponse;
-    private final SerializedInvoker mInvoker;
+    private final ExchangeInvoker mInvoker;
     private final Listener mListener;
     private final Deque<ByteBuffer> mQueue = new ArrayDeque<>();
     private int mPendingBytes;
     private boolean mIsWriting;
     private boolean mIsEndRequested;
 
-    EventWriter(Response response, SerializedInvoker invoker, Listener listener) {
+    EventWriter(Response response, ExchangeInvoker invoker, Listener listener) {
         mResponse = response;
         mInvoker = invoker;
         mListener = listener;
