Send no response of ours to a caller that has ended its sending side

A caller that sent a whole request and then ended its sending side got a 500 of ours at once, with Jetty's HTML page.

Which is right can't be told from a FIN: a caller that waits, or one that has gone. The rule that requests of callers who have gone must not be passed on nor kept at work wins, so the attempt is still cancelled. But the 500 said nothing true: the request may have run. The connection now ends without an answer, which promises nothing.

Cause: the exchange failed its callback, and Jetty writes a 500 for that.

Evidence: KeptConnectionTest.request_callerEndsItsSendingSide_... fails before in 4 of 4 rows ("HTTP/1.1 500 Server Error"); the endpoint sees its connection close, before and after.

Change: the caller's connection is closed before the callback fails.

--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/CallerResponse.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/CallerResponse.java
@@ -150,9 +150,16 @@
         mCallback.failed(new IOException(reason));
     }
 
-    /** Ends the exchange without a response because the caller has disconnected. */
+    /**
+     * Ends the exchange without a response because the caller has disconnected. The connection is
+     * closed first, as Jetty would respond with 500 otherwise, which a caller that has ended only
+     * its sending side would read.
+     */
     void callerDisconnected() {
         complete("caller_gone", 0);
+        if (mDisconnectDetector != null) {
+            mDisconnectDetector.closeConnection();
+        }
         mCallback.failed(new IOException("caller closed its connection"));
     }
 
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DisconnectDetector.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DisconnectDetector.java
@@ -61,6 +61,10 @@
         }
     }
 
+    void closeConnection() {
+        mEndPoint.close();
+    }
+
     private synchronized void register() {
         if (!mIsStopped) {
             mIsRegistered =
