Lose no bytes of a request that is sent before the last response

A caller that sent a second request of over 8 KiB before the response to the first had bytes cut out of its middle: the endpoint ran the request with a changed header, or the entry waited for the missing part of the body.

Cause: DisconnectDetector reads up to 4 KiB while a response is awaited and hands them to Jetty's connection, which keeps 8 KiB and drops, without an error, what doesn't fit behind the bytes that it has read already.

Change: the detector doesn't read if the connection holds bytes of a next request. A close wasn't detected from then on before either.

It works since Jetty's buffer is then empty, and 4 KiB fit into it.

--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DisconnectDetector.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DisconnectDetector.java
@@ -7,6 +7,7 @@
 import org.eclipse.jetty.io.AbstractEndPoint;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.internal.HttpConnection;
 import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.Callback;
 
@@ -16,19 +17,20 @@
  * <p>Jetty does not read from an HTTP/1.1 connection between the end of a request and the end of
  * its response, so a close would show only at the next write. The detector reads during that time:
  * end of stream means that the caller has closed the connection, and bytes of a next request are
- * handed back to the connection, after which a close is no longer detected.
+ * handed back to the connection, after which a close is no longer detected. It isn't either if the
+ * connection has read bytes of a next request already: it drops what doesn't fit in behind them.
  */
 final class DisconnectDetector {
     private static final int BUFFER_BYTES = 4_096;
 
     private final AbstractEndPoint mEndPoint;
-    private final Connection.UpgradeTo mConnection;
+    private final HttpConnection mConnection;
     private final Runnable mOnDisconnect;
     private boolean mIsRegistered;
     private boolean mIsStopped;
 
     private DisconnectDetector(
-            AbstractEndPoint endPoint, Connection.UpgradeTo connection, Runnable onDisconnect) {
+            AbstractEndPoint endPoint, HttpConnection connection, Runnable onDisconnect) {
         mEndPoint = endPoint;
         mConnection = connection;
         mOnDisconnect = onDisconnect;
@@ -41,10 +43,11 @@
     static DisconnectDetector start(Request request, Runnable onDisconnect) {
         Connection connection = request.getConnectionMetaData().getConnection();
         if (!(connection.getEndPoint() instanceof AbstractEndPoint endPoint)
-                || !(connection instanceof Connection.UpgradeTo upgradeable)) {
+                || !(connection instanceof HttpConnection httpConnection)) {
             throw new IllegalStateException("caller connections must use HTTP/1.1");
         }
-        DisconnectDetector detector = new DisconnectDetector(endPoint, upgradeable, onDisconnect);
+        DisconnectDetector detector =
+                new DisconnectDetector(endPoint, httpConnection, onDisconnect);
         detector.register();
         return detector;
     }
@@ -66,7 +69,7 @@
     }
 
     private synchronized void register() {
-        if (!mIsStopped) {
+        if (!mIsStopped && mConnection.isRequestBufferEmpty()) {
             mIsRegistered =
                     mEndPoint.tryFillInterested(Callback.from(this::onReadable, this::onFailure));
         }
