--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectHandler.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectHandler.java
@@ -94,7 +94,7 @@
                         metadata,
                         maxBodyBytes(table, request),
                         deadline);
-        Optional<Refusal> refusal = checkHeaders(snapshot, route, organisation, metadata);
+        Optional<Refusal> refusal = checkHeaders(snapshot, route, organisation, metadata, request);
         if (refusal.isPresent()) {
             upload.refuse(refusal.get());
             return true;
@@ -161,7 +161,8 @@
             FleetSnapshot snapshot,
             Optional<Route> route,
             Optional<Organisation> organisation,
-            RequestMetadata metadata) {
+            RequestMetadata metadata,
+            Request request) {
         boolean isUnknown =
                 route.isEmpty() || (organisation.isEmpty() && !route.get().allowsAnonymous());
         if (isUnknown && snapshot.isTableStale()) {
@@ -178,6 +179,10 @@
         if (metadata.id().isEmpty()) {
             return Optional.of(Refusal.invalid(400, "no_request_id", "the request has no id"));
         }
+        if (!EndpointCalls.canSend(request.getHttpURI().getPathQuery())) {
+            return Optional.of(
+                    Refusal.invalid(400, "invalid_path", "the path can't be sent unchanged"));
+        }
         return Optional.empty();
     }
 
