Count responses in the budget until callers have read them

With 8 callers that don't read their responses (64 KiB to 700 KB each), 19 to 160 bytes count as held.

Cause: BodyReader releases a response's bytes from the budget once it has been read from the endpoint, not once it has been written to the caller; the array that grows and its copy weren't counted either.

Change: CallerResponse holds the reservation until the callback that ends the request. While there is no room, ResponseBodyReader stops reading from the endpoint and looks again at each check of the exchange, until the request's deadline; a response that the endpoint has made is neither dropped nor asked for elsewhere, and the endpoint doesn't count as silent. One of unknown length that becomes large reserves its maximum at once, so that waiting ones don't wait for each other.

Open: a wait that lasts until the deadline ends with 504; slow readers end only by the idle bound of 30 s; pending events of streams have no bound for all.

--- a/daemon/src/main/java/org/sequoiahill/daemon/connection/BodyBuffer.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/connection/BodyBuffer.java
@@ -16,13 +16,16 @@
     private final long mLength;
     private final int mMaxBytes;
     private final HeldBytes mHeld;
+    private final boolean mReservesMaximum;
+    private boolean mIsMaximumReserved;
     private byte[] mBytes = {};
     private int mSize;
 
-    private BodyBuffer(long length, int maxBytes, HeldBytes held) {
+    private BodyBuffer(long length, int maxBytes, HeldBytes held, boolean reservesMaximum) {
         mLength = length;
         mMaxBytes = maxBytes;
         mHeld = held;
+        mReservesMaximum = reservesMaximum;
     }
 
     /** Result of adding bytes to a body. */
@@ -43,11 +46,26 @@
      * @param held reservation of the body's memory, which the caller must release
      */
     public static BodyBuffer of(long length, int maxBytes, HeldBytes held) {
-        return new BodyBuffer(length, maxBytes, held);
+        return new BodyBuffer(length, maxBytes, held, false);
     }
 
-    /** Reserves the memory for the stated length, so that no later part of the body lacks room. */
+    /**
+     * Returns an empty body as {@link #of} does, but one of unknown length that becomes large
+     * reserves the memory for its maximum size at once. Bodies that wait for room then can't wait
+     * for each other.
+     */
+    public static BodyBuffer reservingMaximum(long length, int maxBytes, HeldBytes held) {
+        return new BodyBuffer(length, maxBytes, held, true);
+    }
+
+    /**
+     * Reserves the memory for the stated length, so that no later part of the body lacks room; has
+     * no effect once bytes have been added.
+     */
     public Result reserveStatedLength() {
+        if (mBytes.length > 0) {
+            return Result.ADDED;
+        }
         if (mLength > mMaxBytes) {
             return Result.TOO_LARGE;
         }
@@ -70,8 +88,9 @@
         return Result.ADDED;
     }
 
-    /** Returns the bytes added so far, without copying them. */
+    /** Returns the complete body, without copying it, and releases the memory it does not need. */
     public ByteBuffer bytes() {
+        mHeld.tryHold(mBytes.length, isLarge(mBytes.length));
         return ByteBuffer.wrap(mBytes, 0, mSize).slice();
     }
 
@@ -85,12 +104,20 @@
     }
 
     private boolean allocate(int capacity) {
+        if (mIsMaximumReserved) {
+            mBytes = Arrays.copyOf(mBytes, capacity);
+            return true;
+        }
+        mIsMaximumReserved = mReservesMaximum && isLarge(capacity) && capacity != mLength;
         // Both arrays exist while the bytes are copied.
-        if (!mHeld.tryHold((long) mBytes.length + capacity, isLarge(capacity))) {
+        long bytes =
+                mIsMaximumReserved ? mMaxBytes + mMaxBytes / 2L : (long) mBytes.length + capacity;
+        if (!mHeld.tryHold(bytes, isLarge(capacity))) {
+            mIsMaximumReserved = false;
             return false;
         }
         mBytes = Arrays.copyOf(mBytes, capacity);
-        return mHeld.tryHold(capacity, isLarge(capacity));
+        return mIsMaximumReserved || mHeld.tryHold(capacity, isLarge(capacity));
     }
 
     private static boolean isLarge(long bytes) {
--- a/daemon/src/main/java/org/sequoiahill/daemon/connection/BodyReader.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/connection/BodyReader.java
@@ -23,7 +23,8 @@
     public static final class BodyTooLargeException extends Exception {
         private static final long serialVersionUID = 1L;
 
-        BodyTooLargeException(String message) {
+        /** Creates the signal. */
+        public BodyTooLargeException(String message) {
             super(message);
         }
     }
--- a/daemon/src/main/java/org/sequoiahill/daemon/connection/HeldBytes.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/connection/HeldBytes.java
@@ -50,6 +50,11 @@
         return true;
     }
 
+    /** Releases all bytes; further ones can be reserved. */
+    public void clear() {
+        tryHold(0, false);
+    }
+
     /** Releases all bytes for good; has no effect the second time. */
     public synchronized void release() {
         if (!mIsReleased) {
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/CallerResponse.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/CallerResponse.java
@@ -6,11 +6,15 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.BiConsumer;
 import org.eclipse.jetty.client.Response;
+import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.thread.SerializedInvoker;
 import org.jspecify.annotations.Nullable;
 import org.sequoiahill.daemon.connection.ConnectionUse;
+import org.sequoiahill.daemon.connection.HeldBytes;
 import org.sequoiahill.daemon.process.fleet.Organisation;
 import org.sequoiahill.daemon.request.HttpForwarder;
 import org.sequoiahill.daemon.request.Refusal;
@@ -32,6 +36,7 @@
     private final List<String> mTraits;
     private final org.eclipse.jetty.server.Response mResponse;
     private final Callback mCallback;
+    private final HeldBytes mHeld;
     private final Duration mArrivedAt;
     private final StringBuilder mTrace = new StringBuilder();
     private final Set<Object> mConnections = new HashSet<>();
@@ -52,7 +57,8 @@
         mRequest = request;
         mTraits = traits;
         mResponse = response;
-        mCallback = callback;
+        mHeld = services.memory().holdResponse();
+        mCallback = Callback.from(mHeld::release, callback);
         mArrivedAt = arrivedAt;
     }
 
@@ -61,6 +67,20 @@
         mDisconnectDetector = DisconnectDetector.start(callerRequest, onDisconnect);
     }
 
+    /**
+     * Reads the body of an attempt's response, in memory that is held until the caller's response
+     * ends.
+     *
+     * @param onEnd called with the body, or with the cause if it is too large or broken
+     */
+    ResponseBodyReader readBody(
+            Response head,
+            Content.Source content,
+            SerializedInvoker invoker,
+            BiConsumer<@Nullable ByteBuffer, @Nullable Throwable> onEnd) {
+        return ResponseBodyReader.read(head, content, mServices.memory(), mHeld, invoker, onEnd);
+    }
+
     org.eclipse.jetty.server.Response response() {
         return mResponse;
     }
@@ -112,10 +132,10 @@
     }
 
     /** Responds with an endpoint's complete response. */
-    void forward(EndpointAttempt attempt, Response response, byte[] body) {
+    void forward(EndpointAttempt attempt, Response response, ByteBuffer body) {
         copyHead(attempt, response);
         complete(ANSWERED, response.getStatus());
-        mResponse.write(true, ByteBuffer.wrap(body), mCallback);
+        mResponse.write(true, body, mCallback);
     }
 
     /**
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectExchange.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectExchange.java
@@ -1,6 +1,7 @@
 package org.sequoiahill.daemon.request.direct;
 
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -11,7 +12,6 @@
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.thread.SerializedInvoker;
 import org.jspecify.annotations.Nullable;
-import org.sequoiahill.daemon.connection.BodyReader;
 import org.sequoiahill.daemon.request.HttpForwarder;
 import org.sequoiahill.daemon.request.Refusal;
 import org.sequoiahill.daemon.request.direct.EndpointPermit.Result;
@@ -26,9 +26,6 @@
  */
 final class DirectExchange
         implements PendingRequest, EndpointAttempt.Observer, DirectStreamRelay.Exchange {
-    /** Maximum size of a response that is buffered until it is complete, in bytes. */
-    private static final int MAX_RESPONSE_BYTES = 4 << 20;
-
     /** Minimum time until the deadline for another attempt to be worthwhile. */
     private static final Duration MIN_TIME_TO_RETRY = Duration.ofMillis(150);
 
@@ -243,14 +240,12 @@
             // The caller has received part of a stream; only further events can follow.
             failAttempt(attempt, "no_stream_" + metadata.status());
         } else {
-            BodyReader.read(content, MAX_RESPONSE_BYTES, mServices.memory().responses())
-                    .whenComplete(
-                            (body, failure) ->
-                                    mInvoker.run(
-                                            () ->
-                                                    handleBody(
-                                                            attempt, response, metadata, body,
-                                                            failure)));
+            attempt.onBody(
+                    mResponse.readBody(
+                            response,
+                            content,
+                            mInvoker,
+                            (body, cause) -> handleBody(attempt, response, metadata, body, cause)));
         }
     }
 
@@ -268,7 +263,7 @@
             EndpointAttempt attempt,
             Response response,
             ResponseMetadata metadata,
-            byte @Nullable [] body,
+            @Nullable ByteBuffer body,
             @Nullable Throwable failure) {
         if (body == null) {
             if (failure != null) {
@@ -400,14 +395,17 @@
         }
     }
 
-    private void forward(EndpointAttempt attempt, Response response, byte[] body) {
+    private void forward(EndpointAttempt attempt, Response response, ByteBuffer body) {
         mServices.activeExchanges().remove(this);
         mResponse.forward(attempt, response, body);
     }
 
     /** Forwards an error response, unless its status would mean that the request has not run. */
     private void forwardFailure(
-            EndpointAttempt attempt, Response response, ResponseMetadata metadata, byte[] body) {
+            EndpointAttempt attempt,
+            Response response,
+            ResponseMetadata metadata,
+            ByteBuffer body) {
         if (metadata.impliesNotRun()) {
             refuse(Refusal.outcomeUnknown("the endpoint failed with " + metadata.status()));
         } else {
@@ -458,6 +456,7 @@
         if (attempt == null) {
             return;
         }
+        attempt.resumeBody(now);
         if (isSilent(attempt, now)) {
             failAttempt(attempt, "silent");
         } else if (!attempt.hasHead()
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectHandler.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectHandler.java
@@ -160,9 +160,7 @@
 
     /** Returns the largest body that the table allows and for which there can be room. */
     private int maxBodyBytes(RoutingTable table, Request request) {
-        long room = mServices.memory().largeRequests().maxBytes();
-        // A body of unknown length is copied while it grows.
-        long maxBytes = request.getLength() < 0 ? room / 2 : room;
+        long maxBytes = mServices.memory().maxRequestBytes(request.getLength());
         return (int) Math.min(Integer.MAX_VALUE, Math.min(maxBytes, table.maxBodyBytes()));
     }
 
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/EndpointAttempt.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/EndpointAttempt.java
@@ -16,6 +16,7 @@
     private @Nullable Request mRequest;
     private Content.@Nullable Source mContent;
     private volatile @Nullable ConnectionUse mConnection;
+    private @Nullable ResponseBodyReader mBody;
     private boolean mHasHead;
     private int mEvents;
     private Duration mHeadAt = Duration.ZERO;
@@ -114,6 +115,21 @@
         mLastReceivedAt = now;
     }
 
+    void onBody(ResponseBodyReader body) {
+        mBody = body;
+    }
+
+    /**
+     * Goes on reading a body for which there was no room, if there is room now; the endpoint does
+     * not count as silent in between.
+     */
+    void resumeBody(Duration now) {
+        if (mBody != null && mBody.isPaused()) {
+            mLastReceivedAt = now;
+            mBody.resume();
+        }
+    }
+
     /** Returns the number of events received. */
     int events() {
         return mEvents;
@@ -126,6 +142,9 @@
 
     /** Cancels the attempt; the endpoint sees its connection close. */
     void cancel(Throwable cause) {
+        if (mBody != null) {
+            mBody.cancel();
+        }
         if (mContent != null) {
             mContent.fail(cause);
         }
--- a/daemon/src/test/java/org/sequoiahill/daemon/connection/BodyBufferTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/connection/BodyBufferTest.java
@@ -99,6 +99,28 @@
         assertThat(body.bytes().remaining(), is(result == Result.ADDED ? 2 * size : size));
     }
 
+    @ParameterizedTest
+    @CsvSource({
+        // stated length, size of the body; bytes held once it has grown, and once it is complete
+        "-1, 65536, 65536, 65536",
+        "-1, 65537, 393216, 131072",
+        "-1, 262144, 393216, 262144",
+        "262144, 262144, 262144, 262144"
+    })
+    void add_reservingMaximum_holdsItFromTheFirstLargeSize(
+            long length, int size, long grown, long complete) {
+        HeldBytes held = HeldBytes.of(mAll, mLarge);
+        BodyBuffer body = BodyBuffer.reservingMaximum(length, 262_144, held);
+        assertThat(body.reserveStatedLength(), is(Result.ADDED));
+        assertThat(body.add(ByteBuffer.allocate(size - 1)), is(Result.ADDED));
+        assertThat(body.add(ByteBuffer.allocate(1)), is(Result.ADDED));
+        assertThat(mAll.reserved(), is(grown));
+        assertThat(body.bytes().remaining(), is(size));
+        assertThat(mAll.reserved(), is(complete));
+        held.release();
+        assertThat(mAll.reserved(), is(0L));
+    }
+
     @Test
     void add_afterTheRelease_holdsNothing() {
         HeldBytes held = HeldBytes.of(mAll, mLarge);
