Close connections before the exit also when the drain fails, and wait for those just accepted

Each selector's queue is now processed before and after the listeners close, and the count is polled at least once after that. - An exception in the drain skipped the close and left the process with open listeners until SIGKILL.

--- a/daemon/src/main/java/org/sequoiahill/daemon/process/DrainHandler.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/DrainHandler.java
@@ -56,11 +56,16 @@
             return mRefusing.handle(request, closingResponse, callback);
         }
         Callback trackedCallback = Callback.from(callback, () -> end(request));
-        if (super.handle(request, closingResponse, trackedCallback)) {
-            return true;
+        boolean isHandled = false;
+        try {
+            isHandled = super.handle(request, closingResponse, trackedCallback);
+        } finally {
+            // If the handler throws, the server completes the request without this callback.
+            if (!isHandled) {
+                end(request);
+            }
         }
-        end(request);
-        return false;
+        return isHandled;
     }
 
     /** Makes each response that starts from now on close its connection. */
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/FleetDaemon.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/FleetDaemon.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
@@ -42,9 +43,10 @@
     private final ControlServer mControlServer;
     private final FleetDaemonRole mRole;
     private final StoreWatcher mWatcher;
+    private final MonotonicClock mClock;
     private final Server mServer;
     private final CountDownLatch mDrained = new CountDownLatch(1);
-    private volatile boolean mIsLeaving;
+    private final AtomicBoolean mIsLeaving = new AtomicBoolean();
 
     @Inject
     FleetDaemon(
@@ -64,6 +66,7 @@
         mSettings = settings;
         mHttpClient = httpClient;
         mControlServer = controlServer;
+        mClock = clock;
         mRole =
                 switch (settings.role()) {
                     case ENTRY -> entry.get();
@@ -85,7 +88,7 @@
         }
         List<HttpServers.Listener> listeners = new ArrayList<>(mRole.listeners());
         listeners.add(new HttpServers.Listener(METRICS, settings.metrics()));
-        AdminHandler admin = AdminHandler.of(metrics, () -> !mIsLeaving);
+        AdminHandler admin = AdminHandler.of(metrics, () -> !mIsLeaving.get());
         mServer =
                 HttpServers.createForAddresses(
                         threads,
@@ -120,15 +123,13 @@
      * process.
      */
     public void stop() {
-        if (mIsLeaving) {
+        if (mIsLeaving.getAndSet(true)) {
             Logger.warn(
                     "{} ignores another stop request; it is leaving already",
                     mSettings.displayName());
             return;
         }
-        mIsLeaving = true;
         Logger.info("{} is leaving", mSettings.displayName());
-        mRole.leave();
         Thread thread = ProcessModule.daemonThreads("shutdown").newThread(this::drainRole);
         thread.start();
     }
@@ -144,13 +145,27 @@
 
     private void drainRole() {
         try {
+            mRole.leave();
             mRole.finishLeaving();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
+        } catch (RuntimeException e) {
+            Logger.error(e, "{} failed to drain", mSettings.displayName());
+        } finally {
+            closeConnections();
+        }
+    }
+
+    private void closeConnections() {
+        try {
+            // The exit of the JVM takes hundreds of milliseconds, in which nothing would be
+            // answered.
+            HttpServers.closeConnections(mServer, CLOSE_TIMEOUT, mClock);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } finally {
+            mDrained.countDown();
         }
-        // The exit of the JVM takes hundreds of milliseconds, in which nothing would be answered.
-        HttpServers.closeConnections(mServer, CLOSE_TIMEOUT);
-        mDrained.countDown();
     }
 
     /**
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/FleetEntryRole.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/FleetEntryRole.java
@@ -67,8 +67,14 @@
     /** Time to write the final responses to requests that are unfinished after the drain. */
     private static final Duration FINAL_RESPONSE_TIME = Duration.ofMillis(300);
 
-    /** Part of the drain timeout that is reserved for final responses and to close connections. */
-    private static final Duration END_MARGIN = Duration.ofMillis(700);
+    /** Longest part of the drain timeout that is reserved for final responses and the exit. */
+    private static final Duration MAX_END_MARGIN = Duration.ofMillis(1_200);
+
+    /** Largest fraction of the drain timeout that is reserved for final responses and the exit. */
+    private static final double END_FRACTION = 1.0 / 6;
+
+    /** Largest fraction of the drain timeout in which new requests are served. */
+    private static final double PROBE_GRACE_FRACTION = 1.0 / 3;
 
     /**
      * Age of a version, as a fraction of its rollout deadline, above which requests require that
@@ -228,10 +234,11 @@
 
     @Override
     public void finishLeaving() throws InterruptedException {
-        TimeUnit.NANOSECONDS.sleep(PROBE_GRACE.toNanos());
-        Duration drainTimeout =
-                mSettings.limits().drainTimeout().minus(PROBE_GRACE).minus(END_MARGIN);
-        mDrain.drain(drainTimeout);
+        Duration drainTimeout = mSettings.limits().drainTimeout();
+        Duration probeGrace = min(PROBE_GRACE, fractionOf(drainTimeout, PROBE_GRACE_FRACTION));
+        Duration endMargin = min(MAX_END_MARGIN, fractionOf(drainTimeout, END_FRACTION));
+        TimeUnit.NANOSECONDS.sleep(probeGrace.toNanos());
+        mDrain.drain(drainTimeout.minus(probeGrace).minus(endMargin));
         mExchanges.endAll();
         mDrain.drain(FINAL_RESPONSE_TIME);
     }
@@ -263,6 +270,10 @@
                         });
     }
 
+    private static Duration min(Duration a, Duration b) {
+        return a.compareTo(b) <= 0 ? a : b;
+    }
+
     private static Duration fractionOf(Duration time, double fraction) {
         return Duration.ofMillis((long) (time.toMillis() * fraction));
     }
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/HttpServers.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/HttpServers.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import org.eclipse.jetty.http.UriCompliance;
+import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.server.Connector;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.HttpConfiguration;
@@ -15,13 +16,13 @@
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.jspecify.annotations.Nullable;
 import org.sequoiahill.daemon.connection.ExchangeTable;
 import org.sequoiahill.daemon.connection.ExchangeTrackingHandler;
 import org.sequoiahill.daemon.process.settings.HostPort;
 import org.sequoiahill.daemon.process.time.MonotonicClock;
 import org.sequoiahill.daemon.request.Refusal;
 import org.sequoiahill.daemon.request.RequestHeaders;
-import org.tinylog.Logger;
 
 /** Creates HTTP servers. */
 final class HttpServers {
@@ -39,6 +40,8 @@
     /** Idle time after which a stopped server closes a connection. */
     private static final Duration STOP_IDLE_TIMEOUT = Duration.ofMillis(250);
 
+    private static final Duration CLOSE_CHECK_INTERVAL = Duration.ofMillis(20);
+
     /** Idle time after which a server for one address closes a connection. */
     private static final Duration IDLE_TIMEOUT = Duration.ofMinutes(10);
 
@@ -120,23 +123,39 @@
     /**
      * Closes the listeners of a server, and each connection once it has been idle for {@link
      * #STOP_IDLE_TIMEOUT}; requests that arrive until then are handled. Returns once no connection
-     * is open or the timeout has elapsed. No request may be running, as it would be aborted after
-     * that idle time.
+     * is open or the timeout has elapsed. No response may be in progress, as one that makes no
+     * progress for that idle time is aborted.
      */
-    static void closeConnections(Server server, Duration timeout) {
-        List<CompletableFuture<?>> closed = new ArrayList<>();
+    static void closeConnections(Server server, Duration timeout, MonotonicClock clock)
+            throws InterruptedException {
+        Duration end = clock.now().plus(timeout);
+        // A connection with unread bytes must not be found idle because its selector is late.
+        awaitSelectors(server, timeout);
         for (ServerConnector connector : server.getBeans(ServerConnector.class)) {
             // Applies to a connection whose accept is not complete yet.
             connector.setIdleTimeout(connector.getShutdownIdleTimeout());
-            closed.add(connector.shutdown());
+            var unused = connector.shutdown();
+        }
+        // A connection that was just accepted is not counted until its selector has registered it.
+        awaitSelectors(server, end.minus(clock.now()));
+        do {
+            TimeUnit.NANOSECONDS.sleep(CLOSE_CHECK_INTERVAL.toNanos());
+        } while (openConnections(server) > 0 && clock.now().compareTo(end) < 0);
+    }
+
+    /** Waits until each selector of a server has processed what was submitted to it. */
+    private static void awaitSelectors(Server server, Duration timeout) {
+        List<CompletableFuture<?>> processed = new ArrayList<>();
+        for (ServerConnector connector : server.getBeans(ServerConnector.class)) {
+            for (ManagedSelector selector :
+                    connector.getSelectorManager().getBeans(ManagedSelector.class)) {
+                CompletableFuture<@Nullable Void> done = new CompletableFuture<>();
+                selector.submit(ignored -> done.complete(null));
+                processed.add(done);
+            }
         }
-        CompletableFuture.allOf(closed.toArray(new CompletableFuture<?>[0]))
-                .completeOnTimeout(null, timeout.toMillis(), TimeUnit.MILLISECONDS)
-                .exceptionally(
-                        failure -> {
-                            Logger.warn(failure, "closing the connections of a server failed");
-                            return null;
-                        })
+        CompletableFuture.allOf(processed.toArray(new CompletableFuture<?>[0]))
+                .completeOnTimeout(null, Math.max(0, timeout.toMillis()), TimeUnit.MILLISECONDS)
                 .join();
     }
 
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/ActiveExchanges.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/ActiveExchanges.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import org.tinylog.Logger;
 
 /**
  * The exchanges in progress at an entry, checked together at an interval for timeouts.
@@ -74,8 +75,17 @@
     }
 
     private void checkTimeouts() {
-        mExchanges.forEach(DirectExchange::checkTimeouts);
-        mUploads.forEach(Upload::checkTimeouts);
+        mExchanges.forEach(exchange -> check(exchange::checkTimeouts));
+        mUploads.forEach(upload -> check(upload::checkTimeouts));
+    }
+
+    /** Runs the check of one request; a failure must not keep the others from being checked. */
+    private static void check(Runnable check) {
+        try {
+            check.run();
+        } catch (RuntimeException e) {
+            Logger.error(e, "the check of a request for timeouts failed");
+        }
     }
 
     private void scheduleCheck() {
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/CallerResponse.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/CallerResponse.java
@@ -11,7 +11,6 @@
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.util.Callback;
-import org.eclipse.jetty.util.thread.SerializedInvoker;
 import org.jspecify.annotations.Nullable;
 import org.sequoiahill.daemon.connection.ConnectionUse;
 import org.sequoiahill.daemon.connection.HeldBytes;
@@ -76,7 +75,7 @@
     ResponseBodyReader readBody(
             Response head,
             Content.Source content,
-            SerializedInvoker invoker,
+            ExchangeInvoker invoker,
             BiConsumer<@Nullable ByteBuffer, @Nullable Throwable> onEnd) {
         return ResponseBodyReader.read(head, content, mServices.memory(), mHeld, invoker, onEnd);
     }
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/ResponseBodyReader.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/ResponseBodyReader.java
@@ -5,7 +5,6 @@
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.io.Content;
-import org.eclipse.jetty.util.thread.SerializedInvoker;
 import org.jspecify.annotations.Nullable;
 import org.sequoiahill.daemon.connection.BodyBuffer;
 import org.sequoiahill.daemon.connection.BodyReader.BodyTooLargeException;
@@ -21,7 +20,7 @@
 
     private final Content.Source mContent;
     private final BodyBuffer mBuffer;
-    private final SerializedInvoker mInvoker;
+    private final ExchangeInvoker mInvoker;
     private final BiConsumer<@Nullable ByteBuffer, @Nullable Throwable> mOnEnd;
     private Content.@Nullable Chunk mUnread;
     private boolean mIsPaused;
@@ -30,7 +29,7 @@
     private ResponseBodyReader(
             Content.Source content,
             BodyBuffer buffer,
-            SerializedInvoker invoker,
+            ExchangeInvoker invoker,
             BiConsumer<@Nullable ByteBuffer, @Nullable Throwable> onEnd) {
         mContent = content;
         mBuffer = buffer;
@@ -50,7 +49,7 @@
             Content.Source content,
             CallerMemory memory,
             HeldBytes held,
-            SerializedInvoker invoker,
+            ExchangeInvoker invoker,
             BiConsumer<@Nullable ByteBuffer, @Nullable Throwable> onEnd) {
         held.clear();
         long length = head.getHeaders().getLongField(HttpHeader.CONTENT_LENGTH);
