--- a/daemon/src/main/java/org/sequoiahill/daemon/process/logging/Logging.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/logging/Logging.java
@@ -2,6 +2,7 @@
 
 import org.sequoiahill.daemon.process.settings.DaemonSettings.LogSettings;
 import org.tinylog.configuration.Configuration;
+import org.tinylog.provider.ProviderRegistry;
 
 /** Configures the logging library from the settings. */
 public final class Logging {
@@ -19,6 +20,15 @@
         Configuration.set("writer.stream", "out");
     }
 
+    /** Writes all log lines and ends logging; for a process that ends without shutdown hooks. */
+    public static void close() {
+        try {
+            ProviderRegistry.getLoggingProvider().shutdown();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private static void configureLevels(String level) {
         Configuration.set("writer", JsonLineWriter.class.getName());
         Configuration.set("writer.level", level);
