--- a/daemon/src/main/java/org/sequoiahill/daemon/process/FleetStoreRole.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/FleetStoreRole.java
@@ -72,7 +72,7 @@
     private static final Duration LEADERSHIP_TRANSFER_TIMEOUT = Duration.ofMillis(800);
     private static final long LEADERSHIP_CHECK_MILLIS = 20;
 
-    /** Longest wait for running requests; a change waits no longer for the leader. */
+    /** Longest wait for running requests; operators switch to another store after that time. */
     private static final Duration DRAIN_TIMEOUT = Duration.ofSeconds(1);
 
     private final FleetSettings mSettings;
