Log each truncated response as a warning, with a limit of its own, and what a drain leaves unfinished

A leaving entry refuses many requests; refused and truncated ones shared a limit of 40 lines a second, so the lines that tell one cause of a loss from another were left out.

Change: a response that began and did not end whole is a warning, under a limit of its own. An entry says how many requests it ends because its time to drain is over.

--- a/daemon/src/main/java/org/sequoiahill/daemon/process/FleetEntryRole.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/FleetEntryRole.java
@@ -239,6 +239,10 @@
         Duration endMargin = min(MAX_END_MARGIN, fractionOf(drainTimeout, END_FRACTION));
         TimeUnit.NANOSECONDS.sleep(probeGrace.toNanos());
         mDrain.drain(drainTimeout.minus(probeGrace).minus(endMargin));
+        int unfinished = mExchanges.size();
+        if (unfinished > 0) {
+            Logger.warn("ends {} unfinished requests, as the time to drain is over", unfinished);
+        }
         mExchanges.endAll();
         mDrain.drain(FINAL_RESPONSE_TIME);
     }
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/RateLimitedRequestLog.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/RateLimitedRequestLog.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import org.eclipse.jetty.http.HttpStatus;
 import org.sequoiahill.daemon.process.time.MonotonicClock;
 import org.sequoiahill.daemon.request.direct.RequestLog;
 import org.tinylog.Logger;
@@ -15,35 +16,58 @@
  * Logs a line for each request, up to a limit per second, and records all requests as metrics.
  *
  * <p>Lines above the limit are dropped; the next line states how many. Requests that were not
- * answered have a limit of their own, so that a flood of answered requests does not hide them.
+ * answered have a limit of their own, so that a flood of answered requests does not hide them, and
+ * so have truncated responses, which a flood of refused requests must not hide. These are warnings.
  */
 final class RateLimitedRequestLog implements RequestLog {
     private static final JsonMapper MAPPER = JsonMapper.builder().build();
     private static final String ANSWERED = "answered";
 
-    /** Lines per second for answered requests, and separately for all others. */
-    private static final int LINES_PER_SECOND = 40;
+    /** Lines per second for answered requests, for truncated responses, and for all others. */
+    static final int LINES_PER_SECOND = 40;
 
     private final MeterRegistry mRegistry;
     private final MonotonicClock mClock;
     private final Map<String, Timer> mTimers = new ConcurrentHashMap<>();
+    private final Output mOutput;
     private final LineLimiter mAnsweredLimiter = new LineLimiter();
+    private final LineLimiter mTruncatedLimiter = new LineLimiter();
     private final LineLimiter mOtherLimiter = new LineLimiter();
 
-    private RateLimitedRequestLog(MeterRegistry registry, MonotonicClock clock) {
+    private RateLimitedRequestLog(MeterRegistry registry, MonotonicClock clock, Output output) {
         mRegistry = registry;
         mClock = clock;
+        mOutput = output;
+    }
+
+    /** Receives the lines. */
+    @FunctionalInterface
+    interface Output {
+        void write(boolean isWarning, String line);
     }
 
     static RateLimitedRequestLog of(MeterRegistry registry, MonotonicClock clock) {
-        return new RateLimitedRequestLog(registry, clock);
+        return to(RateLimitedRequestLog::log, registry, clock);
+    }
+
+    static RateLimitedRequestLog to(Output output, MeterRegistry registry, MonotonicClock clock) {
+        return new RateLimitedRequestLog(registry, clock, output);
+    }
+
+    private static void log(boolean isWarning, String line) {
+        if (isWarning) {
+            Logger.warn(line);
+        } else {
+            Logger.info(line);
+        }
     }
 
     @Override
     public void requestCompleted(Entry entry) {
         mTimers.computeIfAbsent(entry.outcome() + "/" + entry.status(), key -> timer(entry))
                 .record(entry.time());
-        LineLimiter limiter = entry.outcome().equals(ANSWERED) ? mAnsweredLimiter : mOtherLimiter;
+        boolean isTruncated = isTruncated(entry);
+        LineLimiter limiter = isTruncated ? mTruncatedLimiter : limiterOfWhole(entry);
         long droppedCount = limiter.tryAcquire(mClock.now());
         if (droppedCount < 0) {
             return;
@@ -67,7 +91,16 @@
         if (droppedCount > 0) {
             event.put("left_out", droppedCount);
         }
-        Logger.info(event.toString());
+        mOutput.write(isTruncated, event.toString());
+    }
+
+    /** Returns whether the caller received the beginning of a successful response only. */
+    private static boolean isTruncated(Entry entry) {
+        return !entry.outcome().equals(ANSWERED) && HttpStatus.isSuccess(entry.status());
+    }
+
+    private LineLimiter limiterOfWhole(Entry entry) {
+        return entry.outcome().equals(ANSWERED) ? mAnsweredLimiter : mOtherLimiter;
     }
 
     private Timer timer(Entry entry) {
