Let the caller's response end its exchange, and write nothing after its end

Events that are queued for a slow caller when its stream is aborted are dropped: writing them failed with "channel already completed", logged as an error (seen in a test of a silent endpoint).

--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/CallerResponse.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/CallerResponse.java
@@ -37,21 +37,29 @@
     private final Callback mCallback;
     private final HeldBytes mHeld;
     private final Duration mArrivedAt;
+    private final Runnable mOnEnd;
     private final StringBuilder mTrace = new StringBuilder();
     private final Set<Object> mConnections = new HashSet<>();
     private @Nullable DisconnectDetector mDisconnectDetector;
     private Duration mQueueTime = NOT_SENT;
     private String mAnsweredBy = "";
     private int mAttempts;
+    private boolean mHasBegun;
     private volatile boolean mIsComplete;
 
+    /**
+     * Creates a response that has not begun.
+     *
+     * @param onEnd called before the response ends
+     */
     CallerResponse(
             DirectServices services,
             DirectRequest request,
             List<String> traits,
             org.eclipse.jetty.server.Response response,
             Callback callback,
-            Duration arrivedAt) {
+            Duration arrivedAt,
+            Runnable onEnd) {
         mServices = services;
         mRequest = request;
         mTraits = traits;
@@ -59,6 +67,7 @@
         mHeld = services.memory().holdResponse();
         mCallback = Callback.from(mHeld::release, callback);
         mArrivedAt = arrivedAt;
+        mOnEnd = onEnd;
     }
 
     /** Starts monitoring whether the caller closes its connection. */
@@ -142,10 +151,24 @@
      * and records the endpoint for the request log.
      */
     void copyHead(EndpointAttempt attempt, Response response) {
+        mHasBegun = true;
         mAnsweredBy = attempt.permit().endpoint().id();
         HttpForwarder.copyHead(response, mResponse);
     }
 
+    /** Forwards an error response, unless its status would mean that the request has not run. */
+    void forwardFailure(
+            EndpointAttempt attempt,
+            Response response,
+            ResponseMetadata metadata,
+            ByteBuffer body) {
+        if (metadata.impliesNotRun()) {
+            refuse(Refusal.outcomeUnknown("the endpoint failed with " + metadata.status()));
+        } else {
+            forward(attempt, response, body);
+        }
+    }
+
     /** Completes the exchange after a complete stream; returns the callback for the last write. */
     Callback completeStream() {
         complete(ANSWERED, mResponse.getStatus());
@@ -160,6 +183,15 @@
                 mCallback);
     }
 
+    /** Refuses a request that can't be served, or aborts its stream if that has begun. */
+    void refuseOrAbort(Refusal refusal, String abortReason) {
+        if (mHasBegun) {
+            abort(abortReason);
+        } else {
+            refuse(refusal);
+        }
+    }
+
     /**
      * Aborts a response that has begun and can't be completed, so that the caller can tell that it
      * is truncated.
@@ -185,6 +217,7 @@
     private void complete(String outcome, int status) {
         boolean isFirstAttemptAnswered = mAttempts == 1 && outcome.equals(ANSWERED);
         mIsComplete = true;
+        mOnEnd.run();
         if (mDisconnectDetector != null) {
             mDisconnectDetector.stop();
         }
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectExchange.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectExchange.java
@@ -54,7 +54,13 @@
         mQuarantine = RequestQuarantine.of(services.quarantine(), request);
         mResponse =
                 new CallerResponse(
-                        services, request, mQuarantine.traits(), response, callback, arrivedAt);
+                        services,
+                        request,
+                        mQuarantine.traits(),
+                        response,
+                        callback,
+                        arrivedAt,
+                        this::onResponseEnd);
         mStreamRelay = DirectStreamRelay.of(response, mInvoker, this);
         mDeadlines = RequestDeadlines.of(arrivedAt, request.route(), request.metadata().timeout());
         mQueueDeadline = mDeadlines.queueDeadline(request.route().latencyTarget());
@@ -66,7 +72,7 @@
                 () -> {
                     Optional<Refusal> refusal = mQuarantine.admit();
                     if (refusal.isPresent()) {
-                        refuse(refusal.get());
+                        mResponse.refuse(refusal.get());
                         return;
                     }
                     mServices.activeExchanges().add(this);
@@ -180,11 +186,7 @@
 
     private void send(EndpointPermit permit) {
         Duration now = mServices.clock().now();
-        if (mResponse.isComplete()) {
-            permit.release(Result.CANCELLED);
-            return;
-        }
-        if (refuseIfQuarantined()) {
+        if (isAbandoned() || refuseIfQuarantined()) {
             permit.release(Result.CANCELLED);
             return;
         }
@@ -204,11 +206,11 @@
     }
 
     private void handleRefusal(DispatchRefusal refusal) {
-        if (mResponse.isComplete()) {
+        if (isAbandoned()) {
             return;
         }
         String message = "no endpoint can accept the request now";
-        refuseOrAbort(
+        mResponse.refuseOrAbort(
                 mHistory.mayHaveRun()
                         ? Refusal.outcomeUnknown("the endpoint sent no response")
                         : Refusal.overloaded(refusal.reason(), message, refusal.retryAfter()),
@@ -216,7 +218,7 @@
     }
 
     private void handleHead(EndpointAttempt attempt, Response response, Content.Source content) {
-        if (mResponse.isComplete() || attempt != mCurrent) {
+        if (!isCurrent(attempt)) {
             content.fail(new IOException("response of a superseded attempt"));
             return;
         }
@@ -277,9 +279,11 @@
         }
         mQuarantine.onAnswered(attempt);
         if (!isFailure) {
-            forward(attempt, response, body);
+            mResponse.forward(attempt, response, body);
         } else {
-            retryOrFinish(Cause.FAILED, () -> forwardFailure(attempt, response, metadata, body));
+            retryOrFinish(
+                    Cause.FAILED,
+                    () -> mResponse.forwardFailure(attempt, response, metadata, body));
         }
     }
 
@@ -314,10 +318,14 @@
 
     @Override
     public Callback onResponseEnding() {
-        mServices.activeExchanges().remove(this);
         return mResponse.completeStream();
     }
 
+    private void onResponseEnd() {
+        mServices.activeExchanges().remove(this);
+        mStreamRelay.stop();
+    }
+
     private void pinVersion(EndpointAttempt attempt) {
         Long version = attempt.permit().endpoint().versions().get(model());
         if (mPinnedVersion.isEmpty() && version != null) {
@@ -331,7 +339,7 @@
         if (refusal.isEmpty()) {
             return false;
         }
-        refuseOrAbort(refusal.get(), refusal.get().code());
+        mResponse.refuseOrAbort(refusal.get(), refusal.get().code());
         return true;
     }
 
@@ -375,17 +383,17 @@
             }
             case PASS_ON -> {
                 if (forwardFailure == null || mStreamRelay.hasBegun()) {
-                    abort("broken");
+                    mResponse.abort("broken");
                 } else {
                     forwardFailure.run();
                 }
             }
             case UNKNOWN ->
-                    refuseOrAbort(
+                    mResponse.refuseOrAbort(
                             Refusal.outcomeUnknown("the endpoint sent no complete response"),
                             "broken");
             case REFUSE ->
-                    refuseOrAbort(
+                    mResponse.refuseOrAbort(
                             Refusal.overloaded(
                                     "not_run", "no endpoint ran the request", MIN_TIME_TO_RETRY),
                             "broken");
@@ -393,50 +401,12 @@
         }
     }
 
-    private void forward(EndpointAttempt attempt, Response response, ByteBuffer body) {
-        mServices.activeExchanges().remove(this);
-        mResponse.forward(attempt, response, body);
-    }
-
-    /** Forwards an error response, unless its status would mean that the request has not run. */
-    private void forwardFailure(
-            EndpointAttempt attempt,
-            Response response,
-            ResponseMetadata metadata,
-            ByteBuffer body) {
-        if (metadata.impliesNotRun()) {
-            refuse(Refusal.outcomeUnknown("the endpoint failed with " + metadata.status()));
-        } else {
-            forward(attempt, response, body);
-        }
-    }
-
-    /** Ends a request that can't be served: aborts its stream if that has begun. */
-    private void refuseOrAbort(Refusal refusal, String abortReason) {
-        if (mStreamRelay.hasBegun()) {
-            abort(abortReason);
-        } else {
-            refuse(refusal);
-        }
-    }
-
-    private void refuse(Refusal refusal) {
-        mServices.activeExchanges().remove(this);
-        mResponse.refuse(refusal);
-    }
-
-    private void abort(String reason) {
-        mServices.activeExchanges().remove(this);
-        mResponse.abort(reason);
-    }
-
     @Override
     public void onCallerDisconnect() {
         if (mResponse.isComplete()) {
             return;
         }
         cancelCurrentAttempt("caller_gone");
-        mServices.activeExchanges().remove(this);
         mResponse.callerDisconnected();
     }
 
@@ -479,7 +449,7 @@
             return;
         }
         cancelCurrentAttempt(reason);
-        refuseOrAbort(
+        mResponse.refuseOrAbort(
                 mayHaveRun
                         ? new Refusal(
                                 statusIfPossiblyRun, reason, "no response", false, Duration.ZERO)
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectStreamRelay.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectStreamRelay.java
@@ -101,6 +101,11 @@
         return mSplitter.lastId();
     }
 
+    /** Discards what has not been written, as the response has ended. */
+    void stop() {
+        mWriter.stop();
+    }
+
     /** Discards the buffered part of an incomplete event. */
     void dropPartial() {
         mSplitter.takePartial();
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/EventWriter.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/EventWriter.java
@@ -18,6 +18,7 @@
     private int mPendingBytes;
     private boolean mIsWriting;
     private boolean mIsEndRequested;
+    private boolean mIsStopped;
 
     EventWriter(Response response, ExchangeInvoker invoker, Listener listener) {
         mResponse = response;
@@ -57,8 +58,13 @@
         writeNext();
     }
 
+    /** Writes nothing more. */
+    void stop() {
+        mIsStopped = true;
+    }
+
     private void writeNext() {
-        if (mIsWriting) {
+        if (mIsWriting || mIsStopped) {
             return;
         }
         if (mQueue.isEmpty()) {
