Refuse streams that may outlive a stopping entry, instead of cutting them

Cause: an entry that leaves serves requests until balancers have noticed, whatever their deadlines, and ends what is unfinished at the end of its drain. A stream that has begun can't be ended with a response. Its caller loses the whole work, although another entry could have served it from the start. Class of fault: a process accepts work that may last longer than the process will.

Change: once an entry leaves, a stream whose deadline lies after the end of the drain is refused with a true "not run" and no retry time, when its headers arrive, and again when its upload has ended. Streams that are accepted end, or reach their deadline, before the drain does. Requests of other kinds get a complete response at the end of the drain, as before, and are still served for 2.5 s.

--- a/daemon/src/main/java/org/sequoiahill/daemon/process/FleetEntryRole.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/FleetEntryRole.java
@@ -35,6 +35,7 @@
 import org.sequoiahill.daemon.request.direct.DirectServices;
 import org.sequoiahill.daemon.request.direct.DirectSettings;
 import org.sequoiahill.daemon.request.direct.Dispatcher;
+import org.sequoiahill.daemon.request.direct.DrainDeadline;
 import org.sequoiahill.daemon.request.direct.ServiceRetryBudgets;
 import org.sequoiahill.daemon.request.direct.SlackShare;
 import org.sequoiahill.daemon.request.load.LoadRelay;
@@ -98,6 +99,9 @@
     private final LoadRelay mLoads;
     private final TraitQuarantine mQuarantine;
     private final ActiveExchanges mExchanges;
+    private final MonotonicClock mClock;
+    private final DrainDeadline mDrainDeadline = DrainDeadline.unset();
+    private volatile Duration mDrainEnd = Duration.ZERO;
     private volatile boolean mIsLeaving;
 
     @Inject
@@ -117,6 +121,7 @@
         mAdapter = adapter;
         mIdentity = identity;
         mView = view;
+        mClock = clock;
         DirectSettings direct = directSettings(settings);
         Dispatcher dispatcher =
                 Dispatcher.of(view::snapshot, direct, clock, random, DelayedExecutor.of(scheduler));
@@ -146,6 +151,7 @@
                         mQuarantine,
                         forwarder,
                         mExchanges,
+                        mDrainDeadline,
                         memory,
                         RateLimitedRequestLog.of(metrics, clock),
                         clock);
@@ -229,6 +235,10 @@
     @Override
     public void leave() {
         mIsLeaving = true;
+        Duration drainTimeout = mSettings.limits().drainTimeout();
+        Duration endMargin = min(MAX_END_MARGIN, fractionOf(drainTimeout, END_FRACTION));
+        mDrainEnd = mClock.now().plus(drainTimeout).minus(endMargin);
+        mDrainDeadline.set(mDrainEnd);
         mDrain.closeConnections();
     }
 
@@ -236,9 +246,8 @@
     public void finishLeaving() throws InterruptedException {
         Duration drainTimeout = mSettings.limits().drainTimeout();
         Duration probeGrace = min(PROBE_GRACE, fractionOf(drainTimeout, PROBE_GRACE_FRACTION));
-        Duration endMargin = min(MAX_END_MARGIN, fractionOf(drainTimeout, END_FRACTION));
         TimeUnit.NANOSECONDS.sleep(probeGrace.toNanos());
-        mDrain.drain(drainTimeout.minus(probeGrace).minus(endMargin));
+        mDrain.drain(mDrainEnd.minus(mClock.now()));
         int unfinished = mExchanges.size();
         if (unfinished > 0) {
             Logger.warn("ends {} unfinished requests, as the time to drain is over", unfinished);
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectExchange.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectExchange.java
@@ -70,7 +70,10 @@
     void start() {
         mInvoker.run(
                 () -> {
-                    Optional<Refusal> refusal = mQuarantine.admit();
+                    DrainDeadline drain = mServices.drainDeadline();
+                    Optional<Refusal> refusal =
+                            drain.refuse(mRequest.route(), mDeadlines.deadline())
+                                    .or(mQuarantine::admit);
                     if (refusal.isPresent()) {
                         mResponse.refuse(refusal.get());
                         return;
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectHandler.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectHandler.java
@@ -94,7 +94,9 @@
                         metadata,
                         maxBodyBytes(table, request),
                         deadline);
-        Optional<Refusal> refusal = checkHeaders(snapshot, route, organisation, metadata, request);
+        Optional<Refusal> refusal =
+                checkHeaders(snapshot, route, organisation, metadata, request)
+                        .or(() -> mServices.drainDeadline().refuse(route.orElseThrow(), deadline));
         if (refusal.isPresent()) {
             upload.refuse(refusal.get());
             return true;
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectServices.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectServices.java
@@ -13,6 +13,7 @@
  * @param quarantine refuses requests that crash endpoints
  * @param forwarder sends requests to endpoints
  * @param activeExchanges exchanges in progress
+ * @param drainDeadline limits the time of requests while the process stops
  * @param memory limits the bytes of bodies that are held for callers
  * @param requestLog records requests at their end
  * @param clock monotonic clock
@@ -24,6 +25,7 @@
         TraitQuarantine quarantine,
         HttpForwarder forwarder,
         ActiveExchanges activeExchanges,
+        DrainDeadline drainDeadline,
         CallerMemory memory,
         RequestLog requestLog,
         MonotonicClock clock) {}
