End a silent attempt only once another endpoint takes the request over

What callers saw: a resumable stream whose endpoint sent nothing for 1.5 s was cut in its middle, although the endpoint went on. Requests without a response got a 502.

Cause: the silent attempt was ended first; then the retry budget, or the endpoints' room, turned out not to suffice. Entries that started some seconds ago have hardly any budget. Class of fault: what works is given up before its replacement is certain.

Change: SilenceRecovery. It is ended when the retry is paid for, the traits aren't under quarantine and an endpoint has given a permit, and only if it is still silent then. If it fails meanwhile, the permit serves as that of an ordinary retry. A paid retry that was not used is kept for the request. A refusal that arrives after the endpoint's stream has ended, but before its last bytes are written, has no effect.

--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/AttemptHistory.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/AttemptHistory.java
@@ -17,9 +17,11 @@
     private int mAttempts;
     private int mPossibleRuns;
     private boolean mWasSent;
+    private boolean mIsRetryPaid;
 
     /** Adds an attempt; returns the number of attempts at the endpoint's address so far. */
     int add(EndpointInfo endpoint) {
+        mIsRetryPaid = false;
         mAttempts++;
         mEndpoints.add(endpoint.id());
         return mAttemptsByAddress.merge(endpoint.address(), 1, Integer::sum);
@@ -64,7 +66,7 @@
 
     /** Charges a retry to the budgets; returns the decision instead if they don't suffice. */
     Decision charge(Decision decision, Cause cause, String service, ServiceRetryBudgets budgets) {
-        if (decision == Decision.REPEAT_IN_BUDGET && !budgets.tryAcquire(service, cause)) {
+        if (decision == Decision.REPEAT_IN_BUDGET && !payRetry(cause, service, budgets)) {
             return RetryPolicy.decideWithoutRetry(cause, mPossibleRuns);
         }
         if (decision == Decision.REPEAT) {
@@ -72,4 +74,12 @@
         }
         return decision;
     }
+
+    /**
+     * Charges the next attempt to the budgets unless it is paid for already; returns whether it is.
+     */
+    boolean payRetry(Cause cause, String service, ServiceRetryBudgets budgets) {
+        mIsRetryPaid = mIsRetryPaid || budgets.tryAcquire(service, cause);
+        return mIsRetryPaid;
+    }
 }
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectExchange.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectExchange.java
@@ -37,8 +37,10 @@
     private final ExchangeInvoker mInvoker =
             ExchangeInvoker.of(() -> endUnanswered("internal_error", 502, mHistory.wasSent()));
     private final RequestDeadlines mDeadlines;
+    private final SilenceRecovery mSilenceRecovery;
     private @Nullable EndpointAttempt mCurrent;
     private Duration mQueueDeadline;
+    private volatile boolean mHasStreamEnded;
     private OptionalLong mPinnedVersion = OptionalLong.empty();
 
     DirectExchange(
@@ -64,6 +66,13 @@
         mStreamRelay = DirectStreamRelay.of(response, mInvoker, this);
         mDeadlines = RequestDeadlines.of(arrivedAt, request.route(), request.metadata().timeout());
         mQueueDeadline = mDeadlines.queueDeadline(request.route().latencyTarget());
+        mSilenceRecovery =
+                SilenceRecovery.of(
+                        request.route(),
+                        mDeadlines.deadline(),
+                        mHistory,
+                        mStreamRelay,
+                        mQuarantine);
     }
 
     /** Starts monitoring the caller and queues the request. */
@@ -143,7 +152,7 @@
 
     @Override
     public boolean isAbandoned() {
-        return mResponse.isComplete();
+        return mResponse.isComplete() || mHasStreamEnded;
     }
 
     @Override
@@ -189,7 +198,9 @@
 
     private void send(EndpointPermit permit) {
         Duration now = mServices.clock().now();
-        if (isAbandoned() || refuseIfQuarantined()) {
+        EndpointAttempt silent = mSilenceRecovery.endQueued() ? mCurrent : null;
+        if (isAbandoned()
+                || (silent != null ? !endSilentAttempt(silent, now) : refuseIfQuarantined())) {
             permit.release(Result.CANCELLED);
             return;
         }
@@ -209,7 +220,8 @@
     }
 
     private void handleRefusal(DispatchRefusal refusal) {
-        if (isAbandoned()) {
+        boolean isSilentAttemptRunning = mSilenceRecovery.endQueued() && mCurrent != null;
+        if (isAbandoned() || isSilentAttemptRunning) {
             return;
         }
         String message = "no endpoint can accept the request now";
@@ -310,7 +322,8 @@
     @Override
     public boolean onStreamEnd(EndpointAttempt attempt, String detail) {
         mQuarantine.onAnswered(attempt);
-        return endAttempt(attempt, Result.SUCCEEDED, "events_" + detail);
+        mHasStreamEnded = endAttempt(attempt, Result.SUCCEEDED, "events_" + detail);
+        return mHasStreamEnded;
     }
 
     @Override
@@ -370,6 +383,9 @@
         Duration now = mServices.clock().now();
         boolean hasTime = mDeadlines.deadline().minus(now).compareTo(MIN_TIME_TO_RETRY) > 0;
         mHistory.onFailed(cause);
+        if (mSilenceRecovery.isQueued()) {
+            return;
+        }
         Decision decision = mHistory.decide(cause, mRequest.route(), hasTime);
         boolean isRetry = decision == Decision.REPEAT || decision == Decision.REPEAT_IN_BUDGET;
         if (isRetry && refuseIfQuarantined()) {
@@ -430,20 +446,32 @@
             return;
         }
         attempt.resumeBody(now);
-        if (isSilent(attempt, now)) {
-            failAttempt(attempt, "silent");
+        if (mSilenceRecovery.shouldSearch(attempt, now)) {
+            queueReplacement(now);
         } else if (!attempt.hasHead()
                 && mServices.dispatcher().isOutdated(this, attempt.permit().endpoint())) {
             failAttempt(attempt, "outdated");
         }
     }
 
-    private boolean isSilent(EndpointAttempt attempt, Duration now) {
-        Duration last = attempt.lastReceivedAt();
-        Duration deadline = mDeadlines.deadline();
-        int runs = mHistory.possibleRuns();
-        return !mStreamRelay.isPaused()
-                && SilencePolicy.shouldRetryElsewhere(mRequest.route(), runs, last, deadline, now);
+    /** Queues the request for another endpoint if it may be retried. */
+    private void queueReplacement(Duration now) {
+        if (mHistory.payRetry(Cause.LOST, service(), mServices.retryBudgets())) {
+            mSilenceRecovery.onQueued();
+            mQueueDeadline = mDeadlines.retryQueueDeadline(now);
+            mServices.dispatcher().submit(this);
+        }
+    }
+
+    /** Ends an attempt if it is still silent and may be replaced; returns whether it is. */
+    private boolean endSilentAttempt(EndpointAttempt attempt, Duration now) {
+        boolean isReplaced = mSilenceRecovery.isReplaceable(attempt, now);
+        if (isReplaced) {
+            endAttempt(attempt, Result.FAILED, "silent");
+            attempt.cancel(new IOException("silent"));
+            mHistory.onFailed(Cause.LOST);
+        }
+        return isReplaced;
     }
 
     /** Ends a request for which no response will come any more. */
