Keep the end of an entry's drain in one place

The role held the same time beside the deadline that refuses streams. No behaviour changes: ShutdownTest, DaemonStopTest, SilentEndpointTest and SignalTest pass, 29 tests.

--- a/daemon/src/main/java/org/sequoiahill/daemon/process/FleetEntryRole.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/FleetEntryRole.java
@@ -101,7 +101,6 @@
     private final ActiveExchanges mExchanges;
     private final MonotonicClock mClock;
     private final DrainDeadline mDrainDeadline = DrainDeadline.unset();
-    private volatile Duration mDrainEnd = Duration.ZERO;
     private volatile boolean mIsLeaving;
 
     @Inject
@@ -237,8 +236,7 @@
         mIsLeaving = true;
         Duration drainTimeout = mSettings.limits().drainTimeout();
         Duration endMargin = min(MAX_END_MARGIN, fractionOf(drainTimeout, END_FRACTION));
-        mDrainEnd = mClock.now().plus(drainTimeout).minus(endMargin);
-        mDrainDeadline.set(mDrainEnd);
+        mDrainDeadline.set(mClock.now().plus(drainTimeout).minus(endMargin));
         mDrain.closeConnections();
     }
 
@@ -247,7 +245,7 @@
         Duration drainTimeout = mSettings.limits().drainTimeout();
         Duration probeGrace = min(PROBE_GRACE, fractionOf(drainTimeout, PROBE_GRACE_FRACTION));
         TimeUnit.NANOSECONDS.sleep(probeGrace.toNanos());
-        mDrain.drain(mDrainEnd.minus(mClock.now()));
+        mDrain.drain(mDrainDeadline.timeLeft(mClock.now()));
         int unfinished = mExchanges.size();
         if (unfinished > 0) {
             Logger.warn("ends {} unfinished requests, as the time to drain is over", unfinished);
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DrainDeadline.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DrainDeadline.java
@@ -30,6 +30,14 @@
         mEnd = end;
     }
 
+    /**
+     * Returns the time until unfinished requests are ended, zero if the process is not stopping.
+     */
+    public Duration timeLeft(Duration now) {
+        Duration end = mEnd;
+        return end == null ? Duration.ZERO : end.minus(now);
+    }
+
     /**
      * Returns the refusal of a request whose stream may last beyond the end of the drain, where it
      * would be truncated; a request of another kind gets a complete error response then.
