Let a silent attempt free its endpoint for another connection

Before, the attempt was ended first, and the endpoint was free for the next.

Change: a silent attempt no longer counts among those that wait for a head, and counts as one failure of its endpoint, when a replacement is sought and not when the attempt ends.

--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/Dispatcher.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/Dispatcher.java
@@ -157,6 +157,12 @@
         }
     }
 
+    void onSilence(EndpointStatus status, long number) {
+        synchronized (mLock) {
+            status.onSilence(number, mClock.now());
+        }
+    }
+
     void release(
             EndpointInfo endpoint,
             EndpointStatus status,
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/EndpointPermit.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/EndpointPermit.java
@@ -13,6 +13,7 @@
     private final OptionalLong mVersion;
     private final int mLoad;
     private final AtomicBoolean mIsReleased = new AtomicBoolean();
+    private final AtomicBoolean mIsSilent = new AtomicBoolean();
 
     EndpointPermit(
             Dispatcher dispatcher,
@@ -67,10 +68,21 @@
         mDispatcher.onResponse(mStatus, mNumber, response);
     }
 
+    /**
+     * Records that the endpoint has sent nothing for so long that the request may be sent again.
+     * Counts as a failure of the endpoint, which a release as failed does not count once more.
+     */
+    public void onSilence() {
+        if (mIsSilent.compareAndSet(false, true)) {
+            mDispatcher.onSilence(mStatus, mNumber);
+        }
+    }
+
     /** Gives the permit back; calls after the first have no effect. */
     public void release(Result result) {
         if (mIsReleased.compareAndSet(false, true)) {
-            mDispatcher.release(mEndpoint, mStatus, mNumber, result);
+            boolean isCounted = result == Result.FAILED && mIsSilent.get();
+            mDispatcher.release(mEndpoint, mStatus, mNumber, isCounted ? Result.CANCELLED : result);
         }
     }
 }
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/EndpointStatus.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/EndpointStatus.java
@@ -215,6 +215,15 @@
         }
     }
 
+    /**
+     * Records that the response to a request is overdue. It no longer makes the endpoint count as
+     * silent, since only the connection may be dead.
+     */
+    void onSilence(long number, Duration now) {
+        stopAwaiting(number);
+        onFailure(now);
+    }
+
     /**
      * Records that a request could not be sent, usually because no connection could be established;
      * the backoff starts with the first such failure.
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/SilenceRecovery.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/SilenceRecovery.java
@@ -56,13 +56,17 @@
                         mRoute, mHistory.possibleRuns(), attempt.lastReceivedAt(), mDeadline, now);
     }
 
-    /** Returns whether a replacement must be sought now, and starts the time until the next. */
+    /**
+     * Returns whether a replacement must be sought now. If so, records that the attempt is silent,
+     * and starts the time until the next search.
+     */
     boolean shouldSearch(EndpointAttempt attempt, Duration now) {
         boolean isDue = mNextSearchAt == null || now.compareTo(mNextSearchAt) >= 0;
         if (mIsQueued || !isDue || !isReplaceable(attempt, now)) {
             return false;
         }
         mNextSearchAt = now.plus(SEARCH_INTERVAL);
+        attempt.permit().onSilence();
         return true;
     }
 
