Ask the quarantine before a silent attempt is replaced

What callers saw, since only: a request whose trait came under quarantine while its endpoint was silent was sent to a second endpoint, which it might crash.

--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/SilenceRecovery.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/SilenceRecovery.java
@@ -53,7 +53,8 @@
     boolean isReplaceable(EndpointAttempt attempt, Duration now) {
         return !mStreamRelay.isPaused()
                 && SilencePolicy.shouldRetryElsewhere(
-                        mRoute, mHistory.possibleRuns(), attempt.lastReceivedAt(), mDeadline, now);
+                        mRoute, mHistory.possibleRuns(), attempt.lastReceivedAt(), mDeadline, now)
+                && mQuarantine.recheck(true).isEmpty();
     }
 
     /**
