--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/SilenceRecovery.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/SilenceRecovery.java
@@ -7,8 +7,9 @@
 /**
  * Tracks the replacement of a silent attempt by one at another endpoint.
  *
- * <p>The silent attempt goes on until the replacement has a permit. Its endpoint may only be slow,
- * and without a replacement there would be no response at all. Runs in the exchange's invoker.
+ * <p>The silent attempt continues until the replacement has a permit. Its endpoint may only be
+ * slow, and without a replacement there would be no response at all. Runs in the exchange's
+ * invoker.
  */
 final class SilenceRecovery {
     /** Time after which a replacement that was not possible is sought again. */
@@ -71,7 +72,7 @@
         return true;
     }
 
-    /** Records that the request waits for a permit while its silent attempt goes on. */
+    /** Records that the request waits for a permit while its silent attempt continues. */
     void onQueued() {
         mIsQueued = true;
     }
