--- a/review/tools-2/Fleet.java
+++ b/review/tools-2/Fleet.java
@@ -65,7 +65,7 @@
         Runtime.getRuntime().halt(status);
     }
 
-    /** A daemon of the deployment; it may be started again. */
+    /** A daemon of the deployment. */
     final class Daemon {
         final String name;
         final String role;
@@ -93,19 +93,10 @@
             mRecord.add("%s started, process %d", name, mProcess.pid());
         }
 
-        boolean isAlive() {
-            return mProcess.isAlive();
-        }
-
-        void signal(String signal) throws IOException, InterruptedException {
-            mRecord.add("%s gets SIG%s", name, signal);
-            new ProcessBuilder("kill", "-" + signal, Long.toString(mProcess.pid()))
-                    .start()
-                    .waitFor();
-        }
-
         void awaitEnd() throws InterruptedException {
-            mProcess.waitFor(15, TimeUnit.SECONDS);
+            if (mProcess != null) {
+                mProcess.waitFor(15, TimeUnit.SECONDS);
+            }
         }
     }
 
@@ -160,7 +151,8 @@
                                 : "")
                         + "\"seeds\":[" + seeds + "],\"seedPort\":" + CONTROL_PORT
                         + ",\"mayFound\":" + role.equals("store")
-                        + ",\"bounds\":{\"heartbeatMillis\":1200,\"lostStores\":1,"
+                        + ",\"bounds\":{\"heartbeatMillis\":1200,\"lostStores\":"
+                        + (mStores.size() < 5 ? 1 : 2) + ","
                         + "\"repeatRatio\":0.2,\"repeatWindowSeconds\":10,\"repeatSlack\":104,"
                         + "\"versionMillis\":8000,\"drainSeconds\":8}}";
         Path file = mFolder.resolve(name + ".json");
@@ -171,16 +163,6 @@
         return daemon;
     }
 
-    /** Makes restarted daemons see a fleet that exists already, as the platform does. */
-    void endBootstrap() throws IOException {
-        for (Daemon daemon : mDaemons.values()) {
-            String settings = Files.readString(daemon.mSettings);
-            Files.writeString(
-                    daemon.mSettings,
-                    settings.replace("\"mayFound\":true", "\"mayFound\":false"));
-        }
-    }
-
     /** Sends an order to one store after another until one acknowledges it. */
     void order(String path, String body, double seconds) throws Exception {
         double end = mRecord.now() + seconds;
@@ -234,7 +216,9 @@
 
     private void killAll() {
         for (Daemon daemon : mDaemons.values()) {
-            daemon.mProcess.destroyForcibly();
+            if (daemon.mProcess != null) {
+                daemon.mProcess.destroyForcibly();
+            }
         }
     }
 
