Report a request that has run as such if the endpoint answers 408 or 429

What callers saw: one of three endpoints of a booking service ran bookings and answered 408 or 429.

Cause: statuses that mean "not run" were replaced by a 502 only where an attempt counted as failed, and only server errors (5xx) did. 408 and 429 were passed on unchanged, and counted as a success of the endpoint.

Evidence: the line of such a request has outcome "answered" and one attempt "status_429".

Change: an answer is a failure of the endpoint if its status says "not run" and the endpoint's own header does not (ResponseMetadata.isFailure). Requests that may be repeated are retried within the budget; others get a 502 without a seal, which promises nothing. This holds for every kind of route, since it acts where the result of an attempt is decided.

--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectExchange.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/DirectExchange.java
@@ -287,7 +287,7 @@
             failAttempt(attempt, "cut_" + metadata.status());
             return;
         }
-        boolean isFailure = metadata.isServerError();
+        boolean isFailure = metadata.isFailure();
         Result result = isFailure ? Result.FAILED : Result.SUCCEEDED;
         if (!endAttempt(attempt, result, "status_" + metadata.status())) {
             return;
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/EndpointPermit.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/EndpointPermit.java
@@ -32,9 +32,9 @@
 
     /** Result of an attempt. */
     public enum Result {
-        /** The response was complete and not a server error. */
+        /** The response was complete and no failure of the endpoint. */
         SUCCEEDED,
-        /** The request was sent, and brought a server error or no usable response. */
+        /** The request was sent; the endpoint failed, or sent no usable response. */
         FAILED,
         /** Nothing was sent, usually because no connection could be established. */
         UNREACHABLE,
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/EndpointStatus.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/EndpointStatus.java
@@ -197,7 +197,7 @@
         }
     }
 
-    /** Records a complete response that is not a server error. */
+    /** Records a complete response that is no failure of the endpoint. */
     void onSuccess() {
         mFailures = 0;
         mBackoffUntil = Duration.ZERO;
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/ResponseMetadata.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/ResponseMetadata.java
@@ -69,9 +69,12 @@
         return STATUSES_IMPLYING_NOT_RUN.contains(status);
     }
 
-    /** Returns whether the status is a server error (5xx). */
-    boolean isServerError() {
-        return status >= FIRST_SERVER_ERROR;
+    /**
+     * Returns whether the endpoint ran the request and failed. A status that means "not run" to
+     * callers also counts: an endpoint that did not run a request says so in a header of its own.
+     */
+    boolean isFailure() {
+        return status >= FIRST_SERVER_ERROR || impliesNotRun();
     }
 
     /** Returns whether the status is a success (2xx). */
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/RetryPolicy.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/RetryPolicy.java
@@ -17,7 +17,7 @@
         NOT_RUN,
         /** The request was sent, and no usable response to it was received. */
         LOST,
-        /** The endpoint responded with a server error. */
+        /** The endpoint responded that it failed; see {@link ResponseMetadata#isFailure}. */
         FAILED
     }
 
