Report the death of a dark endpoint once while its attempts still wait

Change: dead and leaving endpoints are remembered with their attempts, for the time for which attempts are kept, and each attempt is reported and counted once. An attempt that was sent after the death adds nothing to it.

Evidence: UnansweredAttemptsTest with 5 new rows; on 4 of its 33 rows fail ("[a]@1000 [a]@1000 [a]@1000", "a a a"). After: 33 pass, and DarkEndpointTest.

--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/RequestQuarantine.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/RequestQuarantine.java
@@ -10,6 +10,7 @@
 import org.sequoiahill.daemon.request.Refusal;
 import org.sequoiahill.daemon.request.quarantine.QuarantineDecision;
 import org.sequoiahill.daemon.request.quarantine.TraitQuarantine;
+import org.sequoiahill.daemon.request.quarantine.UnansweredAttempts;
 
 /**
  * One request's dealings with the quarantine: whether it may be sent, and what its attempts show
@@ -19,9 +20,6 @@
     /** Events after which an endpoint counts as having survived the beginning of its answer. */
     private static final int EVENTS_OF_SOUND_ANSWER = 2;
 
-    /** Silence of an attempt's endpoint after which it may have died. */
-    private static final Duration MAX_SILENCE = Duration.ofSeconds(1);
-
     private final TraitQuarantine mQuarantine;
     private final List<String> mTraits;
     private final int mPromptTokens;
@@ -62,7 +60,7 @@
 
     /** Records that an attempt is in progress; if its endpoint is silent, it may have died. */
     void onWaiting(EndpointAttempt attempt, Duration now) {
-        if (now.minus(attempt.lastReceivedAt()).compareTo(MAX_SILENCE) > 0) {
+        if (now.minus(attempt.lastReceivedAt()).compareTo(UnansweredAttempts.MAX_SILENCE) > 0) {
             onUnanswered(attempt);
         }
     }
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/quarantine/TraitQuarantine.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/quarantine/TraitQuarantine.java
@@ -256,9 +256,7 @@
         }
     }
 
-    /**
-     * Applies the traits under quarantine in the fleet's state, and the endpoints that it lacks.
-     */
+    /** Applies the traits under quarantine in the fleet's state, and looks for dead endpoints. */
     public void update(FleetSnapshot snapshot) {
         mUnanswered.update(snapshot);
         synchronized (mLock) {
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/quarantine/UnansweredAttempts.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/quarantine/UnansweredAttempts.java
@@ -33,7 +33,7 @@
     private static final Duration RETENTION = Duration.ofSeconds(30);
 
     /** Time within which a live endpoint begins to answer some request. */
-    private static final Duration MAX_SILENCE = Duration.ofSeconds(1);
+    public static final Duration MAX_SILENCE = Duration.ofSeconds(1);
 
     private static final int MAX_ENDPOINTS = 1_024;
     private static final int MAX_ATTEMPTS_PER_ENDPOINT = 64;
@@ -121,6 +121,7 @@
         private final Attempt mAttempt;
         private @Nullable Duration mEndedAt;
         private boolean mIsCounted;
+        private boolean mIsReported;
 
         PendingAttempt(Attempt attempt) {
             mAttempt = attempt;
@@ -143,12 +144,13 @@
         private final Map<Object, PendingAttempt> mAttempts = new LinkedHashMap<>();
         private Duration mAnsweredAt = Duration.ZERO;
         private Duration mUpdatedAt = Duration.ZERO;
+        private boolean mIsLeaving;
 
         SilentEndpoint(EndpointInfo info) {
             mInfo = info;
         }
 
-        /** Returns the death, with the attempts that were sent before it. */
+        /** Returns the death, with the attempts that were sent before it and not yet reported. */
         Death death(Duration now) {
             Duration silentSince =
                     mAttempts.values().stream()
@@ -160,6 +162,7 @@
                     mInfo,
                     diedAt,
                     mAttempts.values().stream()
+                            .filter(pending -> !pending.mIsReported)
                             .map(pending -> pending.mAttempt)
                             .filter(attempt -> attempt.sentAt().compareTo(diedAt) <= 0)
                             .toList());
@@ -183,6 +186,9 @@
         synchronized (this) {
             SilentEndpoint silent =
                     mEndpoints.computeIfAbsent(incarnation, id -> new SilentEndpoint(endpoint));
+            if (silent.mIsLeaving) {
+                return;
+            }
             PendingAttempt attempt = silent.mAttempts.get(key);
             isNew = attempt == null;
             if (attempt == null) {
@@ -256,7 +262,7 @@
         }
     }
 
-    /** Reports the endpoints whose start the stores no longer report. */
+    /** Reports each endpoint whose start the stores no longer report, and new attempts at it. */
     void update(FleetSnapshot snapshot) {
         // Without any endpoint, it is the stores whose reports are missing.
         if (mIsEmpty || snapshot.endpointsByService().isEmpty()) {
@@ -271,24 +277,27 @@
                     .values()
                     .forEach(
                             list -> list.forEach(each -> reported.put(Incarnation.of(each), each)));
-            Iterator<Map.Entry<Incarnation, SilentEndpoint>> all = mEndpoints.entrySet().iterator();
-            while (all.hasNext()) {
-                Map.Entry<Incarnation, SilentEndpoint> silent = all.next();
-                EndpointInfo endpoint = reported.get(silent.getKey());
-                if (endpoint == null) {
-                    deaths.add(silent.getValue().death(now));
-                    silent.getValue().mAttempts.values().stream()
-                            .filter(attempt -> attempt.countOnce(true))
-                            .forEach(attempt -> lost.add(attempt.mAttempt.traits()));
-                }
-                if (endpoint == null || !endpoint.isReady()) {
-                    all.remove();
-                }
-            }
+            mEndpoints.forEach(
+                    (incarnation, silent) -> {
+                        EndpointInfo endpoint = reported.get(incarnation);
+                        if (endpoint != null && !endpoint.isReady()) {
+                            silent.mIsLeaving = true;
+                            silent.mAttempts.clear();
+                        } else if (endpoint == null) {
+                            deaths.add(silent.death(now));
+                            for (PendingAttempt attempt : silent.mAttempts.values()) {
+                                attempt.mIsReported = true;
+                                if (attempt.countOnce(true)) {
+                                    lost.add(attempt.mAttempt.traits());
+                                }
+                            }
+                        }
+                    });
+            evict();
             mIsEmpty = mEndpoints.isEmpty();
         }
         lost.forEach(mOnLost);
-        deaths.forEach(this::report);
+        deaths.stream().filter(death -> !death.attempts().isEmpty()).forEach(this::report);
     }
 
     private void report(Death death) {
@@ -310,7 +319,7 @@
     }
 
     private void discardIfEmpty(SilentEndpoint silent) {
-        if (silent.mAttempts.isEmpty()) {
+        if (silent.mAttempts.isEmpty() && !silent.mIsLeaving) {
             mEndpoints.remove(Incarnation.of(silent.mInfo));
             mIsEmpty = mEndpoints.isEmpty();
         }
--- a/daemon/src/test/java/org/sequoiahill/daemon/request/quarantine/UnansweredAttemptsTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/request/quarantine/UnansweredAttemptsTest.java
@@ -54,7 +54,10 @@
         "add:a 3000 blind, ''",
         "add:a 31000 add-other:b 100 gone, ''",
         "add:a 29000 add-other:b 100 gone, [a]@1000",
-        "add:a 3000 ready, ''"
+        "add:a 3000 ready, ''",
+        "add:a 3000 gone add:a 100 add:a 100 gone, [a]@1000",
+        "add:a 3000 gone 100 add:b 100 gone, [a]@1000",
+        "add:a 3000 draining 100 add:a 100 gone, ''"
     })
     void attempts_endpointIsNoLongerReported_areLostIfItMayHaveDiedOfThem(
             String steps, String deaths) {
@@ -80,7 +83,9 @@
         "add:a 500 end:a 500 add:b 2000 add:b, b",
         "add:a 500 end:a 600 gone, a",
         "add:a 1100 add:a 1000 gone, a",
-        "add:a 500 answered:a, ''"
+        "add:a 500 answered:a, ''",
+        "add:a 1100 add:a gone 100 add:a 100 add:a, a",
+        "add:a 500 draining 2000 add:a, ''"
     })
     void attempts_withoutAnAnswerForSomeTime_countAsLostOnce(String steps, String lost) {
         for (String step : steps.split(" ", -1)) {
