Treat a status that HTTP does not define as a broken response

Checked here: statuses below 100, and those of another length, never reached a caller, since Jetty's parser refuses them. But an endpoint's 600 or 999 was passed on under its seal, and after a 101 the caller waited without end.

Cause: nothing compared the status with what HTTP defines.

Change: HttpForwarder, through which all requests go to endpoints, aborts a response whose status is not between 200 and 599. The connection is closed, and the attempt counts as lost, so that it is retried where that is allowed and gets a 502 without a seal otherwise.

--- a/daemon/src/main/java/org/sequoiahill/daemon/request/HttpForwarder.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/HttpForwarder.java
@@ -1,6 +1,7 @@
 package org.sequoiahill.daemon.request;
 
 import java.net.ConnectException;
+import java.net.ProtocolException;
 import java.net.URI;
 import java.nio.ByteBuffer;
 import java.time.Duration;
@@ -17,6 +18,7 @@
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.util.Callback;
 import org.jspecify.annotations.Nullable;
@@ -30,6 +32,7 @@
 /** Forwards a buffered request and streams its response back with backpressure. */
 public final class HttpForwarder {
     private static final String DEFAULT_CONTENT_TYPE = "application/octet-stream";
+    private static final int LAST_STATUS = 599;
 
     private final HttpClient mClient;
 
@@ -138,6 +141,14 @@
         }
         request.onResponseContentSource(
                 (response, content) -> {
+                    if (!isFinal(response.getStatus())) {
+                        response.abort(
+                                new ProtocolException(
+                                        "the response's status "
+                                                + response.getStatus()
+                                                + " is not a final one of HTTP"));
+                        return;
+                    }
                     FailureSignalingSource source = FailureSignalingSource.over(content);
                     received.set(source);
                     listener.onResponse(response, EventStreamSource.checkEnd(response, source));
@@ -209,6 +220,11 @@
                 });
     }
 
+    /** Returns whether HTTP defines a status as that of a complete response. */
+    private static boolean isFinal(int status) {
+        return status >= HttpStatus.OK_200 && status <= LAST_STATUS;
+    }
+
     private static boolean isNotRun(Throwable failure) {
         return failure instanceof ConnectException
                 || (failure instanceof ExchangeLostException lost && lost.isNotRun());
--- a/daemon/src/test/java/org/sequoiahill/daemon/request/AgentResponseTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/request/AgentResponseTest.java
@@ -26,6 +26,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.sequoiahill.daemon.connection.EndpointHttpClients;
 import org.sequoiahill.daemon.connection.ExchangeTable;
 import org.sequoiahill.daemon.connection.ExchangeTrackingHandler;
@@ -165,6 +166,17 @@
         }
     }
 
+    /** Guards against statuses that HTTP does not define, which callers took for responses. */
+    @ParameterizedTest
+    @ValueSource(strings = {"000", "099", "101", "600", "999"})
+    void response_statusIsNotDefined_isNotPassedOn(String status) throws Exception {
+        respondOnce(status + " OK", "Content-Length: 3", "hel");
+        String response = call("X-Unused: 1");
+        assertThat(response, startsWith("HTTP/1.1 502 Bad Gateway\r\n"));
+        assertThat(response, containsString(RequestHeaders.OUTCOME_UNKNOWN + ": "));
+        assertThat(response, not(containsString("X-Of-Endpoint")));
+    }
+
     /** Sends a request as an entry does and returns all bytes of the response. */
     private String call(String header) throws IOException {
         return call(header, "id-1");
@@ -235,8 +247,14 @@
 
     /** Sends a truncated response to the next request and closes the connection. */
     private void respondOnce(String framing, String body) {
+        respondOnce("200 OK", framing, body);
+    }
+
+    private void respondOnce(String status, String framing, String body) {
         String response =
-                "HTTP/1.1 200 OK\r\nX-Of-Endpoint: 1\r\n"
+                "HTTP/1.1 "
+                        + status
+                        + "\r\nX-Of-Endpoint: 1\r\n"
                         + framing.replace(";", "\r\n")
                         + "\r\n\r\n"
                         + body.replace(";", "\r\n");
