--- a/daemon/src/test/java/org/sequoiahill/daemon/request/quarantine/SimulatedFleetCrashes.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/request/quarantine/SimulatedFleetCrashes.java
@@ -375,7 +375,7 @@
             }
         }
 
-        /** The entry gives up an attempt without an answer, and sends the request again. */
+        /** The entry ends an attempt without an answer, and sends the request again. */
         void end() {
             if (!mIsAnswered && !mIsLost) {
                 mEntry.mQuarantine.unanswered().end(this, mEngine);
--- a/daemon/src/test/java/org/sequoiahill/daemon/request/quarantine/TraitQuarantineTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/request/quarantine/TraitQuarantineTest.java
@@ -122,6 +122,7 @@
             fleet.makeCrashesSilent();
             fleet.addSoundRequests(sound, CALM.plus(trouble));
             fleet.run(CALM);
+            double before = fleet.soundFraction(Duration.ZERO, CALM);
             fleet.addBadRequests(PART, true, bad, trouble);
             fleet.run(trouble);
             String message = "seed " + seed + ", " + fleet.deaths() + " deaths";
@@ -130,6 +131,8 @@
                     message,
                     fleet.sentLate(PART, crashes, CONTACT),
                     lessThanOrEqualTo((long) MAX_SENT_LATE));
+            double during = fleet.soundFraction(CALM, fleet.now());
+            assertThat(message, during, greaterThanOrEqualTo(before / 2));
         }
     }
 
