Free the request of an attempt that its endpoint never answered

Found by reading the change once more: UnansweredAttempts kept each attempt for 30 s after its end, as the key of its record, and with it the request and its body. The budget of bodies had been given back by then, so that large bodies sent to silent endpoints could fill an entry's memory.

Change: an attempt has a key of its own, an object that refers to nothing.

Evidence: DarkEndpointTest.bodies_endpointsAreSilent_areFreedWithTheirRequests sends 20 requests of 2 MiB to endpoints that go dark. After: it passes, and so do DarkEndpointTest, UnansweredAttemptsTest, CrashingRequestsTest and SilentEndpointTest.

--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/EndpointAttempt.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/EndpointAttempt.java
@@ -10,6 +10,9 @@
 
 /** One attempt of a request at an endpoint. */
 final class EndpointAttempt implements HttpForwarder.Listener {
+    /** Identifies the attempt where its request must not be kept in memory. */
+    private final Object mKey = new Object();
+
     private final EndpointPermit mPermit;
     private final Duration mSentAt;
     private final Observer mObserver;
@@ -65,6 +68,10 @@
         mObserver.onResponseBroken(this, failure);
     }
 
+    Object key() {
+        return mKey;
+    }
+
     EndpointPermit permit() {
         return mPermit;
     }
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/direct/RequestQuarantine.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/direct/RequestQuarantine.java
@@ -79,7 +79,7 @@
             mQuarantine
                     .unanswered()
                     .add(
-                            attempt,
+                            attempt.key(),
                             attempt.permit().endpoint(),
                             mTraits,
                             probedTrait,
@@ -89,7 +89,7 @@
 
     /** Records that an attempt has ended, answered or not. */
     void onEnded(EndpointAttempt attempt) {
-        mQuarantine.unanswered().end(attempt, attempt.permit().endpoint());
+        mQuarantine.unanswered().end(attempt.key(), attempt.permit().endpoint());
     }
 
     /** Records events of an attempt's stream, which the attempt has counted already. */
@@ -101,7 +101,9 @@
 
     /** Records that an endpoint has answered. */
     void onAnswered(EndpointAttempt attempt) {
-        mQuarantine.unanswered().onAnswered(attempt, attempt.permit().endpoint(), attempt.headAt());
+        mQuarantine
+                .unanswered()
+                .onAnswered(attempt.key(), attempt.permit().endpoint(), attempt.headAt());
         mQuarantine.onAnswered(mTraits, attempt.headAt());
     }
 
@@ -118,7 +120,7 @@
         if (!isClosedByEndpoint || hasSurelyBegun(attempt)) {
             return;
         }
-        mQuarantine.unanswered().remove(attempt, attempt.permit().endpoint());
+        mQuarantine.unanswered().remove(attempt.key(), attempt.permit().endpoint());
         mQuarantine.onLost(
                 attempt.permit().endpoint(),
                 mTraits,
--- a/daemon/src/main/java/org/sequoiahill/daemon/request/quarantine/UnansweredAttempts.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/request/quarantine/UnansweredAttempts.java
@@ -172,7 +172,7 @@
     /**
      * Adds an attempt that may have begun to run and has no answer yet, or updates it.
      *
-     * @param key identifies the attempt
+     * @param key identifies the attempt; kept after its end, so it must not hold its request
      */
     public void add(
             Object key,
