Date a version by its publication, not by when a daemon reads of it

What callers saw (VERSION): requests were served by endpoints with an older version up to 12 s after a newer one was acknowledged, where 8 s are allowed.

Cause: the replicated state names each model's newest version, but no time. FleetView dated a version by the moment at which the daemon read of it, so an entry that read late, here because its VM was paused, gave itself the whole 7 s anew; a version that was superseded during the pause got no date.

With the old FleetView 4 of 15 cases of FleetViewTest fail (3 of 4 rows of apply_versionsPublishedDuringAPause_areDueAtTheirAge, and apply_versionWhoseAgeStoreOmits_isTreatedAsPublishedLongAgo).

Change: each store remembers when it applied each publication, and its replies report the ages of the versions of the last five minutes. A watcher keeps the earliest time that any reply implies, so a reply that waited in a socket during the pause is corrected by the next. An age is never overstated, as a store applies a publication after it was made: no version is required earlier than at the other entries.

--- a/daemon/src/main/java/org/sequoiahill/daemon/process/FleetStoreRole.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/FleetStoreRole.java
@@ -24,6 +24,7 @@
 import org.sequoiahill.daemon.process.fleet.FleetLogHandler;
 import org.sequoiahill.daemon.process.fleet.FleetStateMachine;
 import org.sequoiahill.daemon.process.fleet.FleetStore;
+import org.sequoiahill.daemon.process.fleet.PublicationTimes;
 import org.sequoiahill.daemon.process.log.GroupLog;
 import org.sequoiahill.daemon.process.log.LogTiming;
 import org.sequoiahill.daemon.process.log.Member;
@@ -79,6 +80,7 @@
     private final Identity mIdentity;
     private final ScheduledExecutorService mScheduler;
     private final EndpointRegistry mRegistry;
+    private final PublicationTimes mPublicationTimes;
     private final FleetLog mLog;
     private final FleetStore mStore;
     private final PauseDetector mPauses;
@@ -107,7 +109,13 @@
                         settings.limits().heartbeatInterval().multipliedBy(MISSED_HEARTBEATS),
                         PARTICIPANT_LEASE,
                         random.nextLong(1, Long.MAX_VALUE));
-        FleetStateMachine machine = FleetStateMachine.of(state -> mRegistry.wakeWaitingReaders());
+        mPublicationTimes = PublicationTimes.of(clock);
+        FleetStateMachine machine =
+                FleetStateMachine.of(
+                        state -> {
+                            mPublicationTimes.record(state, Duration.ZERO);
+                            mRegistry.wakeWaitingReaders();
+                        });
         StoreRuntime runtime = new StoreRuntime(clock, time, random, traffic, STORE_TIMEOUTS);
         Path dataFolder = settings.dataFolder().orElseThrow();
         try {
@@ -152,7 +160,8 @@
         server.register(ServiceStub.LOG_CONFIG, new Log.Processor<>(FleetLogHandler.of(mLog)));
         server.register(
                 ServiceStub.FLEET,
-                new Fleet.Processor<>(FleetHandler.of(mIdentity, mStore, mRegistry)));
+                new Fleet.Processor<>(
+                        FleetHandler.of(mIdentity, mStore, mRegistry, mPublicationTimes)));
     }
 
     @Override
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/fleet/FleetHandler.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/fleet/FleetHandler.java
@@ -29,16 +29,30 @@
     private final Identity mIdentity;
     private final FleetStore mStore;
     private final EndpointRegistry mRegistry;
+    private final PublicationTimes mPublicationTimes;
 
-    private FleetHandler(Identity identity, FleetStore store, EndpointRegistry registry) {
+    private FleetHandler(
+            Identity identity,
+            FleetStore store,
+            EndpointRegistry registry,
+            PublicationTimes publicationTimes) {
         mIdentity = identity;
         mStore = store;
         mRegistry = registry;
+        mPublicationTimes = publicationTimes;
     }
 
-    /** Returns the handler for one store. */
-    public static FleetHandler of(Identity identity, FleetStore store, EndpointRegistry registry) {
-        return new FleetHandler(identity, store, registry);
+    /**
+     * Returns the handler for one store.
+     *
+     * @param publicationTimes times at which the store applied the publications of versions
+     */
+    public static FleetHandler of(
+            Identity identity,
+            FleetStore store,
+            EndpointRegistry registry,
+            PublicationTimes publicationTimes) {
+        return new FleetHandler(identity, store, registry, publicationTimes);
     }
 
     @Override
@@ -63,6 +77,9 @@
             FleetState state = mStore.appliedState();
             reply.setContent(state.toThrift(isRoutingWanted(request, state)));
         }
+        // The state becomes visible before the store has recorded its versions.
+        mPublicationTimes.record(mStore.appliedState(), Duration.ZERO);
+        reply.setVersionAges(mPublicationTimes.ages());
         reply.setStores(mStore.addresses());
         reply.setDataCentre(mIdentity.dataCentre());
         return reply;
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/fleet/FleetView.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/fleet/FleetView.java
@@ -46,10 +46,8 @@
 
     private static final Duration MAX_BATCH_DELAY = Duration.ofMillis(100);
 
-    /**
-     * Age assumed for the versions of the first state, so that their rollout deadlines are past.
-     */
-    private static final Duration INITIAL_VERSION_AGE = Duration.ofDays(1);
+    /** Age assumed for versions whose age is not reported, so that their rollout is due. */
+    private static final Duration UNREPORTED_VERSION_AGE = Duration.ofDays(1);
 
     private final MonotonicClock mClock;
     private final RoutingTableFormat mFormat;
@@ -57,7 +55,7 @@
     private final List<Consumer<FleetSnapshot>> mListeners = new CopyOnWriteArrayList<>();
     private final Map<HostPort, FeedMirror> mMirrors = new HashMap<>();
     private final EndpointMerge mMerge = new EndpointMerge();
-    private final Map<String, VersionHistory> mVersions = new HashMap<>();
+    private final PublicationTimes mPublicationTimes;
     private final QuorumContact mQuorumContact = new QuorumContact();
     private Set<HostPort> mStores = new LinkedHashSet<>();
     private Duration mTableMissingSince = Duration.ZERO;
@@ -70,6 +68,7 @@
         mClock = clock;
         mFormat = format;
         mRunner = runner;
+        mPublicationTimes = PublicationTimes.of(clock);
     }
 
     /** Returns a view that has received nothing yet. */
@@ -196,7 +195,13 @@
             reply.getStores().forEach(address -> stores.add(HostPort.parse(address)));
             mStores = stores;
         }
-        return reply.isSetContent() && applyContent(reply.getContent());
+        boolean isStateKnown = mSnapshot.state().index() > 0;
+        if (isStateKnown
+                && reply.isSetVersionAges()
+                && mPublicationTimes.recordAges(reply.getVersionAges())) {
+            scheduleRebuild();
+        }
+        return reply.isSetContent() && applyContent(reply.getContent(), reply.isSetVersionAges());
     }
 
     /** Discards the endpoints and daemons that a store has reported; the replicated state stays. */
@@ -212,7 +217,7 @@
         mListeners.forEach(listener -> listener.accept(snapshot));
     }
 
-    private boolean applyContent(FleetContent content) {
+    private boolean applyContent(FleetContent content, boolean hasVersionAges) {
         FleetState held = mSnapshot.state();
         FleetState received = FleetState.fromThrift(content);
         if (received.routingNumber() > mNewestTableNumber) {
@@ -235,7 +240,9 @@
         if (state.index() == held.index() && !hasNewTable) {
             return false;
         }
-        recordVersions(held, state);
+        // Stores omit the ages of old versions; a store of an older release reports none.
+        boolean isUnreportedOld = held.index() == 0 || hasVersionAges;
+        mPublicationTimes.record(state, isUnreportedOld ? UNREPORTED_VERSION_AGE : Duration.ZERO);
         logChanges(held, state);
         rebuild(state, table);
         return true;
@@ -255,23 +262,6 @@
         return Optional.of(parsed.orElseThrow());
     }
 
-    private void recordVersions(FleetState held, FleetState state) {
-        boolean isFirst = held.index() == 0;
-        Duration now = mClock.now();
-        state.versions()
-                .forEach(
-                        (model, version) -> {
-                            if (version > held.version(model, 0)) {
-                                mVersions.merge(
-                                        model,
-                                        VersionHistory.NONE.with(
-                                                version,
-                                                isFirst ? now.minus(INITIAL_VERSION_AGE) : now),
-                                        (known, added) -> known.with(version, now));
-                            }
-                        });
-    }
-
     private static void logChanges(FleetState held, FleetState state) {
         Logger.info(
                 "fleet state at index {} (was {}): routing table {} (was {}), out of service {},"
@@ -296,7 +286,12 @@
         }
         mSnapshot =
                 FleetSnapshot.of(
-                        state, table, byService, participants, mVersions, mNewestTableNumber);
+                        state,
+                        table,
+                        byService,
+                        participants,
+                        mPublicationTimes.histories(),
+                        mNewestTableNumber);
         return mSnapshot;
     }
 }
--- a/daemon/src/main/java/org/sequoiahill/daemon/process/fleet/VersionHistory.java
+++ b/daemon/src/main/java/org/sequoiahill/daemon/process/fleet/VersionHistory.java
@@ -1,6 +1,8 @@
 package org.sequoiahill.daemon.process.fleet;
 
 import java.time.Duration;
+import java.util.Collections;
+import java.util.List;
 import java.util.Map;
 import java.util.NavigableMap;
 import java.util.Optional;
@@ -27,16 +29,39 @@
         mPublishedAt = publishedAt;
     }
 
-    /** Returns this history with a version added; keeps only the newest {@link #MAX_VERSIONS}. */
+    /**
+     * Returns this history with a version added; keeps the earliest time of each version and only
+     * the newest {@link #MAX_VERSIONS}.
+     */
     public VersionHistory with(long version, Duration publishedAt) {
         NavigableMap<Long, Duration> changed = new TreeMap<>(mPublishedAt);
-        changed.put(version, publishedAt);
+        changed.merge(
+                version, publishedAt, (known, added) -> Collections.min(List.of(known, added)));
         while (changed.size() > MAX_VERSIONS) {
             changed.pollFirstEntry();
         }
         return new VersionHistory(changed);
     }
 
+    /** Returns the newest version. */
+    OptionalLong newest() {
+        return mPublishedAt.isEmpty()
+                ? OptionalLong.empty()
+                : OptionalLong.of(mPublishedAt.lastKey());
+    }
+
+    /** Returns when a version was published. */
+    Optional<Duration> publishedAt(long version) {
+        return Optional.ofNullable(mPublishedAt.get(version));
+    }
+
+    /** Returns the versions that were published at or after a time. */
+    Map<Long, Duration> publishedSince(Duration time) {
+        Map<Long, Duration> recent = new TreeMap<>(mPublishedAt);
+        recent.values().removeIf(publishedAt -> publishedAt.compareTo(time) < 0);
+        return recent;
+    }
+
     /** Returns the newest version that was published at or before a time. */
     public OptionalLong newestAt(Duration time) {
         OptionalLong newest = OptionalLong.empty();
--- a/daemon/src/test/java/org/sequoiahill/daemon/process/fleet/FleetViewTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/process/fleet/FleetViewTest.java
@@ -9,6 +9,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -18,6 +20,7 @@
 import org.sequoiahill.protocol.gen.FleetContent;
 import org.sequoiahill.protocol.gen.Participant;
 import org.sequoiahill.protocol.gen.ParticipantRole;
+import org.sequoiahill.protocol.gen.VersionAge;
 import org.sequoiahill.protocol.gen.WatchReply;
 import org.sequoiahill.protocol.gen.WatchRequest;
 import org.sequoiahill.protocol.json.ParseResult;
@@ -127,6 +130,68 @@
                 is(Optional.of(mClock.now())));
     }
 
+    /**
+     * Guards against a daemon that dates versions by when it learned of them, and so accepts older
+     * ones too long after its VM was paused.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        // milliseconds after the publication of version 2; version that is due by then; version 3
+        // is published after 2 s, and versions are due after 7 s
+        "6999, 1",
+        "7000, 2",
+        "8999, 2",
+        "9000, 3"
+    })
+    void apply_versionsPublishedDuringAPause_areDueAtTheirAge(long time, long dueVersion) {
+        for (List<WatchReply> readAfterPause :
+                List.of(
+                        List.of(versions(3, age(2, 6_800), age(3, 4_800))),
+                        List.of(versions(2, age(2, 0)), versions(3, age(2, 6_800), age(3, 4_800))),
+                        List.of(
+                                versions(3, age(2, 2_000), age(3, 0)),
+                                ages(age(2, 6_800), age(3, 4_800))))) {
+            FleetView view =
+                    FleetView.of(
+                            mClock, FleetViewTest::parse, (delay, task) -> mScheduled.add(task));
+            view.apply(NEAR_STORE, versions(1));
+            Duration publication = mClock.now();
+            mClock.advanceMillis(6_800);
+            readAfterPause.forEach(reply -> view.apply(NEAR_STORE, reply));
+            mScheduled.forEach(Runnable::run);
+            Duration due = publication.plusMillis(time).minusSeconds(7);
+            assertThat(
+                    readAfterPause.toString(),
+                    view.snapshot().versionHistory("model").newestAt(due),
+                    is(OptionalLong.of(dueVersion)));
+        }
+    }
+
+    @Test
+    void apply_versionWhoseAgeStoreOmits_isTreatedAsPublishedLongAgo() {
+        mView.apply(NEAR_STORE, versions(1));
+        mClock.advanceMillis(3_600_000);
+        mView.apply(NEAR_STORE, versions(3, age(3, 4_800)));
+        mView.apply(NEAR_STORE, versions(4));
+        Duration publishedAt =
+                mView.snapshot().versionHistory("model").publishedAfter(3).orElseThrow();
+        assertThat(publishedAt.compareTo(mClock.now().minus(Duration.ofMinutes(5))) < 0, is(true));
+    }
+
+    private static VersionAge age(long version, long ageMillis) {
+        return new VersionAge("model", version, ageMillis);
+    }
+
+    private static WatchReply versions(long newest, VersionAge... ages) {
+        FleetContent content = content(newest, 0, false);
+        content.setVersions(Map.of("model", newest));
+        return ages(ages).setContent(content);
+    }
+
+    private static WatchReply ages(VersionAge... ages) {
+        return reply(true, null).setVersionAges(List.of(ages));
+    }
+
     private static ParseResult<RoutingTable> parse(byte[] text) {
         long number = Long.parseLong(new String(text, StandardCharsets.UTF_8));
         return ParseResult.of(RoutingTable.of(number, List.of(), Map.of(), Map.of(), 0));
@@ -165,7 +230,7 @@
                 .setDataCentre("dc");
     }
 
-    private static WatchReply reply(boolean isCurrent, FleetContent content) {
+    private static WatchReply reply(boolean isCurrent, @Nullable FleetContent content) {
         return new WatchReply()
                 .setFeed(1)
                 .setChange(1)
--- a/daemon/src/test/java/org/sequoiahill/daemon/process/fleet/VersionHistoryTest.java
+++ b/daemon/src/test/java/org/sequoiahill/daemon/process/fleet/VersionHistoryTest.java
@@ -21,6 +21,14 @@
         assertThat(HISTORY.newestAt(Duration.ofSeconds(second)), is(expected));
     }
 
+    @ParameterizedTest
+    @CsvSource({"17, 17", "18, 18", "25, 18"})
+    void with_knownVersion_keepsEarliestTime(long second, long expected) {
+        assertThat(
+                HISTORY.with(2, Duration.ofSeconds(second)).publishedAfter(1),
+                is(Optional.of(Duration.ofSeconds(expected))));
+    }
+
     @ParameterizedTest
     @CsvSource({"1, 18", "2, 20", "3, "})
     void publishedAfter_heldVersion_isWhenFirstNewerOneWasPublished(long held, Long second) {
--- a/protocol/src/main/java/org/sequoiahill/protocol/gen/WatchReply.java
+++ b/protocol/src/main/java/org/sequoiahill/protocol/gen/WatchReply.java
@@ -18,6 +18,7 @@
   private static final org.apache.thrift.protocol.TField CONTENT_FIELD_DESC = new org.apache.thrift.protocol.TField("content", org.apache.thrift.protocol.TType.STRUCT, (short)6);
   private static final org.apache.thrift.protocol.TField STORES_FIELD_DESC = new org.apache.thrift.protocol.TField("stores", org.apache.thrift.protocol.TType.LIST, (short)7);
   private static final org.apache.thrift.protocol.TField DATA_CENTRE_FIELD_DESC = new org.apache.thrift.protocol.TField("dataCentre", org.apache.thrift.protocol.TType.STRING, (short)8);
+  private static final org.apache.thrift.protocol.TField VERSION_AGES_FIELD_DESC = new org.apache.thrift.protocol.TField("versionAges", org.apache.thrift.protocol.TType.LIST, (short)9);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new WatchReplyStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new WatchReplyTupleSchemeFactory();
@@ -30,6 +31,7 @@
   private @org.apache.thrift.annotation.Nullable FleetContent content; // optional
   private @org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> stores; // required
   private @org.apache.thrift.annotation.Nullable java.lang.String dataCentre; // required
+  private @org.apache.thrift.annotation.Nullable java.util.List<VersionAge> versionAges; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -62,7 +64,12 @@
     /**
      * Data centre of the replying store.
      */
-    DATA_CENTRE((short)8, "dataCentre");
+    DATA_CENTRE((short)8, "dataCentre"),
+    /**
+     * Ages of the recent versions that the store has applied, whether or not the reply has content;
+     * older versions are omitted. Absent in replies of older releases.
+     */
+    VERSION_AGES((short)9, "versionAges");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -94,6 +101,8 @@
           return STORES;
         case 8: // DATA_CENTRE
           return DATA_CENTRE;
+        case 9: // VERSION_AGES
+          return VERSION_AGES;
         default:
           return null;
       }
@@ -142,7 +151,7 @@
   private static final int __WHOLE_ISSET_ID = 2;
   private static final int __CURRENT_ISSET_ID = 3;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.CONTENT};
+  private static final _Fields optionals[] = {_Fields.CONTENT,_Fields.VERSION_AGES};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -164,6 +173,9 @@
             new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING))));
     tmpMap.put(_Fields.DATA_CENTRE, new org.apache.thrift.meta_data.FieldMetaData("dataCentre", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+    tmpMap.put(_Fields.VERSION_AGES, new org.apache.thrift.meta_data.FieldMetaData("versionAges", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, VersionAge.class))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(WatchReply.class, metaDataMap);
   }
@@ -220,6 +232,13 @@
     if (other.isSetDataCentre()) {
       this.dataCentre = other.dataCentre;
     }
+    if (other.isSetVersionAges()) {
+      java.util.List<VersionAge> __this__versionAges = new java.util.ArrayList<VersionAge>(other.versionAges.size());
+      for (VersionAge other_element : other.versionAges) {
+        __this__versionAges.add(new VersionAge(other_element));
+      }
+      this.versionAges = __this__versionAges;
+    }
   }
 
   @Override
@@ -241,6 +260,7 @@
     this.content = null;
     this.stores = null;
     this.dataCentre = null;
+    this.versionAges = null;
   }
 
   /**
@@ -511,6 +531,55 @@
     }
   }
 
+  public int getVersionAgesSize() {
+    return (this.versionAges == null) ? 0 : this.versionAges.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<VersionAge> getVersionAgesIterator() {
+    return (this.versionAges == null) ? null : this.versionAges.iterator();
+  }
+
+  public void addToVersionAges(VersionAge elem) {
+    if (this.versionAges == null) {
+      this.versionAges = new java.util.ArrayList<VersionAge>();
+    }
+    this.versionAges.add(elem);
+  }
+
+  /**
+   * Ages of the recent versions that the store has applied, whether or not the reply has content;
+   * older versions are omitted. Absent in replies of older releases.
+   */
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<VersionAge> getVersionAges() {
+    return this.versionAges;
+  }
+
+  /**
+   * Ages of the recent versions that the store has applied, whether or not the reply has content;
+   * older versions are omitted. Absent in replies of older releases.
+   */
+  public WatchReply setVersionAges(@org.apache.thrift.annotation.Nullable java.util.List<VersionAge> versionAges) {
+    this.versionAges = versionAges;
+    return this;
+  }
+
+  public void unsetVersionAges() {
+    this.versionAges = null;
+  }
+
+  /** Returns true if field versionAges is set (has been assigned a value) and false otherwise */
+  public boolean isSetVersionAges() {
+    return this.versionAges != null;
+  }
+
+  public void setVersionAgesIsSet(boolean value) {
+    if (!value) {
+      this.versionAges = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -578,6 +647,14 @@
       }
       break;
 
+    case VERSION_AGES:
+      if (value == null) {
+        unsetVersionAges();
+      } else {
+        setVersionAges((java.util.List<VersionAge>)value);
+      }
+      break;
+
     }
   }
 
@@ -609,6 +686,9 @@
     case DATA_CENTRE:
       return getDataCentre();
 
+    case VERSION_AGES:
+      return getVersionAges();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -637,6 +717,8 @@
       return isSetStores();
     case DATA_CENTRE:
       return isSetDataCentre();
+    case VERSION_AGES:
+      return isSetVersionAges();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -726,6 +808,15 @@
         return false;
     }
 
+    boolean this_present_versionAges = true && this.isSetVersionAges();
+    boolean that_present_versionAges = true && that.isSetVersionAges();
+    if (this_present_versionAges || that_present_versionAges) {
+      if (!(this_present_versionAges && that_present_versionAges))
+        return false;
+      if (!this.versionAges.equals(that.versionAges))
+        return false;
+    }
+
     return true;
   }
 
@@ -757,6 +848,10 @@
     if (isSetDataCentre())
       hashCode = hashCode * 8191 + dataCentre.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetVersionAges()) ? 131071 : 524287);
+    if (isSetVersionAges())
+      hashCode = hashCode * 8191 + versionAges.hashCode();
+
     return hashCode;
   }
 
@@ -848,6 +943,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetVersionAges(), other.isSetVersionAges());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetVersionAges()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.versionAges, other.versionAges);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -921,6 +1026,16 @@
       sb.append(this.dataCentre);
     }
     first = false;
+    if (isSetVersionAges()) {
+      if (!first) sb.append(", ");
+      sb.append("versionAges:");
+      if (this.versionAges == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.versionAges);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -1057,6 +1172,25 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 9: // VERSION_AGES
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list66 = iprot.readListBegin();
+                struct.versionAges = new java.util.ArrayList<VersionAge>(_list66.size);
+                @org.apache.thrift.annotation.Nullable VersionAge _elem67;
+                for (int _i68 = 0; _i68 < _list66.size; ++_i68)
+                {
+                  _elem67 = new VersionAge();
+                  _elem67.read(iprot);
+                  struct.versionAges.add(_elem67);
+                }
+                iprot.readListEnd();
+              }
+              struct.setVersionAgesIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -1086,9 +1220,9 @@
         oprot.writeFieldBegin(ITEMS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.items.size()));
-          for (FeedItem _iter66 : struct.items)
+          for (FeedItem _iter69 : struct.items)
           {
-            _iter66.write(oprot);
+            _iter69.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -1108,9 +1242,9 @@
         oprot.writeFieldBegin(STORES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.stores.size()));
-          for (java.lang.String _iter67 : struct.stores)
+          for (java.lang.String _iter70 : struct.stores)
           {
-            oprot.writeString(_iter67);
+            oprot.writeString(_iter70);
           }
           oprot.writeListEnd();
         }
@@ -1121,6 +1255,20 @@
         oprot.writeString(struct.dataCentre);
         oprot.writeFieldEnd();
       }
+      if (struct.versionAges != null) {
+        if (struct.isSetVersionAges()) {
+          oprot.writeFieldBegin(VERSION_AGES_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.versionAges.size()));
+            for (VersionAge _iter71 : struct.versionAges)
+            {
+              _iter71.write(oprot);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -1164,7 +1312,10 @@
       if (struct.isSetDataCentre()) {
         optionals.set(7);
       }
-      oprot.writeBitSet(optionals, 8);
+      if (struct.isSetVersionAges()) {
+        optionals.set(8);
+      }
+      oprot.writeBitSet(optionals, 9);
       if (struct.isSetFeed()) {
         oprot.writeI64(struct.feed);
       }
@@ -1177,9 +1328,9 @@
       if (struct.isSetItems()) {
         {
           oprot.writeI32(struct.items.size());
-          for (FeedItem _iter68 : struct.items)
+          for (FeedItem _iter72 : struct.items)
           {
-            _iter68.write(oprot);
+            _iter72.write(oprot);
           }
         }
       }
@@ -1192,21 +1343,30 @@
       if (struct.isSetStores()) {
         {
           oprot.writeI32(struct.stores.size());
-          for (java.lang.String _iter69 : struct.stores)
+          for (java.lang.String _iter73 : struct.stores)
           {
-            oprot.writeString(_iter69);
+            oprot.writeString(_iter73);
           }
         }
       }
       if (struct.isSetDataCentre()) {
         oprot.writeString(struct.dataCentre);
       }
+      if (struct.isSetVersionAges()) {
+        {
+          oprot.writeI32(struct.versionAges.size());
+          for (VersionAge _iter74 : struct.versionAges)
+          {
+            _iter74.write(oprot);
+          }
+        }
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, WatchReply struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(8);
+      java.util.BitSet incoming = iprot.readBitSet(9);
       if (incoming.get(0)) {
         struct.feed = iprot.readI64();
         struct.setFeedIsSet(true);
@@ -1221,14 +1381,14 @@
       }
       if (incoming.get(3)) {
         {
-          org.apache.thrift.protocol.TList _list70 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.items = new java.util.ArrayList<FeedItem>(_list70.size);
-          @org.apache.thrift.annotation.Nullable FeedItem _elem71;
-          for (int _i72 = 0; _i72 < _list70.size; ++_i72)
+          org.apache.thrift.protocol.TList _list75 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.items = new java.util.ArrayList<FeedItem>(_list75.size);
+          @org.apache.thrift.annotation.Nullable FeedItem _elem76;
+          for (int _i77 = 0; _i77 < _list75.size; ++_i77)
           {
-            _elem71 = new FeedItem();
-            _elem71.read(iprot);
-            struct.items.add(_elem71);
+            _elem76 = new FeedItem();
+            _elem76.read(iprot);
+            struct.items.add(_elem76);
           }
         }
         struct.setItemsIsSet(true);
@@ -1244,13 +1404,13 @@
       }
       if (incoming.get(6)) {
         {
-          org.apache.thrift.protocol.TList _list73 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.stores = new java.util.ArrayList<java.lang.String>(_list73.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem74;
-          for (int _i75 = 0; _i75 < _list73.size; ++_i75)
+          org.apache.thrift.protocol.TList _list78 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.stores = new java.util.ArrayList<java.lang.String>(_list78.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem79;
+          for (int _i80 = 0; _i80 < _list78.size; ++_i80)
           {
-            _elem74 = iprot.readString();
-            struct.stores.add(_elem74);
+            _elem79 = iprot.readString();
+            struct.stores.add(_elem79);
           }
         }
         struct.setStoresIsSet(true);
@@ -1259,6 +1419,20 @@
         struct.dataCentre = iprot.readString();
         struct.setDataCentreIsSet(true);
       }
+      if (incoming.get(8)) {
+        {
+          org.apache.thrift.protocol.TList _list81 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.versionAges = new java.util.ArrayList<VersionAge>(_list81.size);
+          @org.apache.thrift.annotation.Nullable VersionAge _elem82;
+          for (int _i83 = 0; _i83 < _list81.size; ++_i83)
+          {
+            _elem82 = new VersionAge();
+            _elem82.read(iprot);
+            struct.versionAges.add(_elem82);
+          }
+        }
+        struct.setVersionAgesIsSet(true);
+      }
     }
   }
 
--- a/protocol/src/main/thrift/fleet.thrift
+++ b/protocol/src/main/thrift/fleet.thrift
@@ -160,6 +160,17 @@
   7: i32 waitMillis
 }
 
+/** Age of a published version at one store. */
+struct VersionAge {
+  1: string model
+  2: i64 version
+  /**
+   * Time since the store applied the publication, as of when this message is sent. The version is
+   * at least as old: the store may have applied it late, or again after a restart.
+   */
+  3: i64 ageMillis
+}
+
 struct WatchReply {
   /** Id of the feed; random, so it differs after a restart of the store. */
   1: i64 feed
@@ -181,6 +192,11 @@
   7: list<string> stores
   /** Data centre of the replying store. */
   8: string dataCentre
+  /**
+   * Ages of the recent versions that the store has applied, whether or not the reply has content;
+   * older versions are omitted. Absent in replies of older releases.
+   */
+  9: optional list<VersionAge> versionAges
 }
 
 enum ChangeOutcome {
