--- a/review/lab-3/Callers.java
+++ b/review/lab-3/Callers.java
@@ -19,12 +19,14 @@
         final double sentAt;
         final double endedAt;
         final String answer;
+        final String body;
 
-        Result(String id, double sentAt, double endedAt, String answer) {
+        Result(String id, double sentAt, double endedAt, String answer, String body) {
             this.id = id;
             this.sentAt = sentAt;
             this.endedAt = endedAt;
             this.answer = answer;
+            this.body = body;
         }
     }
 
@@ -62,16 +64,18 @@
         double sentAt = mRecord.now();
         mRecord.add("client: request %s is sent to %s, %s %s", id, entry, method, path);
         String answer;
+        String body = "";
         try {
             Http.Message response = Http.call(entry, method, path, headers, new byte[bodyBytes], deadlineMillis + 500);
             answer = String.valueOf(response.status());
+            body = response.text();
             if (response.status() >= 500) {
                 answer += " " + response.header("sequoia-refusal");
             }
         } catch (IOException e) {
             answer = e.toString();
         }
-        Result result = new Result(id, sentAt, mRecord.now(), answer);
+        Result result = new Result(id, sentAt, mRecord.now(), answer, body);
         results.add(result);
         mRecord.add("client: request %s is answered %s", id, answer);
         return result;
--- a/review/lab-3/Replica.java
+++ b/review/lab-3/Replica.java
@@ -55,6 +55,7 @@
     private volatile boolean mIsEnded;
     private volatile boolean mIsBeating;
     private ServerSocket mServer;
+    private volatile double mLastBeatAt;
     private int mDaemon;
     private long mSequence;
 
@@ -86,6 +87,14 @@
         mColdUntil = mRecord.now() + millis;
     }
 
+    /** Waits until the next heartbeat has been acknowledged. */
+    void awaitHeartbeat() throws InterruptedException {
+        double last = mLastBeatAt;
+        while (mLastBeatAt == last) {
+            Thread.sleep(5);
+        }
+    }
+
     double coldUntil() {
         return mColdUntil;
     }
@@ -120,6 +129,7 @@
             mSequence++;
             try {
                 if (Fleet.status(daemon, "POST", "/api/instances/" + id + "/heartbeat", report()) == 200) {
+                    mLastBeatAt = mRecord.now();
                     mRecord.add("replica %s: report %d, %s, acknowledged by %s", id, mSequence, mState, daemon);
                     return daemon;
                 }
@@ -202,8 +212,12 @@
             OutputStream out = socket.getOutputStream();
             Http.Message request = Http.read(in, false);
             while (request != null && !mIsEnded) {
-                out.write(handle(request));
+                byte[] response = handle(request);
+                out.write(response);
                 out.flush();
+                if (!hasLength(response)) {
+                    return;
+                }
                 request = Http.read(in, false);
             }
         } catch (IOException e) {
@@ -217,6 +231,12 @@
         }
     }
 
+    /** Returns whether a response states its length; without one it ends with its connection. */
+    private static boolean hasLength(byte[] response) {
+        String text = new String(response, StandardCharsets.ISO_8859_1);
+        return text.substring(0, text.indexOf("\r\n\r\n")).contains("Content-Length:");
+    }
+
     private byte[] handle(Http.Message request) throws InterruptedException {
         String expected = request.header("X-Sequoiahill-Expect-Instance");
         String attempt = request.header("X-Sequoiahill-Attempt-Id");
