--- a/review/lab-3/Replica.java
+++ b/review/lab-3/Replica.java
@@ -17,6 +17,7 @@
 /** Stand-in of one start of a replica: serves requests in slots, and sends heartbeats to one daemon after another. */
 final class Replica {
     private static final int HEARTBEAT_MILLIS = 1_200;
+    private static final double COLD_MILLIS = 3_000;
 
     /** A request that reached the replica. */
     static final class Arrival {
@@ -87,6 +88,16 @@
         mColdUntil = mRecord.now() + millis;
     }
 
+    /** Ends the process if it is cold and more requests than a limit have arrived within the last second. */
+    void crashAbove(int limit) {
+        double now = mRecord.now();
+        double since = Math.max(now - 1_000, mColdUntil - COLD_MILLIS);
+        if (!mIsEnded && now < mColdUntil && arrivals.stream().filter(each -> each.at >= since).count() > limit) {
+            mRecord.say("replica %s crashes: more than %d requests in a second while it is cold", id, limit);
+            end();
+        }
+    }
+
     /** Waits until the next heartbeat has been acknowledged. */
     void awaitHeartbeat() throws InterruptedException {
         double last = mLastBeatAt;
