--- a/review/lab-3/Replica.java
+++ b/review/lab-3/Replica.java
@@ -98,6 +98,14 @@
         }
     }
 
+    /** Waits until no request is running, for a second at most. */
+    void awaitIdle() throws InterruptedException {
+        double end = mRecord.now() + 1_000;
+        while (running.get() > 0 && mRecord.now() < end) {
+            Thread.sleep(1);
+        }
+    }
+
     /** Waits until the next heartbeat has been acknowledged. */
     void awaitHeartbeat() throws InterruptedException {
         double last = mLastBeatAt;
@@ -177,7 +185,7 @@
         }
     }
 
-    /** Ends the process: all its connections are reset, and its port has no listener. */
+    /** Ends the process: all its connections are closed, as a kernel does, and its port has no listener. */
     void end() {
         mIsEnded = true;
         mIsBeating = false;
@@ -189,7 +197,6 @@
         }
         for (Socket socket : mSockets) {
             try {
-                socket.setSoLinger(true, 0);
                 socket.close();
             } catch (IOException e) {
                 mRecord.add("replica %s: %s", id, e);
