--- a/review/lab-3/Fleet.java
+++ b/review/lab-3/Fleet.java
@@ -87,35 +87,12 @@
             mProcess = builder.start();
             mRecord.add("%s started as process %d at %s", name, mProcess.pid(), ip);
         }
-
-        /** Kills the process at once, as SIGKILL does. */
-        void kill() {
-            mRecord.add("%s is killed", name);
-            mProcess.destroyForcibly();
-        }
-
-        void awaitEnd() throws InterruptedException {
-            mProcess.waitFor(5, TimeUnit.SECONDS);
-        }
-
-        boolean isAlive() {
-            return mProcess != null && mProcess.isAlive();
-        }
-
-        void signal(String signal) throws IOException, InterruptedException {
-            mRecord.add("%s gets SIG%s", name, signal);
-            new ProcessBuilder("kill", "-" + signal, String.valueOf(mProcess.pid())).start().waitFor();
-        }
     }
 
     void zone(String zone, String region) {
         mRegions.put(zone, region);
     }
 
-    void bound(String name, Object value) {
-        mBounds.put(name, value);
-    }
-
     Daemon add(String name, String role, String zone) {
         Daemon daemon = new Daemon(name, role, zone);
         mDaemons.add(daemon);
--- a/review/lab-3/Replica.java
+++ b/review/lab-3/Replica.java
@@ -51,9 +51,9 @@
     private final Semaphore mFree;
     private final Set<Socket> mSockets = ConcurrentHashMap.newKeySet();
     private volatile Behaviour mBehaviour;
-    private volatile String mState = "ready";
     private volatile double mColdUntil;
     private volatile boolean mIsEnded;
+    private volatile boolean mIsDark;
     private volatile boolean mIsBeating;
     private ServerSocket mServer;
     private volatile double mLastBeatAt;
@@ -98,6 +98,24 @@
         }
     }
 
+    /** Falls silent: no heartbeat and no answer any more, but no connection is closed. Returns false the second time. */
+    synchronized boolean goDark() {
+        boolean wasDark = mIsDark;
+        mIsDark = true;
+        mIsBeating = false;
+        if (!wasDark) {
+            mRecord.add("replica %s goes dark", id);
+        }
+        return !wasDark;
+    }
+
+    /** Waits for ever if the replica is dark. */
+    void awaitNotDark() throws InterruptedException {
+        while (mIsDark && !mIsEnded) {
+            Thread.sleep(1_000);
+        }
+    }
+
     /** Waits until no request is running, for a second at most. */
     void awaitIdle() throws InterruptedException {
         double end = mRecord.now() + 1_000;
@@ -149,42 +167,18 @@
             try {
                 if (Fleet.status(daemon, "POST", "/api/instances/" + id + "/heartbeat", report()) == 200) {
                     mLastBeatAt = mRecord.now();
-                    mRecord.add("replica %s: report %d, %s, acknowledged by %s", id, mSequence, mState, daemon);
+                    mRecord.add("replica %s: report %d, acknowledged by %s", id, mSequence, daemon);
                     return daemon;
                 }
-                mRecord.add("replica %s: report %d, %s, refused by %s", id, mSequence, mState, daemon);
+                mRecord.add("replica %s: report %d, refused by %s", id, mSequence, daemon);
             } catch (IOException e) {
-                mRecord.add("replica %s: report %d, %s, not acknowledged by %s: %s", id, mSequence, mState, daemon, e);
+                mRecord.add("replica %s: report %d, not acknowledged by %s: %s", id, mSequence, daemon, e);
             }
             mDaemon++;
         }
         return "";
     }
 
-    /** Reports that the replica is draining; returns the address of the daemon that acknowledged it. */
-    String drain() {
-        mState = "draining";
-        return heartbeat();
-    }
-
-    /** Reports that the replica has gone. */
-    synchronized void deregister() {
-        mIsBeating = false;
-        String body = "{\"born\":" + mBorn + "}";
-        for (int i = 0; i < mControl.size(); i++) {
-            String daemon = mControl.get(mDaemon % mControl.size());
-            try {
-                if (Fleet.status(daemon, "POST", "/api/instances/" + id + "/deregister", body) == 200) {
-                    mRecord.add("replica %s: deregistered at %s", id, daemon);
-                    return;
-                }
-            } catch (IOException e) {
-                mRecord.add("replica %s: not deregistered at %s: %s", id, daemon, e);
-            }
-            mDaemon++;
-        }
-    }
-
     /** Ends the process: all its connections are closed, as a kernel does, and its port has no listener. */
     void end() {
         mIsEnded = true;
@@ -207,8 +201,7 @@
     private String report() {
         long cold = Math.max(0, (long) (mColdUntil - mRecord.now()));
         return "{\"service\":\"" + service + "\",\"address\":\"" + address() + "\",\"zone\":\"" + mZone
-                + "\",\"version\":\"v1\",\"slots\":" + mSlots + ",\"state\":\"" + mState
-                + "\",\"cold_remaining_ms\":" + cold + ",\"sequence\":" + mSequence + ",\"born\":" + mBorn + "}";
+                + "\",\"version\":\"v1\",\"slots\":" + mSlots + ",\"state\":\"ready\",\"cold_remaining_ms\":" + cold + ",\"sequence\":" + mSequence + ",\"born\":" + mBorn + "}";
     }
 
     private void accept() {
